--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""One command for each measure of the design."""
--- /dev/null
+++ b/egretlever/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: rank queues, adaptive concurrency and caller fairness."""
--- /dev/null
+++ b/egretlever/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""The catalogue of ranks, services and routes, and its edits."""
--- /dev/null
+++ b/egretlever/detection/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of gray failures and ejection above the floor."""
--- /dev/null
+++ b/egretlever/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: gossip of node records and their servers."""
--- /dev/null
+++ b/egretlever/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node: the parts assembled into a proxy."""
--- /dev/null
+++ b/egretlever/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Order claims, which run an order at most once."""
--- /dev/null
+++ b/egretlever/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the table service and the object store."""
--- /dev/null
+++ b/egretlever/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the command-line programs."""
--- /dev/null
+++ b/egretlever/retry/__init__.py
@@ -0,0 +1,1 @@
+"""Classification of attempts, retries, hedges and their budget."""
--- /dev/null
+++ b/egretlever/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server for a request."""
--- /dev/null
+++ b/egretlever/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Schema of messages, settings and catalogue entries, with generated code."""
--- /dev/null
+++ b/egretlever/settings/__init__.py
@@ -0,0 +1,18 @@
+"""Settings of programs: INI files read into messages of the schema."""
+
+from egretlever.settings._fields import fill_message, parse_address
+from egretlever.settings._files import (
+    Findings,
+    parse_sections,
+    parse_settings,
+    read_settings,
+)
+
+__all__ = [
+    "Findings",
+    "fill_message",
+    "parse_address",
+    "parse_sections",
+    "parse_settings",
+    "read_settings",
+]
--- /dev/null
+++ b/egretlever/settings/_files.py
@@ -0,0 +1,136 @@
+"""Reading of INI files, with all findings together."""
+
+import configparser
+import pathlib
+from typing import TypeVar
+
+from google.protobuf import message
+from returns.result import Failure, Result, Success
+
+from egretlever.core import Finding
+from egretlever.settings._fields import fill_message
+
+Findings = tuple[Finding, ...]
+_Settings = TypeVar("_Settings", bound=message.Message)
+
+
+def parse_sections(
+    text: str, place: str
+) -> tuple[dict[str, dict[str, str]], list[Finding]]:
+    """Parse INI text into sections of keys.
+
+    Parameters
+    ----------
+    text : str
+        Content of the file.
+    place : str
+        Name of the file, used in findings.
+
+    Returns
+    -------
+    sections : dict of str to dict of str to str
+        Texts by section and key. Of duplicates the last one is given.
+    findings : list of Finding
+        Faults of syntax, duplicates included.
+    """
+    findings: list[Finding] = []
+    for strict in (True, False):
+        parser = configparser.ConfigParser(
+            interpolation=None, strict=strict, default_section="\0"
+        )
+        # Keys are names of schema fields, which are case-sensitive.
+        parser.optionxform = str  # type: ignore[assignment,method-assign]
+        try:
+            parser.read_string(text, place)
+            break
+        except configparser.DuplicateOptionError as error:
+            where = f"{place} [{error.section}] {error.option}"
+            findings.append(
+                Finding(where, f"is given again in line {error.lineno}")
+            )
+        except configparser.DuplicateSectionError as error:
+            findings.append(
+                Finding(
+                    f"{place} [{error.section}]",
+                    f"is given again in line {error.lineno}",
+                )
+            )
+        except configparser.MissingSectionHeaderError as error:
+            findings.append(
+                Finding(
+                    f"{place} line {error.lineno}", "stands before any section"
+                )
+            )
+            break
+        except configparser.ParsingError as error:
+            findings.extend(
+                Finding(f"{place} line {line}", f"can't be parsed: {content}")
+                for line, content in error.errors
+            )
+            break
+    return {name: dict(parser[name]) for name in parser.sections()}, findings
+
+
+def parse_settings(
+    text: str, place: str, kind: type[_Settings]
+) -> Result[_Settings, Findings]:
+    """Parse INI text into a settings message.
+
+    Parameters
+    ----------
+    text : str
+        Content of the file.
+    place : str
+        Name of the file, used in findings.
+    kind : type of Message
+        Generated settings message; its fields are the sections.
+
+    Returns
+    -------
+    Result of Message or tuple of Finding
+        The settings, or every finding.
+    """
+    sections, findings = parse_sections(text, place)
+    settings = kind()
+    known = [field.name for field in settings.DESCRIPTOR.fields]
+    for name in sections:
+        if name not in known:
+            findings.append(
+                Finding(
+                    f"{place} [{name}]",
+                    f"is unknown; known: {', '.join(known)}",
+                )
+            )
+    for name in known:
+        section = getattr(settings, name)
+        section.SetInParent()
+        findings.extend(
+            fill_message(section, sections.get(name, {}), f"{place} [{name}]")
+        )
+    if findings:
+        return Failure(tuple(findings))
+    return Success(settings)
+
+
+def read_settings(
+    path: pathlib.Path, kind: type[_Settings]
+) -> Result[_Settings, Findings]:
+    """Read an INI file into a settings message.
+
+    Parameters
+    ----------
+    path : Path
+        File to read, in UTF-8.
+    kind : type of Message
+        Generated settings message.
+
+    Returns
+    -------
+    Result of Message or tuple of Finding
+        The settings, or every finding.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure((Finding(str(path), f"can't be read: {error}"),))
+    return parse_settings(text, str(path), kind)
--- /dev/null
+++ b/egretlever/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of outside systems, for tests and demonstrations."""
--- /dev/null
+++ b/egretlever/testing/_clock.py
@@ -0,0 +1,108 @@
+"""Virtual time for code that runs on curio.
+
+curio takes every timeout from ``time.monotonic`` of its kernel module and
+waits in its selector. Replacing both makes time stand still while tasks run
+and jump forward when all of them wait, with the code under test unchanged.
+"""
+
+import contextlib
+import selectors
+from collections.abc import Coroutine, Iterator
+from typing import Any, TypeVar
+
+import curio
+import curio.kernel
+
+from egretlever.core import Seconds
+
+_Value = TypeVar("_Value")
+
+
+class VirtualClock:
+    """A clock that moves only when told to.
+
+    Parameters
+    ----------
+    start : float, default=1000.0
+        First reading, in seconds.
+    """
+
+    def __init__(self, start: float = 1000.0) -> None:
+        self._now = start
+
+    def monotonic(self) -> float:
+        """Return the current reading in seconds."""
+        return self._now
+
+    def advance(self, duration: float) -> Seconds:
+        """Move forward by a duration in seconds and return the reading."""
+        self._now += duration
+        return Seconds(self._now)
+
+    def __getattr__(self, name: str) -> Any:
+        # Stands in for the time module inside curio's kernel.
+        import time
+
+        return getattr(time, name)
+
+
+class _VirtualSelector(selectors.DefaultSelector):  # type: ignore[misc,valid-type]
+    """Selector that advances a virtual clock instead of waiting."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        super().__init__()
+        self._clock = clock
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        events = super().select(0)
+        if events or timeout is None:
+            return events or super().select(timeout)
+        if timeout > 0:
+            self._clock.advance(timeout)
+        return events
+
+
+@contextlib.contextmanager
+def replace_clock(clock: VirtualClock) -> Iterator[VirtualClock]:
+    """Use a virtual clock in curio's kernel inside a ``with`` block."""
+    original = curio.kernel.time
+    curio.kernel.time = clock
+    try:
+        yield clock
+    finally:
+        curio.kernel.time = original
+
+
+def run_virtual(
+    coroutine: Coroutine[Any, Any, _Value],
+    clock: VirtualClock | None = None,
+) -> _Value:
+    """Run a coroutine to its end in virtual time.
+
+    Parameters
+    ----------
+    coroutine : coroutine
+        What to run.
+    clock : VirtualClock, optional
+        Clock to use; a new one when absent.
+
+    Returns
+    -------
+    object
+        The coroutine's result.
+
+    Examples
+    --------
+    >>> async def wait_an_hour():
+    ...     start = await curio.clock()
+    ...     await curio.sleep(3600)
+    ...     return await curio.clock() - start
+    >>> run_virtual(wait_an_hour())
+    3600.0
+    """
+    clock = clock or VirtualClock()
+    with replace_clock(clock):
+        kernel = curio.Kernel(selector=_VirtualSelector(clock))
+        with kernel:
+            result: _Value = kernel.run(coroutine)
+            return result
