--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -1,6 +1,14 @@
-"""Builders of test data and the virtual clock."""
+"""Builders of test data, fakes of the stores, and the virtual clock."""
 
 from egretlever.testing import builders
 from egretlever.testing._clock import VirtualClock, replace_clock, run_virtual
+from egretlever.testing._fakes import FakeObjectStore, FakeTableStore
 
-__all__ = ["VirtualClock", "builders", "replace_clock", "run_virtual"]
+__all__ = [
+    "FakeObjectStore",
+    "FakeTableStore",
+    "VirtualClock",
+    "builders",
+    "replace_clock",
+    "run_virtual",
+]
--- /dev/null
+++ b/egretlever/testing/_fakes.py
@@ -0,0 +1,114 @@
+"""In-memory fakes of the platform's stores, with faults on request."""
+
+from returns.result import Failure, Result, Success
+
+from egretlever.core import Version
+from egretlever.platform import Row, StoreError, StoreErrorKind
+
+_AWAY = StoreError(StoreErrorKind.UNAVAILABLE, "the store is away")
+_LOST = StoreError(StoreErrorKind.UNKNOWN_EFFECT, "the answer was lost")
+
+
+class FakeTableStore:
+    """Table service in memory.
+
+    Attributes
+    ----------
+    away : bool
+        While true every operation fails without effect.
+    lose_answers : int
+        Number of coming writes that take effect but report unknown effect.
+    writes, reads : int
+        Operations that were served.
+    """
+
+    def __init__(self) -> None:
+        self.away = False
+        self.lose_answers = 0
+        self.writes = 0
+        self.reads = 0
+        self._rows: dict[str, Row] = {}
+
+    def _find(self, key: str) -> Row:
+        return self._rows.get(key, Row(key, b"", Version(0)))
+
+    async def read(self, key: str) -> Result[Row, StoreError]:
+        """Read one row; a missing row has version 0."""
+        if self.away:
+            return Failure(_AWAY)
+        self.reads += 1
+        return Success(self._find(key))
+
+    async def scan(
+        self, prefix: str, limit: int = 100
+    ) -> Result[tuple[Row, ...], StoreError]:
+        """Read rows whose key starts with a prefix, in the order of keys."""
+        if self.away:
+            return Failure(_AWAY)
+        self.reads += 1
+        keys = sorted(key for key in self._rows if key.startswith(prefix))
+        return Success(tuple(self._rows[key] for key in keys[:limit]))
+
+    async def write(
+        self,
+        rows: dict[str, bytes],
+        conditions: dict[str, Version],
+    ) -> Result[None, StoreError]:
+        """Write all rows if every condition's row has the given version."""
+        if self.away:
+            return Failure(_AWAY)
+        conflicts = tuple(
+            self._find(key)
+            for key, version in conditions.items()
+            if self._find(key).version != version
+        )
+        if conflicts:
+            return Failure(
+                StoreError(
+                    StoreErrorKind.REFUSED_CONDITION,
+                    "a row has another version",
+                    conflicts,
+                )
+            )
+        self.writes += 1
+        for key, value in rows.items():
+            version = Version(self._find(key).version + 1)
+            self._rows[key] = Row(key, value, version)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return Failure(_LOST)
+        return Success(None)
+
+
+class FakeObjectStore:
+    """Object store in memory.
+
+    Attributes
+    ----------
+    away : bool
+        While true every operation fails without effect.
+    """
+
+    def __init__(self) -> None:
+        self.away = False
+        self._objects: dict[str, bytes] = {}
+
+    async def get(self, name: str) -> Result[bytes, StoreError]:
+        """Read an object; a missing one is ``REFUSED_CONDITION``."""
+        if self.away:
+            return Failure(_AWAY)
+        if name not in self._objects:
+            return Failure(
+                StoreError(
+                    StoreErrorKind.REFUSED_CONDITION,
+                    f"object {name} does not exist",
+                )
+            )
+        return Success(self._objects[name])
+
+    async def put(self, name: str, body: bytes) -> Result[None, StoreError]:
+        """Write an object."""
+        if self.away:
+            return Failure(_AWAY)
+        self._objects[name] = body
+        return Success(None)
