--- /dev/null
+++ b/egretlever/node/_attempts.py
@@ -0,0 +1,368 @@
+"""One attempt of a request on one backend server."""
+
+import dataclasses
+from collections.abc import Callable
+
+import curio
+
+from egretlever.core import Attempt, AttemptResult, Seconds, Server, make_log
+from egretlever.node._bodies import RequestBody
+from egretlever.node._context import RequestContext
+from egretlever.transport import (
+    BackendClosedError,
+    BackendConnection,
+    BackendProtocolError,
+    ConnectError,
+    ConnectionPool,
+    RequestHead,
+    ResponseHead,
+    find_content_length,
+    headers,
+    read_clock,
+    remove_hop_by_hop,
+)
+
+_LOG = make_log("attempt")
+HOLD_LIMIT = 65536  # bytes of an answer that are held until it is whole
+_ERROR_STATUS = 500
+_GONE_CHECK = Seconds(0.25)  # between looks for a caller that went away
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptOutcome:
+    """End of an attempt, with the answer if one came.
+
+    Parameters
+    ----------
+    attempt : Attempt
+        What was learned.
+    response : ResponseHead or None
+        Head of the answer.
+    data : bytes
+        Part of the body that was received.
+    whole : bool
+        Whether `data` is the whole body.
+    connection : BackendConnection or None
+        Connection with the rest of the body; the receiver owns it.
+    """
+
+    attempt: Attempt
+    response: ResponseHead | None = None
+    data: bytes = b""
+    whole: bool = False
+    connection: BackendConnection | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptLimits:
+    """Times of an attempt.
+
+    Parameters
+    ----------
+    deadline : Seconds
+        Reading of the clock at which the attempt times out.
+    overdue_after : Seconds
+        Wait after which the attempt is reported as overdue.
+    """
+
+    deadline: Seconds
+    overdue_after: Seconds
+
+
+class AttemptRunner:
+    """Runs attempts over kept or new connections.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Connections to backend servers.
+    report_overdue : callable
+        Called with an overdue `Attempt` while it still waits.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        report_overdue: Callable[[Attempt], None],
+    ) -> None:
+        self._pool = pool
+        self._report_overdue = report_overdue
+
+    async def run(
+        self,
+        server: Server,
+        context: RequestContext,
+        head: RequestHead,
+        body: RequestBody,
+        limits: AttemptLimits,
+        is_caller_gone: Callable[[], bool],
+        fresh: bool = False,
+    ) -> AttemptOutcome:
+        """Run one attempt.
+
+        Parameters
+        ----------
+        server : Server
+            Server to try.
+        context, head, body
+            The request.
+        limits : AttemptLimits
+            Times of the attempt.
+        is_caller_gone : callable
+            Tells without waiting whether the answer has no receiver.
+        fresh : bool, default=False
+            Use a new connection. Orders always do: a kept connection may have
+            gone silent, and its loss would leave the order unknown.
+
+        Returns
+        -------
+        AttemptOutcome
+            What was learned, and the answer.
+        """
+        began = read_clock()
+        fresh = fresh or context.order_key is not None
+        try:
+            connection = await self._pool.acquire(server.address, fresh)
+        except ConnectError as error:
+            result = (
+                AttemptResult.CONNECT_TIMEOUT
+                if error.timed_out
+                else AttemptResult.REFUSED
+            )
+            return AttemptOutcome(
+                _make_attempt(server, result, began, sent=False, fresh=True)
+            )
+        exchange = _Exchange(
+            connection, server, began, limits, self._report_overdue
+        )
+        try:
+            outcome = await exchange.run(context, head, body, is_caller_gone)
+        except BaseException:
+            await connection.close()
+            raise
+        await self._settle(server, connection, outcome)
+        return outcome
+
+    async def _settle(
+        self,
+        server: Server,
+        connection: BackendConnection,
+        outcome: AttemptOutcome,
+    ) -> None:
+        if outcome.attempt.result is AttemptResult.STALE_CONNECTION:
+            # Connections opened through the same path at the same time are
+            # likely to be lost as well.
+            await self._pool.discard(server.address)
+        if outcome.connection is not None:
+            return
+        if outcome.whole:
+            await self._pool.release(server.address, connection)
+        else:
+            await connection.close()
+
+
+class _Exchange:
+    """Exchange of one request over one connection."""
+
+    def __init__(
+        self,
+        connection: BackendConnection,
+        server: Server,
+        began: Seconds,
+        limits: AttemptLimits,
+        report_overdue: Callable[[Attempt], None],
+    ) -> None:
+        self._connection = connection
+        self._server = server
+        self._began = began
+        self._limits = limits
+        self._report_overdue = report_overdue
+        self._fresh = connection.used == 0
+
+    def _end(
+        self, result: AttemptResult, response: ResponseHead | None = None
+    ) -> Attempt:
+        return _make_attempt(
+            self._server,
+            result,
+            self._began,
+            sent=self._connection.sent,
+            fresh=self._fresh,
+            response=response,
+        )
+
+    async def run(
+        self,
+        context: RequestContext,
+        head: RequestHead,
+        body: RequestBody,
+        is_caller_gone: Callable[[], bool],
+    ) -> AttemptOutcome:
+        """Send the request and receive the answer, whole if it is small."""
+        try:
+            response = await self._exchange_heads(
+                context, head, body, is_caller_gone
+            )
+            if isinstance(response, Attempt):
+                return AttemptOutcome(response)
+            return await self._receive_body(context, response)
+        except curio.TaskTimeout:
+            return AttemptOutcome(self._end(AttemptResult.TIMEOUT))
+        except BackendClosedError as error:
+            _LOG.debug("Server %s: %s.", self._server.id, error)
+            # A kept connection that ends before any answer was closed by the
+            # server while it was idle.
+            stale = not self._fresh and not self._connection.responded
+            return AttemptOutcome(
+                self._end(
+                    AttemptResult.STALE_CONNECTION
+                    if stale
+                    else AttemptResult.CUT
+                )
+            )
+        except BackendProtocolError as error:
+            _LOG.warning("Server %s: %s.", self._server.id, error)
+            return AttemptOutcome(self._end(AttemptResult.CUT))
+
+    def _time_left(self) -> float:
+        return max(0.0, self._limits.deadline - read_clock())
+
+    async def _exchange_heads(
+        self,
+        context: RequestContext,
+        head: RequestHead,
+        body: RequestBody,
+        is_caller_gone: Callable[[], bool],
+    ) -> ResponseHead | Attempt:
+        forwarded = _make_forwarded_head(context, head, self._limits)
+        uploader = None
+        async with curio.timeout_after(self._time_left()):
+            await self._connection.send_request(
+                forwarded, body.start, body.whole
+            )
+        if not body.whole:
+            uploader = await curio.spawn(self._upload, body, daemon=True)
+        try:
+            return await self._await_response(context, body, is_caller_gone)
+        finally:
+            if uploader is not None:
+                await uploader.cancel()
+
+    async def _upload(self, body: RequestBody) -> None:
+        while data := await body.read_rest():
+            await self._connection.send_data(data, ended=False)
+        await self._connection.send_data(b"", ended=True)
+
+    async def _await_response(
+        self,
+        context: RequestContext,
+        body: RequestBody,
+        is_caller_gone: Callable[[], bool],
+    ) -> ResponseHead | Attempt:
+        first = min(self._limits.overdue_after, self._time_left())
+        try:
+            async with curio.timeout_after(first):
+                return await self._connection.read_response()
+        except curio.TaskTimeout:
+            if self._time_left() <= 0:
+                raise
+        overdue = self._end(AttemptResult.OVERDUE)
+        if (
+            not self._fresh
+            and not self._connection.responded
+            and context.idempotent
+            and body.whole
+        ):
+            # A new connection tells a silent connection from a silent server.
+            return self._end(AttemptResult.STALE_CONNECTION)
+        self._report_overdue(overdue)
+        while True:
+            pause = min(_GONE_CHECK, self._time_left())
+            try:
+                async with curio.timeout_after(pause):
+                    return await self._connection.read_response()
+            except curio.TaskTimeout:
+                if self._time_left() <= 0:
+                    raise
+                if is_caller_gone():
+                    return self._end(AttemptResult.CANCELLED)
+
+    async def _receive_body(
+        self, context: RequestContext, response: ResponseHead
+    ) -> AttemptOutcome:
+        echoed = response.find(headers.REQUEST_ID)
+        if echoed is not None and echoed != context.id:
+            _LOG.warning(
+                "Server %s answered request %s with the answer to %s.",
+                self._server.id,
+                context.id,
+                echoed,
+            )
+            return AttemptOutcome(self._end(AttemptResult.CUT))
+        data, whole = self._connection.take_data()
+        size = find_content_length(response.headers)
+        hold = size is not None and size <= HOLD_LIMIT
+        async with curio.timeout_after(self._time_left()):
+            while hold and not whole:
+                more, whole = await self._connection.read_data()
+                data += more
+        if response.find(headers.SHED) is not None:
+            result = AttemptResult.SHED
+        elif response.status >= _ERROR_STATUS:
+            result = AttemptResult.ERROR
+        else:
+            result = AttemptResult.OK
+        return AttemptOutcome(
+            self._end(result, response),
+            response,
+            data,
+            whole,
+            None if whole else self._connection,
+        )
+
+
+def _make_forwarded_head(
+    context: RequestContext, head: RequestHead, limits: AttemptLimits
+) -> RequestHead:
+    left = max(0, int((limits.deadline - read_clock()) * 1000))
+    replaced = (headers.DEADLINE, headers.REQUEST_ID)
+    fields = [
+        (name, value)
+        for name, value in remove_hop_by_hop(head.headers)
+        if name not in replaced
+    ]
+    if head.find(b"content-length") is None and (
+        head.find(b"transfer-encoding") is not None
+    ):
+        fields.append((b"transfer-encoding", b"chunked"))
+    fields.append((headers.DEADLINE, b"%d" % left))
+    fields.append((headers.REQUEST_ID, context.id.encode()))
+    fields.append((b"via", b"1.1 egretlever"))
+    return RequestHead(head.method, head.target, fields)
+
+
+def _make_attempt(
+    server: Server,
+    result: AttemptResult,
+    began: Seconds,
+    sent: bool,
+    fresh: bool,
+    response: ResponseHead | None = None,
+) -> Attempt:
+    retry_after = response.find(headers.RETRY_AFTER) if response else None
+    return Attempt(
+        server=server.id,
+        incarnation=server.incarnation,
+        service=server.service,
+        result=result,
+        latency=Seconds(read_clock() - began),
+        sent=sent,
+        fresh_connection=fresh,
+        status=response.status if response else 0,
+        draining=bool(response and response.find(headers.DRAINING)),
+        retry_after=(
+            Seconds(float(retry_after))
+            if retry_after and retry_after.isdecimal()
+            else None
+        ),
+    )
--- /dev/null
+++ b/egretlever/programs/load.py
@@ -0,0 +1,71 @@
+"""egretlever-load: plays recorded requests and checks the answers."""
+
+import pathlib
+from typing import Annotated
+
+import curio
+import typer
+from google.protobuf import json_format
+
+from egretlever.programs import _common
+from egretlever.schema import settings_pb2
+from egretlever.settings import parse_address
+from egretlever.standins import make_load, read_mix, summarize_results
+
+app = _common.make_app(
+    "egretlever-load", "Load generator that checks every answer."
+)
+_File = Annotated[pathlib.Path, typer.Argument(help="INI file of settings.")]
+
+
+@app.command()
+def check(file: _File) -> None:
+    """Check settings and print all findings."""
+    _common.check_settings(file, settings_pb2.LoadSettings)
+
+
+@app.command()
+def play(
+    file: _File,
+    mix: Annotated[
+        pathlib.Path, typer.Argument(help="Recorded requests, JSON lines.")
+    ],
+    results: Annotated[
+        pathlib.Path | None,
+        typer.Option(help="File for the result of each attempt, JSON lines."),
+    ] = None,
+) -> None:
+    """Play recorded requests; exits with 1 when an answer was not whole."""
+    settings = _common.load_settings(file, settings_pb2.LoadSettings).load
+    nodes = [parse_address(text) for text in settings.nodes]
+    try:
+        requests = read_mix(mix)
+    except (OSError, json_format.ParseError) as error:
+        print(f"{mix}: {error}")
+        raise typer.Exit(_common.EXIT_FINDINGS) from None
+    load = make_load(
+        nodes, settings.seed, settings.order_attempts, settings.max_in_flight
+    )
+    curio.run(load.play(requests))
+    if results is not None:
+        lines = (
+            json_format.MessageToJson(
+                result, preserving_proto_field_name=True, indent=None
+            )
+            for result in load.results
+        )
+        results.write_text("\n".join(lines) + "\n", encoding="utf-8")
+    summaries = summarize_results(load.results)
+    for summary in summaries:
+        print(summary)
+    if any(summary.foreign for summary in summaries):
+        raise typer.Exit(1)
+
+
+def main() -> None:
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/egretlever/settings/tests/test_settings.py
+++ b/egretlever/settings/tests/test_settings.py
@@ -12,6 +12,7 @@
 service = ordering
 listen = 127.0.0.1:9001
 node_admin = [::1]:9002
+control = 127.0.0.1:9003
 """
 
 
--- /dev/null
+++ b/egretlever/standins/_answers.py
@@ -0,0 +1,100 @@
+"""Answers of the backend server stand-in, and the check of their content."""
+
+import dataclasses
+import hashlib
+
+from egretlever.transport import RequestHead, ResponseHead, headers
+
+TOKEN = b"x-token"
+_FILLER_BLOCK = 32  # bytes of a SHA-256 digest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What an answer looks like.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    size : int
+        Bytes of filler behind the first line.
+    server : str
+        Name of the server, for the first line.
+    draining : bool
+        Whether to say that the server leaves.
+    load : str
+        Busy slots and all slots.
+    """
+
+    status: int
+    size: int
+    server: str = ""
+    draining: bool = False
+    load: str = ""
+
+
+def make_body(token: str, server: str, size: int) -> bytes:
+    """Make the body that answers a request with a given token.
+
+    Parameters
+    ----------
+    token : str
+        Token of the request, unique for each request.
+    server : str
+        Name of the answering server.
+    size : int
+        Bytes of filler, which depend on the token alone.
+
+    Returns
+    -------
+    bytes
+        A line of token, server and size, followed by the filler.
+    """
+    digest = hashlib.sha256(token.encode()).digest()
+    filler = digest * (size // _FILLER_BLOCK + 1)
+    return f"{token} {server} {size}\n".encode() + filler[:size]
+
+
+def is_own_and_whole(token: str, size: int, body: bytes) -> bool:
+    """Tell whether a body is the whole answer to the request with a token.
+
+    Examples
+    --------
+    >>> is_own_and_whole("a", 3, make_body("a", "server-1", 3))
+    True
+    >>> is_own_and_whole("a", 3, make_body("b", "server-1", 3))
+    False
+    """
+    first, _, _ = body.partition(b"\n")
+    words = first.decode("latin-1").split(" ")
+    if len(words) != 3:
+        return False
+    return body == make_body(token, words[1], size)
+
+
+def make_answer(head: RequestHead, plan: Plan) -> tuple[ResponseHead, bytes]:
+    """Make the answer to a request."""
+    token = head.find(TOKEN) or "-"
+    body = make_body(token, plan.server or "-", plan.size)
+    fields = [
+        (b"content-type", b"application/octet-stream"),
+        (b"content-length", b"%d" % len(body)),
+    ]
+    request_id = head.find(headers.REQUEST_ID)
+    if request_id:
+        fields.append((headers.REQUEST_ID, request_id.encode("latin-1")))
+    if plan.load:
+        fields.append((headers.LOAD, plan.load.encode()))
+    if plan.draining:
+        fields.append((headers.DRAINING, b"1"))
+    return ResponseHead(plan.status, fields), (
+        b"" if head.method == "HEAD" else body
+    )
+
+
+def make_refusal(head: RequestHead) -> tuple[ResponseHead, bytes]:
+    """Make the answer that sheds a request without running it."""
+    response, body = make_answer(head, Plan(status=503, size=0))
+    response.headers.append((headers.SHED, b"1"))
+    return response, body
--- /dev/null
+++ b/egretlever/standins/_backend.py
@@ -0,0 +1,264 @@
+"""Stand-in of a backend server: slots, cold start, drain, and faults."""
+
+import random
+import time
+from typing import Any
+
+import curio
+
+from egretlever.core import Seconds, ServerState, make_log
+from egretlever.schema import gossip_pb2, settings_pb2, standins_pb2
+from egretlever.settings import parse_address
+from egretlever.standins._answers import Plan, make_answer, make_refusal
+from egretlever.standins._control import make_control
+from egretlever.standins._faults import FaultSchedule
+from egretlever.transport import (
+    CallerConnection,
+    CallerGoneError,
+    RequestError,
+    RequestHead,
+    accept_connections,
+    headers,
+    open_listener,
+    read_clock,
+    send_request,
+    serve_requests,
+)
+
+_LOG = make_log("backend")
+_CANCEL_CHECK = 0.02  # seconds between looks for a caller that went away
+_COLD_FACTOR = 4.0  # a cold server starts this many times slower
+
+
+class BackendStandIn:
+    """A backend server that runs requests by sleeping.
+
+    Parameters
+    ----------
+    settings : BackendStandInSection
+        Its settings.
+
+    Attributes
+    ----------
+    state : ServerState
+        Lifecycle state that it announces.
+    records : list of BackendRecord
+        One for each request that began to run.
+    """
+
+    def __init__(self, settings: settings_pb2.BackendStandInSection) -> None:
+        self._settings = settings
+        self._randomness = random.Random(settings.seed)
+        self.faults = FaultSchedule(self._randomness)
+        self.state = (
+            ServerState.COLD if settings.cold_time_s else ServerState.SERVING
+        )
+        self.records: list[standins_pb2.BackendRecord] = []
+        self._busy = 0
+        self._connections: set[CallerConnection] = set()
+        self._silent: set[CallerConnection] = set()
+        self._started_at = read_clock()
+        self._incarnation = time.time_ns()
+        self._changed = curio.Event()
+        self._stopped = curio.Event()
+        self._last_answer = b""
+
+    @property
+    def busy(self) -> int:
+        """Requests that run at the moment."""
+        return self._busy
+
+    async def run(self) -> None:
+        """Serve until a planned stop is complete."""
+        traffic = open_listener(parse_address(self._settings.listen))
+        control = open_listener(parse_address(self._settings.control))
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(
+                accept_connections,
+                traffic,
+                self._serve,
+                self._settings.connections,
+            )
+            await tasks.spawn(serve_requests, control, make_control(self))
+            await tasks.spawn(self._announce_forever)
+            await tasks.spawn(self._stopped.wait)
+        if tasks.exception:
+            raise tasks.exception
+        await traffic.close()
+        await control.close()
+
+    def silence_connections(self) -> None:
+        """Make the connections that are open now silent for good."""
+        self._silent = set(self._connections)
+
+    async def drain(self) -> None:
+        """Announce the departure, finish what runs, then stop."""
+        if self.state is ServerState.DRAINING:
+            return
+        await self._change_state(ServerState.DRAINING)
+        await curio.spawn(self._finish, daemon=True)
+
+    async def _finish(self) -> None:
+        await curio.sleep(self._settings.drain_linger_s)
+        while self._busy:
+            await curio.sleep(_CANCEL_CHECK)
+        await self._change_state(ServerState.STOPPED)
+        await self._announce()
+        await self._stopped.set()
+
+    async def _change_state(self, state: ServerState) -> None:
+        _LOG.info("%s is %s.", self._settings.server, state.value)
+        self.state = state
+        await self._changed.set()
+
+    async def _announce_forever(self) -> None:
+        while True:
+            self._changed.clear()
+            await self._announce()
+            warm_at = self._started_at + self._settings.cold_time_s
+            if self.state is ServerState.COLD and read_clock() >= warm_at:
+                await self._change_state(ServerState.SERVING)
+                continue
+            await curio.ignore_after(
+                self._settings.announce_interval_s, self._changed.wait
+            )
+
+    async def _announce(self) -> None:
+        address = parse_address(self._settings.listen)
+        announcement = gossip_pb2.Announcement(
+            server=self._settings.server,
+            service=self._settings.service,
+            address=gossip_pb2.Endpoint(ip=address.ip, port=address.port),
+            state=self.state.name,
+            incarnation=self._incarnation,
+            slots=self._settings.slots,
+            connections=self._settings.connections,
+            uptime_s=read_clock() - self._started_at,
+        )
+        await send_request(
+            parse_address(self._settings.node_admin),
+            "POST",
+            "/announce",
+            announcement.SerializeToString(),
+            Seconds(0.5),
+        )
+
+    async def _serve(self, sock: Any) -> None:
+        await curio.sleep(self._settings.connect_cost_s)
+        if self.faults.find(read_clock()).refuse:
+            return
+        connection = CallerConnection(sock)
+        self._connections.add(connection)
+        try:
+            while head := await connection.read_request():
+                while await connection.read_body():
+                    pass
+                if not await self._answer(connection, head):
+                    return
+        except (CallerGoneError, RequestError):
+            return
+        finally:
+            self._connections.discard(connection)
+
+    async def _answer(
+        self, connection: CallerConnection, head: RequestHead
+    ) -> bool:
+        faults = self.faults.find(read_clock())
+        if faults.black_hole or connection in self._silent:
+            await curio.sleep(3600)
+        if head.path == "/health":
+            return await self._answer_probe(connection, head, faults)
+        if self._busy >= self._settings.slots:
+            if not faults.queue_instead_of_shed:
+                await connection.send_response(*make_refusal(head))
+                return connection.prepare_next()
+            while self._busy >= self._settings.slots:
+                await curio.sleep(_CANCEL_CHECK / 4)
+        self._busy += 1
+        try:
+            if not await self._run_request(connection, head, faults):
+                return False
+        finally:
+            self._busy -= 1
+        if faults.one_way or connection in self._silent:
+            await curio.sleep(3600)
+        return await self._send_answer(connection, head, faults)
+
+    async def _answer_probe(
+        self,
+        connection: CallerConnection,
+        head: RequestHead,
+        faults: standins_pb2.BackendFaults,
+    ) -> bool:
+        await curio.sleep(self._settings.probe_cost_s)
+        failing = not faults.lying_health and (
+            faults.error_share > 0.5 or self.state is ServerState.DRAINING
+        )
+        await connection.send_response(
+            *make_answer(head, Plan(status=503 if failing else 200, size=0))
+        )
+        return connection.prepare_next()
+
+    async def _run_request(
+        self,
+        connection: CallerConnection,
+        head: RequestHead,
+        faults: standins_pb2.BackendFaults,
+    ) -> bool:
+        record = standins_pb2.BackendRecord(
+            request_id=head.find(headers.REQUEST_ID) or "",
+            order_key=head.find(headers.ORDER_KEY) or "",
+            at_unix_s=time.time(),
+            during_drain=self.state is ServerState.DRAINING,
+        )
+        self.records.append(record)
+        until = read_clock() + self._draw_service_time(faults)
+        while (left := until - read_clock()) > 0:
+            await curio.sleep(min(left, _CANCEL_CHECK))
+            if left > _CANCEL_CHECK and connection.is_gone():
+                return False
+        record.completed = True
+        return True
+
+    def _draw_service_time(self, faults: standins_pb2.BackendFaults) -> float:
+        mean = self._settings.service_time_s * (faults.slow_factor or 1.0)
+        if self.state is ServerState.COLD:
+            mean *= _COLD_FACTOR
+        return mean * (0.5 + 0.5 * self._randomness.expovariate(1.0))
+
+    async def _send_answer(
+        self,
+        connection: CallerConnection,
+        head: RequestHead,
+        faults: standins_pb2.BackendFaults,
+    ) -> bool:
+        plan = Plan(
+            status=500 if self.faults.draw(faults.error_share) else 200,
+            size=int(head.find(b"x-answer-bytes") or "0"),
+            server=self._settings.server,
+            draining=self.state is ServerState.DRAINING,
+            load=f"{self._busy}/{self._settings.slots}",
+        )
+        response, body = make_answer(head, plan)
+        if self.faults.draw(faults.crossed_share) and self._last_answer:
+            response.headers = [
+                (name, b"crossed" if name == headers.REQUEST_ID else value)
+                for name, value in response.headers
+                if name != b"content-length"
+            ] + [(b"content-length", b"%d" % len(self._last_answer))]
+            body = self._last_answer
+        self._last_answer = body
+        if self.faults.draw(faults.cut_share):
+            await connection.send_response(
+                response, body[: len(body) // 2], False
+            )
+            return False
+        await connection.send_response(response, body)
+        return connection.prepare_next()
+
+
+def make_backend(
+    settings: settings_pb2.BackendStandInSettings,
+) -> BackendStandIn:
+    """Make a backend server stand-in from its settings."""
+    return BackendStandIn(settings.backend)
--- /dev/null
+++ b/egretlever/standins/_load.py
@@ -0,0 +1,218 @@
+"""Load generator: plays recorded requests and checks every answer."""
+
+import random
+from collections.abc import Sequence
+
+import curio
+
+from egretlever.core import Address, Outcome, Seconds
+from egretlever.schema import standins_pb2
+from egretlever.standins._answers import TOKEN, is_own_and_whole
+from egretlever.transport import (
+    BackendClosedError,
+    BackendConnection,
+    BackendProtocolError,
+    ConnectError,
+    ConnectionPool,
+    RequestHead,
+    ResponseHead,
+    headers,
+    read_clock,
+)
+
+_CONNECT_TIMEOUT = Seconds(1.0)
+_IDLE_TIMEOUT = Seconds(5.0)
+_KEPT_CONNECTIONS = 256
+_GRACE = 2.0  # seconds that a caller waits beyond its deadline
+_RESEND_PAUSE = 0.1  # seconds before an order is sent again
+
+
+class LoadGenerator:
+    """Plays requests through nodes as callers would.
+
+    An order is sent again, with the same key and a higher attempt number and
+    through another node, when the answer says that it was not run or when the
+    connection broke. It is not sent again when its outcome is unknown.
+
+    Parameters
+    ----------
+    nodes : sequence of Address
+        Traffic addresses of the nodes.
+    randomness : random.Random
+        Source of choices and keys.
+    order_attempts : int
+        Times that an order is sent at the most.
+    max_in_flight : int
+        Requests in flight at the most; later ones wait.
+
+    Attributes
+    ----------
+    results : list of LoadResult
+        One for each attempt, in the order of their ends.
+    """
+
+    def __init__(
+        self,
+        nodes: Sequence[Address],
+        randomness: random.Random,
+        order_attempts: int,
+        max_in_flight: int,
+    ) -> None:
+        self._nodes = list(nodes)
+        self._randomness = randomness
+        self._order_attempts = order_attempts
+        self._in_flight = curio.Semaphore(max_in_flight)
+        self._pool = ConnectionPool(
+            _CONNECT_TIMEOUT, _IDLE_TIMEOUT, _KEPT_CONNECTIONS
+        )
+        self._run_id = f"{randomness.getrandbits(64):016x}"
+        self.results: list[standins_pb2.LoadResult] = []
+
+    async def play(self, requests: Sequence[standins_pb2.LoadRequest]) -> None:
+        """Play requests at their recorded times and wait for all of them."""
+        start = read_clock()
+        async with curio.TaskGroup() as tasks:
+            for number, request in enumerate(requests):
+                wait = start + request.at_s - read_clock()
+                if wait > 0:
+                    await curio.sleep(wait)
+                await tasks.spawn(self._play_request, number, request)
+        await self._pool.close()
+
+    async def _play_request(
+        self, number: int, request: standins_pb2.LoadRequest
+    ) -> None:
+        began = read_clock()
+        attempts = self._order_attempts if request.order else 1
+        async with self._in_flight:
+            for attempt in range(1, attempts + 1):
+                result = await self._try(number, request, attempt, began)
+                self.results.append(result)
+                may_resend = result.outcome in ("", Outcome.NOT_RUN.value)
+                if result.whole or not may_resend:
+                    return
+                await curio.sleep(_RESEND_PAUSE)
+
+    async def _try(
+        self,
+        number: int,
+        request: standins_pb2.LoadRequest,
+        attempt: int,
+        began: Seconds,
+    ) -> standins_pb2.LoadResult:
+        token = f"{self._run_id}-{number}"
+        result = standins_pb2.LoadResult(
+            number=number,
+            rank=request.rank,
+            at_s=request.at_s,
+            worth=request.worth,
+            attempt=attempt,
+            order_key=token if request.order else "",
+        )
+        node = self._randomness.choice(self._nodes)
+        head = _make_head(request, token, attempt)
+        body = b"x" * request.body_bytes
+        limit = began + request.deadline_s + _GRACE - read_clock()
+        try:
+            async with curio.timeout_after(max(limit, _GRACE)):
+                answer, content = await self._exchange(node, head, body)
+        except (
+            curio.TaskTimeout,
+            BackendClosedError,
+            BackendProtocolError,
+            ConnectError,
+        ):
+            result.latency_s = read_clock() - began
+            return result
+        result.latency_s = read_clock() - began
+        _fill_result(result, request, answer, content, token)
+        return result
+
+    async def _exchange(
+        self, node: Address, head: RequestHead, body: bytes
+    ) -> tuple[ResponseHead, bytes]:
+        connection = await self._pool.acquire(node)
+        try:
+            await connection.send_request(head, body)
+            answer = await connection.read_response()
+            content = await _read_content(connection)
+        except BaseException:
+            await connection.close()
+            raise
+        await self._pool.release(node, connection)
+        return answer, content
+
+
+async def _read_content(connection: BackendConnection) -> bytes:
+    parts = []
+    ended = False
+    while not ended:
+        data, ended = await connection.read_data()
+        parts.append(data)
+    return b"".join(parts)
+
+
+def _make_head(
+    request: standins_pb2.LoadRequest, token: str, attempt: int
+) -> RequestHead:
+    fields = [
+        (b"host", b"egretlever"),
+        (b"content-length", b"%d" % request.body_bytes),
+        (TOKEN, token.encode()),
+        (b"x-answer-bytes", b"%d" % request.answer_bytes),
+        (headers.CALLER, request.caller.encode()),
+        (headers.DEADLINE, b"%d" % int(request.deadline_s * 1000)),
+    ]
+    if request.rank:
+        fields.append((headers.RANK, request.rank.encode()))
+    if request.order:
+        fields.append((headers.ORDER_KEY, token.encode()))
+        fields.append((headers.ATTEMPT, b"%d" % attempt))
+    return RequestHead(request.method, request.path, fields)
+
+
+def _fill_result(
+    result: standins_pb2.LoadResult,
+    request: standins_pb2.LoadRequest,
+    answer: ResponseHead,
+    content: bytes,
+    token: str,
+) -> None:
+    result.status = answer.status
+    result.outcome = answer.find(headers.OUTCOME) or ""
+    result.request_id = answer.find(headers.REQUEST_ID) or ""
+    result.whole = answer.status == 200 and is_own_and_whole(
+        token, request.answer_bytes, content
+    )
+    if result.whole:
+        result.server = content.split(b" ", 2)[1].decode()
+    result.on_time = result.whole and result.latency_s <= request.deadline_s
+
+
+def make_load(
+    nodes: Sequence[Address],
+    seed: int,
+    order_attempts: int = 3,
+    max_in_flight: int = 512,
+) -> LoadGenerator:
+    """Make a load generator.
+
+    Parameters
+    ----------
+    nodes : sequence of Address
+        Traffic addresses of the nodes.
+    seed : int
+        Seed of its choices and order keys.
+    order_attempts : int, default=3
+        Times that an order is sent at the most.
+    max_in_flight : int, default=512
+        Requests in flight at the most.
+
+    Returns
+    -------
+    LoadGenerator
+        A generator that plays one mix.
+    """
+    return LoadGenerator(
+        nodes, random.Random(seed), order_attempts, max_in_flight
+    )
--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -3,12 +3,22 @@
 from egretlever.testing import builders
 from egretlever.testing._clock import VirtualClock, replace_clock, run_virtual
 from egretlever.testing._fakes import FakeObjectStore, FakeTableStore
+from egretlever.testing._fleet import (
+    Fleet,
+    RunningProgram,
+    reserve_addresses,
+    wait_until,
+)
 
 __all__ = [
     "FakeObjectStore",
     "FakeTableStore",
+    "Fleet",
+    "RunningProgram",
     "VirtualClock",
     "builders",
     "replace_clock",
+    "reserve_addresses",
     "run_virtual",
+    "wait_until",
 ]
--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -1,1 +1,70 @@
 """HTTP/1.1, datagrams and framed messages on curio."""
+
+from egretlever.transport import _headers as headers
+from egretlever.transport._backends import (
+    BackendClosedError,
+    BackendConnection,
+    BackendProtocolError,
+)
+from egretlever.transport._callers import CallerConnection, CallerGoneError
+from egretlever.transport._exchanges import (
+    ExchangeError,
+    ExchangeFailure,
+    Reply,
+    send_request,
+)
+from egretlever.transport._heads import (
+    Headers,
+    RequestError,
+    RequestHead,
+    ResponseHead,
+    find_content_length,
+    is_chunked,
+    remove_hop_by_hop,
+)
+from egretlever.transport._pool import ConnectionPool
+from egretlever.transport._services import (
+    Answer,
+    Handler,
+    accept_connections,
+    answer_requests,
+    serve_requests,
+)
+from egretlever.transport._sockets import (
+    ConnectError,
+    open_connection,
+    open_listener,
+    read_clock,
+    set_no_delay,
+)
+
+__all__ = [
+    "Answer",
+    "BackendClosedError",
+    "BackendConnection",
+    "BackendProtocolError",
+    "CallerConnection",
+    "CallerGoneError",
+    "ConnectError",
+    "ConnectionPool",
+    "ExchangeError",
+    "ExchangeFailure",
+    "Handler",
+    "Headers",
+    "Reply",
+    "RequestError",
+    "RequestHead",
+    "ResponseHead",
+    "accept_connections",
+    "answer_requests",
+    "find_content_length",
+    "headers",
+    "is_chunked",
+    "open_connection",
+    "open_listener",
+    "read_clock",
+    "remove_hop_by_hop",
+    "send_request",
+    "serve_requests",
+    "set_no_delay",
+]
--- /dev/null
+++ b/egretlever/transport/_callers.py
@@ -0,0 +1,294 @@
+"""Server side of HTTP/1.1: one caller's connection, parsed by h11."""
+
+from typing import Any
+
+import curio
+import h11
+
+from egretlever.core import Seconds
+from egretlever.transport._heads import (
+    RequestError,
+    RequestHead,
+    ResponseHead,
+    check_raw_head,
+    check_request,
+)
+from egretlever.transport._sockets import is_closed_by_peer
+
+_READ_SIZE = 65536
+_HEAD_END = b"\r\n\r\n"
+_BARE_HEAD_END = b"\n\n"
+
+
+class CallerGoneError(Exception):
+    """The caller's connection ended before the exchange was complete."""
+
+
+class CallerConnection:
+    """A caller's connection, which carries one request at a time.
+
+    Parameters
+    ----------
+    sock : curio.io.Socket
+        Accepted socket; the connection owns it.
+    max_head : int, default=16384
+        Largest accepted request head, in bytes.
+    head_timeout : Seconds, default=10
+        Time for the caller to send a whole head once it has begun.
+    body_timeout : Seconds, default=30
+        Longest silence while a body is received or an answer is sent.
+    idle_timeout : Seconds, default=60
+        Longest wait for the next request.
+    """
+
+    def __init__(
+        self,
+        sock: Any,
+        max_head: int = 16384,
+        head_timeout: Seconds = Seconds(10.0),
+        body_timeout: Seconds = Seconds(30.0),
+        idle_timeout: Seconds = Seconds(60.0),
+    ) -> None:
+        self._sock = sock
+        self._max_head = max_head
+        self._head_timeout = head_timeout
+        self._body_timeout = body_timeout
+        self._idle_timeout = idle_timeout
+        self._pending = bytearray()
+        self._http = self._make_parser()
+        self._body_ended = False
+        self._answer_ended = False
+
+    def _make_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._max_head + _READ_SIZE
+        )
+
+    async def read_request(self) -> RequestHead | None:
+        """Read the head of the next request.
+
+        Returns
+        -------
+        RequestHead or None
+            None when the caller closed the connection or stayed idle.
+
+        Raises
+        ------
+        RequestError
+            When the head is too large, too slow, or badly formed.
+        CallerGoneError
+            When the connection ended within a head.
+        """
+        if not self._pending and not await self._wait_for_first_byte():
+            return None
+        try:
+            async with curio.timeout_after(self._head_timeout):
+                await self._read_raw_head()
+        except curio.TaskTimeout:
+            raise RequestError(
+                408, "the request head came too slowly"
+            ) from None
+        self._http.receive_data(bytes(self._pending))
+        self._pending.clear()
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise RequestError(error.error_status_hint, str(error)) from None
+        if not isinstance(event, h11.Request):
+            raise RequestError(400, "the request head can't be parsed")
+        head = RequestHead(
+            event.method.decode("ascii"),
+            event.target.decode("latin-1"),
+            list(event.headers),
+        )
+        check_request(head)
+        return head
+
+    async def _wait_for_first_byte(self) -> bool:
+        try:
+            async with curio.timeout_after(self._idle_timeout):
+                data = await self._sock.recv(_READ_SIZE)
+        except (curio.TaskTimeout, OSError):
+            return False
+        self._pending += data
+        return bool(data)
+
+    async def _read_raw_head(self) -> None:
+        scanned = 0
+        while True:
+            # Empty lines before a request line are allowed (RFC 9112, 2.2).
+            while self._pending[:2] == b"\r\n":
+                del self._pending[:2]
+            end = self._pending.find(_HEAD_END, max(0, scanned - 3))
+            if end >= 0:
+                if end > self._max_head:
+                    raise RequestError(431, "the request head is too large")
+                check_raw_head(bytes(self._pending[: end + 2]))
+                return
+            if self._pending.find(_BARE_HEAD_END) >= 0:
+                raise RequestError(400, "a line ends without a carriage return")
+            if len(self._pending) > self._max_head:
+                raise RequestError(431, "the request head is too large")
+            scanned = len(self._pending)
+            try:
+                data = await self._sock.recv(_READ_SIZE)
+            except OSError as error:
+                raise CallerGoneError(str(error)) from None
+            if not data:
+                raise CallerGoneError("the connection ended within a head")
+            self._pending += data
+
+    @property
+    def expects_continue(self) -> bool:
+        """Whether the caller waits for ``100 Continue`` before its body."""
+        return self._http.they_are_waiting_for_100_continue
+
+    @property
+    def body_ended(self) -> bool:
+        """Whether the whole body of the request has been read."""
+        return self._body_ended
+
+    async def read_body(self) -> bytes:
+        """Read the next part of the request body.
+
+        Returns
+        -------
+        bytes
+            Empty at the end of the body.
+
+        Raises
+        ------
+        RequestError
+            When the body is badly framed or too slow.
+        CallerGoneError
+            When the connection ended within the body.
+        """
+        while not self._body_ended:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise RequestError(400, str(error)) from None
+            if isinstance(event, h11.Data):
+                if event.data:
+                    return bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._body_ended = True
+            elif event is h11.NEED_DATA:
+                await self._receive_body()
+            else:
+                raise CallerGoneError("the connection ended within a body")
+        return b""
+
+    async def _receive_body(self) -> None:
+        if self.expects_continue:
+            await self._send(
+                self._http.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            )
+        try:
+            async with curio.timeout_after(self._body_timeout):
+                data = await self._sock.recv(_READ_SIZE)
+        except curio.TaskTimeout:
+            raise RequestError(
+                408, "the request body came too slowly"
+            ) from None
+        except OSError as error:
+            raise CallerGoneError(str(error)) from None
+        try:
+            self._http.receive_data(data)
+        except RuntimeError:
+            raise CallerGoneError("the connection ended twice") from None
+        if not data:
+            raise CallerGoneError("the connection ended within a body")
+
+    async def send_response(
+        self, head: ResponseHead, data: bytes = b"", ended: bool = True
+    ) -> None:
+        """Send the head of a response with the first part of its body.
+
+        Parameters
+        ----------
+        head : ResponseHead
+            Status and headers; the framing is chosen by h11.
+        data : bytes, optional
+            First part of the body.
+        ended : bool, default=True
+            Whether the body is complete.
+
+        Raises
+        ------
+        CallerGoneError
+            When the caller does not take the answer.
+        """
+        parts = self._http.send(
+            h11.Response(status_code=head.status, headers=head.headers)
+        )
+        await self._send(parts + self._encode_body(data, ended))
+
+    async def send_data(self, data: bytes, ended: bool) -> None:
+        """Send a further part of the body.
+
+        Raises
+        ------
+        CallerGoneError
+            When the caller does not take the answer.
+        """
+        encoded = self._encode_body(data, ended)
+        if encoded:
+            await self._send(encoded)
+
+    def _encode_body(self, data: bytes, ended: bool) -> bytes:
+        encoded = self._http.send(h11.Data(data=data)) if data else b""
+        if ended:
+            encoded += self._http.send(h11.EndOfMessage()) or b""
+            self._answer_ended = True
+        return encoded or b""
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            async with curio.timeout_after(self._body_timeout):
+                await self._sock.sendall(data)
+        except curio.TaskTimeout:
+            raise CallerGoneError("the caller does not read") from None
+        except OSError as error:
+            raise CallerGoneError(str(error)) from None
+
+    @property
+    def answer_begun(self) -> bool:
+        """Whether any part of the response may have been sent."""
+        return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    def is_gone(self) -> bool:
+        """Tell without waiting whether the caller closed its connection."""
+        return is_closed_by_peer(self._sock)
+
+    def prepare_next(self) -> bool:
+        """Prepare for the next request on this connection.
+
+        Returns
+        -------
+        bool
+            False when the connection can't carry another request.
+        """
+        if not (self._body_ended and self._answer_ended):
+            return False
+        if self._http.states != {
+            h11.CLIENT: h11.DONE,
+            h11.SERVER: h11.DONE,
+        }:
+            return False
+        trailing, closed = self._http.trailing_data
+        self._body_ended = self._answer_ended = False
+        if trailing or closed:
+            # The next head was received with this request. It has to pass the
+            # same checks, so it goes back to the raw buffer.
+            self._pending += trailing
+            self._http = self._make_parser()
+            return bool(trailing)
+        self._http.start_next_cycle()
+        return True
+
+    async def close(self) -> None:
+        """Close the socket, cutting an answer that is not complete."""
+        await self._sock.close()
--- /dev/null
+++ b/egretlever/transport/_exchanges.py
@@ -0,0 +1,128 @@
+"""Single exchanges with small services, such as a node's admin pages."""
+
+import dataclasses
+import enum
+from collections.abc import Sequence
+
+import curio
+from returns.result import Failure, Result, Success
+
+from egretlever.core import Address, Seconds
+from egretlever.transport._backends import (
+    BackendClosedError,
+    BackendConnection,
+    BackendProtocolError,
+)
+from egretlever.transport._heads import RequestHead, ResponseHead
+from egretlever.transport._sockets import ConnectError, open_connection
+
+_MAX_BODY_BYTES = 64 << 20
+
+
+class ExchangeFailure(enum.Enum):
+    """How an exchange failed."""
+
+    NOT_CONNECTED = "not-connected"
+    NO_ANSWER = "no-answer"
+    BAD_ANSWER = "bad-answer"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExchangeError:
+    """A failed exchange.
+
+    Parameters
+    ----------
+    failure : ExchangeFailure
+        How far the exchange went.
+    message : str
+        What failed.
+    """
+
+    failure: ExchangeFailure
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Whole answer of a service.
+
+    Parameters
+    ----------
+    head : ResponseHead
+        Status and headers.
+    body : bytes
+        Whole body.
+    """
+
+    head: ResponseHead
+    body: bytes
+
+
+async def send_request(
+    address: Address,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    timeout: Seconds = Seconds(5.0),
+    headers: Sequence[tuple[bytes, bytes]] = (),
+) -> Result[Reply, ExchangeError]:
+    """Send one request on a connection of its own and read the whole answer.
+
+    Parameters
+    ----------
+    address : Address
+        Address of the service.
+    method, target : str
+        Method and request target.
+    body : bytes, optional
+        Body of the request.
+    timeout : Seconds, default=5
+        Time for the whole exchange.
+    headers : sequence of tuple of bytes, optional
+        Further headers with lower-case names.
+
+    Returns
+    -------
+    Result of Reply or ExchangeError
+        The whole answer, whatever its status.
+    """
+    try:
+        sock = await open_connection(address, timeout)
+    except ConnectError as error:
+        return Failure(ExchangeError(ExchangeFailure.NOT_CONNECTED, str(error)))
+    connection = BackendConnection(sock)
+    head = RequestHead(
+        method,
+        target,
+        [
+            (b"host", str(address).encode()),
+            (b"content-length", b"%d" % len(body)),
+            *headers,
+        ],
+    )
+    try:
+        async with curio.timeout_after(timeout):
+            await connection.send_request(head, body)
+            response = await connection.read_response()
+            return Success(Reply(response, await _read_body(connection)))
+    except curio.TaskTimeout:
+        message = f"{address} did not answer in {timeout:g} s"
+        return Failure(ExchangeError(ExchangeFailure.NO_ANSWER, message))
+    except BackendClosedError as error:
+        return Failure(ExchangeError(ExchangeFailure.NO_ANSWER, str(error)))
+    except BackendProtocolError as error:
+        return Failure(ExchangeError(ExchangeFailure.BAD_ANSWER, str(error)))
+    finally:
+        await connection.close()
+
+
+async def _read_body(connection: BackendConnection) -> bytes:
+    body = bytearray()
+    ended = False
+    while not ended:
+        data, ended = await connection.read_data()
+        body += data
+        if len(body) > _MAX_BODY_BYTES:
+            raise BackendProtocolError("the body is too large")
+    return bytes(body)
--- /dev/null
+++ b/egretlever/transport/_heads.py
@@ -0,0 +1,205 @@
+"""Heads of HTTP messages, and the checks and rewriting they need."""
+
+import dataclasses
+import re
+
+Headers = list[tuple[bytes, bytes]]
+
+# Headers that concern one connection and are not forwarded (RFC 9110, 7.6.1).
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+_BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
+_FOLDED_LINE = re.compile(rb"\r\n[ \t]")
+
+
+class RequestError(Exception):
+    """A request that the node refuses before it is dispatched.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the answer.
+    message : str
+        What is wrong with the request.
+    """
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+
+
+@dataclasses.dataclass(slots=True)
+class RequestHead:
+    """Method, target and headers of a request.
+
+    Parameters
+    ----------
+    method : str
+        HTTP method.
+    target : str
+        Request target as received.
+    headers : list of tuple of bytes
+        Lower-case names with values, in order.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+
+    @property
+    def path(self) -> str:
+        """Path of the target, without the query."""
+        return self.target.partition("?")[0]
+
+    def find(self, name: bytes) -> str | None:
+        """Find the first header of a lower-case name, decoded as Latin-1."""
+        return find_header(self.headers, name)
+
+
+@dataclasses.dataclass(slots=True)
+class ResponseHead:
+    """Status and headers of a response.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status, 200 to 599.
+    headers : list of tuple of bytes
+        Lower-case names with values, in order.
+    """
+
+    status: int
+    headers: Headers
+
+    def find(self, name: bytes) -> str | None:
+        """Find the first header of a lower-case name, decoded as Latin-1."""
+        return find_header(self.headers, name)
+
+
+def find_header(headers: Headers, name: bytes) -> str | None:
+    """Find the first header of a lower-case name.
+
+    Parameters
+    ----------
+    headers : list of tuple of bytes
+        Headers to search.
+    name : bytes
+        Lower-case name.
+
+    Returns
+    -------
+    str or None
+        Value decoded as Latin-1.
+
+    Examples
+    --------
+    >>> find_header([(b"host", b"example")], b"host")
+    'example'
+    """
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return None
+
+
+def check_raw_head(head: bytes) -> None:
+    """Refuse line endings that different parsers read differently.
+
+    A bare line feed or a folded header line may be read as a header by one
+    parser and as a value by the next, which allows request smuggling.
+
+    Parameters
+    ----------
+    head : bytes
+        Request line and headers as received.
+
+    Raises
+    ------
+    RequestError
+        With status 400.
+    """
+    if _BARE_LINE_FEED.search(head):
+        raise RequestError(400, "a line ends without a carriage return")
+    if _FOLDED_LINE.search(head):
+        raise RequestError(400, "a header line is folded")
+
+
+def check_request(head: RequestHead) -> None:
+    """Refuse requests whose framing is ambiguous, or that can't be proxied.
+
+    Parameters
+    ----------
+    head : RequestHead
+        Parsed head of the request.
+
+    Raises
+    ------
+    RequestError
+        With status 400, 405 or 501.
+    """
+    names = [name for name, _ in head.headers]
+    if b"content-length" in names and b"transfer-encoding" in names:
+        raise RequestError(400, "both content-length and transfer-encoding")
+    if names.count(b"host") > 1:
+        raise RequestError(400, "more than one host header")
+    if head.method == "CONNECT":
+        raise RequestError(405, "CONNECT is not supported")
+    if not head.target.startswith("/") and head.target != "*":
+        raise RequestError(400, "the request target is not a path")
+
+
+def remove_hop_by_hop(headers: Headers) -> Headers:
+    """Remove the headers that concern one connection only.
+
+    Parameters
+    ----------
+    headers : list of tuple of bytes
+        Headers with lower-case names.
+
+    Returns
+    -------
+    list of tuple of bytes
+        Headers to forward. A transfer-encoding is kept out; see `is_chunked`.
+
+    Examples
+    --------
+    >>> remove_hop_by_hop([(b"connection", b"x-a"), (b"x-a", b"1")])
+    []
+    """
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    # Naming the length in Connection must not remove the message's framing.
+    named.discard(b"content-length")
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in _HOP_BY_HOP and name not in named
+    ]
+
+
+def is_chunked(headers: Headers) -> bool:
+    """Tell whether headers announce a chunked body."""
+    return any(
+        name == b"transfer-encoding" and value.lower().endswith(b"chunked")
+        for name, value in headers
+    )
+
+
+def find_content_length(headers: Headers) -> int | None:
+    """Find the announced length of a body, in bytes."""
+    value = find_header(headers, b"content-length")
+    return int(value) if value is not None and value.isdecimal() else None
--- /dev/null
+++ b/egretlever/transport/_pool.py
@@ -0,0 +1,95 @@
+"""Kept connections to backend servers."""
+
+from egretlever.core import Address, Seconds
+from egretlever.transport._backends import BackendConnection
+from egretlever.transport._sockets import open_connection, read_clock
+
+
+class ConnectionPool:
+    """Keeps idle connections by address and opens new ones.
+
+    Parameters
+    ----------
+    connect_timeout : Seconds
+        Time allowed for a new connection.
+    idle_timeout : Seconds
+        Idle time after which a connection is not used again.
+    limit : int
+        Idle connections kept to one address.
+    """
+
+    def __init__(
+        self, connect_timeout: Seconds, idle_timeout: Seconds, limit: int
+    ) -> None:
+        self._connect_timeout = connect_timeout
+        self._idle_timeout = idle_timeout
+        self._limit = limit
+        self._idle: dict[Address, list[BackendConnection]] = {}
+
+    async def acquire(
+        self, address: Address, fresh: bool = False
+    ) -> BackendConnection:
+        """Take an idle connection or open one.
+
+        Parameters
+        ----------
+        address : Address
+            Address of the backend server.
+        fresh : bool, default=False
+            Open a new connection even when an idle one exists.
+
+        Raises
+        ------
+        ConnectError
+            When no connection can be established.
+        """
+        while not fresh and (idle := self._idle.get(address)):
+            connection = idle.pop()
+            age = read_clock() - connection.idle_since
+            if age < self._idle_timeout and not connection.is_gone():
+                return connection
+            await connection.close()
+        sock = await open_connection(address, self._connect_timeout)
+        return BackendConnection(sock)
+
+    async def release(
+        self, address: Address, connection: BackendConnection
+    ) -> None:
+        """Keep a connection whose exchange is complete, or close it."""
+        idle = self._idle.setdefault(address, [])
+        if len(idle) < self._limit and connection.prepare_next():
+            idle.append(connection)
+        else:
+            await connection.close()
+
+    async def discard(self, address: Address) -> int:
+        """Close all idle connections to an address.
+
+        Returns
+        -------
+        int
+            Number of closed connections.
+        """
+        idle = self._idle.pop(address, [])
+        for connection in idle:
+            await connection.close()
+        return len(idle)
+
+    async def expire(self, now: Seconds) -> None:
+        """Close connections that have been idle for too long."""
+        for address in list(self._idle):
+            kept = []
+            for connection in self._idle[address]:
+                if now - connection.idle_since < self._idle_timeout:
+                    kept.append(connection)
+                else:
+                    await connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle):
+            await self.discard(address)
