Add admission by ranks with adaptive concurrency

Queues are per service and rank, callers hash into 64 flows, and the limit of attempts in flight follows shed replies and latency.

--- a/egretlever/admission/__init__.py
+++ b/egretlever/admission/__init__.py
@@ -1,1 +1,41 @@
 """Admission: rank queues, adaptive concurrency and caller fairness."""
+
+from egretlever.admission._admission import make_admission
+from egretlever.admission._fifo import make_fifo_admission
+from egretlever.admission._interface import (
+    Admission,
+    Admitted,
+    Answer,
+    Capacity,
+    Departures,
+    Event,
+    Pause,
+    Queued,
+    RankPolicy,
+    RefusalReason,
+    Refused,
+    ServicePolicy,
+    ServiceSnapshot,
+    Ticket,
+)
+from egretlever.admission._limit import ConcurrencyLimit
+
+__all__ = [
+    "Admission",
+    "Admitted",
+    "Answer",
+    "Capacity",
+    "ConcurrencyLimit",
+    "Departures",
+    "Event",
+    "Pause",
+    "Queued",
+    "RankPolicy",
+    "RefusalReason",
+    "Refused",
+    "ServicePolicy",
+    "ServiceSnapshot",
+    "Ticket",
+    "make_admission",
+    "make_fifo_admission",
+]
--- /dev/null
+++ b/egretlever/admission/_admission.py
@@ -0,0 +1,376 @@
+"""Admission by ranks with adaptive limits."""
+
+import enum
+import heapq
+import random
+from collections.abc import Iterable, Sequence
+
+from egretlever.admission._flows import Waiting
+from egretlever.admission._interface import (
+    Admission,
+    Admitted,
+    Answer,
+    Capacity,
+    Departures,
+    Event,
+    RankPolicy,
+    RefusalReason,
+    Refused,
+    ServicePolicy,
+    ServiceSnapshot,
+    Ticket,
+)
+from egretlever.admission._ranks import check_ranks
+from egretlever.admission._service import ServiceQueue
+from egretlever.core import (
+    AttemptResult,
+    Interval,
+    Seconds,
+    ServiceName,
+    check_parameters,
+    make_log,
+    require,
+)
+
+_log = make_log("admission")
+
+
+class _TicketState(enum.Enum):
+    """Where a ticket that has not finished is."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+
+
+class RankedAdmission:
+    """Rank queues and adaptive concurrency limits for all services.
+
+    Parameters
+    ----------
+    services : iterable of ServicePolicy
+        Services of the catalogue.
+    ranks : sequence of RankPolicy
+        Ranks of the catalogue.
+    rng : random.Random
+        Decides which callers share a flow on this node.
+    flows : int, default=64
+        Flows per rank and service.
+    """
+
+    def __init__(
+        self,
+        services: Iterable[ServicePolicy],
+        ranks: Sequence[RankPolicy],
+        rng: random.Random,
+        flows: int = 64,
+    ) -> None:
+        check_parameters("Admission", {"flows": flows}, {"flows": Interval(1)})
+        check_ranks(ranks)
+        self._ranks = sorted(ranks, key=lambda rank: rank.priority)
+        self._flows = flows
+        self._salt = rng.getrandbits(32)
+        self._policies = {policy.name: policy for policy in services}
+        self._services: dict[ServiceName, ServiceQueue] = {}
+        self._capacities: dict[ServiceName, int] = {}
+        self._tickets: dict[Ticket, Waiting | None] = {}
+        self._deadlines: list[tuple[float, int, Waiting]] = []
+        self._backlogged: set[ServiceName] = set()
+        self._departed = Departures()
+        self._number = 0
+        self._now = Seconds(float("-inf"))
+
+    def offer(self, ticket: Ticket, now: Seconds) -> Answer:
+        """Offer a ticket; call ``advance`` afterwards.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            An attempt that was not offered before.
+        now : Seconds
+            Reading of the local clock.
+
+        Returns
+        -------
+        Admitted, Queued or Refused
+            How the ticket left, or that it waits.
+        """
+        now = self._move(now)
+        require("ticket-offered-once", ticket not in self._tickets)
+        policy = self._policies.get(ticket.service)
+        if policy is None:
+            return self._log_refusal(
+                ticket, Refused(RefusalReason.UNKNOWN_SERVICE)
+            )
+        queue = self._services.get(ticket.service) or self._open(policy)
+        if not queue.knows(ticket):
+            return self._log_refusal(
+                ticket, Refused(RefusalReason.UNKNOWN_RANK)
+            )
+        if ticket.deadline <= now:
+            return self._log_refusal(
+                ticket, Refused(RefusalReason.DEADLINE_PASSED)
+            )
+        if queue.has_capacity and not queue.waiting:
+            self._tickets[ticket] = None
+            queue.dispatch(ticket, now)
+            return Admitted()
+        return self._enqueue(queue, ticket, now)
+
+    def advance(self, now: Seconds) -> Departures:
+        """Move time forward and return the tickets that leave the queues.
+
+        Parameters
+        ----------
+        now : Seconds
+            Reading of the local clock.
+
+        Returns
+        -------
+        Departures
+            Each ticket that left since the last call, once.
+        """
+        now = self._move(now)
+        self._expire(now)
+        for name in tuple(self._backlogged):
+            queue = self._services[name]
+            while queue.has_capacity and self._dispatch_next(queue, now):
+                pass
+            if not queue.waiting:
+                self._backlogged.discard(name)
+        departed, self._departed = self._departed, Departures()
+        return departed
+
+    def finish(
+        self,
+        ticket: Ticket,
+        result: AttemptResult,
+        latency: Seconds,
+        now: Seconds,
+    ) -> None:
+        """Report the end of a dispatched ticket; call ``advance`` after.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            A dispatched ticket.
+        result : AttemptResult
+            How the attempt ended.
+        latency : Seconds
+            Time from dispatch to the end.
+        now : Seconds
+            Reading of the local clock.
+        """
+        now = self._move(now)
+        require(
+            "ticket-finished-once",
+            self._tickets.get(ticket, ticket) is None,
+            f"{ticket.request} attempt {ticket.attempt} is not in flight",
+        )
+        del self._tickets[ticket]
+        queue = self._services[ticket.service]
+        queue.finish(result, latency, now)
+        if ticket.service not in self._policies and not queue.in_flight:
+            del self._services[ticket.service]
+
+    def withdraw(self, ticket: Ticket, now: Seconds) -> bool:
+        """Refuse a waiting ticket whose caller left; False if not waiting."""
+        self._move(now)
+        waiting = self._tickets.get(ticket)
+        if waiting is None:
+            return False
+        waiting.queue.discard(waiting)
+        self._refuse(waiting, Refused(RefusalReason.WITHDRAWN))
+        return True
+
+    def observe(self, event: Event, now: Seconds) -> None:
+        """Take in a capacity hint or a pause of the node."""
+        now = self._move(now)
+        if isinstance(event, Capacity):
+            self._capacities[event.service] = event.slots
+            queue = self._services.get(event.service)
+            if queue is not None:
+                queue.set_capacity(event.slots)
+            return
+        _log.info("paused for %.3f s, latencies are void", event.duration)
+        for queue in self._services.values():
+            queue.void_before(now)
+
+    def configure(
+        self, services: Iterable[ServicePolicy], now: Seconds
+    ) -> None:
+        """Replace the services by those of a new catalogue.
+
+        Waiting tickets of a removed service are refused; running ones end as
+        usual. What was learned about the other services is kept.
+        """
+        self._move(now)
+        self._policies = {policy.name: policy for policy in services}
+        for name, queue in tuple(self._services.items()):
+            policy = self._policies.get(name)
+            if policy is None:
+                self._close(name, queue)
+                continue
+            queue.change_policy(policy)
+            while (victim := queue.find_excess()) is not None:
+                self._displace(queue, victim, self._now)
+            if name in self._capacities:
+                queue.set_capacity(self._capacities[name])
+
+    def describe(self) -> tuple[ServiceSnapshot, ...]:
+        """Return the state of each service in use."""
+        return tuple(queue.describe() for queue in self._services.values())
+
+    def _move(self, now: Seconds) -> Seconds:
+        self._now = max(self._now, now)
+        return self._now
+
+    def _open(self, policy: ServicePolicy) -> ServiceQueue:
+        queue = ServiceQueue(policy, self._ranks, self._flows, self._salt)
+        self._services[policy.name] = queue
+        if policy.name in self._capacities:
+            queue.set_capacity(self._capacities[policy.name])
+        return queue
+
+    def _close(self, name: ServiceName, queue: ServiceQueue) -> None:
+        for ticket, waiting in tuple(self._tickets.items()):
+            if waiting is not None and ticket.service == name:
+                waiting.queue.discard(waiting)
+                self._refuse(waiting, Refused(RefusalReason.SERVICE_REMOVED))
+        self._backlogged.discard(name)
+        if not queue.in_flight:
+            del self._services[name]
+
+    def _enqueue(
+        self, queue: ServiceQueue, ticket: Ticket, now: Seconds
+    ) -> Answer:
+        answer = queue.judge(ticket, now)
+        if isinstance(answer, Refused):
+            return self._log_refusal(ticket, answer)
+        if queue.waiting >= queue.policy.queue_limit:
+            victim = queue.make_room(ticket)
+            if victim is None:
+                refused = queue.refuse_full(RefusalReason.QUEUE_FULL, now)
+                return self._log_refusal(ticket, refused)
+            self._displace(queue, victim, now)
+        self._push(queue, ticket)
+        return answer
+
+    def _push(self, queue: ServiceQueue, ticket: Ticket) -> None:
+        self._number += 1
+        rank_queue = queue.find_queue(ticket)
+        flow = rank_queue.find_flow(ticket)
+        waiting = Waiting(ticket, self._number, flow, rank_queue)
+        rank_queue.push(waiting)
+        self._tickets[ticket] = waiting
+        heapq.heappush(
+            self._deadlines, (ticket.deadline, self._number, waiting)
+        )
+        if len(self._deadlines) > 2 * len(self._tickets) + 64:
+            self._deadlines = [
+                item for item in self._deadlines if not item[2].left
+            ]
+            heapq.heapify(self._deadlines)
+        self._backlogged.add(ticket.service)
+        require(
+            "queue-within-limit",
+            queue.waiting <= queue.policy.queue_limit,
+            f"{queue.policy.name}: {queue.waiting} waiting",
+        )
+
+    def _displace(
+        self, queue: ServiceQueue, victim: Waiting, now: Seconds
+    ) -> None:
+        victim.queue.discard(victim)
+        self._refuse(victim, queue.refuse_full(RefusalReason.DISPLACED, now))
+
+    def _expire(self, now: Seconds) -> None:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            waiting = heapq.heappop(self._deadlines)[2]
+            if waiting.left:
+                continue
+            waiting.queue.discard(waiting)
+            self._leave(waiting.ticket)
+            self._departed.expired.append(waiting.ticket)
+            _log.debug("%s expired in the queue", waiting.ticket.request)
+
+    def _dispatch_next(self, queue: ServiceQueue, now: Seconds) -> bool:
+        refused = len(self._departed.refused)
+        waiting = queue.pop(now, self._departed)
+        for ticket, refusal in self._departed.refused[refused:]:
+            self._leave(ticket)
+            self._log_refusal(ticket, refusal)
+        if waiting is None:
+            return False
+        queue.dispatch(waiting.ticket, now)
+        self._leave(waiting.ticket)
+        self._tickets[waiting.ticket] = None
+        self._departed.dispatched.append(waiting.ticket)
+        return True
+
+    def _refuse(self, waiting: Waiting, refused: Refused) -> None:
+        self._leave(waiting.ticket)
+        self._departed.refused.append((waiting.ticket, refused))
+        self._log_refusal(waiting.ticket, refused)
+
+    def _leave(self, ticket: Ticket) -> None:
+        require(
+            "ticket-leaves-once",
+            self._tickets.pop(ticket, None) is not None,
+            f"{ticket.request} attempt {ticket.attempt} left twice",
+        )
+
+    def _log_refusal(self, ticket: Ticket, refused: Refused) -> Refused:
+        _log.debug(
+            "%s of rank %s is refused: %s, retry after %.3f s",
+            ticket.request,
+            ticket.rank,
+            refused.reason.value,
+            refused.retry_after,
+        )
+        return refused
+
+
+def make_admission(
+    services: Iterable[ServicePolicy],
+    ranks: Sequence[RankPolicy],
+    rng: random.Random,
+    flows: int = 64,
+) -> Admission:
+    """Make the admission of a node.
+
+    Parameters
+    ----------
+    services : iterable of ServicePolicy
+        Services of the catalogue.
+    ranks : sequence of RankPolicy
+        Ranks of the catalogue.
+    rng : random.Random
+        Source of randomness.
+    flows : int, default=64
+        Flows per rank and service that callers hash into.
+
+    Returns
+    -------
+    Admission
+        Rank queues with adaptive limits.
+
+    Raises
+    ------
+    FindingsError
+        When ranks contradict each other or a parameter is out of its bounds.
+
+    Examples
+    --------
+    >>> admission = make_admission(
+    ...     [ServicePolicy("ordering")],
+    ...     [RankPolicy("urgent", 0, 0.1)],
+    ...     random.Random(1),
+    ... )
+    >>> ticket = Ticket("r1", "ordering", "urgent", "mill", Seconds(10.5))
+    >>> admission.offer(ticket, Seconds(10.0))
+    Admitted()
+    >>> admission.finish(
+    ...     ticket, AttemptResult.OK, Seconds(0.01), Seconds(10.01)
+    ... )
+    """
+    return RankedAdmission(services, ranks, rng, flows)
