Add routing by stable subsets and two choices

Subsets come from rendezvous hashing spread over failure domains. Servers are chosen by expected time among two draws, within an adaptive limit per server.

--- a/egretlever/admission/__init__.py
+++ b/egretlever/admission/__init__.py
@@ -1,6 +1,7 @@
 """Admission: rank queues, adaptive concurrency and caller fairness."""
 
 from egretlever.admission._admission import make_admission
+from egretlever.admission._estimates import DecayingRate
 from egretlever.admission._fifo import make_fifo_admission
 from egretlever.admission._interface import (
     Admission,
@@ -26,6 +27,7 @@
     "Answer",
     "Capacity",
     "ConcurrencyLimit",
+    "DecayingRate",
     "Departures",
     "Event",
     "Pause",
--- a/egretlever/routing/__init__.py
+++ b/egretlever/routing/__init__.py
@@ -1,1 +1,42 @@
 """Choice of a backend server for a request."""
+
+from egretlever.routing._baselines import (
+    make_least_outstanding_router,
+    make_round_robin_router,
+)
+from egretlever.routing._interface import (
+    Event,
+    LiveNodes,
+    LoadHint,
+    Location,
+    NoPlacement,
+    NoPlacementReason,
+    Placement,
+    PlacementReason,
+    PlacementRequest,
+    Router,
+    ServerSnapshot,
+    ServiceSnapshot,
+)
+from egretlever.routing._router import make_router
+from egretlever.routing._subsets import choose_size, order_servers
+
+__all__ = [
+    "Event",
+    "LiveNodes",
+    "LoadHint",
+    "Location",
+    "NoPlacement",
+    "NoPlacementReason",
+    "Placement",
+    "PlacementReason",
+    "PlacementRequest",
+    "Router",
+    "ServerSnapshot",
+    "ServiceSnapshot",
+    "choose_size",
+    "make_least_outstanding_router",
+    "make_round_robin_router",
+    "make_router",
+    "order_servers",
+]
--- /dev/null
+++ b/egretlever/routing/_router.py
@@ -0,0 +1,402 @@
+"""Routing by subsets, measured load and the budget of the region link."""
+
+import random
+from collections.abc import Iterable, Mapping
+
+from egretlever.core import (
+    Attempt,
+    AttemptResult,
+    Interval,
+    Seconds,
+    Server,
+    ServerId,
+    ServerState,
+    ServiceName,
+    check_parameters,
+    make_log,
+    require,
+)
+from egretlever.routing._choice import Choice, ServerChooser
+from egretlever.routing._crossing import find_obstacle
+from egretlever.routing._interface import (
+    Event,
+    LiveNodes,
+    LoadHint,
+    Location,
+    NoPlacement,
+    NoPlacementReason,
+    Placement,
+    PlacementReason,
+    PlacementRequest,
+    Router,
+    ServiceSnapshot,
+)
+from egretlever.routing._link import LinkBudget
+from egretlever.routing._pools import ServicePool
+from egretlever.routing._servers import ServerLoad
+
+_log = make_log("routing")
+
+_DEFAULT_WARMUP_S = 5.0
+_UNKNOWN_RETRY_AFTER_S = 1.0
+
+
+class SubsetRouter:
+    """Routes within the node's subsets, and across regions where it pays.
+
+    Parameters
+    ----------
+    location : Location
+        Where the node is.
+    link : LinkBudget
+        Bytes that the node may send across the link between regions.
+    rng : random.Random
+        Source of randomness.
+    warmups : mapping of ServiceName to Seconds
+        Ramp of cold servers by service; 5 s where absent.
+    domain_cost : float
+        Extra seconds of a server in another failure domain.
+    region_round_trip : float
+        Extra seconds of a server in another region until measured.
+    """
+
+    def __init__(
+        self,
+        location: Location,
+        link: LinkBudget,
+        rng: random.Random,
+        warmups: Mapping[ServiceName, Seconds],
+        domain_cost: float,
+        region_round_trip: float,
+    ) -> None:
+        check_parameters(
+            "Router",
+            {
+                "domain_cost": domain_cost,
+                "region_round_trip": region_round_trip,
+            },
+            {
+                "domain_cost": Interval(0),
+                "region_round_trip": Interval(0),
+            },
+        )
+        self._location = location
+        self._link = link
+        self._warmups = dict(warmups)
+        self._region_round_trip = region_round_trip
+        self._chooser = ServerChooser(location.failure_domain, domain_cost, rng)
+        self._pools: dict[ServiceName, ServicePool] = {}
+        self._loads: dict[ServerId, ServerLoad] = {}
+        self._active: set[ServiceName] = set()
+        self._nodes = 1
+        self._now = Seconds(float("-inf"))
+
+    def update(self, servers: Iterable[Server], now: Seconds) -> None:
+        """Take in new or changed servers; a stopped one is forgotten.
+
+        Parameters
+        ----------
+        servers : iterable of Server
+            Servers whose announcements are new. Others stay as they are.
+        now : Seconds
+            Reading of the local clock.
+        """
+        self._move(now)
+        for server in servers:
+            known = self._loads.get(server.id)
+            if known and server.incarnation < known.server.incarnation:
+                continue
+            if server.state is ServerState.STOPPED:
+                self._remove(server.id)
+                continue
+            if known and server.service != known.server.service:
+                self._remove(server.id)
+            pool = self._pools.get(server.service)
+            if pool is None:
+                pool = self._open(server.service)
+            kept = self._loads.get(server.id)
+            self._loads[server.id] = pool.put(server, kept)
+
+    def forget(self, servers: Iterable[ServerId], now: Seconds) -> None:
+        """Remove servers whose records were removed."""
+        self._move(now)
+        for server in servers:
+            self._remove(server)
+
+    def decide(
+        self, request: PlacementRequest, now: Seconds
+    ) -> Placement | NoPlacement:
+        """Choose a server and hold a slot of it until ``release``.
+
+        Parameters
+        ----------
+        request : PlacementRequest
+            What the server is needed for.
+        now : Seconds
+            Reading of the local clock.
+
+        Returns
+        -------
+        Placement or NoPlacement
+            The server, or why there is none.
+        """
+        now = self._move(now)
+        pool = self._pools.get(request.service)
+        if pool is None:
+            return self._decline(
+                request,
+                NoPlacementReason.UNKNOWN_SERVICE,
+                _UNKNOWN_RETRY_AFTER_S,
+            )
+        pool.count_arrival(now)
+        self._active.add(request.service)
+        choice = self._choose_local(pool, request, now)
+        if choice is not None:
+            return self._place(request, choice)
+        return self._cross(pool, request, now)
+
+    def release(self, placement: Placement, now: Seconds) -> None:
+        """Give back the slot of an attempt that ended.
+
+        Parameters
+        ----------
+        placement : Placement
+            What ``decide`` returned; released exactly once.
+        now : Seconds
+            Reading of the local clock.
+        """
+        self._move(now)
+        server = placement.server.id
+        load = self._loads.get(server)
+        require("release-of-known-server", load is not None, server)
+        if load is not None:
+            load.release()
+            if not load.known and not load.outstanding:
+                del self._loads[server]
+
+    def observe(self, event: Event, now: Seconds) -> None:
+        """Take in the result of an attempt, a load hint or a node count.
+
+        Parameters
+        ----------
+        event : Attempt, LoadHint or LiveNodes
+            Results are observed before the attempt is released.
+        now : Seconds
+            Reading of the local clock.
+        """
+        now = self._move(now)
+        if isinstance(event, Attempt):
+            self._observe_attempt(event, now)
+        elif isinstance(event, LoadHint):
+            load = self._loads.get(event.server)
+            if load is not None:
+                load.hint(event.busy, now)
+        elif isinstance(event, LiveNodes):
+            self._nodes = max(1, event.region)
+            self._link.set_nodes(self._nodes, now)
+            for pool in self._pools.values():
+                pool.nodes = self._nodes
+                pool.forget_subset()
+
+    def advance(self, now: Seconds) -> None:
+        """Adapt the sizes of subsets; called about once a second."""
+        now = self._move(now)
+        for name in self._active:
+            if name in self._pools:
+                self._pools[name].advance(now)
+
+    def count_slots(
+        self,
+        service: ServiceName,
+        weights: Mapping[ServerId, float] | None,
+        now: Seconds,
+    ) -> int:
+        """Return the slots that admission may fill.
+
+        Parameters
+        ----------
+        service : ServiceName
+            Service.
+        weights : mapping of ServerId to float, optional
+            Weights from the detector.
+        now : Seconds
+            Reading of the local clock.
+
+        Returns
+        -------
+        int
+            Sum of the limits of the subset's servers, at least 1.
+        """
+        now = self._move(now)
+        pool = self._pools.get(service)
+        if pool is None:
+            return 1
+        total = 0.0
+        for load in pool.list_subset(weights, now):
+            weight = 1.0 if weights is None else weights.get(load.server.id, 0)
+            total += weight * load.count_slots(load.ramp(pool.warmup, now))
+        return max(1, int(total))
+
+    def describe(self) -> tuple[ServiceSnapshot, ...]:
+        """Return the state of each service in use."""
+        return tuple(
+            self._pools[name].describe(name, self._now)
+            for name in sorted(self._active)
+            if name in self._pools
+        )
+
+    def _move(self, now: Seconds) -> Seconds:
+        self._now = max(self._now, now)
+        return self._now
+
+    def _open(self, service: ServiceName) -> ServicePool:
+        pool = ServicePool(
+            self._location,
+            self._warmups.get(service, _DEFAULT_WARMUP_S),
+            self._region_round_trip,
+        )
+        pool.nodes = self._nodes
+        self._pools[service] = pool
+        return pool
+
+    def _remove(self, server: ServerId) -> None:
+        load = self._loads.get(server)
+        if load is None or not load.known:
+            return
+        service = load.server.service
+        pool = self._pools[service]
+        pool.remove(server)
+        if not pool.loads:
+            del self._pools[service]
+            self._active.discard(service)
+        if not load.outstanding:
+            del self._loads[server]
+
+    def _choose_local(
+        self, pool: ServicePool, request: PlacementRequest, now: Seconds
+    ) -> Choice | None:
+        while True:
+            loads = pool.list_subset(request.weights, now)
+            choice = self._chooser.choose(pool, loads, request, now)
+            if choice is not None or not pool.grow(now):
+                return choice
+
+    def _cross(
+        self, pool: ServicePool, request: PlacementRequest, now: Seconds
+    ) -> Placement | NoPlacement:
+        """Choose a server of another region where every condition holds."""
+        local = any(
+            load.server.id not in request.exclude
+            for load in pool.list_subset(request.weights, now)
+        )
+        wait = pool.latency_ / max(
+            1, self.count_slots(request.service, request.weights, now)
+        )
+        wait = max(wait, request.expected_wait)
+        if local and wait <= pool.remote_extra_:
+            return self._decline(request, NoPlacementReason.SATURATED, wait)
+        remote = pool.list_remote(request.weights)
+        obstacle = find_obstacle(pool, request, local, bool(remote), now)
+        if obstacle is not None:
+            wait = wait if local else _UNKNOWN_RETRY_AFTER_S
+            return self._decline(request, obstacle, wait)
+        choice = self._chooser.choose(pool, remote, request, now)
+        if choice is None:
+            return self._decline(request, NoPlacementReason.SATURATED, wait)
+        size, priority = request.size_bytes, request.priority
+        if not self._link.take(size, priority, now):
+            refill = self._link.predict_wait(size, priority, now)
+            return self._decline(
+                request, NoPlacementReason.LINK_BUDGET_SPENT, refill
+            )
+        load, slots, _ = choice
+        return self._place(request, (load, slots, PlacementReason.CROSS_REGION))
+
+    def _place(self, request: PlacementRequest, choice: Choice) -> Placement:
+        load, slots, reason = choice
+        load.hold(slots)
+        require("placement-on-routable-server", load.routable, load.server.id)
+        _log.debug(
+            "%s placed on %s: %s",
+            request.service,
+            load.server.id,
+            reason.value,
+        )
+        return Placement(load.server, reason)
+
+    def _decline(
+        self,
+        request: PlacementRequest,
+        reason: NoPlacementReason,
+        retry_after: float,
+    ) -> NoPlacement:
+        _log.debug(
+            "%s not placed: %s, retry after %.3f s",
+            request.service,
+            reason.value,
+            retry_after,
+        )
+        return NoPlacement(reason, Seconds(retry_after))
+
+    def _observe_attempt(self, attempt: Attempt, now: Seconds) -> None:
+        load = self._loads.get(attempt.server)
+        pool = self._pools.get(attempt.service)
+        if load is None or pool is None:
+            return
+        if load.observe(attempt, now):
+            _log.info("%s is draining by its own answer", attempt.server)
+            pool.forget_subset()
+        if attempt.result is AttemptResult.OK:
+            pool.observe_latency(attempt.latency, pool.is_local(load))
+
+
+def make_router(
+    location: Location,
+    rng: random.Random,
+    warmups: Mapping[ServiceName, Seconds] | None = None,
+    region_link_bits_per_s: float = 15_000_000.0,
+    domain_cost: float = 0.001,
+    region_round_trip: float = 0.016,
+) -> Router:
+    """Make the router of a node.
+
+    Parameters
+    ----------
+    location : Location
+        Where the node is.
+    rng : random.Random
+        Source of randomness.
+    warmups : mapping of ServiceName to Seconds, optional
+        Ramp of cold servers by service; 5 s where absent.
+    region_link_bits_per_s : float, default=15e6
+        Part of the link that all nodes of the region use for requests.
+    domain_cost : float, default=0.001
+        Extra seconds of a server in another failure domain.
+    region_round_trip : float, default=0.016
+        Extra seconds of a server in another region until measured.
+
+    Returns
+    -------
+    Router
+        The main implementation.
+
+    Raises
+    ------
+    FindingsError
+        When a parameter is out of its bounds.
+
+    Examples
+    --------
+    >>> router = make_router(
+    ...     Location("node-1", "domain-1", "punjab"), random.Random(1)
+    ... )
+    >>> router.decide(
+    ...     PlacementRequest("ordering", deadline=Seconds(2.0)), Seconds(1.0)
+    ... )
+    NoPlacement(reason=<NoPlacementReason.UNKNOWN_SERVICE: 'unknown-service'>, \
+retry_after=1.0)
+    """
+    link = LinkBudget(region_link_bits_per_s / 8.0)
+    return SubsetRouter(
+        location, link, rng, warmups or {}, domain_cost, region_round_trip
+    )
