--- /dev/null
+++ b/egretlever/catalogue/_editor.py
@@ -0,0 +1,395 @@
+"""Edits of the catalogue through the platform's stores."""
+
+import dataclasses
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from egretlever.catalogue._codec import (
+    decode_catalogue,
+    decode_head,
+    decode_snapshot,
+    make_snapshot,
+)
+from egretlever.catalogue._edits import (
+    HEAD_KEY,
+    Applied,
+    Edit,
+    EditConflict,
+    EditDone,
+    EditFailure,
+    EditFindings,
+    EditPlan,
+    EditRefused,
+    EditRequest,
+    EffectUnknown,
+    StoreAway,
+    Unchanged,
+    confirm_edit,
+    decode_edit,
+    find_overlap,
+    list_changes,
+    make_edit_key,
+    plan_edit,
+    rebase_edit,
+)
+from egretlever.catalogue._snapshot import Head, Snapshot
+from egretlever.catalogue._text import check_catalogue
+from egretlever.core import Digest, EditId, Version, make_log
+from egretlever.platform import (
+    ObjectStore,
+    Row,
+    StoreError,
+    StoreErrorKind,
+    TableStore,
+)
+from egretlever.schema import catalogue_pb2
+
+_LOG = make_log("editor")
+# Each try after a lost answer costs two store operations. An answer that is
+# lost three times in a row points to an outage rather than to chance.
+_TRIES = 3
+# Two days of edits at the design size of 2,200 a day.
+_HISTORY_LIMIT = 4400
+
+
+class CatalogueEditor:
+    """Applies edits with optimistic concurrency and reads their history.
+
+    Use ``make_catalogue_editor`` to make one.
+
+    Parameters
+    ----------
+    tables : TableStore
+        Holds the head and one row per edit.
+    objects : ObjectStore
+        Holds each snapshot under its digest.
+    """
+
+    def __init__(self, tables: TableStore, objects: ObjectStore) -> None:
+        self._tables = tables
+        self._objects = objects
+
+    async def read_head(self) -> Result[Head | None, EditFailure]:
+        """Read the version in force, None for an empty store."""
+        row = await self._read_row(HEAD_KEY)
+        if isinstance(row, Failure):
+            return row
+        return _decode_head_row(row.unwrap())
+
+    async def read_snapshot(
+        self, digest: Digest
+    ) -> Result[Snapshot, EditFailure]:
+        """Read a snapshot by its digest."""
+        body = await self._objects.get(digest)
+        if isinstance(body, Failure):
+            return Failure(_describe_read(body.failure()))
+        snapshot = decode_snapshot(body.unwrap(), digest)
+        if isinstance(snapshot, Failure):
+            return Failure(EditRefused(snapshot.failure()))
+        return Success(snapshot.unwrap())
+
+    async def read_version(
+        self, version: Version | None = None
+    ) -> Result[Snapshot, EditFailure]:
+        """Read the snapshot of a version, by default of the one in force."""
+        head = await self.read_head()
+        if isinstance(head, Failure):
+            return head
+        current = head.unwrap()
+        if current is None:
+            return Failure(EditRefused("the store holds no catalogue"))
+        if version is None or version == current.version:
+            return await self.read_snapshot(current.digest)
+        edit = await self._find_edit(current, version)
+        if isinstance(edit, Failure):
+            return edit
+        return await self.read_snapshot(edit.unwrap().head.digest)
+
+    async def history(
+        self, limit: int = 20
+    ) -> Result[tuple[Edit, ...], EditFailure]:
+        """Read the latest edits, newest first.
+
+        Edit ids are random, so a scan would not give the latest. Each edit
+        names the one before it instead, and one row is read for each.
+        """
+        head = await self.read_head()
+        if isinstance(head, Failure):
+            return head
+        current = head.unwrap()
+        edits: list[Edit] = []
+        edit_id = current.edit_id if current else EditId("")
+        while edit_id and len(edits) < limit:
+            edit = await self.read_edit(edit_id)
+            if isinstance(edit, Failure):
+                return edit
+            found = edit.unwrap()
+            if found is None:
+                return Failure(EditRefused(f"edit {edit_id} has no row"))
+            edits.append(found)
+            edit_id = found.base_edit_id
+        return Success(tuple(edits))
+
+    async def read_edit(
+        self, edit_id: EditId
+    ) -> Result[Edit | None, EditFailure]:
+        """Read an edit by its id, None when it did not take effect."""
+        row = await self._read_row(make_edit_key(edit_id))
+        if isinstance(row, Failure):
+            return row
+        if not row.unwrap().version:
+            return Success(None)
+        edit = decode_edit(row.unwrap().value)
+        if isinstance(edit, Failure):
+            return Failure(EditRefused(edit.failure()))
+        return Success(edit.unwrap())
+
+    async def apply(
+        self, request: EditRequest
+    ) -> Result[EditDone, EditFailure]:
+        """Check and apply an edit.
+
+        Parameters
+        ----------
+        request : EditRequest
+            The edit. After ``EffectUnknown`` the same request may be applied
+            again: it takes effect at most once.
+
+        Returns
+        -------
+        Result of Applied or Unchanged, or of an edit failure
+            What happened. Only ``EffectUnknown`` leaves it open.
+        """
+        findings = check_catalogue(request.content, f"edit {request.edit_id}")
+        if findings:
+            return Failure(EditFindings(findings))
+        row = await self._read_row(HEAD_KEY)
+        if isinstance(row, Failure):
+            return row
+        decoded = _decode_head_row(row.unwrap())
+        if isinstance(decoded, Failure):
+            return decoded
+        head = decoded.unwrap()
+        plan = plan_edit(request, head, row.unwrap().version)
+        recorded = await self.read_edit(request.edit_id)
+        if isinstance(recorded, Failure):
+            return recorded
+        edit = recorded.unwrap()
+        if edit is not None:
+            return confirm_edit(plan, edit)
+        if (head.version if head else 0) != request.base_version:
+            return await self._refuse(plan, request, row.unwrap())
+        if head is not None and await self._is_unchanged(head, plan):
+            return Success(Unchanged(head))
+        return await self._write(plan, request)
+
+    async def rollback(
+        self, version: Version, request: EditRequest
+    ) -> Result[EditDone, EditFailure]:
+        """Apply the content of an earlier version as a new edit.
+
+        Parameters
+        ----------
+        version : Version
+            Version whose content comes back. The new version is higher than
+            the one in force.
+        request : EditRequest
+            Id, operator, base and summary of the edit; its content is unused.
+
+        Returns
+        -------
+        Result of Applied or Unchanged, or of an edit failure
+            As for ``apply``.
+        """
+        snapshot = await self.read_version(version)
+        if isinstance(snapshot, Failure):
+            return snapshot
+        content = _strip(decode_catalogue(snapshot.unwrap()))
+        return await self.apply(dataclasses.replace(request, content=content))
+
+    async def _write(
+        self, plan: EditPlan, request: EditRequest
+    ) -> Result[EditDone, EditFailure]:
+        put = await self._put_snapshot(plan.snapshot)
+        if isinstance(put, Failure):
+            return put
+        sent = False
+        message = ""
+        for _ in range(_TRIES):
+            written = await self._tables.write(plan.rows, plan.conditions)
+            if isinstance(written, Success):
+                return Success(Applied(plan.snapshot.head))
+            error = written.failure()
+            message = error.message
+            if error.kind is StoreErrorKind.REFUSED_CONDITION:
+                return await self._explain_refusal(plan, request, error)
+            sent = sent or error.kind is StoreErrorKind.UNKNOWN_EFFECT
+            if not sent:
+                return Failure(StoreAway(message))
+            recorded = await self.read_edit(request.edit_id)
+            edit = recorded.unwrap() if isinstance(recorded, Success) else None
+            if edit is not None:
+                return confirm_edit(plan, edit)
+            # The row may be missing because the write is still on its way.
+            # Its conditions let the repeated write take effect only once.
+            _LOG.info("edit %s is written again: %s", request.edit_id, message)
+        return Failure(EffectUnknown(request.edit_id, message))
+
+    async def _refuse(
+        self, plan: EditPlan, request: EditRequest, head_row: Row
+    ) -> Result[EditDone, EditFailure]:
+        if not head_row.version:
+            return Failure(
+                EditConflict(request.edit_id, request.base_version, None)
+            )
+        # The row of an earlier try of this edit is missing in a stale read, and
+        # a conflict would then be reported for an edit that took effect. A
+        # transaction sees the current rows; row versions only grow, so this
+        # one can't commit.
+        never = {HEAD_KEY: Version(head_row.version - 1)}
+        written = await self._tables.write(
+            plan.rows, {**plan.conditions, **never}
+        )
+        if isinstance(written, Success):
+            return Failure(
+                EditRefused("the store committed a write whose condition fails")
+            )
+        error = written.failure()
+        if error.kind is not StoreErrorKind.REFUSED_CONDITION:
+            return Failure(StoreAway(error.message))
+        return await self._explain_refusal(plan, request, error)
+
+    async def _put_snapshot(
+        self, snapshot: Snapshot
+    ) -> Result[None, EditFailure]:
+        message = ""
+        for _ in range(_TRIES):
+            # The object's content is fixed by its name, so a repeated write
+            # changes nothing.
+            put = await self._objects.put(snapshot.head.digest, snapshot.join())
+            if isinstance(put, Success):
+                return Success(None)
+            message = put.failure().message
+            if put.failure().kind is not StoreErrorKind.UNKNOWN_EFFECT:
+                break
+        return Failure(StoreAway(f"snapshot was not stored: {message}"))
+
+    async def _explain_refusal(
+        self, plan: EditPlan, request: EditRequest, error: StoreError
+    ) -> Result[EditDone, EditFailure]:
+        # The rows in the refusal were read by the transaction itself. A later
+        # read might be stale and miss the edit's own row.
+        rows = {row.key: row for row in error.conflicts}
+        if plan.edit_key in rows:
+            recorded = decode_edit(rows[plan.edit_key].value)
+            if isinstance(recorded, Failure):
+                return Failure(EditRefused(recorded.failure()))
+            return confirm_edit(plan, recorded.unwrap())
+        if HEAD_KEY not in rows:
+            return Failure(EditRefused(error.message))
+        head = _decode_head_row(rows[HEAD_KEY])
+        if isinstance(head, Failure):
+            return head
+        return await self._explain_conflict(plan, request, head.unwrap())
+
+    async def _explain_conflict(
+        self, plan: EditPlan, request: EditRequest, winner: Head | None
+    ) -> Result[Any, EditFailure]:
+        conflict = EditConflict(request.edit_id, request.base_version, winner)
+        if winner is None or winner.version < request.base_version:
+            return Failure(conflict)
+        theirs = await self.read_snapshot(winner.digest)
+        base = await self._read_base(winner, request.base_version)
+        if isinstance(theirs, Failure) or isinstance(base, Failure):
+            # The conflict is certain. Only the offer of a rebase is missing.
+            return Failure(conflict)
+        parts = (base.unwrap(), plan.snapshot, theirs.unwrap())
+        overlap = find_overlap(*parts)
+        rebased = None if overlap else rebase_edit(*parts)
+        if rebased is not None and check_catalogue(rebased, "rebase"):
+            rebased = None
+        return Failure(
+            dataclasses.replace(conflict, overlap=overlap, rebase=rebased)
+        )
+
+    async def _read_base(
+        self, winner: Head, version: Version
+    ) -> Result[Snapshot, EditFailure]:
+        if version == 0:
+            return Success(make_snapshot(catalogue_pb2.Catalogue()))
+        edit = await self._find_edit(winner, version)
+        if isinstance(edit, Failure):
+            return edit
+        return await self.read_snapshot(edit.unwrap().head.digest)
+
+    async def _find_edit(
+        self, head: Head, version: Version
+    ) -> Result[Edit, EditFailure]:
+        edit_id = head.edit_id
+        for _ in range(_HISTORY_LIMIT):
+            edit = await self.read_edit(edit_id)
+            if isinstance(edit, Failure):
+                return edit
+            found = edit.unwrap()
+            if found is None or found.head.version < version:
+                break
+            if found.head.version == version:
+                return Success(found)
+            edit_id = found.base_edit_id
+            if not edit_id:
+                break
+        return Failure(EditRefused(f"version {version} is not in the history"))
+
+    async def _is_unchanged(self, head: Head, plan: EditPlan) -> bool:
+        current = await self.read_snapshot(head.digest)
+        if isinstance(current, Failure):
+            return False
+        return not list_changes(current.unwrap(), plan.snapshot)
+
+    async def _read_row(self, key: str) -> Result[Row, EditFailure]:
+        row = await self._tables.read(key)
+        if isinstance(row, Failure):
+            return Failure(_describe_read(row.failure()))
+        return Success(row.unwrap())
+
+
+def make_catalogue_editor(
+    table_store: TableStore, object_store: ObjectStore
+) -> CatalogueEditor:
+    """Make an editor of the catalogue in the given stores.
+
+    Parameters
+    ----------
+    table_store : TableStore
+        Transactional table service.
+    object_store : ObjectStore
+        Store of snapshots.
+
+    Returns
+    -------
+    CatalogueEditor
+        Ready to use; it keeps nothing between calls.
+    """
+    return CatalogueEditor(table_store, object_store)
+
+
+def _decode_head_row(row: Row) -> Result[Head | None, EditFailure]:
+    if not row.version:
+        return Success(None)
+    head = decode_head(row.value)
+    if isinstance(head, Failure):
+        return Failure(EditRefused(head.failure()))
+    return Success(head.unwrap())
+
+
+def _describe_read(error: StoreError) -> EditFailure:
+    if error.kind is StoreErrorKind.REFUSED_CONDITION:
+        return EditRefused(error.message)
+    return StoreAway(error.message)
+
+
+def _strip(content: catalogue_pb2.Catalogue) -> catalogue_pb2.Catalogue:
+    content.ClearField("version")
+    content.ClearField("edit_id")
+    return content
--- /dev/null
+++ b/egretlever/catalogue/_snapshot.py
@@ -0,0 +1,205 @@
+"""Versions of the catalogue in memory, and the changes between them."""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable, Mapping
+from typing import Generic, TypeVar
+
+from egretlever.catalogue._entries import Rank, Route, Service
+from egretlever.core import Digest, EditId, Version
+
+_Value = TypeVar("_Value", Rank, Service, Route)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Name of one version of the catalogue.
+
+    Parameters
+    ----------
+    version : Version
+        Grows by one with each accepted edit.
+    edit_id : EditId
+        Edit that made the version.
+    digest : Digest
+        SHA-256 of the snapshot's canonical bytes, in hexadecimal.
+    """
+
+    version: Version
+    edit_id: EditId
+    digest: Digest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry(Generic[_Value]):
+    """An entry together with its canonical bytes.
+
+    Parameters
+    ----------
+    value : Rank or Service or Route
+        Content of the entry.
+    encoded : bytes
+        Canonical bytes, framed as a field of the snapshot.
+    """
+
+    value: _Value
+    encoded: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """One complete version of the catalogue.
+
+    Parameters
+    ----------
+    head : Head
+        Version, edit and digest.
+    prefix : bytes
+        Canonical bytes of version and edit id.
+    ranks, services, routes : mapping of str to Entry
+        Entries by name, in the order of names.
+    """
+
+    head: Head
+    prefix: bytes
+    ranks: Mapping[str, Entry[Rank]]
+    services: Mapping[str, Entry[Service]]
+    routes: Mapping[str, Entry[Route]]
+
+    def join(self) -> bytes:
+        """Return the canonical bytes of the whole snapshot."""
+        return join_parts(self.prefix, self.ranks, self.services, self.routes)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delta:
+    """Change from one version of the catalogue to another.
+
+    Parameters
+    ----------
+    base : Head
+        Version that the change applies to.
+    head : Head
+        Version that results.
+    prefix : bytes
+        Canonical bytes of the resulting version and edit id.
+    ranks, services, routes : mapping of str to Entry
+        Entries that are new or changed.
+    removed_ranks, removed_services, removed_routes : tuple of str
+        Names of entries that are gone.
+    """
+
+    base: Head
+    head: Head
+    prefix: bytes
+    ranks: Mapping[str, Entry[Rank]]
+    services: Mapping[str, Entry[Service]]
+    routes: Mapping[str, Entry[Route]]
+    removed_ranks: tuple[str, ...] = ()
+    removed_services: tuple[str, ...] = ()
+    removed_routes: tuple[str, ...] = ()
+
+
+def join_parts(
+    prefix: bytes,
+    ranks: Mapping[str, Entry[Rank]],
+    services: Mapping[str, Entry[Service]],
+    routes: Mapping[str, Entry[Route]],
+) -> bytes:
+    """Join the canonical bytes of a snapshot's parts."""
+    parts = [prefix]
+    parts.extend(entry.encoded for entry in ranks.values())
+    parts.extend(entry.encoded for entry in services.values())
+    parts.extend(entry.encoded for entry in routes.values())
+    return b"".join(parts)
+
+
+def compute_digest(body: bytes) -> Digest:
+    """Compute the digest of a snapshot's canonical bytes.
+
+    Examples
+    --------
+    >>> compute_digest(b"")[:8]
+    'e3b0c442'
+    """
+    return Digest(hashlib.sha256(body).hexdigest())
+
+
+def compare_snapshots(base: Snapshot, target: Snapshot) -> Delta:
+    """Compute the change from one snapshot to another.
+
+    Parameters
+    ----------
+    base, target : Snapshot
+        Any two versions.
+
+    Returns
+    -------
+    Delta
+        The entries that differ.
+    """
+    ranks, removed_ranks = _compare(base.ranks, target.ranks)
+    services, removed_services = _compare(base.services, target.services)
+    routes, removed_routes = _compare(base.routes, target.routes)
+    return Delta(
+        base.head,
+        target.head,
+        target.prefix,
+        ranks,
+        services,
+        routes,
+        removed_ranks,
+        removed_services,
+        removed_routes,
+    )
+
+
+def apply_delta(base: Snapshot, delta: Delta) -> Snapshot:
+    """Apply a change to the version that it was made from.
+
+    Parameters
+    ----------
+    base : Snapshot
+        Version named by ``delta.base``.
+    delta : Delta
+        Change to apply.
+
+    Returns
+    -------
+    Snapshot
+        The result with its computed digest, which the caller compares with
+        ``delta.head.digest``.
+    """
+    ranks = _merge(base.ranks, delta.ranks, delta.removed_ranks)
+    services = _merge(base.services, delta.services, delta.removed_services)
+    routes = _merge(base.routes, delta.routes, delta.removed_routes)
+    digest = compute_digest(join_parts(delta.prefix, ranks, services, routes))
+    head = dataclasses.replace(delta.head, digest=digest)
+    return Snapshot(head, delta.prefix, ranks, services, routes)
+
+
+def _compare(
+    base: Mapping[str, Entry[_Value]], target: Mapping[str, Entry[_Value]]
+) -> tuple[dict[str, Entry[_Value]], tuple[str, ...]]:
+    changed = {
+        name: entry
+        for name, entry in target.items()
+        if name not in base or base[name].encoded != entry.encoded
+    }
+    return changed, tuple(name for name in base if name not in target)
+
+
+def _merge(
+    base: Mapping[str, Entry[_Value]],
+    changed: Mapping[str, Entry[_Value]],
+    removed: Iterable[str],
+) -> Mapping[str, Entry[_Value]]:
+    gone = [name for name in removed if name in base]
+    if not changed and not gone:
+        return base
+    merged = dict(base)
+    for name in gone:
+        del merged[name]
+    grows = any(name not in merged for name in changed)
+    merged.update(changed)
+    return dict(sorted(merged.items())) if grows else merged
--- /dev/null
+++ b/egretlever/catalogue/_state.py
@@ -0,0 +1,220 @@
+"""Copy of the catalogue that a node holds."""
+
+import dataclasses
+import enum
+
+from egretlever.catalogue._entries import Rank, Route, Service, Terms
+from egretlever.catalogue._matching import RouteIndex
+from egretlever.catalogue._snapshot import (
+    Delta,
+    Head,
+    Snapshot,
+    apply_delta,
+)
+from egretlever.core import (
+    InvariantError,
+    RankName,
+    Seconds,
+    ServiceName,
+    Version,
+    make_log,
+    require,
+)
+
+_LOG = make_log("catalogue")
+
+
+class RefusalReason(enum.Enum):
+    """Why an offered version of the catalogue was not taken."""
+
+    LOWER_VERSION = "lower-version"
+    ALREADY_HELD = "already-held"
+    CONFLICTING_DIGEST = "conflicting-digest"
+    OTHER_BASE = "other-base"
+    DIGEST_MISMATCH = "digest-mismatch"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """An offer that was taken.
+
+    Parameters
+    ----------
+    head : Head
+        Version that is in force now.
+    """
+
+    head: Head
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotAccepted:
+    """An offer that was not taken.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        Why it was not taken.
+    offered : Head
+        Version that was offered.
+    """
+
+    reason: RefusalReason
+    offered: Head
+
+
+class CatalogueState:
+    """Holds the highest version of the catalogue that was offered.
+
+    Attributes
+    ----------
+    snapshot_ : Snapshot or None
+        Version in force, None before the first one.
+    accepted_at_ : Seconds
+        Time at which the version in force was taken.
+
+    Examples
+    --------
+    >>> from egretlever.catalogue import make_snapshot
+    >>> from egretlever.testing.builders import build_catalogue
+    >>> state = make_catalogue_state()
+    >>> type(state.offer(make_snapshot(build_catalogue(7)), 0.0)).__name__
+    'Accepted'
+    >>> state.match("GET", "shop.example", "/fabrics/silk").id
+    'browse'
+    """
+
+    def __init__(self) -> None:
+        self.snapshot_: Snapshot | None = None
+        self.accepted_at_ = Seconds(0.0)
+        self._index = RouteIndex(())
+
+    @property
+    def head(self) -> Head | None:
+        """Name of the version in force, None before the first one."""
+        return self.snapshot_.head if self.snapshot_ else None
+
+    @property
+    def version(self) -> Version:
+        """Version in force, 0 before the first one."""
+        return self.snapshot_.head.version if self.snapshot_ else Version(0)
+
+    def offer(
+        self, offered: Snapshot | Delta, now: Seconds
+    ) -> Accepted | NotAccepted:
+        """Take a version if it is higher than the one in force.
+
+        Parameters
+        ----------
+        offered : Snapshot or Delta
+            Complete version, or a change of the version in force.
+        now : Seconds
+            Time of the offer.
+
+        Returns
+        -------
+        Accepted or NotAccepted
+            The new head, or the reason.
+        """
+        reason = self.compare(offered.head)
+        if reason is not None:
+            return NotAccepted(reason, offered.head)
+        if isinstance(offered, Snapshot):
+            return self._install(offered, now)
+        if self.head is None or offered.base != self.head:
+            return NotAccepted(RefusalReason.OTHER_BASE, offered.head)
+        assert self.snapshot_ is not None
+        result = apply_delta(self.snapshot_, offered)
+        if result.head != offered.head:
+            _LOG.warning(
+                "delta to version %d gives another digest", offered.head.version
+            )
+            return NotAccepted(RefusalReason.DIGEST_MISMATCH, offered.head)
+        return self._install(result, now)
+
+    def compare(self, offered: Head) -> RefusalReason | None:
+        """Return why a head is not news, or None when it is higher."""
+        held = self.head
+        if held is None or offered.version > held.version:
+            return None
+        if offered.version < held.version:
+            return RefusalReason.LOWER_VERSION
+        if offered.digest == held.digest:
+            return RefusalReason.ALREADY_HELD
+        self._report_conflict(held, offered)
+        return RefusalReason.CONFLICTING_DIGEST
+
+    def match(self, method: str, host: str, path: str) -> Route | None:
+        """Find the route of a request, None when no route matches."""
+        return self._index.find(method, host, path)
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Return a service, None when the catalogue does not have it."""
+        entry = self.snapshot_.services.get(name) if self.snapshot_ else None
+        return entry.value if entry else None
+
+    def rank(self, name: RankName) -> Rank | None:
+        """Return a rank, None when the catalogue does not have it."""
+        entry = self.snapshot_.ranks.get(name) if self.snapshot_ else None
+        return entry.value if entry else None
+
+    def terms(self, route: Route) -> Terms | None:
+        """Resolve what a route leaves to its service and rank.
+
+        Returns
+        -------
+        Terms or None
+            None when the service or the rank does not exist.
+        """
+        service = self.service(route.service)
+        if service is None:
+            return None
+        rank = self.rank(route.rank or service.rank)
+        if rank is None:
+            return None
+        return Terms(
+            rank,
+            service.timeout if route.timeout is None else route.timeout,
+            rank.worth if route.worth is None else route.worth,
+        )
+
+    def describe(self) -> Head | None:
+        """Return the version in force for operators."""
+        return self.head
+
+    def _install(self, snapshot: Snapshot, now: Seconds) -> Accepted:
+        require(
+            "catalogue-version-grows",
+            snapshot.head.version > self.version,
+            f"{snapshot.head.version} after {self.version}",
+        )
+        self.snapshot_ = snapshot
+        self.accepted_at_ = now
+        self._index = RouteIndex(
+            entry.value for entry in snapshot.routes.values()
+        )
+        _LOG.info(
+            "version %d of edit %s is in force",
+            snapshot.head.version,
+            snapshot.head.edit_id,
+        )
+        return Accepted(snapshot.head)
+
+    def _report_conflict(self, held: Head, offered: Head) -> None:
+        # A node keeps serving its own copy. Raising here would let a fault of
+        # the store stop every node at once.
+        try:
+            require(
+                "catalogue-version-has-one-digest",
+                False,
+                f"version {held.version} is {held.digest[:12]} of edit"
+                f" {held.edit_id} and {offered.digest[:12]} of edit"
+                f" {offered.edit_id}",
+            )
+        except InvariantError as error:
+            _LOG.error("%s", error)
+
+
+def make_catalogue_state() -> CatalogueState:
+    """Make the state of a node that has no catalogue yet."""
+    return CatalogueState()
--- a/egretlever/testing/builders.py
+++ b/egretlever/testing/builders.py
@@ -141,3 +141,41 @@
         "concurrency_limit": 10000,
     }
     return catalogue_pb2.Service(**{**fields, **changes})
+
+
+def build_large_catalogue(
+    route_count: int, service_count: int = 380, version: int = 1
+) -> catalogue_pb2.Catalogue:
+    """Build a catalogue at the design size, with routes on twenty hosts."""
+    catalogue = build_catalogue(version)
+    del catalogue.routes[:]
+    del catalogue.services[:]
+    ranks = [rank.name for rank in catalogue.ranks]
+    for number in range(service_count):
+        catalogue.services.append(
+            build_service(f"service-{number}", rank=ranks[number % 3])
+        )
+    for number in range(route_count):
+        catalogue.routes.append(
+            build_route(
+                f"route-{number}",
+                host=f"host-{number % 20}.example" if number % 4 else "*",
+                path=f"/area-{number % 40}/part-{number}",
+                methods=["POST"] if number % 5 == 0 else [],
+                service=f"service-{number % service_count}",
+                order=number % 5 == 0,
+            )
+        )
+    return catalogue
+
+
+def build_route(name: str, **changes: Any) -> catalogue_pb2.Route:
+    """Build a route of the catalogue for all methods and hosts."""
+    fields: dict[str, Any] = {
+        "id": name,
+        "host": "*",
+        "path": f"/{name}",
+        "service": "catalogue",
+        "worth": -1,
+    }
+    return catalogue_pb2.Route(**{**fields, **changes})
