--- a/egretlever/node/_context.py
+++ b/egretlever/node/_context.py
@@ -35,6 +35,8 @@
         Whether the request is an order.
     timeout : Seconds
         Time limit of a request without a deadline.
+    worth : float
+        Worth of an answer on time.
     """
 
     route: RouteId
@@ -42,6 +44,7 @@
     rank: RankName
     order: bool
     timeout: Seconds
+    worth: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/egretlever/node/_proxy.py
@@ -0,0 +1,224 @@
+"""The proxy: takes a caller's request through admission to an answer."""
+
+import dataclasses
+import random
+
+import curio
+
+from egretlever.admission import RefusalReason, Ticket
+from egretlever.catalogue import CatalogueState
+from egretlever.core import (
+    AttemptResult,
+    Outcome,
+    RequestId,
+    Seconds,
+    make_log,
+)
+from egretlever.node import _metrics as metrics
+from egretlever.node._answers import (
+    OwnAnswer,
+    encode_own_answer,
+    mark_outcome,
+)
+from egretlever.node._attempts import AttemptOutcome
+from egretlever.node._bodies import RequestBody
+from egretlever.node._context import RequestContext, RouteChoice, make_context
+from egretlever.node._engine import Engine
+from egretlever.transport import (
+    BackendClosedError,
+    BackendProtocolError,
+    CallerConnection,
+    CallerGoneError,
+    RequestError,
+    RequestHead,
+    read_clock,
+)
+
+_LOG = make_log("proxy")
+_STREAM_TIMEOUT = Seconds(30.0)  # silence of a server within an answer
+
+
+class Proxy:
+    """Serves callers' connections.
+
+    Parameters
+    ----------
+    catalogue : CatalogueState
+        Routes requests to services.
+    engine : Engine
+        Runs attempts until a request has an outcome.
+    randomness : random.Random
+        Source of request ids.
+    """
+
+    def __init__(
+        self,
+        catalogue: CatalogueState,
+        engine: Engine,
+        randomness: random.Random,
+    ) -> None:
+        self._catalogue = catalogue
+        self._engine = engine
+        self._prefix = f"{randomness.getrandbits(48):012x}"
+        self._number = 0
+        self._in_flight = 0
+        self._stopping = False
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have not ended."""
+        return self._in_flight
+
+    def stop(self) -> None:
+        """Close each connection after the request that it carries."""
+        self._stopping = True
+
+    async def serve(self, connection: CallerConnection, peer: str) -> None:
+        """Serve a caller's connection until it ends."""
+        try:
+            while head := await connection.read_request():
+                self._in_flight += 1
+                try:
+                    await self._serve_request(connection, head, peer)
+                finally:
+                    self._in_flight -= 1
+                if self._stopping or not connection.prepare_next():
+                    break
+            await connection.close_gracefully()
+        except RequestError as error:
+            metrics.BAD_REQUESTS.labels(error.status).inc()
+            await self._refuse_bad_request(connection, error)
+        except CallerGoneError:
+            metrics.LOST_CALLERS.inc()
+
+    def _make_id(self) -> RequestId:
+        self._number += 1
+        return RequestId(f"{self._prefix}-{self._number}")
+
+    async def _refuse_bad_request(
+        self, connection: CallerConnection, error: RequestError
+    ) -> None:
+        if connection.answer_begun:
+            return
+        answer = OwnAnswer(error.status, Outcome.NOT_RUN, str(error))
+        head, body = encode_own_answer(answer, self._make_id())
+        head.headers.append((b"connection", b"close"))
+        try:
+            await connection.send_response(head, body)
+            await connection.close_gracefully()
+        except CallerGoneError:
+            return
+
+    async def _serve_request(
+        self, connection: CallerConnection, head: RequestHead, peer: str
+    ) -> None:
+        now = read_clock()
+        request_id = self._make_id()
+        choice = self._choose_route(head)
+        if isinstance(choice, OwnAnswer):
+            await self._send_own(connection, head, choice, request_id)
+            return
+        context = make_context(head, choice, request_id, peer, now)
+        body = RequestBody(connection)
+        if not connection.expects_continue:
+            await body.fill()
+        result = await self._engine.run(context, head, body, connection.is_gone)
+        if isinstance(result, OwnAnswer):
+            outcome = result.outcome
+            await self._send_own(connection, head, result, request_id)
+        else:
+            outcome = Outcome.COMPLETED
+            await self._forward(connection, context, head, result)
+        self._count(context, outcome)
+
+    def _count(self, context: RequestContext, outcome: Outcome) -> None:
+        service = context.choice.service
+        metrics.REQUESTS.labels(service, context.rank, outcome.value).inc()
+        metrics.REQUEST_SECONDS.labels(service).observe(
+            read_clock() - context.received_at
+        )
+
+    def _choose_route(self, head: RequestHead) -> RouteChoice | OwnAnswer:
+        if self._catalogue.head is None:
+            return OwnAnswer(
+                503, Outcome.NOT_RUN, "no catalogue yet", Seconds(1.0)
+            )
+        host = head.find(b"host") or ""
+        route = self._catalogue.match(head.method, host, head.path)
+        if route is None:
+            return OwnAnswer(404, Outcome.NOT_RUN, "no route matches")
+        terms = self._catalogue.terms(route)
+        if terms is None:
+            return OwnAnswer(404, Outcome.NOT_RUN, "the route has no service")
+        return RouteChoice(
+            route.id,
+            route.service,
+            terms.rank.name,
+            route.order,
+            terms.timeout,
+            terms.worth,
+        )
+
+    async def _send_own(
+        self,
+        connection: CallerConnection,
+        request: RequestHead,
+        answer: OwnAnswer,
+        request_id: RequestId,
+    ) -> None:
+        if answer.outcome is Outcome.NOT_RUN:
+            metrics.REFUSALS.labels(answer.reason).inc()
+        head, body = encode_own_answer(answer, request_id)
+        if request.method == "HEAD":
+            body = b""
+        await connection.send_response(head, body)
+
+    async def _forward(
+        self,
+        connection: CallerConnection,
+        context: RequestContext,
+        request: RequestHead,
+        result: AttemptOutcome,
+    ) -> None:
+        assert result.response is not None
+        head = mark_outcome(result.response, Outcome.COMPLETED, context.id)
+        try:
+            await connection.send_response(head, result.data, result.whole)
+            if result.connection is not None:
+                await self._stream(connection, result)
+        finally:
+            await self._engine.finish_stream(context, result)
+
+    async def _stream(
+        self, connection: CallerConnection, result: AttemptOutcome
+    ) -> None:
+        source = result.connection
+        assert source is not None
+        try:
+            while not result.whole:
+                async with curio.timeout_after(_STREAM_TIMEOUT):
+                    data, result.whole = await source.read_data()
+                await connection.send_data(data, result.whole)
+        except (BackendClosedError, BackendProtocolError, curio.TaskTimeout):
+            # The caller sees the cut: its connection ends within the answer.
+            metrics.CUT_ANSWERS.inc()
+            result.attempt = dataclasses.replace(
+                result.attempt, result=AttemptResult.CUT
+            )
+            raise CallerGoneError("the answer was cut") from None
+
+
+def make_ticket(context: RequestContext, number: int, worth: float) -> Ticket:
+    """Make the admission ticket of one attempt of a request."""
+    return Ticket(
+        context.id,
+        context.choice.service,
+        context.rank,
+        context.caller,
+        context.deadline,
+        worth,
+        number,
+    )
+
+
+__all__ = ["Proxy", "RefusalReason", "make_ticket"]
--- a/egretlever/transport/_callers.py
+++ b/egretlever/transport/_callers.py
@@ -4,6 +4,7 @@
 
 import curio
 import h11
+from curio import socket
 
 from egretlever.core import Seconds
 from egretlever.transport._heads import (
@@ -18,6 +19,7 @@
 _READ_SIZE = 65536
 _HEAD_END = b"\r\n\r\n"
 _BARE_HEAD_END = b"\n\n"
+_LINGER = 1.0  # seconds
 
 
 class CallerGoneError(Exception):
@@ -289,6 +291,21 @@
         self._http.start_next_cycle()
         return True
 
+    async def close_gracefully(self) -> None:
+        """Close after the caller has had time to read what was sent.
+
+        Closing while received bytes are unread resets the connection, which
+        can destroy an answer that the caller has not read yet.
+        """
+        try:
+            await self._sock.shutdown(socket.SHUT_WR)
+            async with curio.timeout_after(_LINGER):
+                while await self._sock.recv(_READ_SIZE):
+                    pass
+        except (OSError, curio.TaskTimeout):
+            pass
+        await self._sock.close()
+
     async def close(self) -> None:
         """Close the socket, cutting an answer that is not complete."""
         await self._sock.close()
