--- a/egretlever/platform/_interfaces.py
+++ b/egretlever/platform/_interfaces.py
@@ -32,7 +32,8 @@
     value : bytes
         Content; empty for a row that does not exist.
     version : Version
-        Number of writes so far, 0 for a row that does not exist.
+        Number of writes since the row was made, 0 for a row that does not
+        exist.
     """
 
     key: str
@@ -66,16 +67,23 @@
         """Read one row; a missing row has version 0."""
 
     async def scan(
-        self, prefix: str, limit: int = 100
+        self, prefix: str, limit: int = 100, after: str = ""
     ) -> Result[tuple[Row, ...], StoreError]:
-        """Read rows whose key starts with a prefix, in the order of keys."""
+        """Read rows whose key starts with a prefix, in the order of keys.
+
+        Only keys greater than ``after`` are read, so that the last key of a
+        page asks for the next one.
+        """
 
     async def write(
         self,
         rows: dict[str, bytes],
         conditions: dict[str, Version],
     ) -> Result[None, StoreError]:
-        """Write all rows if every condition's row has the given version."""
+        """Write all rows if every condition's row has the given version.
+
+        An empty value removes the row.
+        """
 
 
 class ObjectStore(Protocol):
--- /dev/null
+++ b/egretlever/platform/tests/test_clients.py
@@ -0,0 +1,281 @@
+"""Guards the store clients against each failure of the wire."""
+
+import contextlib
+
+import curio
+import pytest
+from returns.pipeline import is_successful
+from returns.result import Success
+
+from egretlever.core import Address, FindingsError, Seconds, Version
+from egretlever.platform import (
+    StoreErrorKind,
+    make_object_store,
+    make_table_store,
+)
+from egretlever.platform import _table as table_module
+from egretlever.schema import platform_pb2
+from egretlever.standins import (
+    listen_platform,
+    make_platform_stand_in,
+    serve_platform,
+)
+
+# Long enough for any loaded machine where an answer is expected.
+PATIENT = Seconds(20.0)
+SHORT = Seconds(0.2)
+
+
+class Platform:
+    """A stand-in listening on loopback, with its connections counted."""
+
+    def __init__(self, stand_in, address):
+        self.stand_in = stand_in
+        self.address = address
+
+    def set_faults(self, **faults):
+        self.stand_in.faults = platform_pb2.StandInFaults(**faults)
+
+    def table(self, timeout=PATIENT):
+        return make_table_store(self.address, timeout)
+
+    def objects(self, timeout=PATIENT):
+        return make_object_store(self.address, timeout)
+
+
+@contextlib.asynccontextmanager
+async def run_platform():
+    listener = await listen_platform(Address("127.0.0.1", 0))
+    port = listener.getsockname()[1]
+    stand_in = make_platform_stand_in()
+    server = await curio.spawn(serve_platform, listener, stand_in)
+    try:
+        yield Platform(stand_in, Address("127.0.0.1", port))
+    finally:
+        await server.cancel()
+
+
+def with_platform(check):
+    async def main():
+        async with run_platform() as platform:
+            await check(platform)
+
+    curio.run(main)
+
+
+def kind_of(result):
+    return result.failure().kind
+
+
+def test_rows_and_objects_round_trip():
+    async def check(platform):
+        table = platform.table()
+        written = await table.write(
+            {"a/1": b"x", "a/2": b"y", "b": b"z"}, {"a/1": Version(0)}
+        )
+        assert written == Success(None)
+        assert (await table.read("a/1")).unwrap().value == b"x"
+        assert (await table.read("none")).unwrap().version == 0
+        rows = (await table.scan("a/")).unwrap()
+        assert [row.key for row in rows] == ["a/1", "a/2"]
+        rows = (await table.scan("a/", 5, "a/1")).unwrap()
+        assert [row.key for row in rows] == ["a/2"]
+        objects = platform.objects()
+        assert await objects.put("x/ y?", b"body") == Success(None)
+        assert await objects.get("x/ y?") == Success(b"body")
+        missing = await objects.get("none")
+        assert kind_of(missing) is StoreErrorKind.REFUSED_CONDITION
+        await table.close()
+        await objects.close()
+
+    with_platform(check)
+
+
+def test_a_failed_condition_writes_nothing_and_names_the_row():
+    async def check(platform):
+        table = platform.table()
+        await table.write({"a": b"1"}, {})
+        refused = await table.write(
+            {"a": b"2", "b": b"2"}, {"a": Version(0), "b": Version(0)}
+        )
+        assert kind_of(refused) is StoreErrorKind.REFUSED_CONDITION
+        assert [row.value for row in refused.failure().conflicts] == [b"1"]
+        assert (await table.read("b")).unwrap().version == 0
+        await table.close()
+
+    with_platform(check)
+
+
+def test_an_empty_value_removes_the_row():
+    async def check(platform):
+        table = platform.table()
+        await table.write({"a": b"1"}, {})
+        await table.write({"a": b""}, {"a": Version(1)})
+        assert (await table.read("a")).unwrap().version == 0
+        assert (await table.scan("")).unwrap() == ()
+        await table.close()
+
+    with_platform(check)
+
+
+def test_a_refused_connection_is_unavailable():
+    async def main():
+        async with run_platform() as platform:
+            address = platform.address
+        table = make_table_store(address, PATIENT)
+        objects = make_object_store(address, PATIENT)
+        for result in (
+            await table.write({"a": b"1"}, {}),
+            await table.read("a"),
+            await objects.put("a", b"1"),
+            await objects.get("a"),
+        ):
+            assert kind_of(result) is StoreErrorKind.UNAVAILABLE
+
+    curio.run(main)
+
+
+def test_a_service_that_is_away_refuses_without_effect():
+    async def check(platform):
+        table = platform.table()
+        platform.set_faults(away=True)
+        refused = await table.write({"a": b"1"}, {})
+        assert kind_of(refused) is StoreErrorKind.UNAVAILABLE
+        platform.set_faults()
+        assert (await table.read("a")).unwrap().version == 0
+        await table.close()
+
+    with_platform(check)
+
+
+@pytest.mark.parametrize(
+    ("fault", "timeout"),
+    [
+        (platform_pb2.SILENT, SHORT),
+        (platform_pb2.CUT, PATIENT),
+        (platform_pb2.GARBAGE, PATIENT),
+        (platform_pb2.NONSENSE, PATIENT),
+    ],
+)
+def test_a_bad_answer_leaves_the_effect_of_a_write_unknown(fault, timeout):
+    async def check(platform):
+        table = platform.table(timeout)
+        objects = platform.objects(timeout)
+        platform.set_faults(answer=fault)
+        written = await table.write({"a": b"1"}, {"a": Version(0)})
+        assert kind_of(written) is StoreErrorKind.UNKNOWN_EFFECT
+        read = await table.read("a")
+        assert kind_of(read) is StoreErrorKind.UNAVAILABLE
+        scanned = await table.scan("a")
+        assert kind_of(scanned) is StoreErrorKind.UNAVAILABLE
+        put = await objects.put("a", b"1")
+        assert kind_of(put) is StoreErrorKind.UNKNOWN_EFFECT
+        platform.set_faults()
+        patient = platform.table()
+        assert (await patient.read("a")).unwrap().value == b"1"
+        await patient.close()
+        await table.close()
+        await objects.close()
+
+    with_platform(check)
+
+
+def test_a_slow_answer_leaves_the_effect_of_a_write_unknown():
+    async def check(platform):
+        platform.set_faults(latency_s=60)
+        written = await platform.table(SHORT).write({"a": b"1"}, {})
+        assert kind_of(written) is StoreErrorKind.UNKNOWN_EFFECT
+
+    with_platform(check)
+
+
+def test_a_lost_answer_hides_a_write_that_took_effect():
+    async def check(platform):
+        platform.set_faults(lost_answers=1)
+        table = platform.table()
+        written = await table.write({"a": b"1"}, {})
+        assert kind_of(written) is StoreErrorKind.UNKNOWN_EFFECT
+        assert (await table.read("a")).unwrap().version == 1
+        await table.close()
+
+    with_platform(check)
+
+
+def test_stale_reads_come_from_earlier_writes():
+    async def check(platform):
+        table = platform.table()
+        for value in (b"1", b"2", b"3"):
+            await table.write({"a": value}, {})
+        platform.set_faults(stale_writes=2)
+        assert (await table.read("a")).unwrap().value == b"1"
+        refused = await table.write({"a": b"4"}, {"a": Version(1)})
+        assert kind_of(refused) is StoreErrorKind.REFUSED_CONDITION
+        await table.close()
+
+    with_platform(check)
+
+
+def test_a_kept_connection_that_was_closed_does_not_fail_a_write():
+    async def main():
+        async with run_platform() as first:
+            table = first.table()
+            await table.write({"a": b"1"}, {})
+            address = first.address
+        listener = await listen_platform(address)
+        server = await curio.spawn(
+            serve_platform, listener, make_platform_stand_in()
+        )
+        assert await table.write({"a": b"1"}, {}) == Success(None)
+        await table.close()
+        await server.cancel()
+
+    curio.run(main)
+
+
+def test_too_large_bodies_are_error_values(monkeypatch):
+    async def check(platform):
+        patient = platform.table()
+        await patient.write({"a": bytes(3000)}, {})
+        monkeypatch.setattr(table_module, "MAX_BODY_BYTES", 2000)
+        table = platform.table()
+        refused = await table.write({"b": bytes(3000)}, {})
+        assert kind_of(refused) is StoreErrorKind.UNAVAILABLE
+        assert kind_of(await table.read("a")) is StoreErrorKind.UNAVAILABLE
+        await table.close()
+        await patient.close()
+
+    with_platform(check)
+
+
+def test_malformed_requests_do_not_end_the_stand_in():
+    async def check(platform):
+        stream = await curio.open_connection("127.0.0.1", platform.address.port)
+        await stream.sendall(b"\xff\xff\r\n\r\n")
+        assert await stream.recv(100) == b""
+        await stream.close()
+        answer = await platform.stand_in.answer("POST", "/table/write", b"\xff")
+        assert answer.status == 400
+        table = platform.table()
+        refused = await table.write({"": b"1"}, {})
+        assert kind_of(refused) is StoreErrorKind.UNAVAILABLE
+        assert is_successful(await table.write({"a": b"1"}, {}))
+        await table.close()
+
+    with_platform(check)
+
+
+def test_faults_are_set_through_the_admin_path():
+    async def check(platform):
+        faults = platform_pb2.StandInFaults(away=True)
+        body = faults.SerializeToString()
+        await platform.stand_in.answer("POST", "/admin/faults", body)
+        table = platform.table()
+        assert kind_of(await table.read("a")) is StoreErrorKind.UNAVAILABLE
+        await table.close()
+
+    with_platform(check)
+
+
+def test_a_timeout_that_is_not_positive_is_refused():
+    with pytest.raises(FindingsError):
+        make_table_store(Address("127.0.0.1", 1), Seconds(0))
--- a/egretlever/testing/_fakes.py
+++ b/egretlever/testing/_fakes.py
@@ -40,13 +40,15 @@
         return Success(self._find(key))
 
     async def scan(
-        self, prefix: str, limit: int = 100
+        self, prefix: str, limit: int = 100, after: str = ""
     ) -> Result[tuple[Row, ...], StoreError]:
         """Read rows whose key starts with a prefix, in the order of keys."""
         if self.away:
             return Failure(_AWAY)
         self.reads += 1
-        keys = sorted(key for key in self._rows if key.startswith(prefix))
+        keys = sorted(
+            key for key in self._rows if key.startswith(prefix) and key > after
+        )
         return Success(tuple(self._rows[key] for key in keys[:limit]))
 
     async def write(
@@ -74,6 +76,8 @@
         for key, value in rows.items():
             version = Version(self._find(key).version + 1)
             self._rows[key] = Row(key, value, version)
+            if not value:
+                del self._rows[key]
         if self.lose_answers > 0:
             self.lose_answers -= 1
             return Failure(_LOST)
