Add the retry policy, its budget and two baselines

An order is tried again only after every attempt proved that it was not run; a refused connection that claims to have sent bytes proves nothing. Tokens come from first attempts only, so time spent waiting in an overload earns none.

--- a/egretlever/retry/__init__.py
+++ b/egretlever/retry/__init__.py
@@ -1,1 +1,41 @@
 """Classification of attempts, retries, hedges and their budget."""
+
+from egretlever.retry._baselines import (
+    make_blind_policy,
+    make_single_attempt_policy,
+)
+from egretlever.retry._budget import RetryBudget
+from egretlever.retry._outcomes import classify_attempt, combine_outcomes
+from egretlever.retry._policy import ServiceView, make_retry_policy
+from egretlever.retry._types import (
+    Decision,
+    FirstAttempt,
+    Hedge,
+    RequestHistory,
+    Retry,
+    RetryLimits,
+    RetryPolicy,
+    RunningAttempt,
+    Stop,
+    StopReason,
+)
+
+__all__ = [
+    "Decision",
+    "FirstAttempt",
+    "Hedge",
+    "RequestHistory",
+    "Retry",
+    "RetryBudget",
+    "RetryLimits",
+    "RetryPolicy",
+    "RunningAttempt",
+    "ServiceView",
+    "Stop",
+    "StopReason",
+    "classify_attempt",
+    "combine_outcomes",
+    "make_blind_policy",
+    "make_retry_policy",
+    "make_single_attempt_policy",
+]
--- /dev/null
+++ b/egretlever/retry/_policy.py
@@ -0,0 +1,311 @@
+"""Retries and hedges within a deadline and a budget."""
+
+import dataclasses
+import random
+
+from egretlever.core import (
+    Attempt,
+    AttemptResult,
+    Interval,
+    Outcome,
+    Seconds,
+    ServerId,
+    ServiceName,
+    check_parameters,
+)
+from egretlever.retry._budget import RetryBudget
+from egretlever.retry._latency import LatencyWindow
+from egretlever.retry._outcomes import classify_attempt, combine_outcomes
+from egretlever.retry._types import (
+    Decision,
+    FirstAttempt,
+    Hedge,
+    RequestHistory,
+    Retry,
+    RetryLimits,
+    Stop,
+    StopReason,
+)
+
+# Hedging the slowest twentieth doubles the load of 5% of the requests, which
+# leaves half of a budget of 10% for retries.
+_HEDGE_QUANTILE = 0.95
+_DEFAULT_LIMITS = RetryLimits()
+_BASE_BACKOFF = Seconds(0.025)
+_BACKOFF_CAP = Seconds(1.0)
+
+
+class _ServiceState:
+    """Limits, budget and recent latencies of one service."""
+
+    __slots__ = ("budget", "latency_", "limits")
+
+    def __init__(self, limits: RetryLimits) -> None:
+        self.limits = limits
+        self.budget = RetryBudget(limits.budget)
+        self.latency_ = LatencyWindow()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceView:
+    """Snapshot of a service for operators.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Name of the service.
+    tokens : float
+        Retries that the budget allows now.
+    hedge_after : Seconds or None
+        Wait before a hedge, None while unknown.
+    """
+
+    service: ServiceName
+    tokens: float
+    hedge_after: Seconds | None
+
+
+class BudgetedRetryPolicy:
+    """Retries under a budget with full jitter.
+
+    Parameters
+    ----------
+    randomness : random.Random
+        Source of the jitter.
+    base_backoff : Seconds, default=0.025
+        Largest wait before the first retry; doubled for each further one.
+    backoff_cap : Seconds, default=1
+        Largest wait before any retry.
+    """
+
+    def __init__(
+        self,
+        randomness: random.Random,
+        base_backoff: Seconds = _BASE_BACKOFF,
+        backoff_cap: Seconds = _BACKOFF_CAP,
+    ) -> None:
+        check_parameters(
+            "RetryPolicy",
+            {"base_backoff": base_backoff, "backoff_cap": backoff_cap},
+            {
+                "base_backoff": Interval(0, 60),
+                "backoff_cap": Interval(base_backoff, 60),
+            },
+        )
+        self._randomness = randomness
+        self._base_backoff = base_backoff
+        self._backoff_cap = backoff_cap
+        self._services: dict[ServiceName, _ServiceState] = {}
+
+    def update(self, service: ServiceName, limits: RetryLimits | None) -> None:
+        """Set the limits of a service, or forget the service with None."""
+        if limits is None:
+            self._services.pop(service, None)
+            return
+        state = self._find(service)
+        if limits.budget != state.limits.budget:
+            tokens = state.budget.tokens_
+            state.budget = RetryBudget(limits.budget)
+            state.budget.tokens_ = min(tokens, state.budget.tokens_)
+        state.limits = limits
+
+    def _find(self, service: ServiceName) -> _ServiceState:
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = _ServiceState(_DEFAULT_LIMITS)
+        return state
+
+    def classify(self, attempt: Attempt, idempotent: bool) -> Outcome:
+        """Tell what a caller may conclude from one attempt.
+
+        The proof is the same for idempotent requests; they only may be tried
+        again without it.
+        """
+        return classify_attempt(attempt)
+
+    def observe(self, event: FirstAttempt | Attempt, now: Seconds) -> None:
+        """Learn of a dispatched first attempt or of an ended attempt."""
+        state = self._find(event.service)
+        if isinstance(event, FirstAttempt):
+            state.budget.add_first_attempt()
+        elif event.result is AttemptResult.OK:
+            state.latency_.add(event.latency)
+
+    def decide(self, history: RequestHistory, now: Seconds) -> Decision:
+        """Decide on the next attempt of a request.
+
+        Parameters
+        ----------
+        history : RequestHistory
+            Attempts so far.
+        now : Seconds
+            Clock reading.
+
+        Returns
+        -------
+        Retry, Hedge or Stop
+            The decision; see the classes for tokens and waits.
+
+        Examples
+        --------
+        >>> from egretlever.testing import builders
+        >>> policy = make_retry_policy(random.Random(1))
+        >>> shed = builders.build_attempt(result=AttemptResult.SHED)
+        >>> history = RequestHistory(
+        ...     shed.service, False, Seconds(5.0), (shed,)
+        ... )
+        >>> type(policy.decide(history, Seconds(0.0))).__name__
+        'Retry'
+        """
+        state = self._find(history.service)
+        outcomes = [classify_attempt(attempt) for attempt in history.attempts]
+        outcome = combine_outcomes(outcomes, bool(history.running))
+        reason = self._find_stop_reason(history, outcomes, state.limits, now)
+        if reason is not None:
+            return Stop(outcome, reason)
+        if history.running:
+            return self._decide_hedge(history, state, outcome, now)
+        return self._decide_retry(history, state, outcome, now)
+
+    def _find_stop_reason(
+        self,
+        history: RequestHistory,
+        outcomes: list[Outcome],
+        limits: RetryLimits,
+        now: Seconds,
+    ) -> StopReason | None:
+        started = len(history.attempts) + len(history.running)
+        if _is_answered(history, outcomes):
+            return StopReason.ANSWERED
+        proved = all(outcome is Outcome.NOT_RUN for outcome in outcomes)
+        if not history.idempotent and (history.running or not proved):
+            return StopReason.NOT_IDEMPOTENT
+        if started >= limits.max_attempts:
+            return StopReason.ATTEMPTS_USED
+        if now >= history.deadline:
+            return StopReason.DEADLINE
+        return None
+
+    def _decide_retry(
+        self,
+        history: RequestHistory,
+        state: _ServiceState,
+        outcome: Outcome,
+        now: Seconds,
+    ) -> Decision:
+        if not history.attempts:
+            return Retry(Seconds(0.0))
+        last = history.attempts[-1]
+        if last.result is AttemptResult.STALE_CONNECTION:
+            return self._retry_connection(history, state, outcome)
+        after = self._choose_wait(history)
+        useful = state.latency_.quantile(0.5) or 0.0
+        if now + after + useful >= history.deadline:
+            return Stop(outcome, StopReason.DEADLINE)
+        if not state.budget.take():
+            return Stop(outcome, StopReason.BUDGET_EMPTY)
+        return Retry(after, _list_failed(history))
+
+    def _retry_connection(
+        self, history: RequestHistory, state: _ServiceState, outcome: Outcome
+    ) -> Decision:
+        # Without a byte sent no server got the request, so nothing is
+        # amplified and no token is needed.
+        if history.attempts[-1].sent and not state.budget.take():
+            return Stop(outcome, StopReason.BUDGET_EMPTY)
+        return Retry(Seconds(0.0), _list_failed(history))
+
+    def _choose_wait(self, history: RequestHistory) -> Seconds:
+        # Stale connections speak against no server and don't lengthen waits.
+        failures = sum(
+            attempt.result is not AttemptResult.STALE_CONNECTION
+            for attempt in history.attempts
+        )
+        ceiling = min(
+            self._backoff_cap, self._base_backoff * 2.0 ** (failures - 1)
+        )
+        jitter = self._randomness.uniform(0, ceiling)
+        # The jitter comes on top of Retry-After, or all callers that were
+        # shed together would return together.
+        return Seconds(jitter + (history.attempts[-1].retry_after or 0.0))
+
+    def _decide_hedge(
+        self,
+        history: RequestHistory,
+        state: _ServiceState,
+        outcome: Outcome,
+        now: Seconds,
+    ) -> Decision:
+        delay = state.latency_.quantile(_HEDGE_QUANTILE)
+        if not state.limits.hedge or delay is None or len(history.running) > 1:
+            return Stop(outcome, StopReason.WAITING)
+        due = history.running[0].since + delay
+        useful = state.latency_.quantile(0.5) or 0.0
+        if max(due, now) + useful >= history.deadline:
+            return Stop(outcome, StopReason.DEADLINE)
+        exclude = _list_failed(history) | {history.running[0].server}
+        if due > now:
+            return Hedge(Seconds(due - now), exclude)
+        if not state.budget.take():
+            return Stop(outcome, StopReason.BUDGET_EMPTY)
+        return Hedge(Seconds(0.0), exclude)
+
+    def describe(self) -> list[ServiceView]:
+        """Return a snapshot of each service, ordered by name."""
+        return [
+            ServiceView(
+                name,
+                state.budget.tokens_,
+                state.latency_.quantile(_HEDGE_QUANTILE),
+            )
+            for name, state in sorted(self._services.items())
+        ]
+
+
+def _is_answered(history: RequestHistory, outcomes: list[Outcome]) -> bool:
+    """Whether a complete response arrived that another try won't improve."""
+    for attempt, outcome in zip(history.attempts, outcomes, strict=True):
+        if attempt.result is AttemptResult.OK:
+            return True
+        if outcome is Outcome.COMPLETED and (
+            not history.idempotent or attempt.status < 500
+        ):
+            return True
+    return False
+
+
+def _list_failed(history: RequestHistory) -> frozenset[ServerId]:
+    return frozenset(
+        attempt.server
+        for attempt in history.attempts
+        if attempt.result is not AttemptResult.STALE_CONNECTION
+    )
+
+
+def make_retry_policy(
+    randomness: random.Random,
+    base_backoff: Seconds = _BASE_BACKOFF,
+    backoff_cap: Seconds = _BACKOFF_CAP,
+) -> BudgetedRetryPolicy:
+    """Make the retry policy of a node.
+
+    Parameters
+    ----------
+    randomness : random.Random
+        Source of the jitter.
+    base_backoff : Seconds, default=0.025
+        Largest wait before the first retry.
+    backoff_cap : Seconds, default=1
+        Largest wait before any retry.
+
+    Returns
+    -------
+    BudgetedRetryPolicy
+        A ``RetryPolicy`` with default limits for every service.
+
+    Raises
+    ------
+    FindingsError
+        When a parameter is out of its interval.
+    """
+    return BudgetedRetryPolicy(randomness, base_backoff, backoff_cap)
