--- a/egretlever/standins/__init__.py
+++ b/egretlever/standins/__init__.py
@@ -4,19 +4,31 @@
 from egretlever.standins._backend import BackendStandIn, make_backend
 from egretlever.standins._load import LoadGenerator, make_load
 from egretlever.standins._mix import make_mix, read_mix, write_mix
+from egretlever.standins._platform import (
+    PlatformStandIn,
+    make_platform_stand_in,
+)
+from egretlever.standins._platform_server import (
+    listen_platform,
+    serve_platform,
+)
 from egretlever.standins._summary import RankSummary, summarize_results
 
 __all__ = [
     "TOKEN",
     "BackendStandIn",
     "LoadGenerator",
+    "PlatformStandIn",
     "RankSummary",
     "is_own_and_whole",
+    "listen_platform",
     "make_backend",
     "make_body",
     "make_load",
     "make_mix",
+    "make_platform_stand_in",
     "read_mix",
+    "serve_platform",
     "summarize_results",
     "write_mix",
 ]
