--- a/egretlever/node/_attempts.py
+++ b/egretlever/node/_attempts.py
@@ -140,9 +140,15 @@
         except BaseException:
             await connection.close()
             raise
-        await self._settle(server, connection, outcome)
+        if outcome.connection is None:
+            await self._settle(server, connection, outcome)
         return outcome
 
+    async def settle(self, server: Server, outcome: AttemptOutcome) -> None:
+        """Keep or close the connection of an answer that was passed on."""
+        if outcome.connection is not None:
+            await self._settle(server, outcome.connection, outcome)
+
     async def _settle(
         self,
         server: Server,
@@ -153,8 +159,6 @@
             # Connections opened through the same path at the same time are
             # likely to be lost as well.
             await self._pool.discard(server.address)
-        if outcome.connection is not None:
-            return
         if outcome.whole:
             await self._pool.release(server.address, connection)
         else:
--- a/egretlever/node/_gate.py
+++ b/egretlever/node/_gate.py
@@ -8,8 +8,8 @@
     Admission,
     Admitted,
     Capacity,
-    Refused,
     RefusalReason,
+    Refused,
     Ticket,
 )
 from egretlever.core import AttemptResult, Seconds, ServiceName, require
--- a/egretlever/node/_proxy.py
+++ b/egretlever/node/_proxy.py
@@ -5,7 +5,6 @@
 
 import curio
 
-from egretlever.admission import RefusalReason, Ticket
 from egretlever.catalogue import CatalogueState
 from egretlever.core import (
     AttemptResult,
@@ -20,10 +19,9 @@
     encode_own_answer,
     mark_outcome,
 )
-from egretlever.node._attempts import AttemptOutcome
 from egretlever.node._bodies import RequestBody
 from egretlever.node._context import RequestContext, RouteChoice, make_context
-from egretlever.node._engine import Engine
+from egretlever.node._engine import Engine, Served
 from egretlever.transport import (
     BackendClosedError,
     BackendProtocolError,
@@ -128,7 +126,7 @@
             await self._send_own(connection, head, result, request_id)
         else:
             outcome = Outcome.COMPLETED
-            await self._forward(connection, context, head, result)
+            await self._forward(connection, context, result)
         self._count(context, outcome)
 
     def _count(self, context: RequestContext, outcome: Outcome) -> None:
@@ -177,21 +175,22 @@
         self,
         connection: CallerConnection,
         context: RequestContext,
-        request: RequestHead,
-        result: AttemptOutcome,
+        served: Served,
     ) -> None:
+        result = served.outcome
         assert result.response is not None
         head = mark_outcome(result.response, Outcome.COMPLETED, context.id)
         try:
             await connection.send_response(head, result.data, result.whole)
             if result.connection is not None:
-                await self._stream(connection, result)
+                await self._stream(connection, served)
         finally:
-            await self._engine.finish_stream(context, result)
+            await self._engine.finish_stream(served)
 
     async def _stream(
-        self, connection: CallerConnection, result: AttemptOutcome
+        self, connection: CallerConnection, served: Served
     ) -> None:
+        result = served.outcome
         source = result.connection
         assert source is not None
         try:
@@ -206,19 +205,3 @@
                 result.attempt, result=AttemptResult.CUT
             )
             raise CallerGoneError("the answer was cut") from None
-
-
-def make_ticket(context: RequestContext, number: int, worth: float) -> Ticket:
-    """Make the admission ticket of one attempt of a request."""
-    return Ticket(
-        context.id,
-        context.choice.service,
-        context.rank,
-        context.caller,
-        context.deadline,
-        worth,
-        number,
-    )
-
-
-__all__ = ["Proxy", "RefusalReason", "make_ticket"]
