--- /dev/null
+++ b/benchmarks/detection.py
@@ -0,0 +1,247 @@
+"""Detection time, false ejections and cost of detection."""
+
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from benchmarks._detection_baselines import (
+    ConsecutiveErrorDetector,
+    NoDetector,
+)
+from benchmarks._detection_model import OTHER, OWN, Fault, Model, Size
+from benchmarks._report import Bound, Measure, run_benchmark
+from egretlever.core import (
+    AttemptResult,
+    NodeId,
+    RegionName,
+    Seconds,
+    ServerId,
+    ServiceName,
+)
+from egretlever.detection import Change, Detector, Member, make_detector
+from egretlever.testing.builders import build_attempt, build_server
+
+# Nodes and servers of one region. At the design size a service has 37
+# servers, about half of them in each region, and 100 nodes per server.
+DESIGN = Size("design", 100, 18, 19, 8, 6.4)
+KAPRA = Size("Kapra", 10, 6, 5, 4, 40.0)
+SABLAT = Size("Sablat", 11, 7, 7, 3, 30.0)
+SIZES = (DESIGN, KAPRA, SABLAT)
+TOTAL = (Fault.BLACK_HOLE, Fault.REFUSED, Fault.ONE_WAY)
+PARTIAL = (Fault.SLOW, Fault.ERRORS, Fault.FLAPPING, Fault.LYING)
+QUIET = (Fault.NONE, Fault.FLOOD, Fault.PAUSED_NODE, Fault.LOST_LINK)
+# A node of the design size sees one request per second of a service, and needs
+# 20 of them for its first latency thresholds.
+_WARM_UP = 40.0
+_GIVE_UP = 30.0
+_STEP = 0.05
+
+Make = Callable[[NodeId, RegionName], Detector]
+
+
+def make_none(node: NodeId, region: RegionName) -> Detector:
+    """Make baseline (a)."""
+    return NoDetector()
+
+
+def make_consecutive(node: NodeId, region: RegionName) -> Detector:
+    """Make baseline (b)."""
+    return ConsecutiveErrorDetector()
+
+
+def measure_detection(
+    size: Size, fault: Fault, seed: int, make: Make = make_detector
+) -> float:
+    """Return the time until the victim has under 5% of its share.
+
+    A fault that is not detected counts as 30 s.
+    """
+    model = Model(size, seed, make)
+    model.run_until(_WARM_UP + model.random.random())
+    model.fault = fault
+    model.fault_at = model.now
+    while model.now - model.fault_at < _GIVE_UP:
+        model.run_until(model.now + _STEP)
+        if model.share() < 0.05:
+            break
+    return model.now - model.fault_at
+
+
+def count_false_ejections(
+    size: Size, fault: Fault, seed: int, duration: float
+) -> tuple[int, float]:
+    """Return ejections of healthy servers and the server-hours of the run."""
+    share = 0.1 if fault is Fault.LOST_LINK else 0.0
+    model = Model(size, seed, make_detector, remote_share=share)
+    model.fault = fault
+    while model.now < duration:
+        start = model.now
+        model.run_until(start + 10.0)
+        if fault is Fault.PAUSED_NODE:
+            model.pause(model.random.choice(model.nodes), 1.0)
+        elif fault is not Fault.NONE:
+            model.fault_at = model.now
+        model.run_until(start + 25.0)
+        model.fault_at = float("inf")
+        model.run_until(start + 40.0)
+    false = {
+        (change.server, int(at / 10))
+        for at, change in model.ejections
+        if change.change is Change.EJECTED
+    }
+    hours = size.servers * model.now / 3600
+    return len(false), hours
+
+
+def _summarise(values: list[float]) -> tuple[float, float]:
+    ordered = sorted(values)
+    middle = ordered[len(ordered) // 2]
+    return middle, ordered[min(len(ordered) - 1, int(0.99 * len(ordered)))]
+
+
+def _measure_faults(seed: int, trials: int) -> list[Measure]:
+    measures = []
+    for size in SIZES:
+        for fault in (*TOTAL, *PARTIAL):
+            times = [
+                measure_detection(size, fault, seed * 1000 + trial)
+                for trial in range(trials)
+            ]
+            middle, late = _summarise(times)
+            targets = (1.0, 3.0) if fault in TOTAL else (3.0, 10.0)
+            name = f"{size.name}, {fault.value}"
+            measures += [
+                Measure(
+                    f"{name}, median", middle, "s", targets[0], Bound.AT_MOST
+                ),
+                Measure(
+                    f"{name}, 99th percentile",
+                    late,
+                    "s",
+                    targets[1],
+                    Bound.AT_MOST,
+                ),
+            ]
+    return measures
+
+
+def _measure_baselines(seed: int) -> list[Measure]:
+    measures = []
+    baselines = (("(a)", make_none), ("(b)", make_consecutive))
+    for label, make in baselines:
+        for size in (DESIGN, KAPRA):
+            for fault in (Fault.BLACK_HOLE, Fault.ERRORS):
+                times = [
+                    measure_detection(size, fault, seed * 1000 + trial, make)
+                    for trial in range(2)
+                ]
+                name = f"baseline {label}, {size.name}, {fault.value}, median"
+                measures.append(Measure(name, _summarise(times)[0], "s"))
+    return measures
+
+
+def _measure_false(seed: int, duration: float) -> list[Measure]:
+    measures = []
+    for size in (DESIGN, KAPRA):
+        for fault in QUIET:
+            # The busy small service costs as much time as the large one.
+            false, hours = count_false_ejections(size, fault, seed, duration)
+            name = f"{size.name}, false ejections, {fault.value}"
+            measures.append(
+                Measure(
+                    f"{name}, {hours:.2g} server-hours",
+                    100 * false / hours,
+                    "per 100 server-hours",
+                    0.0,
+                    Bound.AT_MOST,
+                )
+            )
+    return measures
+
+
+def _fill(detector: Detector, services: int, servers: int) -> list[ServerId]:
+    names = []
+    for service in range(services):
+        for number in range(servers):
+            server = build_server(
+                number,
+                id=ServerId(f"service-{service}-{number}"),
+                service=ServiceName(f"service-{service}"),
+                region=OWN if number % 2 else OTHER,
+            )
+            detector.update_servers([server], Seconds(0.0))
+            attempt = build_attempt(server)
+            detector.observe(attempt, Seconds(1.0))
+            names.append(server.id)
+    return names
+
+
+def _measure_cost(seed: int) -> list[Measure]:
+    gc.collect()
+    tracemalloc.start()
+    detector = make_detector(NodeId("node-0"), OWN)
+    detector.update_members(
+        [Member(NodeId(f"node-{n}"), OWN) for n in range(1000)], Seconds(0.0)
+    )
+    _fill(detector, 380, 37)
+    memory = tracemalloc.get_traced_memory()[0] / 2**20
+    tracemalloc.stop()
+    servers = [
+        build_server(n, service=ServiceName("s"), region=OWN) for n in range(37)
+    ]
+    detector.update_servers(servers, Seconds(1.0))
+    chooser = random.Random(seed)
+    attempts = [
+        build_attempt(
+            chooser.choice(servers),
+            AttemptResult.ERROR
+            if chooser.random() < 0.01
+            else AttemptResult.OK,
+        )
+        for _ in range(20000)
+    ]
+    start = time.process_time()
+    for index, attempt in enumerate(attempts):
+        detector.observe(attempt, Seconds(2.0 + index / 90))
+    observe = (time.process_time() - start) / len(attempts)
+    start = time.process_time()
+    for _ in range(5000):
+        detector.select(servers, 60, Seconds(300.0))
+    select = (time.process_time() - start) / 5000
+    start = time.process_time()
+    for index in range(1000):
+        detector.advance(Seconds(300.0 + index / 10))
+    advance = (time.process_time() - start) / 1000
+    return [
+        Measure("processor time of observe", observe * 1e6, "us"),
+        Measure("processor time of select, 37 servers", select * 1e6, "us"),
+        Measure("processor time of advance", advance * 1e6, "us"),
+        Measure("memory, 14060 servers", memory, "MiB", 256.0, Bound.AT_MOST),
+    ]
+
+
+def run(seed: int) -> list[Measure]:
+    """Run the benchmark.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all random choices.
+
+    Returns
+    -------
+    list of Measure
+        Detection times, false ejections, baselines and cost.
+    """
+    return [
+        *_measure_faults(seed, 10),
+        *_measure_baselines(seed),
+        *_measure_false(seed, 120.0),
+        *_measure_cost(seed),
+    ]
+
+
+if __name__ == "__main__":
+    run_benchmark("detection", run)
--- a/egretlever/detection/__init__.py
+++ b/egretlever/detection/__init__.py
@@ -1,1 +1,64 @@
 """Detection of gray failures and ejection above the floor."""
+
+from egretlever.detection._detector import GrayDetector, make_detector
+from egretlever.detection._directory import Directory
+from egretlever.detection._hashing import choose_evidence_nodes
+from egretlever.detection._interfaces import Detector
+from egretlever.detection._messages import (
+    decode_pooled,
+    decode_report,
+    encode_pooled,
+    encode_report,
+)
+from egretlever.detection._pool import EvidencePool
+from egretlever.detection._types import (
+    Action,
+    Cause,
+    Change,
+    DetectorState,
+    EvidenceKind,
+    EvidenceReport,
+    LogChange,
+    Member,
+    PooledEvidence,
+    PooledServerEvidence,
+    ProbeServer,
+    Selection,
+    Sender,
+    SendPooled,
+    SendReport,
+    ServerReport,
+    ServerStanding,
+    Verdict,
+)
+
+__all__ = [
+    "Action",
+    "Cause",
+    "Change",
+    "Detector",
+    "DetectorState",
+    "Directory",
+    "EvidenceKind",
+    "EvidencePool",
+    "EvidenceReport",
+    "GrayDetector",
+    "LogChange",
+    "Member",
+    "PooledEvidence",
+    "PooledServerEvidence",
+    "ProbeServer",
+    "Selection",
+    "SendPooled",
+    "SendReport",
+    "Sender",
+    "ServerReport",
+    "ServerStanding",
+    "Verdict",
+    "choose_evidence_nodes",
+    "decode_pooled",
+    "decode_report",
+    "encode_pooled",
+    "encode_report",
+    "make_detector",
+]
--- /dev/null
+++ b/egretlever/detection/_comparison.py
@@ -0,0 +1,132 @@
+"""Comparison of the servers of a service with one another."""
+
+import collections
+import math
+from collections.abc import Collection, Mapping, Sequence
+
+from egretlever.core import Incarnation, NodeId, ServerId
+from egretlever.detection._scores import estimate_typical, score_excess
+from egretlever.detection._types import EvidenceKind
+
+KINDS = tuple(EvidenceKind)
+# Total faults show in the shortest window and partial faults in the longer
+# ones. The longest is the lifetime of evidence.
+WINDOWS = (1.0, 3.0, 10.0)
+LIFETIME = WINDOWS[-1]
+# Expected bad outcomes per second of a server while nothing is known.
+PRIOR_RATE = (0.02, 0.02, 0.01)
+# Outcomes of one reporter that count in one window, so that a single node
+# with a broken path can't convict a server.
+_REPORTER_CAP = 2
+_EVENTS_PER_SERVER = 64
+
+Counts = tuple[tuple[int, int], ...]
+_NOTHING: Counts = ((0, 0),) * (len(KINDS) * len(WINDOWS))
+
+
+class ServerEvents:
+    """Reported bad outcomes of one server.
+
+    Parameters
+    ----------
+    incarnation : Incarnation
+        Incarnation of the server that the reports are about.
+    """
+
+    __slots__ = ("events", "hinted_until", "incarnation", "sent")
+
+    def __init__(self, incarnation: Incarnation) -> None:
+        self.incarnation = incarnation
+        # (time, reporter, index of the kind, number of outcomes)
+        self.events: collections.deque[tuple[float, NodeId, int, int]] = (
+            collections.deque(maxlen=_EVENTS_PER_SERVER)
+        )
+        self.sent = -math.inf
+        self.hinted_until = -math.inf
+
+    def count(self, now: float, ignored: Collection[NodeId]) -> Counts:
+        """Return capped outcomes and reporters for each kind and window."""
+        if not self.events:
+            return _NOTHING
+        by_reporter: list[dict[NodeId, int]] = [
+            {} for _ in range(len(KINDS) * len(WINDOWS))
+        ]
+        for at, reporter, kind, number in self.events:
+            if reporter in ignored:
+                continue
+            for index, window in enumerate(WINDOWS):
+                if now - at <= window:
+                    counts = by_reporter[kind * len(WINDOWS) + index]
+                    counts[reporter] = counts.get(reporter, 0) + number
+        return tuple(
+            (sum(min(n, _REPORTER_CAP) for n in counts.values()), len(counts))
+            for counts in by_reporter
+        )
+
+
+def find_doubtful(
+    evidence: Mapping[ServerId, ServerEvents],
+    servers: Sequence[ServerId],
+    now: float,
+) -> set[NodeId]:
+    """Return reporters that blame most servers: paused, or cut off."""
+    blamed: dict[NodeId, set[ServerId]] = {}
+    for server_id in servers:
+        events = evidence.get(server_id)
+        if events is not None:
+            for at, reporter, _, _ in events.events:
+                if now - at <= WINDOWS[1]:
+                    blamed.setdefault(reporter, set()).add(server_id)
+    limit = max(4, 0.6 * len(servers))
+    return {node for node, named in blamed.items() if len(named) >= limit}
+
+
+def count_all(
+    evidence: Mapping[ServerId, ServerEvents],
+    servers: Sequence[ServerId],
+    now: float,
+) -> dict[ServerId, Counts]:
+    """Count the evidence on each server, without doubtful reporters."""
+    ignored = find_doubtful(evidence, servers, now)
+    return {
+        server: evidence[server].count(now, ignored)
+        if server in evidence
+        else _NOTHING
+        for server in servers
+    }
+
+
+def find_worst(
+    own: Counts,
+    peers: Sequence[Counts],
+    base: Sequence[float],
+    min_reporters: int,
+    min_ratio: float,
+) -> tuple[float, int, EvidenceKind]:
+    """Return score, reporters and kind of the strongest evidence.
+
+    Parameters
+    ----------
+    own : Counts
+        Counts of the judged server.
+    peers : sequence of Counts
+        Counts of the servers that it is compared with.
+    base : sequence of float
+        Usual bad outcomes per second and server, by kind.
+    min_reporters : int
+        Distinct reporters that are needed.
+    min_ratio : float
+        Least ratio to what is expected from the peers.
+    """
+    best = (0.0, 0, EvidenceKind.FAILED)
+    for index, (bad, reporters) in enumerate(own):
+        if reporters < min_reporters:
+            continue
+        kind, window = divmod(index, len(WINDOWS))
+        rate = max(base[kind], PRIOR_RATE[kind])
+        typical = estimate_typical([counts[index][0] for counts in peers])
+        expected = max(typical, rate * WINDOWS[window])
+        score = score_excess(bad, expected)
+        if bad >= min_ratio * expected and score > best[0]:
+            best = (score, reporters, KINDS[kind])
+    return best
--- /dev/null
+++ b/egretlever/detection/_pairs.py
@@ -0,0 +1,195 @@
+"""A node's own evidence about the servers that it tries."""
+
+import math
+from collections.abc import Iterable
+
+from egretlever.core import Incarnation, RegionName, Seconds, ServerId
+from egretlever.detection._latency import LatencyDistribution
+from egretlever.detection._scores import score_excess
+from egretlever.detection._types import EvidenceKind, ServerReport
+
+# Outcomes lose half of their weight in 3.5 s, so that a partial fault is
+# judged from the last 10 s, in which evidence also expires.
+_DECAY = 5.0
+# Expected share of bad outcomes without knowledge of the peers, and the
+# number of outcomes that this expectation weighs as much as.
+_PRIOR_SHARE = {
+    EvidenceKind.FAILED: 0.02,
+    EvidenceKind.SLOW: 0.04,
+    EvidenceKind.UNREACHABLE: 0.01,
+}
+_PRIOR_WEIGHT = 20.0
+_KINDS = tuple(EvidenceKind)
+
+
+class Pair:
+    """Evidence of this node about one server.
+
+    Parameters
+    ----------
+    server_id : ServerId
+        Server that is tried.
+    incarnation : Incarnation
+        Incarnation that the evidence belongs to.
+    group : Group
+        Servers that it is compared with.
+    """
+
+    __slots__ = (
+        "at",
+        "attempts_",
+        "bad_",
+        "group",
+        "incarnation",
+        "last_bad",
+        "last_good",
+        "provisional",
+        "reported_at",
+        "run",
+        "server_id",
+        "since_report",
+        "suspected_until",
+    )
+
+    def __init__(
+        self, server_id: ServerId, incarnation: Incarnation, group: "Group"
+    ) -> None:
+        self.server_id = server_id
+        self.incarnation = incarnation
+        self.group = group
+        self.suspected_until = -math.inf
+        self.since_report = [0, 0, 0, 0]
+        self.reported_at = 0.0
+        self.clear()
+
+    def clear(self) -> None:
+        """Void the evidence."""
+        self.at = 0.0
+        self.attempts_ = 0.0
+        self.bad_: list[float] | None = None
+        self.run = 0
+        self.provisional = -math.inf
+        self.last_bad = -math.inf
+        self.last_good = -math.inf
+        self.since_report = [0, 0, 0, 0]
+
+    def clear_doubt(self) -> None:
+        """Note that the reused connection is no longer in doubt."""
+        self.provisional = -math.inf
+
+    def _decay(self, now: float) -> None:
+        factor = math.exp((self.at - now) / _DECAY)
+        self.at = now
+        self.attempts_ *= factor
+        if self.bad_ is not None:
+            self.bad_ = [value * factor for value in self.bad_]
+
+    def add_good(self, now: float) -> None:
+        """Count an attempt that ended well."""
+        self._decay(now)
+        self.attempts_ += 1
+        self.run = 0
+        self.last_good = now
+        self.provisional = -math.inf
+        self.since_report[3] += 1
+
+    def add_bad(self, kind: EvidenceKind, now: float) -> None:
+        """Count an attempt that ended badly."""
+        self._decay(now)
+        self.attempts_ += 1
+        if self.bad_ is None:
+            self.bad_ = [0.0] * len(_KINDS)
+        index = _KINDS.index(kind)
+        self.bad_[index] += 1
+        self.run = self.run + 1 if kind is EvidenceKind.UNREACHABLE else 0
+        self.last_bad = now
+        self.since_report[index] += 1
+
+    def measure(self, now: float) -> tuple[float, tuple[float, ...]]:
+        """Return the decayed numbers of attempts and of bad ones by kind."""
+        factor = math.exp((self.at - now) / _DECAY)
+        bad = self.bad_ or (0.0, 0.0, 0.0)
+        return self.attempts_ * factor, tuple(value * factor for value in bad)
+
+    def success_share(self, now: float) -> float:
+        """Return the recent share of good outcomes, 1 without attempts."""
+        attempts, bad = self.measure(now)
+        worst = max(sum(bad), float(self.run))
+        return max(0.0, 1.0 - worst / max(attempts, worst, 1.0))
+
+    def take_report(self, now: float) -> ServerReport:
+        """Return the outcomes since the last report and start anew."""
+        failed, slow, unreachable, good = self.since_report
+        window = min(now - self.reported_at, 10.0)
+        self.since_report = [0, 0, 0, 0]
+        self.reported_at = now
+        return ServerReport(
+            self.server_id,
+            self.incarnation,
+            good,
+            failed,
+            slow,
+            unreachable,
+            Seconds(window),
+        )
+
+    def score(self, now: float) -> tuple[float, EvidenceKind]:
+        """Score the evidence against the peers of the group."""
+        attempts, bad = self.measure(now)
+        expected = self.group.expect_shares(self, now)
+        best = (0.0, EvidenceKind.FAILED)
+        for kind, count, share in zip(_KINDS, bad, expected, strict=True):
+            value = score_excess(count, max(attempts, 1.0) * share)
+            if kind is EvidenceKind.UNREACHABLE and self.run:
+                value = max(value, score_excess(self.run, self.run * share))
+            best = max(best, (value, kind), key=lambda item: item[0])
+        return best
+
+
+class Group:
+    """Servers of one service in one region, compared with one another.
+
+    Servers of another region are compared among themselves, so that a slow or
+    lost region link makes none of them stand out.
+
+    Parameters
+    ----------
+    region : RegionName
+        Region of the servers.
+    """
+
+    __slots__ = ("latency", "pairs", "region")
+
+    def __init__(self, region: RegionName) -> None:
+        self.region = region
+        self.latency = LatencyDistribution()
+        self.pairs: dict[ServerId, Pair] = {}
+
+    def expect_shares(self, judged: Pair, now: float) -> list[float]:
+        """Return the share of bad outcomes by kind of a server's peers.
+
+        The worst quarter of the peers is left out, so that a few bad servers
+        do not hide one another.
+        """
+        peers = [
+            pair.measure(now)
+            for pair in self.pairs.values()
+            if pair is not judged and now - pair.at < 3 * _DECAY
+        ]
+        peers.sort(key=lambda peer: sum(peer[1]) / max(peer[0], 1.0))
+        peers = peers[: len(peers) - (len(peers) + 3) // 4]
+        return [
+            _expect_share(peers, index, _PRIOR_SHARE[kind])
+            for index, kind in enumerate(_KINDS)
+        ]
+
+
+def _expect_share(
+    peers: Iterable[tuple[float, tuple[float, ...]]], index: int, prior: float
+) -> float:
+    attempts = _PRIOR_WEIGHT
+    bad = _PRIOR_WEIGHT * prior
+    for peer_attempts, peer_bad in peers:
+        attempts += peer_attempts
+        bad += peer_bad[index]
+    return min(max(bad / attempts, prior), 1.0)
--- /dev/null
+++ b/egretlever/detection/_scores.py
@@ -0,0 +1,65 @@
+"""Score of a number of bad outcomes against the number expected."""
+
+import math
+from collections.abc import Sequence
+
+
+def score_excess(bad: float, expected: float) -> float:
+    """Bound the chance of seeing so many bad outcomes on a healthy server.
+
+    Parameters
+    ----------
+    bad : float
+        Bad outcomes seen.
+    expected : float
+        Bad outcomes expected from the peers, above 0.
+
+    Returns
+    -------
+    float
+        Negative natural logarithm of the Chernoff bound of the Poisson tail;
+        0 when no more than expected were seen.
+
+    Examples
+    --------
+    >>> score_excess(1, 2)
+    0.0
+    >>> round(score_excess(5, 0.2), 1)
+    11.3
+    """
+    if bad <= expected:
+        return 0.0
+    return bad * math.log(bad / expected) - bad + expected
+
+
+def estimate_typical(counts: Sequence[float]) -> float:
+    """Estimate the mean count of a healthy peer among some bad ones.
+
+    The share of peers without any bad outcome gives the mean of a Poisson
+    count whatever the worst peers have. Where most peers have bad outcomes,
+    their median is used.
+
+    Parameters
+    ----------
+    counts : sequence of float
+        Bad outcomes of each peer.
+
+    Returns
+    -------
+    float
+        Typical count, 0 without peers.
+
+    Examples
+    --------
+    >>> estimate_typical([0, 0, 0, 50]) < 0.5
+    True
+    >>> estimate_typical([9, 10, 11])
+    10
+    """
+    if not counts:
+        return 0.0
+    zeros = sum(1 for count in counts if count == 0)
+    share = (zeros + 0.5) / (len(counts) + 0.5)
+    if share >= 0.5:
+        return -math.log(share)
+    return sorted(counts)[(len(counts) - 1) // 2]
