--- a/egretlever/membership/__init__.py
+++ b/egretlever/membership/__init__.py
@@ -1,1 +1,59 @@
 """Membership: gossip of node records and their servers."""
+
+from egretlever.membership._contacts import choose_representatives
+from egretlever.membership._interfaces import (
+    AddressSample,
+    CatalogueCopy,
+    Change,
+    ChangeKind,
+    EvidenceSink,
+    Listener,
+    OrphanJudge,
+    Warmup,
+)
+from egretlever.membership._membership import (
+    Collaborators,
+    Description,
+    GossipMembership,
+    Membership,
+    make_membership,
+)
+from egretlever.membership._messages import (
+    CatalogueHead,
+    CatalogueUpdate,
+    Drop,
+    Message,
+    Send,
+)
+from egretlever.membership._own import ServerAnnouncement
+from egretlever.membership._port import DatagramPort
+from egretlever.membership._records import NodeHeader
+from egretlever.membership._snapshots import NodeSnapshot
+from egretlever.membership._state import Parameters
+
+__all__ = [
+    "AddressSample",
+    "CatalogueCopy",
+    "CatalogueHead",
+    "CatalogueUpdate",
+    "Change",
+    "ChangeKind",
+    "Collaborators",
+    "DatagramPort",
+    "Description",
+    "Drop",
+    "EvidenceSink",
+    "GossipMembership",
+    "Listener",
+    "Membership",
+    "Message",
+    "NodeHeader",
+    "NodeSnapshot",
+    "OrphanJudge",
+    "Parameters",
+    "Send",
+    "ServerAnnouncement",
+    "Warmup",
+    "choose_representatives",
+    "make_membership",
+]
--- /dev/null
+++ b/egretlever/membership/_budget.py
@@ -0,0 +1,56 @@
+"""Token buckets that bound the bytes sent between nodes."""
+
+from egretlever.core import Interval, Seconds, check_parameters
+
+
+class TokenBucket:
+    """Bytes that may be sent, refilled at a constant rate.
+
+    Parameters
+    ----------
+    rate : float
+        Refill in bytes per second.
+    burst : float
+        Largest content in bytes.
+
+    Examples
+    --------
+    >>> bucket = TokenBucket(1000.0, 500.0)
+    >>> bucket.take(400, Seconds(0.0)), bucket.take(400, Seconds(0.0))
+    (True, False)
+    >>> bucket.take(400, Seconds(0.5))
+    True
+    """
+
+    def __init__(self, rate: float, burst: float) -> None:
+        check_parameters(
+            "TokenBucket",
+            {"rate": rate, "burst": burst},
+            {"rate": Interval(0), "burst": Interval(0)},
+        )
+        self.rate = rate
+        self.burst = burst
+        self._content = burst
+        self._at: float | None = None
+
+    def available(self, now: Seconds) -> float:
+        """Return the bytes that may be sent now."""
+        if self._at is not None and now > self._at:
+            self._content = min(
+                self.burst, self._content + (now - self._at) * self.rate
+            )
+        self._at = now if self._at is None else max(now, self._at)
+        return self._content
+
+    def take(self, size: int, now: Seconds, reserve: float = 0.0) -> bool:
+        """Take bytes unless less than ``reserve`` would remain.
+
+        Returns
+        -------
+        bool
+            Whether the bytes were taken.
+        """
+        if self.available(now) - size < reserve:
+            return False
+        self._content -= size
+        return True
--- /dev/null
+++ b/egretlever/membership/_catalogue.py
@@ -0,0 +1,227 @@
+"""Spread of catalogue heads and changes, and fetch of missing content."""
+
+import collections
+import dataclasses
+from collections.abc import Callable
+
+from egretlever.core import Digest, Seconds, Version
+from egretlever.membership._interfaces import CatalogueCopy
+from egretlever.membership._messages import (
+    CatalogueHead,
+    CatalogueUpdate,
+    ContentChunk,
+    ContentRequest,
+    Drop,
+)
+
+CHUNK_BYTES = 900
+MAX_CONTENT_BYTES = 16 * 1024 * 1024
+RECENT_UPDATES = 32
+WINDOW = 8
+RETRY_TIME = 1.0
+
+
+class NoCatalogue:
+    """Copy of a node that takes no part in the catalogue."""
+
+    def head(self) -> CatalogueHead:
+        """Return version 0."""
+        return CatalogueHead(Version(0), Digest(""))
+
+    def offer(self, update: CatalogueUpdate, now: Seconds) -> bool:
+        """Refuse the update."""
+        return False
+
+    def load(self, head: CatalogueHead, content: bytes, now: Seconds) -> bool:
+        """Refuse the content."""
+        return False
+
+    def content(self) -> bytes:
+        """Return no content."""
+        return b""
+
+
+@dataclasses.dataclass(slots=True)
+class _Fetch:
+    update: CatalogueUpdate
+    name: str
+    total: int | None = None
+    parts: dict[int, bytes] = dataclasses.field(default_factory=dict)
+    asked: dict[int, Seconds] = dataclasses.field(default_factory=dict)
+
+
+class CatalogueSpread:
+    """Keeps recent updates for others and fetches what the copy misses.
+
+    Parameters
+    ----------
+    copy : CatalogueCopy
+        This node's copy.
+    count : callable
+        Counts a dropped message by its reason.
+    """
+
+    def __init__(
+        self, copy: CatalogueCopy, count: Callable[[Drop], None]
+    ) -> None:
+        self.copy = copy
+        self._count = count
+        self._recent: collections.OrderedDict[Version, CatalogueUpdate] = (
+            collections.OrderedDict()
+        )
+        self._fetch: _Fetch | None = None
+        self.highest = copy.head().version
+
+    @property
+    def version(self) -> Version:
+        """Version of the copy."""
+        return self.copy.head().version
+
+    @property
+    def fetching(self) -> bool:
+        """Whether content is being fetched."""
+        return self._fetch is not None
+
+    def publish(self, update: CatalogueUpdate) -> CatalogueUpdate:
+        """Keep an update for others; return the form that is spread."""
+        self._recent[update.base] = update
+        while len(self._recent) > RECENT_UPDATES:
+            self._recent.popitem(last=False)
+        self.highest = max(self.highest, update.head.version)
+        if len(update.delta) > CHUNK_BYTES:
+            return dataclasses.replace(update, delta=b"")
+        return update
+
+    def receive(
+        self, update: CatalogueUpdate, now: Seconds
+    ) -> tuple[bool, ContentRequest | None]:
+        """Take an update.
+
+        Returns
+        -------
+        tuple
+            Whether it is news to be forwarded, and a request for the sender
+            when something before it is missing.
+        """
+        held = self.version
+        if update.head.version <= held:
+            return False, None
+        news = update.head.version > self.highest
+        self.highest = max(self.highest, update.head.version)
+        if update.base == held and update.delta:
+            if self._apply(update, now):
+                return True, None
+            self._count(Drop.CATALOGUE_REFUSED)
+            self._start(dataclasses.replace(update, base=Version(0)))
+        elif not update.delta and update.base in (0, held):
+            self._start(update)
+        else:
+            return news, self.request_next()
+        return news, None
+
+    def request_next(self) -> ContentRequest:
+        """Return the request for what follows the copy's version."""
+        return ContentRequest(f"delta/{self.version}", 0)
+
+    def answer(
+        self, request: ContentRequest
+    ) -> tuple[CatalogueUpdate | None, ContentChunk | None]:
+        """Answer a request with an update, a chunk, or both."""
+        kind, _, number = request.name.partition("/")
+        if not number.isdecimal() or request.offset < 0:
+            self._count(Drop.REQUEST)
+            return None, None
+        version = Version(int(number))
+        if kind == "delta" and version in self._recent:
+            update = self._recent[version]
+            if len(update.delta) <= CHUNK_BYTES:
+                return update, None
+            chunk = _cut(request.name, update.delta, request.offset)
+            return dataclasses.replace(update, delta=b""), chunk
+        head = self.copy.head()
+        if kind == "content" and version == head.version:
+            return None, _cut(request.name, self.copy.content(), request.offset)
+        if version < head.version:
+            return CatalogueUpdate(head, Version(0), b""), None
+        return None, None
+
+    def take_chunk(self, chunk: ContentChunk, now: Seconds) -> bool:
+        """Take a chunk; return whether the copy reached a new version."""
+        fetch = self._fetch
+        if fetch is None or chunk.name != fetch.name:
+            self._count(Drop.CHUNK)
+            return False
+        if (
+            not 0 < chunk.total <= MAX_CONTENT_BYTES
+            or chunk.offset % CHUNK_BYTES
+            or fetch.total not in (None, chunk.total)
+            or len(chunk.data) != min(CHUNK_BYTES, chunk.total - chunk.offset)
+        ):
+            self._count(Drop.CHUNK)
+            return False
+        fetch.total = chunk.total
+        fetch.parts[chunk.offset] = chunk.data
+        if sum(map(len, fetch.parts.values())) < chunk.total:
+            return False
+        self._fetch = None
+        content = b"".join(fetch.parts[key] for key in sorted(fetch.parts))
+        return self._finish(fetch.update, content, now)
+
+    def due_requests(self, now: Seconds) -> list[ContentRequest]:
+        """Return the requests of the running fetch that are due."""
+        fetch = self._fetch
+        if fetch is None:
+            return []
+        if fetch.update.head.version <= self.version:
+            self._fetch = None
+            return []
+        total = CHUNK_BYTES if fetch.total is None else fetch.total
+        due = []
+        for offset in range(0, total, CHUNK_BYTES):
+            if offset in fetch.parts:
+                continue
+            asked = fetch.asked.get(offset)
+            if asked is not None and now - asked < RETRY_TIME:
+                continue
+            fetch.asked[offset] = now
+            due.append(ContentRequest(fetch.name, offset))
+            if len(due) == WINDOW:
+                break
+        return due
+
+    def _start(self, update: CatalogueUpdate) -> None:
+        name = f"delta/{update.base}"
+        if update.base == 0:
+            name = f"content/{update.head.version}"
+        if self._fetch is None or (
+            self._fetch.name != name
+            and self._fetch.update.head.version <= update.head.version
+        ):
+            self._fetch = _Fetch(update, name)
+
+    def _apply(self, update: CatalogueUpdate, now: Seconds) -> bool:
+        if not self.copy.offer(update, now):
+            return False
+        self.publish(update)
+        return True
+
+    def _finish(
+        self, update: CatalogueUpdate, content: bytes, now: Seconds
+    ) -> bool:
+        if update.head.version <= self.version:
+            return False
+        if update.base and update.base == self.version:
+            update = dataclasses.replace(update, delta=content)
+            done = self._apply(update, now)
+        else:
+            done = self.copy.load(update.head, content, now)
+        if not done:
+            self._count(Drop.CATALOGUE_REFUSED)
+        return done
+
+
+def _cut(name: str, content: bytes, offset: int) -> ContentChunk | None:
+    if offset >= len(content):
+        return None
+    data = content[offset : offset + CHUNK_BYTES]
+    return ContentChunk(name, offset, len(content), data)
--- /dev/null
+++ b/egretlever/membership/_evidence.py
@@ -0,0 +1,88 @@
+"""Delivery of evidence to named nodes, relayed when a path is cut."""
+
+import collections
+import dataclasses
+import random
+
+from egretlever.core import Incarnation, NodeId, Seconds
+from egretlever.membership._messages import Evidence
+
+RESEND_TIME = 0.3
+MAX_TRIES = 3
+MAX_PENDING = 256
+MAX_SEEN = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    evidence: Evidence
+    tries: int
+    due: Seconds
+
+
+class EvidencePost:
+    """Evidence on its way, and the sequence numbers already received.
+
+    Parameters
+    ----------
+    node : NodeId
+        This node.
+    incarnation : Incarnation
+        Incarnation of this node.
+    rng : random.Random
+        Source of the first sequence number.
+    """
+
+    def __init__(
+        self, node: NodeId, incarnation: Incarnation, rng: random.Random
+    ) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._sequence = rng.getrandbits(30)
+        self._pending: dict[int, _Pending] = {}
+        self._seen: collections.OrderedDict[
+            tuple[NodeId, Incarnation, int], None
+        ] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def start(self, target: NodeId, payload: bytes, now: Seconds) -> Evidence:
+        """Start a delivery and return the message to send."""
+        self._sequence += 1
+        evidence = Evidence(
+            self._node, self._incarnation, self._sequence, target, payload
+        )
+        due = Seconds(now + RESEND_TIME)
+        self._pending[self._sequence] = _Pending(evidence, 1, due)
+        if len(self._pending) > MAX_PENDING:
+            del self._pending[next(iter(self._pending))]
+        return evidence
+
+    def acknowledge(self, sequence: int) -> bool:
+        """End a delivery; return whether it was running."""
+        return self._pending.pop(sequence, None) is not None
+
+    def is_new(self, evidence: Evidence) -> bool:
+        """Note received evidence; return False for a replay."""
+        key = (evidence.origin, evidence.incarnation, evidence.sequence)
+        if key in self._seen:
+            return False
+        self._seen[key] = None
+        if len(self._seen) > MAX_SEEN:
+            self._seen.popitem(last=False)
+        return True
+
+    def due(self, now: Seconds) -> list[Evidence]:
+        """Return evidence to be sent again through a relay."""
+        again = []
+        for sequence, pending in list(self._pending.items()):
+            if pending.due > now:
+                continue
+            if pending.tries >= MAX_TRIES:
+                del self._pending[sequence]
+                continue
+            pending.tries += 1
+            pending.due = Seconds(now + RESEND_TIME)
+            again.append(pending.evidence)
+        return again
--- /dev/null
+++ b/egretlever/membership/_gossip.py
@@ -0,0 +1,329 @@
+"""Gossip rounds and the comparison of records by digests."""
+
+from collections.abc import Sequence
+
+from egretlever.core import (
+    Address,
+    Incarnation,
+    NodeId,
+    NodeState,
+    Seconds,
+    ServerState,
+    Version,
+)
+from egretlever.membership._interfaces import ChangeKind
+from egretlever.membership._liveness import Liveness
+from egretlever.membership._messages import (
+    Drop,
+    Message,
+    Priority,
+    RecordVersion,
+    Suspicion,
+    measure_version,
+)
+from egretlever.membership._pulls import Pulls
+from egretlever.membership._records import RecordDelta
+from egretlever.membership._state import DELTA_ROOM, State
+
+VERSIONS_ROOM = 800
+MAX_VERSION_MESSAGES = 3
+MAX_PUSHED = 2
+PULL_PEERS = 4
+
+
+class Gossip:
+    """Applies records from others and repairs what either side misses.
+
+    Parameters
+    ----------
+    state : State
+        Shared state of the member.
+    liveness : Liveness
+        Takes doubts found in comparisons.
+    """
+
+    def __init__(self, state: State, liveness: Liveness) -> None:
+        self._state = state
+        self._liveness = liveness
+        self._pulls = Pulls()
+
+    @property
+    def missing(self) -> int:
+        """Records known to exist in newer versions than held."""
+        return len(self._pulls)
+
+    def take_deltas(
+        self, message: Message, sender: Address, now: Seconds
+    ) -> None:
+        """Apply the records in a message and pass the changes on."""
+        for delta in message.deltas:
+            if delta.node == self._state.node:
+                self._take_own(delta, now)
+            else:
+                self._take_delta(delta, message.sender, sender, now)
+
+    def _take_own(self, delta: RecordDelta, now: Seconds) -> None:
+        own = self._state.own.record
+        if (delta.incarnation, delta.version) <= own.stamp:
+            return
+        # Only this node writes its record: another process uses its name.
+        self._liveness.report_duplicate(self._state.node, now)
+
+    def _take_delta(
+        self,
+        delta: RecordDelta,
+        origin: NodeId,
+        address: Address,
+        now: Seconds,
+    ) -> None:
+        view = self._state.view
+        stamp = (delta.incarnation, delta.version)
+        if view.is_buried(delta.node, stamp):
+            self._state.count(Drop.STALE_RECORD)
+            if delta.node == origin:
+                doubt = view.bury_suspicion(delta.node)
+                self._state.send_address(
+                    address, Priority.PROBE, suspicions=(doubt,)
+                )
+            return
+        held = view.records.get(delta.node)
+        record = view.apply(delta, now)
+        if record is None:
+            if held is not None and stamp <= held.stamp:
+                self._state.count(Drop.STALE_RECORD)
+            else:
+                self._want_now(RecordVersion(delta.node, *stamp), origin, now)
+            return
+        self._pulls.note_arrival(delta.node, record.stamp)
+        self._announce_change(delta, held, record, origin, now)
+
+    def _announce_change(
+        self,
+        delta: RecordDelta,
+        held: object,
+        record: object,
+        origin: NodeId,
+        now: Seconds,
+    ) -> None:
+        old = held.entries if held else {}  # type: ignore[attr-defined]
+        left = delta.state is NodeState.LEFT
+        departures = held is not None and any(
+            entry.departing
+            and not (entry.id in old and old[entry.id].departing)
+            for entry in delta.entries
+        )
+        fresh = held is None or held.incarnation < delta.incarnation  # type: ignore[attr-defined]
+        base = Version(0) if fresh else held.version  # type: ignore[attr-defined]
+        urgent = departures or (left and held is not None)
+        self._state.spread_record(delta.node, base, urgent, now, origin)
+        if fresh:
+            self._state.notify(ChangeKind.NODE_JOINED, delta.node, now)
+        if left:
+            self._state.notify(ChangeKind.NODE_LEFT, delta.node, now)
+        if delta.entries:
+            servers = [entry.id for entry in delta.entries]
+            self._state.notify(
+                ChangeKind.SERVERS_CHANGED, delta.node, now, servers
+            )
+
+    def _want_now(
+        self, version: RecordVersion, origin: NodeId, now: Seconds
+    ) -> None:
+        held = self._state.view.version_of(version.node)
+        self._pulls.add(version, origin, now)
+        self._state.send(origin, Priority.PROBE, wanted=(held,))
+
+    def compare_digest(self, digest: Sequence[int]) -> list[int]:
+        """Return the buckets that differ, in random order."""
+        own = self._state.view.digest
+        if len(digest) != len(own):
+            self._state.count(Drop.REQUEST)
+            return []
+        differing = [
+            bucket
+            for bucket, value in enumerate(digest)
+            if value != own[bucket]
+        ]
+        self._state.rng.shuffle(differing)
+        return differing
+
+    def answer_digest(
+        self, digest: Sequence[int], address: Address
+    ) -> dict[str, object]:
+        """List the versions in differing buckets.
+
+        Returns
+        -------
+        dict
+            Fields for the answer; further messages are queued when most
+            buckets differ, as they do for a node that starts.
+        """
+        differing = self.compare_digest(digest)
+        messages = 1 if len(differing) <= 8 else MAX_VERSION_MESSAGES
+        pages: list[dict[str, object]] = []
+        while differing and len(pages) < messages:
+            pages.append(self._list_page(differing))
+        for page in pages[1:]:
+            self._state.send_address(address, Priority.ORDINARY, **page)
+        return pages[0] if pages else {}
+
+    def _list_page(self, differing: list[int]) -> dict[str, object]:
+        buckets: list[int] = []
+        versions: list[RecordVersion] = []
+        room = VERSIONS_ROOM
+        while differing:
+            found = self._state.view.versions(differing[-1])
+            room -= sum(measure_version(version) for version in found)
+            if room < 0 and buckets:
+                break
+            buckets.append(differing.pop())
+            # Names can be long; the rest is found in later rounds.
+            versions += found[:40]
+            if len(found) > 40:
+                buckets.pop()
+                break
+        return {"buckets": tuple(buckets), "versions": tuple(versions)}
+
+    def take_versions(
+        self, message: Message, address: Address, now: Seconds
+    ) -> None:
+        """Note what this node misses and push what the sender misses."""
+        view = self._state.view
+        pushed: list[RecordVersion] = []
+        doubts: list[Suspicion] = []
+        listed = set()
+        for version in message.versions:
+            listed.add(version.node)
+            stamp = (version.incarnation, version.version)
+            held = view.version_of(version.node)
+            if view.is_buried(version.node, stamp):
+                doubts.append(view.bury_suspicion(version.node))
+            elif (held.incarnation, held.version) < stamp:
+                if version.node != self._state.node:
+                    self._pulls.add(version, message.sender)
+            elif (held.incarnation, held.version) > stamp:
+                pushed.append(version)
+            else:
+                self._compare_death(held, version, doubts, now)
+        for bucket in message.buckets:
+            pushed += (
+                [
+                    RecordVersion(version.node, Incarnation(0), Version(0))
+                    for version in view.versions(bucket)
+                    if version.node not in listed
+                ]
+                if bucket < len(view.digest)
+                else []
+            )
+        if len(pushed) <= MAX_PUSHED:
+            self.push(pushed, address, now)
+        else:
+            # Many peers find the same gap; the receiver pulls each once.
+            self._tell_versions(pushed, address)
+        if doubts:
+            self._state.send_address(
+                address, Priority.ORDINARY, suspicions=tuple(doubts[:16])
+            )
+
+    def _tell_versions(
+        self, behind: Sequence[RecordVersion], address: Address
+    ) -> None:
+        versions: list[RecordVersion] = []
+        room = VERSIONS_ROOM
+        for version in behind:
+            room -= measure_version(version)
+            if room < 0:
+                break
+            versions.append(self._state.view.version_of(version.node))
+        self._state.send_address(
+            address, Priority.ORDINARY, versions=tuple(versions)
+        )
+
+    def _compare_death(
+        self,
+        held: RecordVersion,
+        version: RecordVersion,
+        doubts: list[Suspicion],
+        now: Seconds,
+    ) -> None:
+        if version.dead and not held.dead:
+            self._liveness.take_suspicion(
+                Suspicion(
+                    version.node,
+                    version.incarnation,
+                    version.version,
+                    NodeState.DEAD,
+                ),
+                now,
+            )
+        elif held.dead and not version.dead:
+            doubts.append(self._liveness.suspicion_of(held.node, now))
+
+    def push(
+        self, versions: Sequence[RecordVersion], address: Address, now: Seconds
+    ) -> None:
+        """Send the records that follow the given versions, packed."""
+        batch: list[RecordDelta] = []
+        doubts: list[Suspicion] = []
+        size = 0
+        for version in versions:
+            delta = self._state.delta_after(
+                version.node, version.incarnation, version.version, now
+            )
+            if delta is None:
+                continue
+            if batch and size + delta.size > DELTA_ROOM:
+                self._send_batch(batch, doubts, address)
+                batch, doubts, size = [], [], 0
+            batch.append(delta)
+            size += delta.size + 4
+            if self._state.view.version_of(version.node).dead:
+                doubts.append(self._liveness.suspicion_of(version.node, now))
+        if batch:
+            self._send_batch(batch, doubts, address)
+
+    def _send_batch(
+        self,
+        batch: list[RecordDelta],
+        doubts: list[Suspicion],
+        address: Address,
+    ) -> None:
+        departing = any(
+            entry.state is ServerState.DRAINING
+            for delta in batch
+            for entry in delta.entries
+        )
+        priority = Priority.URGENT if departing else Priority.ORDINARY
+        self._state.send_address(address, priority, deltas=tuple(batch))
+        if doubts:
+            self._state.send_address(
+                address, Priority.ORDINARY, suspicions=tuple(doubts)
+            )
+
+    def pull(self, now: Seconds) -> None:
+        """Ask for missing records, first the peers that told of them."""
+        pulls = self._pulls.choose(now)
+        local = self._state.contacts.pick_local(PULL_PEERS)
+        for index, (source, nodes) in enumerate(pulls):
+            peer = source
+            if peer is None or not self._state.is_live(peer):
+                peer = local[index % len(local)] if local else None
+            if peer is None:
+                continue
+            self._state.send(
+                peer,
+                Priority.PROBE,
+                wanted=tuple(map(self._state.view.version_of, nodes)),
+                deltas=self._state.introduction(now),
+            )
+
+    def forget_settled(self) -> None:
+        """Drop missing entries that the view has caught up with."""
+        view = self._state.view
+        for version in self._pulls.versions():
+            stamp = (version.incarnation, version.version)
+            held = view.records.get(version.node)
+            if (held and held.stamp >= stamp) or view.is_buried(
+                version.node, stamp
+            ):
+                self._pulls.discard(version.node)
--- /dev/null
+++ b/egretlever/membership/_liveness.py
@@ -0,0 +1,196 @@
+"""Suspicion, refutation and death of nodes."""
+
+from egretlever.core import Address, NodeId, NodeState, Seconds
+from egretlever.membership._interfaces import ChangeKind, OrphanJudge
+from egretlever.membership._messages import (
+    Drop,
+    Message,
+    Priority,
+    Probe,
+    Suspicion,
+)
+from egretlever.membership._probes import HELPERS, Probes
+from egretlever.membership._state import State
+
+DOUBT_RELAYS = 8
+REFUTATION_RELAYS = 10
+# A death this old was open to refutation long enough to be taken over.
+SETTLED_DEATH = 30.0
+DUPLICATE_MESSAGES = 3
+DUPLICATE_TIME = 2.0
+
+
+class Liveness:
+    """Decides which nodes are suspected, dead, or named twice.
+
+    Parameters
+    ----------
+    state : State
+        Shared state of the member.
+    judge : OrphanJudge or None
+        Judges whether the servers of dead nodes are useful.
+    """
+
+    def __init__(self, state: State, judge: OrphanJudge | None) -> None:
+        self._state = state
+        self._judge = judge
+        self.probes = Probes(state.rng)
+        self.duplicates: set[NodeId] = set()
+        self._rivals: dict[NodeId, tuple[Seconds, int]] = {}
+
+    def probe(self, node: NodeId, now: Seconds) -> Probe:
+        """Start a probe of a node."""
+        return Probe(self.probes.start(node, now))
+
+    def greeting(self, now: Seconds) -> Probe:
+        """Start a probe of an address whose node may be unknown."""
+        return Probe(self.probes.start(self._state.node, now))
+
+    def answer_probe(self, probe: Probe, sender: Address, now: Seconds) -> int:
+        """Return the sequence to acknowledge, 0 when it is relayed."""
+        if probe.target is None or probe.target == self._state.node:
+            return probe.sequence
+        sequence = self.probes.relay(sender, probe.sequence, now)
+        self._state.send(probe.target, Priority.PROBE, probe=Probe(sequence))
+        return 0
+
+    def acknowledge(self, sequence: int, now: Seconds) -> None:
+        """Take an acknowledgement, one's own or to be passed on."""
+        found = self.probes.acknowledge(sequence)
+        if found is None:
+            self._state.count(Drop.STALE_ACKNOWLEDGEMENT)
+        elif isinstance(found, tuple):
+            address, original = found
+            self._state.send_address(
+                address, Priority.PROBE, acknowledged=original
+            )
+        elif self._state.view.clear_suspicion(found):
+            self._state.doubt_rumors.discard(found)
+            self._state.notify(ChangeKind.NODE_CLEARED, found, now)
+
+    def advance(self, now: Seconds) -> None:
+        """Repeat probes, suspect silent nodes, let suspicions end in death."""
+        indirect, failed = self.probes.expire(now)
+        for sequence, node in indirect:
+            if node == self._state.node:
+                continue
+            again = Probe(sequence)
+            self._state.send(node, Priority.PROBE, probe=again)
+            for helper in self._state.contacts.pick_local(HELPERS, (node,)):
+                self._state.send(
+                    helper, Priority.PROBE, probe=Probe(sequence, node)
+                )
+        for node in failed:
+            if node != self._state.node and self._state.is_live(node):
+                stamp = self._state.view.records[node].stamp
+                self._doubt(node, stamp, NodeState.SUSPECT, now, now)
+        limit = now - self._state.parameters.suspicion_time
+        for node, doubt in list(self._state.view.doubts.items()):
+            if doubt.state is NodeState.SUSPECT and doubt.since <= limit:
+                self._doubt(node, doubt.stamp, NodeState.DEAD, now, now)
+
+    def drop_expired(self, now: Seconds) -> None:
+        """Drop records of dead nodes that are old or of no more use."""
+        view = self._state.view
+        due = set(view.expired(now))
+        for node, doubt in view.doubts.items():
+            if doubt.state is NodeState.DEAD and not self._useful(node, now):
+                due.add(node)
+        for node in due:
+            view.drop(node)
+            self._state.notify(ChangeKind.NODE_DROPPED, node, now)
+        view.prune(now, self._state.parameters.ramp_memory)
+
+    def _useful(self, node: NodeId, now: Seconds) -> bool:
+        if self._judge is None:
+            return True
+        entries = self._state.view.records[node].entries.values()
+        return any(
+            self._judge.is_useful(entry.id, now)
+            for entry in entries
+            if not entry.departing
+        )
+
+    def take_suspicion(self, suspicion: Suspicion, now: Seconds) -> None:
+        """Take a suspicion; refute it when it is about this node."""
+        node = suspicion.node
+        stamp = (suspicion.incarnation, suspicion.version)
+        if node == self._state.node:
+            self._refute(suspicion, now)
+            return
+        if node not in self._state.view.records:
+            return
+        settled = suspicion.age >= SETTLED_DEATH
+        if suspicion.state is NodeState.DEAD and settled:
+            since = Seconds(now - suspicion.age)
+            self._doubt(node, stamp, NodeState.DEAD, since, now)
+        else:
+            # Hearsay of a fresh death leaves time for a refutation.
+            self._doubt(node, stamp, NodeState.SUSPECT, now, now)
+
+    def _refute(self, suspicion: Suspicion, now: Seconds) -> None:
+        own = self._state.own
+        if suspicion.incarnation > self._state.incarnation:
+            self.report_duplicate(self._state.node, now)
+            return
+        if (suspicion.incarnation, suspicion.version) < own.record.stamp:
+            return
+        base = own.record.version
+        own.raise_version(suspicion.version)
+        self._state.view.store(own.record, now)
+        self._state.spread_record(
+            self._state.node, base, False, now, relays=REFUTATION_RELAYS
+        )
+
+    def _doubt(
+        self,
+        node: NodeId,
+        stamp: tuple[int, int],
+        state: NodeState,
+        since: Seconds,
+        now: Seconds,
+    ) -> None:
+        view = self._state.view
+        if not view.doubt(node, stamp, state, since):  # type: ignore[arg-type]
+            return
+        kind = ChangeKind.NODE_SUSPECTED
+        if state is NodeState.DEAD:
+            kind = ChangeKind.NODE_DEAD
+        self._state.doubt_rumors.add(
+            node,
+            self.suspicion_of(node, now),
+            False,
+            DOUBT_RELAYS,
+            Seconds(now + self._state.parameters.suspicion_time),
+        )
+        self._state.notify(kind, node, now)
+
+    def suspicion_of(self, node: NodeId, now: Seconds) -> Suspicion:
+        """Return what others are told of a doubted node."""
+        doubt = self._state.view.doubts[node]
+        age = max(0.0, now - doubt.since)
+        return Suspicion(node, *doubt.stamp, doubt.state, age)
+
+    def check_rival(
+        self, message: Message, sender: Address, now: Seconds
+    ) -> None:
+        """Report a node id that two live processes use.
+
+        One message from an old incarnation may be a late or replayed one;
+        several over some seconds from another address come from a process.
+        """
+        record = self._state.view.records[message.sender]
+        if sender == record.header.gossip:
+            return
+        first, count = self._rivals.get(message.sender, (now, 0))
+        self._rivals[message.sender] = (first, count + 1)
+        if len(self._rivals) > 256:
+            del self._rivals[next(iter(self._rivals))]
+        if count + 1 >= DUPLICATE_MESSAGES and now - first >= DUPLICATE_TIME:
+            self.report_duplicate(message.sender, now)
+
+    def report_duplicate(self, node: NodeId, now: Seconds) -> None:
+        """Report a duplicate node id once."""
+        if node not in self.duplicates and len(self.duplicates) < 256:
+            self.duplicates.add(node)
+            self._state.notify(ChangeKind.NODE_DUPLICATE, node, now)
--- /dev/null
+++ b/egretlever/membership/_membership.py
@@ -0,0 +1,325 @@
+"""The member: takes messages and time, returns messages to send."""
+
+import dataclasses
+import random
+from collections.abc import Mapping, Sequence
+from typing import Protocol
+
+from egretlever.core import (
+    Address,
+    Incarnation,
+    Interval,
+    NodeId,
+    NodeState,
+    RegionName,
+    Seconds,
+    Server,
+    Version,
+    check_parameters,
+    make_log,
+)
+from egretlever.membership._catalogue import NoCatalogue
+from egretlever.membership._contacts import choose_representatives
+from egretlever.membership._evidence import EvidencePost
+from egretlever.membership._gossip import Gossip
+from egretlever.membership._interfaces import (
+    AddressSample,
+    CatalogueCopy,
+    EvidenceSink,
+    Listener,
+    OrphanJudge,
+    Warmup,
+)
+from egretlever.membership._joining import Joining
+from egretlever.membership._liveness import Liveness
+from egretlever.membership._messages import (
+    CatalogueUpdate,
+    Drop,
+    Evidence,
+    Message,
+    Priority,
+    Send,
+)
+from egretlever.membership._own import ServerAnnouncement
+from egretlever.membership._receiving import Receiving
+from egretlever.membership._records import NodeHeader
+from egretlever.membership._rounds import Rounds
+from egretlever.membership._snapshots import NodeSnapshot, Snapshots
+from egretlever.membership._state import Parameters, State
+
+_LOG = make_log("membership")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Collaborators:
+    """Parts that membership serves or asks; each may be absent."""
+
+    catalogue: CatalogueCopy | None = None
+    evidence: EvidenceSink | None = None
+    listener: Listener | None = None
+    judge: OrphanJudge | None = None
+    warmup: Warmup | None = None
+    sample: AddressSample | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Description:
+    """Snapshot for operators."""
+
+    node: NodeId
+    incarnation: Incarnation
+    version: Version
+    nodes: int
+    missing: int
+    bridge: bool
+    catalogue: Version
+    dropped: Mapping[Drop, int]
+    duplicates: tuple[NodeId, ...]
+
+
+class Membership(Protocol):
+    """What other components use of the gossip overlay."""
+
+    def receive(
+        self, message: Message, sender: Address, now: Seconds
+    ) -> list[Send]:
+        """Take a message from an address; return what to send."""
+
+    def advance(self, now: Seconds) -> list[Send]:
+        """Do what is due; return what to send."""
+
+    def announce(
+        self, announcement: ServerAnnouncement, now: Seconds
+    ) -> list[Send]:
+        """Take an announcement of a backend server on this host."""
+
+    def leave(self, now: Seconds) -> list[Send]:
+        """Announce a planned stop."""
+
+    def servers(self) -> list[Server]:
+        """Return all known servers but stopped ones."""
+
+    def nodes(self) -> list[NodeSnapshot]:
+        """Return all known nodes."""
+
+
+class GossipMembership:
+    """Member of the gossip overlay; see `make_membership`."""
+
+    def __init__(
+        self,
+        header: NodeHeader,
+        incarnation: Incarnation,
+        seeds: Sequence[Address],
+        parameters: Parameters,
+        collaborators: Collaborators,
+        rng: random.Random,
+    ) -> None:
+        check_parameters(
+            "Membership",
+            dataclasses.asdict(parameters),
+            {
+                "gossip_interval": Interval(0.05, 60),
+                "bytes_per_second": Interval(1000),
+                "announcement_timeout": Interval(0.5),
+                "suspicion_time": Interval(0.5),
+                "orphan_time": Interval(1),
+                "ramp_memory": Interval(0),
+                "link_bytes_per_second": Interval(0),
+            },
+        )
+        catalogue = collaborators.catalogue or NoCatalogue()
+        self._needs_catalogue = collaborators.catalogue is not None
+        self._state = State(
+            header,
+            incarnation,
+            parameters,
+            rng,
+            catalogue,
+            collaborators.listener,
+        )
+        self._liveness = Liveness(self._state, collaborators.judge)
+        self._gossip = Gossip(self._state, self._liveness)
+        self._joining = Joining(header.gossip, seeds, collaborators.sample, rng)
+        self._post = EvidencePost(header.node, incarnation, rng)
+        self._receiving = Receiving(
+            self._state,
+            self._liveness,
+            self._gossip,
+            self._joining,
+            self._post,
+            collaborators.evidence,
+        )
+        self._rounds = Rounds(
+            self._state,
+            self._liveness,
+            self._gossip,
+            self._joining,
+            self._post,
+        )
+        self._snapshots = Snapshots(self._state, collaborators.warmup)
+
+    def receive(
+        self, message: Message, sender: Address, now: Seconds
+    ) -> list[Send]:
+        """Take a message from an address; return what to send."""
+        self._receiving.receive(message, sender, now)
+        return self._state.outbox.flush(now)
+
+    def advance(self, now: Seconds) -> list[Send]:
+        """Do what is due; to be called at `wake_at` or earlier."""
+        self._rounds.advance(now)
+        return self._state.outbox.flush(now)
+
+    def wake_at(self, now: Seconds) -> Seconds:
+        """Return when `advance` has something to do next."""
+        return self._rounds.wake_at(now)
+
+    def announce(
+        self, announcement: ServerAnnouncement, now: Seconds
+    ) -> list[Send]:
+        """Take an announcement of a backend server on this host."""
+        base = self._state.own.record.version
+        entry = self._state.own.announce(announcement, now)
+        if entry is None:
+            return []
+        self._state.view.store(self._state.own.record, now)
+        self._state.view.note_entry(entry, now)
+        self._rounds.note_change(base, entry.departing, now)
+        return []
+
+    def leave(self, now: Seconds) -> list[Send]:
+        """Announce a planned stop; the node writes no further version."""
+        if self._state.own.record.state is NodeState.LEFT:
+            return []
+        base = self._state.own.record.version
+        self._state.own.leave()
+        self._state.view.store(self._state.own.record, now)
+        self._state.refresh_contacts(now, force=True)
+        self._state.spread_record(self._state.node, base, True, now)
+        _LOG.info("leaving as version %d", self._state.own.record.version)
+        return self._state.outbox.flush(now)
+
+    def publish_catalogue(
+        self, update: CatalogueUpdate, now: Seconds
+    ) -> list[Send]:
+        """Spread an update that this node's copy has taken already."""
+        self._state.refresh_contacts(now)
+        update = self._state.catalogue.publish(update)
+        self._state.broadcast(None, update=update)
+        self._rounds.note_update(update, now)
+        return self._state.outbox.flush(now)
+
+    def send_evidence(
+        self, targets: Sequence[NodeId], payload: bytes, now: Seconds
+    ) -> list[Send]:
+        """Send evidence of at most 900 bytes to named nodes."""
+        if len(payload) > 900:
+            raise ValueError(
+                f"evidence has {len(payload)} bytes, 900 are allowed"
+            )
+        for target in targets:
+            if not self._state.is_live(target):
+                self._state.count(Drop.UNDELIVERABLE_EVIDENCE)
+                continue
+            evidence: Evidence = self._post.start(target, payload, now)
+            self._state.send(target, Priority.URGENT, evidence=evidence)
+        return self._state.outbox.flush(now)
+
+    def count_drop(self, reason: Drop) -> None:
+        """Count a datagram that was dropped before it became a message."""
+        self._state.count(reason)
+
+    def offer_addresses(self, addresses: Sequence[Address]) -> None:
+        """Take the sample of live addresses asked for."""
+        self._joining.offer_addresses(addresses)
+
+    def servers(self) -> list[Server]:
+        """Return all known servers but stopped ones."""
+        return self._snapshots.servers()
+
+    def nodes(self) -> list[NodeSnapshot]:
+        """Return all known nodes, this one included."""
+        return self._snapshots.nodes()
+
+    def readers(self, region: RegionName) -> tuple[NodeId, ...]:
+        """Return the three catalogue reader nodes of a region."""
+        live = [
+            record.header.node
+            for record in self._state.view.live()
+            if record.header.region == region
+        ]
+        return choose_representatives(live, f"reader/{region}")
+
+    def is_ready(self, now: Seconds) -> bool:
+        """Whether records and catalogue are complete enough to serve."""
+        catalogue = self._state.catalogue
+        if self._needs_catalogue and (
+            catalogue.version == 0 or catalogue.version < catalogue.highest
+        ):
+            return False
+        return self._joining.is_joined(
+            len(self._state.view.records), self._gossip.missing, now
+        )
+
+    def describe(self) -> Description:
+        """Return a snapshot for operators."""
+        state = self._state
+        return Description(
+            state.node,
+            state.incarnation,
+            state.own.record.version,
+            len(state.view.records),
+            self._gossip.missing,
+            state.contacts.is_bridge,
+            state.catalogue.version,
+            dict(state.counts),
+            tuple(sorted(self._liveness.duplicates)),
+        )
+
+
+def make_membership(
+    header: NodeHeader,
+    incarnation: Incarnation,
+    seeds: Sequence[Address] = (),
+    parameters: Parameters | None = None,
+    collaborators: Collaborators | None = None,
+    rng: random.Random | None = None,
+) -> GossipMembership:
+    """Make the membership of one node.
+
+    Parameters
+    ----------
+    header : NodeHeader
+        Identity and addresses of this node.
+    incarnation : Incarnation
+        Has to grow with each start, for example the start in Unix ms.
+    seeds : sequence of Address, optional
+        Gossip addresses of other nodes.
+    parameters : Parameters, optional
+        Settings; the defaults of the schema when absent.
+    collaborators : Collaborators, optional
+        Parts that membership serves or asks.
+    rng : random.Random, optional
+        Source of all random choices.
+
+    Returns
+    -------
+    GossipMembership
+        The member; a `Membership`.
+
+    Examples
+    --------
+    >>> from egretlever.testing import builders
+    >>> member = make_membership(builders.build_header(1), Incarnation(1))
+    >>> [node.id for node in member.nodes()]
+    ['node-1']
+    """
+    return GossipMembership(
+        header,
+        incarnation,
+        seeds,
+        parameters or Parameters(),
+        collaborators or Collaborators(),
+        rng or random.Random(),
+    )
--- /dev/null
+++ b/egretlever/membership/_outbox.py
@@ -0,0 +1,99 @@
+"""Messages waiting for the byte budget, urgent ones first."""
+
+import collections
+
+from egretlever.core import Address, Seconds
+from egretlever.membership._budget import TokenBucket
+from egretlever.membership._messages import (
+    UDP_HEADER_BYTES,
+    Message,
+    Priority,
+    Send,
+    measure_message,
+)
+
+# Refill and burst add up to the rate, so that no second exceeds it.
+BURST_SECONDS = 0.25
+REFILL_SHARE = 1 - BURST_SECONDS
+# Bytes left for more urgent messages, as a share of the burst.
+RESERVES = {
+    Priority.URGENT: 0.0,
+    Priority.PROBE: 0.2,
+    Priority.ORDINARY: 0.4,
+}
+QUEUE_LIMITS = {
+    Priority.URGENT: 256,
+    Priority.PROBE: 32,
+    Priority.ORDINARY: 32,
+}
+
+
+class Outbox:
+    """Queues by priority under the budgets of the node and the region link.
+
+    Parameters
+    ----------
+    rate : float
+        Bytes per second of everything sent between nodes.
+
+    Attributes
+    ----------
+    dropped : int
+        Messages dropped because a queue was full; gossip repairs them.
+    """
+
+    def __init__(self, rate: float) -> None:
+        burst = rate * BURST_SECONDS
+        self._bucket = TokenBucket(rate * REFILL_SHARE, burst)
+        self._link = TokenBucket(rate * REFILL_SHARE, burst)
+        self._queues: dict[Priority, collections.deque[tuple[Send, bool]]] = {
+            priority: collections.deque() for priority in Priority
+        }
+        self.dropped = 0
+
+    def __len__(self) -> int:
+        return sum(len(queue) for queue in self._queues.values())
+
+    def limit_link(self, rate: float) -> None:
+        """Set this node's share of the region link in bytes per second."""
+        # A burst below two datagrams would never admit a full one.
+        self._link.rate = rate
+        self._link.burst = max(2500.0, rate * BURST_SECONDS)
+
+    def has_room(self, now: Seconds) -> bool:
+        """Return whether an ordinary message could be sent now."""
+        reserve = self._bucket.burst * RESERVES[Priority.ORDINARY]
+        return (
+            not self._queues[Priority.ORDINARY]
+            and self._bucket.available(now) > reserve
+        )
+
+    def add(
+        self, address: Address, message: Message, priority: Priority, far: bool
+    ) -> None:
+        """Queue a message; ``far`` tells that it crosses the region link."""
+        size = measure_message(message) + UDP_HEADER_BYTES
+        queue = self._queues[priority]
+        queue.append((Send(address, message, size), far))
+        if len(queue) > QUEUE_LIMITS[priority]:
+            queue.popleft()
+            self.dropped += 1
+
+    def flush(self, now: Seconds) -> list[Send]:
+        """Take the messages that the budgets admit now."""
+        ready: list[Send] = []
+        for priority in Priority:
+            queue = self._queues[priority]
+            reserve = self._bucket.burst * RESERVES[priority]
+            for _ in range(len(queue)):
+                send, far = queue.popleft()
+                if self._bucket.available(now) - send.size < reserve:
+                    queue.appendleft((send, far))
+                    break
+                if far and not self._link.take(send.size, now):
+                    # Waits behind local messages for the link's budget.
+                    queue.append((send, far))
+                    continue
+                self._bucket.take(send.size, now)
+                ready.append(send)
+        return ready
--- /dev/null
+++ b/egretlever/membership/_own.py
@@ -0,0 +1,161 @@
+"""The record that this node owns."""
+
+import dataclasses
+
+from egretlever.core import (
+    Address,
+    Incarnation,
+    NodeState,
+    Seconds,
+    ServerId,
+    ServerState,
+    ServiceName,
+    Version,
+)
+from egretlever.membership._records import (
+    STATE_ORDER,
+    NodeHeader,
+    NodeRecord,
+    ServerEntry,
+)
+
+REMOVAL_TIME = 600.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerAnnouncement:
+    """What a backend server says of itself to the node on its host.
+
+    Parameters
+    ----------
+    id, service, address, state, incarnation, slots, connections
+        See `egretlever.core.Server`.
+    uptime : float
+        Time for which the server has been serving, in seconds.
+    """
+
+    id: ServerId
+    service: ServiceName
+    address: Address
+    state: ServerState
+    incarnation: Incarnation
+    slots: int
+    connections: int
+    uptime: float = 0.0
+
+
+class OwnRecord:
+    """The record of this node; each change gives it a new version.
+
+    Parameters
+    ----------
+    header : NodeHeader
+        Identity and addresses.
+    incarnation : Incarnation
+        Has to grow with each start of the node.
+    silence : float
+        Time without announcement after which a server is marked silent.
+    ramp_memory : float
+        Age up to which a server's uptime is passed on, in seconds.
+    """
+
+    def __init__(
+        self,
+        header: NodeHeader,
+        incarnation: Incarnation,
+        silence: float,
+        ramp_memory: float,
+    ) -> None:
+        self.record = NodeRecord(
+            header, incarnation, Version(1), NodeState.ALIVE, {}
+        )
+        self._silence = silence
+        self._ramp_memory = ramp_memory
+        self._heard: dict[ServerId, Seconds] = {}
+
+    def announce(
+        self, announcement: ServerAnnouncement, now: Seconds
+    ) -> ServerEntry | None:
+        """Take an announcement.
+
+        Returns
+        -------
+        ServerEntry or None
+            The changed entry; None when nothing changed or the announcement
+            is older than what is known.
+        """
+        held = self.record.entries.get(announcement.id)
+        if held is not None and _is_stale(held, announcement):
+            return None
+        self._heard[announcement.id] = now
+        young = announcement.uptime < self._ramp_memory
+        entry = ServerEntry(
+            announcement.id,
+            announcement.service,
+            announcement.address,
+            announcement.state,
+            announcement.incarnation,
+            announcement.slots,
+            announcement.connections,
+            uptime=announcement.uptime if young else None,
+        )
+        if held is not None:
+            same = dataclasses.replace(
+                entry, changed=held.changed, uptime=held.uptime
+            )
+            if same == held:
+                return None
+        return self._write(entry)
+
+    def find_silent(self, now: Seconds) -> list[ServerEntry]:
+        """Mark servers that stopped announcing; stop them after 10 minutes.
+
+        Returns
+        -------
+        list of ServerEntry
+            The changed entries.
+        """
+        changed = []
+        for server, heard in list(self._heard.items()):
+            entry = self.record.entries[server]
+            silence = now - heard
+            if silence >= REMOVAL_TIME:
+                del self._heard[server]
+                stopped = ServerState.STOPPED
+                changed.append(
+                    self._write(dataclasses.replace(entry, state=stopped))
+                )
+            elif silence >= self._silence and not entry.silent:
+                changed.append(
+                    self._write(dataclasses.replace(entry, silent=True))
+                )
+        return changed
+
+    def excuse_pause(self, now: Seconds) -> None:
+        """Restart all silence timers after this process was paused."""
+        self._heard = dict.fromkeys(self._heard, now)
+
+    def raise_version(self, above: Version) -> None:
+        """Move to a version above another one, to refute a doubt."""
+        version = Version(max(self.record.version, above) + 1)
+        self.record = dataclasses.replace(self.record, version=version)
+
+    def leave(self) -> None:
+        """Mark the record as left."""
+        self.raise_version(self.record.version)
+        self.record = dataclasses.replace(self.record, state=NodeState.LEFT)
+
+    def _write(self, entry: ServerEntry) -> ServerEntry:
+        version = Version(self.record.version + 1)
+        entry = dataclasses.replace(entry, changed=version)
+        entries = {**self.record.entries, entry.id: entry}
+        self.record = dataclasses.replace(
+            self.record, version=version, entries=entries
+        )
+        return entry
+
+
+def _is_stale(held: ServerEntry, announcement: ServerAnnouncement) -> bool:
+    if held.incarnation != announcement.incarnation:
+        return announcement.incarnation < held.incarnation
+    return STATE_ORDER[announcement.state] < STATE_ORDER[held.state]
--- /dev/null
+++ b/egretlever/membership/_probes.py
@@ -0,0 +1,107 @@
+"""Failure detection by direct and indirect probes."""
+
+import dataclasses
+import random
+
+from egretlever.core import Address, NodeId, Seconds
+
+# The round trip between regions is 16 ms; a busy loop may lag 250 ms.
+DIRECT_TIMEOUT = 0.6
+INDIRECT_TIMEOUT = 1.2
+HELPERS = 3
+MAX_RELAYED = 256
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    node: NodeId
+    due: Seconds
+    indirect: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Relayed:
+    requester: Address
+    sequence: int
+    until: Seconds
+
+
+class Probes:
+    """Probes in flight, the node's own and those for other nodes.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the first sequence number, so that acknowledgements from
+        before a restart match nothing.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._sequence = rng.getrandbits(30)
+        self._pending: dict[int, _Pending] = {}
+        self._relayed: dict[int, _Relayed] = {}
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def start(self, node: NodeId, now: Seconds) -> int:
+        """Start a probe of a node; return its sequence number."""
+        self._sequence += 1
+        due = Seconds(now + DIRECT_TIMEOUT)
+        self._pending[self._sequence] = _Pending(node, due)
+        return self._sequence
+
+    def relay(self, requester: Address, sequence: int, now: Seconds) -> int:
+        """Start a probe for a requester; return its sequence number."""
+        self._sequence += 1
+        until = Seconds(now + INDIRECT_TIMEOUT)
+        self._relayed[self._sequence] = _Relayed(requester, sequence, until)
+        if len(self._relayed) > MAX_RELAYED:
+            del self._relayed[next(iter(self._relayed))]
+        return self._sequence
+
+    def acknowledge(self, sequence: int) -> NodeId | tuple[Address, int] | None:
+        """Take an acknowledgement.
+
+        Returns
+        -------
+        NodeId, tuple of Address and int, or None
+            The probed node, or the requester and its sequence number, or
+            None for an unknown or replayed acknowledgement.
+        """
+        pending = self._pending.pop(sequence, None)
+        if pending is not None:
+            return pending.node
+        relayed = self._relayed.pop(sequence, None)
+        return (relayed.requester, relayed.sequence) if relayed else None
+
+    def expire(
+        self, now: Seconds
+    ) -> tuple[list[tuple[int, NodeId]], list[NodeId]]:
+        """Move probes on whose time is over.
+
+        Returns
+        -------
+        tuple of list
+            Probes to be repeated through helpers, and nodes to be suspected.
+        """
+        indirect, failed = [], []
+        for sequence, pending in list(self._pending.items()):
+            if pending.due > now:
+                continue
+            if pending.indirect:
+                del self._pending[sequence]
+                failed.append(pending.node)
+            else:
+                pending.indirect = True
+                pending.due = Seconds(now + INDIRECT_TIMEOUT)
+                indirect.append((sequence, pending.node))
+        for sequence, relayed in list(self._relayed.items()):
+            if relayed.until < now:
+                del self._relayed[sequence]
+        return indirect, failed
+
+    def clear(self) -> None:
+        """Forget all probes in flight, after a pause of this process."""
+        self._pending.clear()
+        self._relayed.clear()
--- /dev/null
+++ b/egretlever/membership/_pulls.py
@@ -0,0 +1,103 @@
+"""Records known to be missing, and the pace at which they are asked for."""
+
+import dataclasses
+
+from egretlever.core import Incarnation, NodeId, Seconds, Version
+from egretlever.membership._messages import RecordVersion
+
+MAX_MISSING = 4096
+BATCH = 8
+MAX_BATCHES = 8
+# The queue of a busy peer holds about 2.5 s of its byte budget.
+TIMEOUT = 3.0
+MIN_WINDOW = 4
+FIRST_WINDOW = 16
+MAX_WINDOW = 64
+
+
+@dataclasses.dataclass(slots=True)
+class _Missing:
+    version: RecordVersion
+    source: NodeId | None
+    asked: Seconds | None = None
+
+
+class Pulls:
+    """Missing records, with a window that shrinks when answers are lost.
+
+    Without the window, nodes that start together ask for more than their
+    peers may send, and answers that come late are asked for again.
+    """
+
+    def __init__(self) -> None:
+        self._missing: dict[NodeId, _Missing] = {}
+        self._window = FIRST_WINDOW
+
+    def __len__(self) -> int:
+        return len(self._missing)
+
+    def add(
+        self,
+        version: RecordVersion,
+        source: NodeId,
+        asked: Seconds | None = None,
+    ) -> None:
+        """Note a newer version that a peer told of."""
+        known = self._missing.get(version.node)
+        if known is not None:
+            stamp = (version.incarnation, version.version)
+            if (known.version.incarnation, known.version.version) < stamp:
+                known.version = version
+                known.source = source
+            known.asked = asked or known.asked
+        elif len(self._missing) < MAX_MISSING:
+            self._missing[version.node] = _Missing(version, source, asked)
+
+    def note_arrival(
+        self, node: NodeId, stamp: tuple[Incarnation, Version]
+    ) -> None:
+        """Take note that a record arrived."""
+        known = self._missing.get(node)
+        if known is None:
+            return
+        if stamp >= (known.version.incarnation, known.version.version):
+            del self._missing[node]
+            self._window = min(MAX_WINDOW, self._window + 1)
+
+    def discard(self, node: NodeId) -> None:
+        """Forget a missing record."""
+        self._missing.pop(node, None)
+
+    def versions(self) -> list[RecordVersion]:
+        """Return the missing versions."""
+        return [missing.version for missing in self._missing.values()]
+
+    def choose(self, now: Seconds) -> list[tuple[NodeId | None, list[NodeId]]]:
+        """Choose what to ask for now.
+
+        Returns
+        -------
+        list of tuple
+            Peer to ask, None for a random one, and the nodes to ask for.
+        """
+        waiting = lost = 0
+        due: list[NodeId] = []
+        for node, missing in self._missing.items():
+            if missing.asked is None:
+                due.append(node)
+            elif now - missing.asked < TIMEOUT:
+                waiting += 1
+            else:
+                lost += 1
+                missing.source = None
+                due.append(node)
+        if lost * 4 > waiting + lost:
+            self._window = max(MIN_WINDOW, self._window // 2)
+        batches: dict[NodeId | None, list[NodeId]] = {}
+        for node in due[: max(0, self._window - waiting)]:
+            missing = self._missing[node]
+            batch = batches.setdefault(missing.source, [])
+            if len(batch) < BATCH and len(batches) <= MAX_BATCHES:
+                batch.append(node)
+                missing.asked = now
+        return [pair for pair in batches.items() if pair[1]]
--- /dev/null
+++ b/egretlever/membership/_receiving.py
@@ -0,0 +1,205 @@
+"""Handling of one received message."""
+
+from egretlever.core import Address, Incarnation, NodeId, Seconds, Version
+from egretlever.membership._evidence import EvidencePost
+from egretlever.membership._gossip import Gossip
+from egretlever.membership._interfaces import ChangeKind, EvidenceSink
+from egretlever.membership._joining import Joining
+from egretlever.membership._liveness import Liveness
+from egretlever.membership._messages import (
+    CatalogueUpdate,
+    Drop,
+    Evidence,
+    Message,
+    Priority,
+)
+from egretlever.membership._records import RecordDelta
+from egretlever.membership._state import RIDE_ROOM, State
+
+MAX_REQUESTS = 8
+MAX_WANTED = 16
+INTRODUCTIONS = 3
+INTRODUCTION_BYTES = 100
+
+
+class Receiving:
+    """Takes messages apart and answers them."""
+
+    def __init__(
+        self,
+        state: State,
+        liveness: Liveness,
+        gossip: Gossip,
+        joining: Joining,
+        post: EvidencePost,
+        sink: EvidenceSink | None,
+    ) -> None:
+        self._state = state
+        self._liveness = liveness
+        self._gossip = gossip
+        self._joining = joining
+        self._post = post
+        self._sink = sink
+
+    def receive(self, message: Message, sender: Address, now: Seconds) -> None:
+        """Take one message."""
+        state = self._state
+        if message.sender == state.node:
+            state.count(Drop.OWN_NAME)
+            if message.incarnation > state.incarnation:
+                self._liveness.report_duplicate(state.node, now)
+            return
+        known = message.sender in state.view.records
+        if known and not self._check_sender(message, sender, now):
+            return
+        self._gossip.take_deltas(message, sender, now)
+        if message.acknowledged:
+            self._liveness.acknowledge(message.acknowledged, now)
+        if message.sender not in state.view.records:
+            self._ask_name(message, sender, now)
+            return
+        state.refresh_contacts(now)
+        for suspicion in message.suspicions:
+            self._liveness.take_suspicion(suspicion, now)
+        if message.population:
+            self._joining.note_answer(message.population)
+        if message.versions or message.buckets:
+            self._gossip.take_versions(message, sender, now)
+        if message.wanted:
+            self._gossip.push(message.wanted[:MAX_WANTED], sender, now)
+        if message.probe:
+            self._answer(message, sender, now)
+        self._take_catalogue(message, sender, now)
+        if message.evidence:
+            self._take_evidence(message.evidence, now)
+        if message.evidence_received:
+            self._post.acknowledge(message.evidence_received)
+
+    def _check_sender(
+        self, message: Message, sender: Address, now: Seconds
+    ) -> bool:
+        record = self._state.view.records[message.sender]
+        if message.incarnation >= record.incarnation:
+            if message.incarnation == record.incarnation:
+                self._liveness.check_rival(message, sender, now)
+            return True
+        self._state.count(Drop.OLD_INCARNATION)
+        self._liveness.check_rival(message, sender, now)
+        return False
+
+    def _ask_name(
+        self, message: Message, sender: Address, now: Seconds
+    ) -> None:
+        # The record of a live sender may still be on its way, so it gets an
+        # acknowledgement and this node's own record in return for its own.
+        self._state.count(Drop.UNKNOWN_SENDER)
+        if message.probe is None or message.probe.target is not None:
+            return
+        self._state.send_address(
+            sender,
+            Priority.PROBE,
+            acknowledged=message.probe.sequence,
+            wanted=(self._state.view.version_of(message.sender),),
+        )
+
+    def _answer(self, message: Message, sender: Address, now: Seconds) -> None:
+        assert message.probe is not None
+        state = self._state
+        sequence = self._liveness.answer_probe(message.probe, sender, now)
+        if not sequence:
+            return
+        if not message.digest:
+            state.send_address(sender, Priority.PROBE, acknowledged=sequence)
+            return
+        fields: dict[str, object] = {"acknowledged": sequence}
+        if message.population:
+            listed = self._gossip.answer_digest(message.digest, sender)
+            room = 0 if listed else RIDE_ROOM
+            fields.update(state.ride_along(now, room), **listed)
+            doubt = state.view.doubts.get(message.sender)
+            if doubt is not None:
+                told = self._liveness.suspicion_of(message.sender, now)
+                fields["suspicions"] = (told,)
+        else:
+            # A greeting comes from a node that may know nobody.
+            fields["population"] = len(state.view.records)
+            fields["deltas"] = self._introduce(message.sender, now)
+        state.send_address(sender, Priority.PROBE, **fields)
+
+    def _introduce(
+        self, stranger: NodeId, now: Seconds
+    ) -> tuple[RecordDelta, ...]:
+        state = self._state
+        peers = state.contacts.pick_local(INTRODUCTIONS, (stranger,))
+        peers += state.contacts.pick_remote()[:1]
+        found = [
+            state.delta_after(
+                node, Incarnation(0), Version(0), now, INTRODUCTION_BYTES
+            )
+            for node in dict.fromkeys([state.node, *peers])
+            if node != stranger
+        ]
+        return tuple(delta for delta in found if delta is not None)
+
+    def _take_catalogue(
+        self, message: Message, sender: Address, now: Seconds
+    ) -> None:
+        catalogue = self._state.catalogue
+        if message.update:
+            self._take_update(message.update, message, sender, now)
+        elif message.head and message.head.version > catalogue.version:
+            catalogue.highest = max(catalogue.highest, message.head.version)
+            if not catalogue.fetching:
+                self._state.send_address(
+                    sender,
+                    Priority.URGENT,
+                    requests=(catalogue.request_next(),),
+                )
+        for request in message.requests[:MAX_REQUESTS]:
+            update, chunk = catalogue.answer(request)
+            if update or chunk:
+                self._state.send_address(
+                    sender, Priority.PROBE, update=update, chunk=chunk
+                )
+        if message.chunk and catalogue.take_chunk(message.chunk, now):
+            self._state.notify(ChangeKind.CATALOGUE_HEAD, message.sender, now)
+
+    def _take_update(
+        self,
+        update: CatalogueUpdate,
+        message: Message,
+        sender: Address,
+        now: Seconds,
+    ) -> None:
+        catalogue = self._state.catalogue
+        before = catalogue.version
+        if update.head.version <= before:
+            self._state.count(Drop.STALE_CATALOGUE)
+            return
+        news, request = catalogue.receive(update, now)
+        if request is not None:
+            self._state.send_address(
+                sender, Priority.URGENT, requests=(request,)
+            )
+        if news:
+            self._state.broadcast(message.sender, update=update)
+        if catalogue.version > before:
+            self._state.notify(ChangeKind.CATALOGUE_HEAD, message.sender, now)
+
+    def _take_evidence(self, evidence: Evidence, now: Seconds) -> None:
+        state = self._state
+        if evidence.target != state.node:
+            if evidence.origin != state.node and state.is_live(evidence.target):
+                state.send(evidence.target, Priority.URGENT, evidence=evidence)
+            else:
+                state.count(Drop.UNDELIVERABLE_EVIDENCE)
+            return
+        state.send(
+            evidence.origin,
+            Priority.URGENT,
+            evidence_received=evidence.sequence,
+        )
+        if not self._post.is_new(evidence):
+            state.count(Drop.REPLAYED_EVIDENCE)
+        elif self._sink is not None:
+            self._sink.receive(evidence.origin, evidence.payload, now)
--- /dev/null
+++ b/egretlever/membership/_snapshots.py
@@ -0,0 +1,149 @@
+"""Typed snapshots of the known nodes and servers."""
+
+import dataclasses
+
+from egretlever.core import (
+    Address,
+    FailureDomain,
+    HostName,
+    Incarnation,
+    NodeId,
+    NodeState,
+    RegionName,
+    Seconds,
+    Server,
+    ServerState,
+    Version,
+)
+from egretlever.membership._interfaces import Warmup
+from egretlever.membership._records import NodeRecord, ServerEntry
+from egretlever.membership._state import State
+
+DEFAULT_WARMUP = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeSnapshot:
+    """What is known of one node.
+
+    Parameters
+    ----------
+    id, incarnation, version, traffic, gossip, admin, host, failure_domain
+        From the node's record, as is ``region``.
+    state : NodeState
+        Liveness as this node sees it.
+    servers : int
+        Servers in the record that are not stopped.
+    """
+
+    id: NodeId
+    incarnation: Incarnation
+    version: Version
+    state: NodeState
+    traffic: Address
+    gossip: Address
+    admin: Address
+    host: HostName
+    failure_domain: FailureDomain
+    region: RegionName
+    servers: int
+
+
+class Snapshots:
+    """Makes snapshots of the view.
+
+    Parameters
+    ----------
+    state : State
+        Shared state of the member.
+    warmup : Warmup or None
+        Gives the ramp of cold servers; 5 s when absent.
+    """
+
+    def __init__(self, state: State, warmup: Warmup | None) -> None:
+        self._state = state
+        self._warmup = warmup
+
+    def nodes(self) -> list[NodeSnapshot]:
+        """Return all known nodes."""
+        view = self._state.view
+        found = []
+        for node, record in view.records.items():
+            header = record.header
+            count = sum(
+                entry.state is not ServerState.STOPPED
+                for entry in record.entries.values()
+            )
+            found.append(
+                NodeSnapshot(
+                    node,
+                    record.incarnation,
+                    record.version,
+                    view.state(node),
+                    header.traffic,
+                    header.gossip,
+                    header.admin,
+                    header.host,
+                    header.failure_domain,
+                    header.region,
+                    count,
+                )
+            )
+        return found
+
+    def servers(self) -> list[Server]:
+        """Return all known servers but stopped ones.
+
+        A server of a node that left is draining; one of a dead node, or one
+        that stopped announcing itself, is orphaned.
+        """
+        view = self._state.view
+        found = {}
+        for node, record in view.records.items():
+            state = view.state(node)
+            for entry in record.entries.values():
+                orphaned = entry.silent or state is NodeState.DEAD
+                server = self._server(record, entry, orphaned)
+                if server is not None:
+                    found[entry.id] = server
+        for server_id, orphan in view.orphans.items():
+            if server_id not in found:
+                server = self._server(orphan.record, orphan.entry, True)
+                if server is not None:
+                    found[server_id] = server
+        return list(found.values())
+
+    def _server(
+        self, record: NodeRecord, entry: ServerEntry, orphaned: bool
+    ) -> Server | None:
+        settled = self._state.view.settle(entry)
+        state = settled.state
+        if state is ServerState.STOPPED:
+            return None
+        if record.state is NodeState.LEFT:
+            state = ServerState.DRAINING
+        header = record.header
+        return Server(
+            entry.id,
+            entry.service,
+            entry.address,
+            header.host,
+            header.node,
+            header.failure_domain,
+            header.region,
+            entry.slots,
+            entry.connections,
+            state,
+            entry.incarnation,
+            self._warm_at(entry),
+            orphaned,
+        )
+
+    def _warm_at(self, entry: ServerEntry) -> Seconds:
+        known = self._state.view.started.get(entry.id)
+        if known is None or known[0] != entry.incarnation:
+            return Seconds(0.0)
+        ramp = DEFAULT_WARMUP
+        if self._warmup is not None:
+            ramp = self._warmup.duration(entry.service)
+        return Seconds(known[1] + ramp)
--- /dev/null
+++ b/egretlever/membership/_view.py
@@ -0,0 +1,271 @@
+"""Copies of all records, with doubts, orphans and tombstones."""
+
+import collections
+import dataclasses
+from collections.abc import Iterator
+
+from egretlever.core import (
+    Incarnation,
+    NodeId,
+    NodeState,
+    Seconds,
+    ServerId,
+    Version,
+)
+from egretlever.membership._messages import RecordVersion, Suspicion
+from egretlever.membership._records import (
+    BUCKETS,
+    NodeRecord,
+    RecordDelta,
+    ServerEntry,
+    apply_delta,
+    hash_record,
+    hash_text,
+)
+
+MAX_TOMBSTONES = 4096
+MAX_DEPARTED = 32768
+
+Stamp = tuple[Incarnation, Version]
+
+
+@dataclasses.dataclass(slots=True)
+class Doubt:
+    """Local belief that a node may be gone.
+
+    Parameters
+    ----------
+    stamp : tuple of Incarnation and Version
+        The doubted record; a newer one ends the doubt.
+    state : NodeState
+        SUSPECT or DEAD.
+    since : Seconds
+        When the state was reached.
+    """
+
+    stamp: Stamp
+    state: NodeState
+    since: Seconds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Orphan:
+    """A server whose home node restarted and has not announced it again."""
+
+    record: NodeRecord
+    entry: ServerEntry
+    since: Seconds
+
+
+class View:
+    """Copies of records, their bucket hashes, and what is doubted.
+
+    Parameters
+    ----------
+    orphan_time : float
+        Time for which records of dead nodes are kept, in seconds.
+    """
+
+    def __init__(self, orphan_time: float) -> None:
+        self._orphan_time = orphan_time
+        self.records: dict[NodeId, NodeRecord] = {}
+        self.doubts: dict[NodeId, Doubt] = {}
+        self.orphans: dict[ServerId, Orphan] = {}
+        self.started: dict[ServerId, tuple[Incarnation, Seconds]] = {}
+        self.digest = [0] * BUCKETS
+        self.generation = 0
+        self._members: list[set[NodeId]] = [set() for _ in range(BUCKETS)]
+        self._bucket_of: dict[NodeId, int] = {}
+        self._hashes: dict[NodeId, int] = {}
+        self._left: dict[NodeId, Seconds] = {}
+        self._tombstones: collections.OrderedDict[NodeId, Stamp] = (
+            collections.OrderedDict()
+        )
+        self._departed: collections.OrderedDict[ServerId, ServerEntry] = (
+            collections.OrderedDict()
+        )
+
+    def state(self, node: NodeId) -> NodeState:
+        """Return the liveness of a node whose record is held."""
+        record = self.records[node]
+        if record.state is NodeState.LEFT:
+            return NodeState.LEFT
+        doubt = self.doubts.get(node)
+        return doubt.state if doubt else NodeState.ALIVE
+
+    def live(self) -> Iterator[NodeRecord]:
+        """Iterate over the records of nodes that are not dead or left."""
+        for node, record in self.records.items():
+            if self.state(node) in (NodeState.ALIVE, NodeState.SUSPECT):
+                yield record
+
+    def bucket(self, node: NodeId) -> int:
+        """Return the bucket of the digest that a node's record counts in."""
+        found = self._bucket_of.get(node)
+        return hash_text(node) % BUCKETS if found is None else found
+
+    def versions(self, bucket: int) -> list[RecordVersion]:
+        """Return the versions of all records in a bucket of the digest."""
+        return [self.version_of(node) for node in self._members[bucket]]
+
+    def version_of(self, node: NodeId) -> RecordVersion:
+        """Return the version held of a node's record, 0 for none."""
+        record = self.records.get(node)
+        if record is None:
+            return RecordVersion(node, Incarnation(0), Version(0))
+        doubt = self.doubts.get(node)
+        dead = doubt is not None and doubt.state is NodeState.DEAD
+        return RecordVersion(node, record.incarnation, record.version, dead)
+
+    def is_buried(self, node: NodeId, stamp: Stamp) -> bool:
+        """Whether a record was dropped at this or a newer version."""
+        buried = self._tombstones.get(node)
+        return buried is not None and stamp <= buried
+
+    def bury_suspicion(self, node: NodeId) -> Suspicion:
+        """Return the suspicion that tells others of a dropped record."""
+        incarnation, version = self._tombstones[node]
+        return Suspicion(
+            node, incarnation, version, NodeState.DEAD, self._orphan_time
+        )
+
+    def apply(self, delta: RecordDelta, now: Seconds) -> NodeRecord | None:
+        """Apply a delta; return the newer record, None when it is refused."""
+        node = delta.node
+        if self.is_buried(node, (delta.incarnation, delta.version)):
+            return None
+        held = self.records.get(node)
+        record = apply_delta(held, delta)
+        if record is None:
+            return None
+        if held is not None and held.incarnation < record.incarnation:
+            self._keep_orphans(held, now)
+        self._note_entries(delta, now)
+        self._tombstones.pop(node, None)
+        doubt = self.doubts.get(node)
+        if doubt is not None and doubt.stamp < record.stamp:
+            del self.doubts[node]
+            self.generation += 1
+        self.store(record, now)
+        return record
+
+    def store(self, record: NodeRecord, now: Seconds) -> None:
+        """Hold a record in place of an older one."""
+        node = record.header.node
+        old = self.records.get(node)
+        self.records[node] = record
+        if old is None:
+            self._bucket_of[node] = hash_text(node) % BUCKETS
+            self._members[self._bucket_of[node]].add(node)
+        if old is None or old.state is not record.state:
+            self.generation += 1
+        if record.state is NodeState.LEFT:
+            self._left.setdefault(node, now)
+        else:
+            self._left.pop(node, None)
+        self._rehash(node)
+
+    def _keep_orphans(self, held: NodeRecord, now: Seconds) -> None:
+        for entry in held.entries.values():
+            if not entry.departing and held.state is not NodeState.LEFT:
+                self.orphans[entry.id] = Orphan(held, entry, now)
+
+    def _note_entries(self, delta: RecordDelta, now: Seconds) -> None:
+        for entry in delta.entries:
+            self.orphans.pop(entry.id, None)
+            self.note_entry(entry, now)
+
+    def note_entry(self, entry: ServerEntry, now: Seconds) -> None:
+        """Remember a departure or the start of a server's ramp."""
+        if entry.departing:
+            self._departed[entry.id] = entry
+            if len(self._departed) > MAX_DEPARTED:
+                self._departed.popitem(last=False)
+        elif entry.uptime is not None:
+            known = self.started.get(entry.id)
+            if known is None or known[0] < entry.incarnation:
+                start = Seconds(now - entry.uptime)
+                self.started[entry.id] = (entry.incarnation, start)
+
+    def settle(self, entry: ServerEntry) -> ServerEntry:
+        """Return an entry whose departure is never undone.
+
+        A home node that restarts may announce an older state of the server.
+        """
+        departed = self._departed.get(entry.id)
+        if departed is None or departed.incarnation < entry.incarnation:
+            return entry
+        return entry if entry.departing else departed
+
+    def doubt(
+        self, node: NodeId, stamp: Stamp, state: NodeState, since: Seconds
+    ) -> bool:
+        """Hold a doubt about a record; return whether it is new."""
+        record = self.records.get(node)
+        if record is None or record.state is NodeState.LEFT:
+            return False
+        if stamp < record.stamp:
+            return False
+        held = self.doubts.get(node)
+        if held and (held.state is state or held.state is NodeState.DEAD):
+            return False
+        self.doubts[node] = Doubt(stamp, state, since)
+        if state is NodeState.DEAD:
+            self.generation += 1
+        self._rehash(node)
+        return True
+
+    def clear_suspicion(self, node: NodeId) -> bool:
+        """End a suspicion after direct contact; a death needs a refutation."""
+        doubt = self.doubts.get(node)
+        if doubt is None or doubt.state is not NodeState.SUSPECT:
+            return False
+        del self.doubts[node]
+        return True
+
+    def expired(self, now: Seconds) -> list[NodeId]:
+        """Return dead and left nodes whose records are due to be dropped."""
+        limit = now - self._orphan_time
+        due = [
+            node
+            for node, doubt in self.doubts.items()
+            if doubt.state is NodeState.DEAD and doubt.since <= limit
+        ]
+        return due + [
+            node for node, since in self._left.items() if since <= limit
+        ]
+
+    def drop(self, node: NodeId) -> None:
+        """Drop a record and keep a tombstone against its return."""
+        record = self.records.pop(node)
+        bucket = self._bucket_of.pop(node)
+        self._members[bucket].discard(node)
+        self.digest[bucket] ^= self._hashes.pop(node)
+        self.doubts.pop(node, None)
+        self._left.pop(node, None)
+        self.generation += 1
+        for entry in record.entries:
+            self.started.pop(entry, None)
+        self._tombstones[node] = record.stamp
+        self._tombstones.move_to_end(node)
+        if len(self._tombstones) > MAX_TOMBSTONES:
+            self._tombstones.popitem(last=False)
+
+    def prune(self, now: Seconds, ramp_memory: float) -> None:
+        """Drop old orphans and the starts of servers past any ramp."""
+        limit = now - self._orphan_time
+        for server, orphan in list(self.orphans.items()):
+            if orphan.since <= limit:
+                del self.orphans[server]
+        for server, (_, start) in list(self.started.items()):
+            if start < now - ramp_memory:
+                del self.started[server]
+
+    def _rehash(self, node: NodeId) -> None:
+        record = self.records[node]
+        doubt = self.doubts.get(node)
+        dead = doubt is not None and doubt.state is NodeState.DEAD
+        fresh = hash_record(node, record.incarnation, record.version, dead)
+        bucket = self._bucket_of[node]
+        self.digest[bucket] ^= self._hashes.get(node, 0) ^ fresh
+        self._hashes[node] = fresh
--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -3,10 +3,13 @@
 from egretlever.testing import builders
 from egretlever.testing._clock import VirtualClock, replace_clock, run_virtual
 from egretlever.testing._fakes import FakeObjectStore, FakeTableStore
+from egretlever.testing._gossip import FakeCatalogueCopy, GossipNetwork
 
 __all__ = [
+    "FakeCatalogueCopy",
     "FakeObjectStore",
     "FakeTableStore",
+    "GossipNetwork",
     "VirtualClock",
     "builders",
     "replace_clock",
--- /dev/null
+++ b/egretlever/testing/_gossip.py
@@ -0,0 +1,205 @@
+"""In-memory message queue between members, in virtual time."""
+
+import collections
+import heapq
+import random
+from collections.abc import Callable, Iterable
+
+from egretlever.core import Address, RegionName, Seconds
+from egretlever.membership import (
+    CatalogueHead,
+    CatalogueUpdate,
+    GossipMembership,
+    Message,
+    NodeHeader,
+    Send,
+)
+
+LOCAL_DELAY = 0.0005
+REMOTE_DELAY = 0.008
+
+
+class FakeCatalogueCopy:
+    """Catalogue copy that takes any content whose digest is its length."""
+
+    def __init__(self, head: CatalogueHead, content: bytes = b"") -> None:
+        self.head_ = head
+        self.content_ = content
+        self.history = [head.version]
+
+    def head(self) -> CatalogueHead:
+        """Return the head of the copy."""
+        return self.head_
+
+    def content(self) -> bytes:
+        """Return the content of the copy."""
+        return self.content_
+
+    def offer(self, update: CatalogueUpdate, now: Seconds) -> bool:
+        """Append the change to the content."""
+        return self.load(update.head, self.content_ + update.delta, now)
+
+    def load(self, head: CatalogueHead, content: bytes, now: Seconds) -> bool:
+        """Take the content if its length matches the digest."""
+        if head.digest != str(len(content)):
+            return False
+        self.head_, self.content_ = head, content
+        self.history.append(head.version)
+        return True
+
+
+class GossipNetwork:
+    """Delivers the messages of members with faults, in virtual time.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of losses, delays and duplicates.
+    loss : float, default=0
+        Share of messages lost.
+    duplication : float, default=0
+        Share of messages delivered twice.
+    jitter : float, default=0.001
+        Largest random delay added to a message, which reorders messages.
+
+    Attributes
+    ----------
+    cuts : set of tuple of Address
+        Directions (sender, receiver) that lose everything.
+    paused : set of Address
+        Members that neither receive nor advance; their messages wait.
+    sent : Counter of Address
+        Bytes sent by each member.
+    link : Counter of RegionName
+        Bytes sent over the region link out of each region.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        loss: float = 0.0,
+        duplication: float = 0.0,
+        jitter: float = 0.001,
+    ) -> None:
+        self.now = Seconds(0.0)
+        self.loss = loss
+        self.duplication = duplication
+        self.jitter = jitter
+        self.cuts: set[tuple[Address, Address]] = set()
+        self.split: Callable[[RegionName, RegionName], bool] | None = None
+        self.paused: set[Address] = set()
+        self.members: dict[Address, GossipMembership] = {}
+        self.sent: collections.Counter[Address] = collections.Counter()
+        self.link: collections.Counter[RegionName] = collections.Counter()
+        self.messages = 0
+        self._regions: dict[Address, RegionName] = {}
+        self._waiting: dict[Address, list[tuple[Address, Message]]] = {}
+        self._rng = random.Random(seed)
+        self._events: list[
+            tuple[float, int, Address, Address | None, Message | None]
+        ] = []
+        self._number = 0
+        self._wakes: dict[Address, float] = {}
+
+    def add(self, header: NodeHeader, member: GossipMembership) -> None:
+        """Add a member, or put it in place of an earlier one."""
+        self.members[header.gossip] = member
+        self._regions[header.gossip] = header.region
+        self.paused.discard(header.gossip)
+        self._plan(header.gossip, self.now)
+
+    def remove(self, address: Address) -> None:
+        """Stop a member without a farewell."""
+        self.members.pop(address, None)
+        self._wakes.pop(address, None)
+
+    def pause(self, address: Address) -> None:
+        """Pause a member; messages to it wait."""
+        self.paused.add(address)
+
+    def resume(self, address: Address) -> None:
+        """Let a paused member go on with the messages that waited."""
+        self.paused.discard(address)
+        for sender, message in self._waiting.pop(address, []):
+            self._push(self.now, address, sender, message)
+        self._plan(address, self.now)
+
+    def carry(self, sender: Address, sends: Iterable[Send]) -> None:
+        """Take what a member sends."""
+        for send in sends:
+            self._carry(sender, send)
+
+    def poke(self, address: Address) -> None:
+        """Plan the next call of a member after an outside event."""
+        self._plan(address, self.members[address].wake_at(self.now))
+
+    def run(self, duration: float) -> None:
+        """Deliver messages and move time forward by a duration."""
+        end = self.now + duration
+        events = self._events
+        while events and events[0][0] <= end:
+            at, _, address, sender, message = heapq.heappop(events)
+            self.now = Seconds(max(self.now, at))
+            if sender is None or message is None:
+                if self._wakes.get(address) == at:
+                    del self._wakes[address]
+                    self._advance(address)
+            else:
+                self._deliver(address, sender, message)
+        self.now = Seconds(end)
+
+    def _advance(self, address: Address) -> None:
+        member = self.members.get(address)
+        if member is None or address in self.paused:
+            return
+        self.carry(address, member.advance(self.now))
+        wake = member.wake_at(self.now)
+        self._plan(address, Seconds(max(wake, self.now + 1e-3)))
+
+    def _deliver(
+        self, address: Address, sender: Address, message: Message
+    ) -> None:
+        member = self.members.get(address)
+        if member is None:
+            return
+        if address in self.paused:
+            self._waiting.setdefault(address, []).append((sender, message))
+            return
+        self.carry(address, member.receive(message, sender, self.now))
+        self._plan(address, member.wake_at(self.now))
+
+    def _carry(self, sender: Address, send: Send) -> None:
+        self.messages += 1
+        self.sent[sender] += send.size
+        source = self._regions[sender]
+        target = self._regions.get(send.address, source)
+        if source != target:
+            self.link[source] += send.size
+        if (sender, send.address) in self.cuts:
+            return
+        if self.split is not None and self.split(source, target):
+            return
+        if self.loss and self._rng.random() < self.loss:
+            return
+        delay = LOCAL_DELAY if source == target else REMOTE_DELAY
+        copies = 1 + (self._rng.random() < self.duplication)
+        for _ in range(copies):
+            jitter = self._rng.random() * self.jitter
+            at = self.now + delay + jitter
+            self._push(at, send.address, sender, send.message)
+
+    def _push(
+        self, at: float, address: Address, sender: Address, message: Message
+    ) -> None:
+        self._number += 1
+        heapq.heappush(
+            self._events, (at, self._number, address, sender, message)
+        )
+
+    def _plan(self, address: Address, at: float) -> None:
+        planned = self._wakes.get(address)
+        if planned is not None and planned <= at:
+            return
+        self._wakes[address] = at
+        self._number += 1
+        heapq.heappush(self._events, (at, self._number, address, None, None))
--- a/egretlever/testing/builders.py
+++ b/egretlever/testing/builders.py
@@ -17,6 +17,7 @@
     ServerState,
     ServiceName,
 )
+from egretlever.membership import NodeHeader, ServerAnnouncement
 from egretlever.schema import catalogue_pb2
 
 
@@ -141,3 +142,37 @@
         "concurrency_limit": 10000,
     }
     return catalogue_pb2.Service(**{**fields, **changes})
+
+
+def build_header(number: int = 1, **changes: Any) -> NodeHeader:
+    """Build a node's header; numbers alternate over four failure domains."""
+    domain = number % 4
+    ip = f"10.{number // 65536}.{number // 256 % 256}.{number % 256}"
+    fields: dict[str, Any] = {
+        "node": NodeId(f"node-{number}"),
+        "traffic": Address(ip, 8080),
+        "gossip": Address(ip, 7946),
+        "admin": Address(ip, 9090),
+        "host": HostName(f"host-{number}"),
+        "failure_domain": FailureDomain(f"domain-{domain}"),
+        "region": RegionName("punjab" if domain < 2 else "sindh"),
+    }
+    return NodeHeader(**{**fields, **changes})
+
+
+def build_announcement(
+    number: int = 1, host: int = 1, **changes: Any
+) -> ServerAnnouncement:
+    """Build the announcement of a serving server on a numbered host."""
+    header = build_header(host)
+    fields: dict[str, Any] = {
+        "id": ServerId(f"server-{host}-{number}"),
+        "service": ServiceName(f"service-{(host * 14 + number) % 380}"),
+        "address": Address(header.traffic.ip, 20000 + number),
+        "state": ServerState.SERVING,
+        "incarnation": Incarnation(1),
+        "slots": 4,
+        "connections": 330,
+        "uptime": 3600.0,
+    }
+    return ServerAnnouncement(**{**fields, **changes})
