--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -9,12 +9,15 @@
     reserve_addresses,
     wait_until,
 )
+from egretlever.testing._gossip import FakeCatalogueCopy, GossipNetwork
 
 __all__ = [
+    "FakeCatalogueCopy",
     "FakeObjectStore",
     "FakeTableStore",
     "Fleet",
     "RunningProgram",
+    "GossipNetwork",
     "VirtualClock",
     "builders",
     "replace_clock",
