--- a/egretlever/orders/__init__.py
+++ b/egretlever/orders/__init__.py
@@ -1,1 +1,47 @@
 """Order claims, which run an order at most once."""
+
+from egretlever.orders._encoding import digest_request
+from egretlever.orders._ledger import (
+    LedgerView,
+    ModeSource,
+    OrderLedger,
+    make_order_ledger,
+)
+from egretlever.orders._rows import (
+    Claim,
+    Claimed,
+    ClaimResult,
+    Held,
+    Known,
+    OrderRequest,
+    RecordedAnswer,
+    Refused,
+    Unavailable,
+)
+from egretlever.orders._sweep import (
+    ClaimSweep,
+    SweepReport,
+    choose_sweeper,
+    make_claim_sweep,
+)
+
+__all__ = [
+    "Claim",
+    "ClaimResult",
+    "ClaimSweep",
+    "Claimed",
+    "Held",
+    "Known",
+    "LedgerView",
+    "ModeSource",
+    "OrderLedger",
+    "OrderRequest",
+    "RecordedAnswer",
+    "Refused",
+    "SweepReport",
+    "Unavailable",
+    "choose_sweeper",
+    "digest_request",
+    "make_claim_sweep",
+    "make_order_ledger",
+]
--- /dev/null
+++ b/egretlever/orders/_backlog.py
@@ -0,0 +1,144 @@
+"""Deferred writes of claim rows, in batches."""
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+from returns.result import Failure
+
+from egretlever.core import OrderKey, Version, make_log
+from egretlever.orders._encoding import decode_claim, encode_claim, make_row_key
+from egretlever.orders._rows import ClaimRow, choose_write
+from egretlever.platform import Row, StoreErrorKind, TableStore
+
+_LOG = make_log("orders")
+
+# One transaction of 32 rows with answers of 4 KiB stays near 128 KiB.
+BATCH_SIZE = 32
+# Each refused batch corrects the versions of all conflicting rows, so a
+# further refusal means that another node wrote in between.
+_MAX_TRIES = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeferredWrite:
+    """A claim row to be written.
+
+    Parameters
+    ----------
+    row : ClaimRow
+        Row to be written.
+    version : Version
+        Expected version of the current row, corrected when refused.
+    claim_ids : frozenset of str
+        Claim ids of this node whose rows it may write over.
+    """
+
+    row: ClaimRow
+    version: Version
+    claim_ids: frozenset[str]
+
+
+class Backlog:
+    """Deferred writes of one node, at most one for each key.
+
+    Parameters
+    ----------
+    store : TableStore
+        Where the rows are written.
+    capacity : int
+        Largest number of writes.
+    """
+
+    def __init__(self, store: TableStore, capacity: int) -> None:
+        self._store = store
+        self._capacity = capacity
+        self._writes: collections.OrderedDict[OrderKey, DeferredWrite] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._writes)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further key is accepted."""
+        return len(self._writes) >= self._capacity
+
+    def get(self, key: OrderKey) -> DeferredWrite | None:
+        """Return the deferred write of a key, None without one."""
+        return self._writes.get(key)
+
+    def put(self, write: DeferredWrite) -> bool:
+        """Defer a write in place of an earlier one; False when full."""
+        key = write.row.key
+        if key not in self._writes and self.is_full:
+            return False
+        self._writes[key] = write
+        return True
+
+    def discard(self, key: OrderKey) -> None:
+        """Drop the write of a key, if any."""
+        self._writes.pop(key, None)
+
+    async def flush(self, keys: Iterable[OrderKey] | None = None) -> int:
+        """Write one batch of rows in one transaction.
+
+        Parameters
+        ----------
+        keys : iterable of OrderKey, optional
+            Keys to write; the oldest ones when absent.
+
+        Returns
+        -------
+        int
+            Writes that are done and removed.
+        """
+        before = len(self._writes)
+        chosen = list(keys if keys is not None else self._writes)[:BATCH_SIZE]
+        for _ in range(_MAX_TRIES):
+            batch = [self._writes[key] for key in chosen if key in self._writes]
+            if not batch or not await self._write_batch(batch):
+                break
+        return max(0, before - len(self._writes))
+
+    async def _write_batch(self, batch: list[DeferredWrite]) -> bool:
+        """Write a batch; True when it is worth another try at once."""
+        result = await self._store.write(
+            {make_row_key(w.row.key): encode_claim(w.row) for w in batch},
+            {make_row_key(w.row.key): w.version for w in batch},
+        )
+        if not isinstance(result, Failure):
+            for write in batch:
+                self._finish(write)
+            return False
+        error = result.failure()
+        if error.kind is not StoreErrorKind.REFUSED_CONDITION:
+            return False
+        conflicts = {row.key: row for row in error.conflicts}
+        for write in batch:
+            current = conflicts.get(make_row_key(write.row.key))
+            if current is not None:
+                self._correct(write, current)
+        return bool(conflicts)
+
+    def _finish(self, write: DeferredWrite) -> None:
+        # A newer write of the key may have come while this one was sent.
+        if self._writes.get(write.row.key) is write:
+            del self._writes[write.row.key]
+
+    def _correct(self, write: DeferredWrite, current: Row) -> None:
+        if self._writes.get(write.row.key) is not write:
+            return
+        row = decode_claim(current.value) if current.version else None
+        decision = choose_write(row, write.row, write.claim_ids)
+        if current.version and row is None:
+            decision = None
+        if decision:
+            self._writes[write.row.key] = dataclasses.replace(
+                write, version=current.version
+            )
+            return
+        if decision is None:
+            _LOG.info("key %s belongs to another claim", write.row.key)
+        self._finish(write)
--- /dev/null
+++ b/egretlever/orders/_ledger.py
@@ -0,0 +1,404 @@
+"""Order ledger: claims in the table service before any dispatch."""
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from egretlever.core import (
+    Interval,
+    NodeId,
+    OrderKey,
+    OrderMode,
+    Outcome,
+    Seconds,
+    ServiceName,
+    Version,
+    check_parameters,
+    make_log,
+    require,
+)
+from egretlever.orders._backlog import Backlog, DeferredWrite
+from egretlever.orders._claiming import ClaimTry, ClaimTryEnd, try_claim
+from egretlever.orders._memory import RecentKey, RecentKeys
+from egretlever.orders._rows import (
+    Claim,
+    Claimed,
+    ClaimResult,
+    ClaimRow,
+    ClaimState,
+    Held,
+    Known,
+    OrderRequest,
+    RecordedAnswer,
+    Refused,
+    Unavailable,
+    check_request,
+)
+from egretlever.platform import TableStore
+
+_LOG = make_log("orders")
+
+# The schema allows timeouts of up to an hour, so no request is dispatched
+# later than that after its claim. Claims are kept for 7 days.
+MAX_DISPATCH_DELAY = Seconds(3600.0)
+# Largest part of an answer that is recorded. 2,048 recent answers of this
+# size take 8 MB of the 256 MB that a node may use.
+MAX_ANSWER_BYTES = 4096
+_RETRY_AFTER = Seconds(1.0)
+
+ModeSource = Callable[[ServiceName], OrderMode]
+
+
+class OrderLedger(Protocol):
+    """Runs each order at most once."""
+
+    async def claim(self, request: OrderRequest, now: Seconds) -> ClaimResult:
+        """Claim an order before its dispatch."""
+
+    def may_dispatch(self, claim: Claim, now: Seconds) -> bool:
+        """Whether a claim still allows a dispatch."""
+
+    async def record(
+        self,
+        claim: Claim,
+        outcome: Outcome,
+        answer: RecordedAnswer | None = None,
+    ) -> None:
+        """Record how a claimed order ended."""
+
+    async def flush(self) -> int:
+        """Write a batch of deferred rows."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedgerView:
+    """Snapshot of a ledger for operators.
+
+    Parameters
+    ----------
+    active : int
+        Orders claimed by this node that have not ended.
+    recent : int
+        Keys in the node's memory.
+    deferred : int
+        Rows that wait for the store.
+    """
+
+    active: int
+    recent: int
+    deferred: int
+
+
+class TableOrderLedger:
+    """Order ledger over the table service.
+
+    Parameters
+    ----------
+    store : TableStore
+        Table service.
+    node_id : NodeId
+        Name of the node, written into its claims.
+    find_mode : callable
+        Gives the order mode of a service.
+    randomness : random.Random
+        Source of claim ids and of the jitter of ``retry_after``.
+    read_unix_time : callable
+        Gives the Unix time in seconds, the age of claims.
+    recent_capacity : int
+        Keys kept in memory.
+    backlog_capacity : int
+        Rows that may wait for the store.
+    """
+
+    def __init__(
+        self,
+        store: TableStore,
+        node_id: NodeId,
+        find_mode: ModeSource,
+        randomness: random.Random,
+        read_unix_time: Callable[[], float],
+        recent_capacity: int,
+        backlog_capacity: int,
+    ) -> None:
+        check_parameters(
+            "OrderLedger",
+            {
+                "recent_capacity": recent_capacity,
+                "backlog_capacity": backlog_capacity,
+            },
+            {
+                "recent_capacity": Interval(1),
+                "backlog_capacity": Interval(1),
+            },
+        )
+        self._store = store
+        self._node_id = node_id
+        self._find_mode = find_mode
+        self._randomness = randomness
+        self._read_unix_time = read_unix_time
+        self._backlog = Backlog(store, backlog_capacity)
+        self._recent = RecentKeys(recent_capacity)
+        # Claim ids of the orders that this node claims or runs now.
+        self._active: dict[OrderKey, str] = {}
+
+    async def claim(self, request: OrderRequest, now: Seconds) -> ClaimResult:
+        """Claim an order before its dispatch.
+
+        Parameters
+        ----------
+        request : OrderRequest
+            The order.
+        now : Seconds
+            Clock reading.
+
+        Returns
+        -------
+        Claimed, Known, Held, Unavailable or Refused
+            Only ``Claimed`` allows a dispatch.
+        """
+        problem = check_request(request)
+        if problem is not None:
+            return Refused(problem)
+        known = self._look_up(request)
+        if known is not None:
+            return known
+        row = self._make_row(request)
+        attempt = ClaimTry(
+            request,
+            row,
+            self._find_mode(request.service),
+            self._list_undispatched(request.key),
+        )
+        self._active[request.key] = row.claim_id
+        result: ClaimResult | None = None
+        try:
+            end = await try_claim(self._store, attempt)
+            result = self._conclude(attempt, end, now)
+            return result
+        finally:
+            if not isinstance(result, Claimed):
+                self._give_back(attempt, result)
+
+    def _look_up(self, request: OrderRequest) -> ClaimResult | None:
+        """Answer from memory, None when the store has to be asked."""
+        if request.key in self._active:
+            return Held("the order is in progress on this node")
+        deferred = self._backlog.get(request.key)
+        if deferred is not None:
+            if deferred.row.digest != request.digest:
+                return Refused("the order key belongs to another request")
+            if deferred.row.answer is not None:
+                return Known(deferred.row.answer)
+            if deferred.row.state is ClaimState.PENDING:
+                return Held("the order was dispatched, its outcome is unknown")
+        recent = self._recent.get(request.key)
+        if recent is None:
+            return None
+        if recent.digest != request.digest:
+            return Refused("the order key belongs to another request")
+        # Without an answer the row is read: another node can't complete the
+        # order, but an operator or a late record may have.
+        return Known(recent.answer) if recent.answer is not None else None
+
+    def _make_row(self, request: OrderRequest) -> ClaimRow:
+        return ClaimRow(
+            key=request.key,
+            claim_id=f"{self._node_id}/{self._randomness.getrandbits(96):024x}",
+            node=self._node_id,
+            service=request.service,
+            digest=request.digest,
+            state=ClaimState.PENDING,
+            at=self._read_unix_time(),
+        )
+
+    def _list_undispatched(self, key: OrderKey) -> frozenset[str]:
+        deferred = self._backlog.get(key)
+        if deferred is None or deferred.row.state is not ClaimState.RELEASED:
+            return frozenset()
+        return deferred.claim_ids
+
+    def _conclude(
+        self, attempt: ClaimTry, end: ClaimTryEnd, now: Seconds
+    ) -> ClaimResult:
+        if end.answer is not None:
+            if isinstance(end.answer, Known):
+                self._recent.put(
+                    attempt.request.key,
+                    RecentKey(attempt.request.digest, end.answer.answer),
+                )
+            return end.answer
+        limit = Seconds(now + MAX_DISPATCH_DELAY)
+        if end.version is not None:
+            # The row is taken over, so its earlier release is out of date.
+            self._backlog.discard(attempt.request.key)
+            return Claimed(Claim(attempt.row, end.version, limit))
+        return self._conclude_without_store(attempt, limit)
+
+    def _conclude_without_store(
+        self, attempt: ClaimTry, limit: Seconds
+    ) -> ClaimResult:
+        request = attempt.request
+        first = request.attempt == 1
+        may_run = attempt.mode is OrderMode.FIRST_ATTEMPT and first
+        # A full backlog could not keep the claim until the store is back.
+        if may_run and self._defer(
+            attempt.row, Version(0), attempt.undispatched
+        ):
+            _LOG.info("order %s runs before its claim", request.key)
+            return Claimed(Claim(attempt.row, Version(0), limit))
+        jitter = self._randomness.random()
+        return Unavailable(
+            "the order could not be claimed",
+            Outcome.NOT_RUN if first else Outcome.UNKNOWN,
+            Seconds(_RETRY_AFTER * (1 + jitter)),
+        )
+
+    def _give_back(self, attempt: ClaimTry, result: ClaimResult | None) -> None:
+        """End a claim that allows no dispatch, also when cancelled."""
+        key = attempt.request.key
+        self._active.pop(key, None)
+        if attempt.unsure and not isinstance(result, (Known, Held, Refused)):
+            # The claim may still be written. Its release is conditional on
+            # the same version, so that only one of both takes effect.
+            released = dataclasses.replace(
+                attempt.row, state=ClaimState.RELEASED
+            )
+            self._defer(released, attempt.version, attempt.undispatched)
+
+    def _defer(
+        self, row: ClaimRow, version: Version, others: frozenset[str]
+    ) -> bool:
+        return self._backlog.put(
+            DeferredWrite(row, version, others | {row.claim_id})
+        )
+
+    def may_dispatch(self, claim: Claim, now: Seconds) -> bool:
+        """Whether a claim still allows a dispatch.
+
+        A node that was paused for an hour after the claim drops the order, so
+        that no dispatch comes near the 7 days after which claims are removed.
+        """
+        is_active = self._active.get(claim.row.key) == claim.row.claim_id
+        return is_active and now < claim.dispatch_before
+
+    async def record(
+        self,
+        claim: Claim,
+        outcome: Outcome,
+        answer: RecordedAnswer | None = None,
+    ) -> None:
+        """Record how a claimed order ended.
+
+        A completed order is written by the next ``flush``. An order that was
+        proved not run is released at once, because its caller is invited to
+        try again. An unknown outcome needs no write: a claim without an
+        outcome says the same.
+
+        Parameters
+        ----------
+        claim : Claim
+            The claim, as ``claim`` gave it.
+        outcome : Outcome
+            How the order ended.
+        answer : RecordedAnswer, optional
+            Answer of a completed order.
+        """
+        key = claim.row.key
+        if self._active.get(key, claim.row.claim_id) != claim.row.claim_id:
+            _LOG.warning("the outcome of an earlier claim of %s is late", key)
+            return
+        self._active.pop(key, None)
+        if outcome is Outcome.COMPLETED:
+            self._complete(claim, answer or RecordedAnswer(0, omitted=True))
+        elif outcome is Outcome.UNKNOWN:
+            self._recent.put(key, RecentKey(claim.row.digest, None))
+        else:
+            await self._release(claim)
+
+    def _complete(self, claim: Claim, answer: RecordedAnswer) -> None:
+        if len(answer.body) > MAX_ANSWER_BYTES:
+            answer = dataclasses.replace(answer, body=b"", omitted=True)
+        row = dataclasses.replace(
+            claim.row, state=ClaimState.COMPLETED, answer=answer
+        )
+        self._recent.put(row.key, RecentKey(row.digest, answer))
+        if not self._defer(row, claim.version, self._list_ids(row.key)):
+            _LOG.warning("the outcome of order %s is not recorded", row.key)
+
+    async def _release(self, claim: Claim) -> None:
+        key = claim.row.key
+        recent = self._recent.get(key)
+        require(
+            "completed-order-not-released",
+            recent is None or recent.answer is None,
+            key,
+        )
+        self._recent.forget(key)
+        row = dataclasses.replace(claim.row, state=ClaimState.RELEASED)
+        if self._defer(row, claim.version, self._list_ids(key)):
+            await self._backlog.flush([key])
+
+    def _list_ids(self, key: OrderKey) -> frozenset[str]:
+        deferred = self._backlog.get(key)
+        return deferred.claim_ids if deferred is not None else frozenset()
+
+    async def flush(self) -> int:
+        """Write a batch of deferred rows and return how many are done."""
+        return await self._backlog.flush()
+
+    def describe(self) -> LedgerView:
+        """Return a snapshot for operators."""
+        return LedgerView(
+            len(self._active), len(self._recent), len(self._backlog)
+        )
+
+
+def make_order_ledger(
+    store: TableStore,
+    node_id: NodeId,
+    find_mode: ModeSource,
+    randomness: random.Random,
+    read_unix_time: Callable[[], float] = time.time,
+    recent_capacity: int = 2048,
+    backlog_capacity: int = 10_000,
+) -> TableOrderLedger:
+    """Make the order ledger of a node.
+
+    Parameters
+    ----------
+    store : TableStore
+        Table service.
+    node_id : NodeId
+        Name of the node.
+    find_mode : callable
+        Gives the ``OrderMode`` of a service by its name.
+    randomness : random.Random
+        Source of claim ids. Two nodes must not share a seed and a name.
+    read_unix_time : callable, default=time.time
+        Gives the Unix time in seconds.
+    recent_capacity : int, default=2048
+        Keys kept in memory.
+    backlog_capacity : int, default=10000
+        Rows that may wait for the store.
+
+    Returns
+    -------
+    TableOrderLedger
+        An ``OrderLedger``.
+
+    Raises
+    ------
+    FindingsError
+        When a capacity is below 1.
+    """
+    return TableOrderLedger(
+        store,
+        node_id,
+        find_mode,
+        randomness,
+        read_unix_time,
+        recent_capacity,
+        backlog_capacity,
+    )
--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -3,12 +3,18 @@
 from egretlever.testing import builders
 from egretlever.testing._clock import VirtualClock, replace_clock, run_virtual
 from egretlever.testing._fakes import FakeObjectStore, FakeTableStore
+from egretlever.testing._order_world import OrderWorld, run_steps
+from egretlever.testing._stepped_store import SteppedTableStore, pause
 
 __all__ = [
     "FakeObjectStore",
     "FakeTableStore",
+    "OrderWorld",
+    "SteppedTableStore",
     "VirtualClock",
     "builders",
+    "pause",
     "replace_clock",
+    "run_steps",
     "run_virtual",
 ]
--- a/egretlever/testing/builders.py
+++ b/egretlever/testing/builders.py
@@ -6,10 +6,12 @@
     Address,
     Attempt,
     AttemptResult,
+    Digest,
     FailureDomain,
     HostName,
     Incarnation,
     NodeId,
+    OrderKey,
     RegionName,
     Seconds,
     Server,
@@ -17,6 +19,7 @@
     ServerState,
     ServiceName,
 )
+from egretlever.orders import OrderRequest
 from egretlever.schema import catalogue_pb2
 
 
@@ -63,6 +66,19 @@
     return Attempt(**{**fields, **changes})
 
 
+def build_order_request(
+    key: str = "key-1", attempt: int = 1, **changes: Any
+) -> OrderRequest:
+    """Build an order of the service ``ordering``."""
+    fields: dict[str, Any] = {
+        "key": OrderKey(key),
+        "service": ServiceName("ordering"),
+        "digest": Digest("digest-1"),
+        "attempt": attempt,
+    }
+    return OrderRequest(**{**fields, **changes})
+
+
 def build_catalogue(version: int = 1) -> catalogue_pb2.Catalogue:
     """Build a catalogue with two services, three ranks and three routes."""
     return catalogue_pb2.Catalogue(
