--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -10,6 +10,8 @@
     wait_until,
 )
 from egretlever.testing._gossip import FakeCatalogueCopy, GossipNetwork
+from egretlever.testing._order_world import OrderWorld, run_steps
+from egretlever.testing._stepped_store import SteppedTableStore, pause
 
 __all__ = [
     "FakeCatalogueCopy",
@@ -18,10 +20,14 @@
     "Fleet",
     "RunningProgram",
     "GossipNetwork",
+    "OrderWorld",
+    "SteppedTableStore",
     "VirtualClock",
     "builders",
+    "pause",
     "replace_clock",
     "reserve_addresses",
+    "run_steps",
     "run_virtual",
     "wait_until",
 ]
