--- a/egretlever/catalogue/_editor.py
+++ b/egretlever/catalogue/_editor.py
@@ -49,6 +49,8 @@
 # Each try after a lost answer costs two store operations. An answer that is
 # lost three times in a row points to an outage rather than to chance.
 _TRIES = 3
+# No row is written this often, so a condition on it never holds.
+_NO_VERSION = Version(1 << 62)
 # Two days of edits at the design size of 2,200 a day.
 _HISTORY_LIMIT = 4400
 
@@ -179,7 +181,7 @@
         if edit is not None:
             return confirm_edit(plan, edit)
         if (head.version if head else 0) != request.base_version:
-            return await self._refuse(plan, request, row.unwrap())
+            return await self._refuse(plan, request)
         if head is not None and await self._is_unchanged(head, plan):
             return Success(Unchanged(head))
         return await self._write(plan, request)
@@ -237,19 +239,13 @@
         return Failure(EffectUnknown(request.edit_id, message))
 
     async def _refuse(
-        self, plan: EditPlan, request: EditRequest, head_row: Row
+        self, plan: EditPlan, request: EditRequest
     ) -> Result[EditDone, EditFailure]:
-        if not head_row.version:
-            return Failure(
-                EditConflict(request.edit_id, request.base_version, None)
-            )
-        # The row of an earlier try of this edit is missing in a stale read, and
-        # a conflict would then be reported for an edit that took effect. A
-        # transaction sees the current rows; row versions only grow, so this
-        # one can't commit.
-        never = {HEAD_KEY: Version(head_row.version - 1)}
+        # The read of the head may have been stale, and so may the read that
+        # missed the row of an earlier try of this edit. A transaction sees
+        # the current rows, and a refusal returns them.
         written = await self._tables.write(
-            plan.rows, {**plan.conditions, **never}
+            plan.rows, {**plan.conditions, HEAD_KEY: _NO_VERSION}
         )
         if isinstance(written, Success):
             return Failure(
@@ -258,6 +254,15 @@
         error = written.failure()
         if error.kind is not StoreErrorKind.REFUSED_CONDITION:
             return Failure(StoreAway(error.message))
+        rows = {row.key: row for row in error.conflicts}
+        if HEAD_KEY in rows and plan.edit_key not in rows:
+            head = _decode_head_row(rows[HEAD_KEY])
+            if isinstance(head, Success):
+                current = head.unwrap()
+                if (current.version if current else 0) == request.base_version:
+                    row_version = rows[HEAD_KEY].version
+                    plan = plan_edit(request, current, row_version)
+                    return await self._write(plan, request)
         return await self._explain_refusal(plan, request, error)
 
     async def _put_snapshot(
--- a/egretlever/catalogue/_reader.py
+++ b/egretlever/catalogue/_reader.py
@@ -383,8 +383,8 @@
         Time after which an action without a result counts as failed, in
         seconds.
     start_wait : float, default=3
-        Time that a starting node with a catalogue waits for sources that have.
-        not answered yet.
+        Time that a starting node with a catalogue waits for sources that have
+        not answered yet, in seconds.
 
     Returns
     -------
--- a/egretlever/settings/_files.py
+++ b/egretlever/settings/_files.py
@@ -33,44 +33,51 @@
     findings : list of Finding
         Faults of syntax, duplicates included.
     """
-    findings: list[Finding] = []
-    for strict in (True, False):
-        parser = configparser.ConfigParser(
-            interpolation=None, strict=strict, default_section="\0"
+    findings = _find_duplicates(text, place)
+    # The duplicates are found above: a strict parser stops at the first one.
+    parser = configparser.ConfigParser(
+        interpolation=None, strict=False, default_section="\0"
+    )
+    # Keys are names of schema fields, which are case-sensitive.
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    try:
+        parser.read_string(text, place)
+    except configparser.MissingSectionHeaderError as error:
+        findings.append(
+            Finding(f"{place} line {error.lineno}", "stands before any section")
+        )
+    except configparser.ParsingError as error:
+        findings.extend(
+            Finding(f"{place} line {line}", f"can't be parsed: {content}")
+            for line, content in error.errors
         )
-        # Keys are names of schema fields, which are case-sensitive.
-        parser.optionxform = str  # type: ignore[assignment,method-assign]
-        try:
-            parser.read_string(text, place)
-            break
-        except configparser.DuplicateOptionError as error:
-            where = f"{place} [{error.section}] {error.option}"
-            findings.append(
-                Finding(where, f"is given again in line {error.lineno}")
-            )
-        except configparser.DuplicateSectionError as error:
-            findings.append(
-                Finding(
-                    f"{place} [{error.section}]",
-                    f"is given again in line {error.lineno}",
-                )
-            )
-        except configparser.MissingSectionHeaderError as error:
-            findings.append(
-                Finding(
-                    f"{place} line {error.lineno}", "stands before any section"
-                )
-            )
-            break
-        except configparser.ParsingError as error:
-            findings.extend(
-                Finding(f"{place} line {line}", f"can't be parsed: {content}")
-                for line, content in error.errors
-            )
-            break
     return {name: dict(parser[name]) for name in parser.sections()}, findings
 
 
+def _find_duplicates(text: str, place: str) -> list[Finding]:
+    findings = []
+    seen: set[tuple[str, str]] = set()
+    section = ""
+    for number, line in enumerate(text.splitlines(), 1):
+        # Indented lines continue the value above them.
+        if not line.strip() or line[0] in "#; \t":
+            continue
+        header = configparser.ConfigParser.SECTCRE.match(line)
+        option = configparser.ConfigParser.OPTCRE.match(line)
+        if header:
+            section = header.group("header")
+            key, where = (section, ""), f"{place} [{section}]"
+        elif option:
+            name = option.group("option").rstrip()
+            key, where = (section, name), f"{place} [{section}] {name}"
+        else:
+            continue
+        if key in seen:
+            findings.append(Finding(where, f"is given again in line {number}"))
+        seen.add(key)
+    return findings
+
+
 def parse_settings(
     text: str, place: str, kind: type[_Settings]
 ) -> Result[_Settings, Findings]:
