--- /dev/null
+++ b/egretlever/catalogue/tests/test_editor.py
@@ -0,0 +1,217 @@
+"""Guards edits: conflicts, lost answers, outages and history."""
+
+import pytest
+
+from egretlever.catalogue import (
+    Applied,
+    EditConflict,
+    EditFindings,
+    EditRefused,
+    EditRequest,
+    EffectUnknown,
+    StoreAway,
+    Unchanged,
+    make_catalogue_editor,
+)
+from egretlever.catalogue._edits import HEAD_KEY
+from egretlever.testing import (
+    FakeObjectStore,
+    FaultyTableStore,
+    builders,
+    run_steps,
+)
+
+
+class Fixture:
+    """An editor over fake stores, run without a loop."""
+
+    def __init__(self):
+        self.tables = FaultyTableStore()
+        self.objects = FakeObjectStore()
+        self.editor = make_catalogue_editor(self.tables, self.objects)
+
+    def apply(self, edit_id, base, **limits):
+        return run_steps(self.editor.apply(build_edit(edit_id, base, **limits)))
+
+    def read(self):
+        snapshot = run_steps(self.editor.read_version()).unwrap()
+        return {
+            name: entry.value.queue_limit
+            for name, entry in snapshot.services.items()
+        }
+
+
+def build_edit(edit_id, base, **limits):
+    content = builders.build_catalogue()
+    content.ClearField("version")
+    content.ClearField("edit_id")
+    for service in content.services:
+        service.queue_limit = limits.get(service.name, service.queue_limit)
+    return EditRequest(edit_id, "amina", base, content, 1e9, "limits")
+
+
+@pytest.fixture
+def store():
+    fixture = Fixture()
+    assert fixture.apply("a", 0).unwrap().head.version == 1
+    return fixture
+
+
+def test_versions_grow_by_one_and_history_names_each(store):
+    store.apply("b", 1, ordering=1)
+    store.apply("c", 2, ordering=2)
+    edits = run_steps(store.editor.history()).unwrap()
+    found = [(edit.head.version, edit.head.edit_id) for edit in edits]
+    assert found == [(3, "c"), (2, "b"), (1, "a")]
+    assert edits[0].operator == "amina"
+    assert len(run_steps(store.editor.history(2)).unwrap()) == 2
+
+
+def test_a_conflict_names_both_edits_and_offers_a_rebase(store):
+    store.apply("b", 1, ordering=7)
+    conflict = store.apply("c", 1, catalogue=9).failure()
+    assert isinstance(conflict, EditConflict)
+    assert (conflict.edit_id, conflict.winner.edit_id) == ("c", "b")
+    assert conflict.overlap == ()
+    # The offer changes nothing by itself.
+    assert store.read() == {"ordering": 7, "catalogue": 512}
+    request = EditRequest("d", "amina", 2, conflict.rebase, 1e9)
+    assert run_steps(store.editor.apply(request)).unwrap().head.version == 3
+    assert store.read() == {"ordering": 7, "catalogue": 9}
+
+
+def test_no_rebase_is_offered_when_entries_overlap(store):
+    store.apply("b", 1, ordering=7)
+    conflict = store.apply("c", 1, ordering=8, catalogue=9).failure()
+    assert conflict.overlap == ("service ordering",)
+    assert conflict.rebase is None
+
+
+def test_no_rebase_is_offered_when_the_result_has_findings(store):
+    """One edit removes a rank while the other one begins to use it."""
+    removal = build_edit("b", 1)
+    del removal.content.routes[2]
+    del removal.content.ranks[2]
+    assert run_steps(store.editor.apply(removal)).unwrap().head.version == 2
+    use = build_edit("c", 1)
+    use.content.services[1].rank = "background"
+    conflict = run_steps(store.editor.apply(use)).failure()
+    assert conflict.overlap == ()
+    assert conflict.rebase is None
+
+
+def test_a_racing_write_is_a_conflict_too(store):
+    """The head may move between the read and the transaction."""
+    put = store.objects.put
+
+    async def race(name, body):
+        store.objects.put = put
+        store.apply("b", 1, ordering=7)
+        return await put(name, body)
+
+    store.objects.put = race
+    conflict = store.apply("c", 1, catalogue=9).failure()
+    assert (conflict.winner.edit_id, conflict.winner.version) == ("b", 2)
+    assert conflict.rebase is not None
+
+
+def test_a_lost_answer_is_resolved_by_the_row_of_the_edit(store):
+    store.tables.lose_answers = 1
+    writes = store.tables.writes
+    assert isinstance(store.apply("b", 1, ordering=7).unwrap(), Applied)
+    assert store.tables.writes == writes + 1
+
+
+def test_a_lost_request_is_sent_again_and_applied_once(store):
+    store.tables.delay_writes = 1
+    assert store.apply("b", 1, ordering=7).unwrap().head.version == 2
+    run_steps(store.tables.deliver())
+    assert run_steps(store.editor.read_head()).unwrap().version == 2
+
+
+def test_an_unknown_effect_is_resolved_by_the_same_edit_id(store):
+    store.tables.delay_writes = 3
+    unknown = store.apply("b", 1, ordering=7).failure()
+    assert isinstance(unknown, EffectUnknown)
+    run_steps(store.tables.deliver())
+    assert store.apply("b", 1, ordering=7).unwrap().head.version == 2
+    assert run_steps(store.editor.read_head()).unwrap().version == 2
+
+
+def test_a_stale_read_does_not_hide_an_edit_that_took_effect(store):
+    """The row of the edit is missing in the read, but not in the store."""
+    store.apply("b", 1, ordering=7)
+    store.apply("c", 2, ordering=8)
+    store.tables.stale_writes = 2
+    again = store.apply("b", 1, ordering=7)
+    assert again.unwrap().head.edit_id == "b"
+
+
+def test_a_stale_head_does_not_refuse_a_valid_edit(store):
+    store.apply("b", 1, ordering=7)
+    store.tables.stale_writes = 1
+    assert store.apply("c", 2, ordering=8).unwrap().head.version == 3
+
+
+def test_an_edit_id_is_used_once(store):
+    store.apply("b", 1, ordering=7)
+    refused = store.apply("b", 2, ordering=8).failure()
+    assert isinstance(refused, EditRefused)
+    assert "was used by amina" in refused.message
+
+
+@pytest.mark.parametrize("part", ["tables", "objects"])
+def test_an_outage_changes_nothing(store, part):
+    getattr(store, part).away = True
+    assert isinstance(store.apply("b", 1, ordering=7).failure(), StoreAway)
+    getattr(store, part).away = False
+    assert store.read()["ordering"] == 512
+    # The same edit goes through once the store is back.
+    assert store.apply("b", 1, ordering=7).unwrap().head.version == 2
+
+
+def test_findings_refuse_an_edit_before_any_write(store):
+    writes = store.tables.writes
+    bad = build_edit("b", 1)
+    bad.content.services[0].floor_share = 1
+    bad.content.services[1].rank = "gone"
+    failure = run_steps(store.editor.apply(bad)).failure()
+    assert isinstance(failure, EditFindings)
+    assert len(failure.findings) == 2
+    assert store.tables.writes == writes
+
+
+def test_an_edit_without_changes_writes_nothing(store):
+    assert isinstance(store.apply("b", 1).unwrap(), Unchanged)
+
+
+def test_a_rollback_is_a_new_edit_with_a_higher_version(store):
+    store.apply("b", 1, ordering=7)
+    store.apply("c", 2, catalogue=9)
+    request = build_edit("d", 3)
+    result = run_steps(store.editor.rollback(2, request)).unwrap()
+    assert result.head.version == 4
+    assert store.read() == {"ordering": 7, "catalogue": 512}
+    missing = run_steps(store.editor.rollback(99, build_edit("e", 4)))
+    assert "not in the history" in missing.failure().message
+
+
+def test_a_missing_or_damaged_snapshot_is_told(store):
+    head = run_steps(store.editor.read_head()).unwrap()
+    run_steps(store.objects.put(head.digest, b"damaged"))
+    failure = run_steps(store.editor.read_version()).failure()
+    assert "does not match its digest" in failure.message
+    # The next edit repairs the head.
+    assert store.apply("b", 1, ordering=7).unwrap().head.version == 2
+    run_steps(store.tables.write({HEAD_KEY: b"x"}, {}))
+    failure = run_steps(store.editor.read_version()).failure()
+    assert "can't be decoded" in failure.message
+
+
+def test_an_empty_store_has_no_catalogue():
+    store = Fixture()
+    failure = run_steps(store.editor.read_version()).failure()
+    assert failure == EditRefused("the store holds no catalogue")
+    assert run_steps(store.editor.history()).unwrap() == ()
+    conflict = store.apply("a", 3).failure()
+    assert (conflict.base_version, conflict.winner) == (3, None)
--- /dev/null
+++ b/egretlever/catalogue/tests/test_state.py
@@ -0,0 +1,95 @@
+"""Guards I7: a node never goes back, and takes only what is announced."""
+
+import dataclasses
+
+import pytest
+
+from egretlever.catalogue import (
+    Accepted,
+    NotAccepted,
+    RefusalReason,
+    compare_snapshots,
+    make_catalogue_state,
+    make_snapshot,
+)
+from egretlever.core import Digest, _invariants
+from egretlever.testing import builders
+
+
+def build_snapshot(version, **changes):
+    catalogue = builders.build_catalogue(version)
+    catalogue.services[0].queue_limit = changes.pop("queue_limit", version)
+    catalogue.edit_id = changes.pop("edit_id", f"edit-{version}")
+    return make_snapshot(catalogue)
+
+
+@pytest.fixture
+def state():
+    state = make_catalogue_state()
+    state.offer(build_snapshot(5), 1.0)
+    return state
+
+
+def read_failures():
+    label = "catalogue-version-has-one-digest"
+    return _invariants.INVARIANT_FAILURES.labels(label)._value.get()
+
+
+def offer(state, offered):
+    result = state.offer(offered, 2.0)
+    return result.reason if isinstance(result, NotAccepted) else Accepted
+
+
+def test_only_higher_versions_are_taken(state):
+    assert offer(state, build_snapshot(4)) is RefusalReason.LOWER_VERSION
+    assert offer(state, build_snapshot(5)) is RefusalReason.ALREADY_HELD
+    assert state.accepted_at_ == 1.0
+    assert offer(state, build_snapshot(9)) is Accepted
+    assert (state.version, state.accepted_at_) == (9, 2.0)
+
+
+def test_one_version_with_two_digests_is_a_fault_of_the_store(state):
+    before = read_failures()
+    other = build_snapshot(5, queue_limit=99)
+    assert offer(state, other) is RefusalReason.CONFLICTING_DIGEST
+    delta = compare_snapshots(build_snapshot(4), other)
+    assert offer(state, delta) is RefusalReason.CONFLICTING_DIGEST
+    assert read_failures() == before + 2
+    assert state.head == build_snapshot(5).head
+
+
+def test_a_delta_applies_to_its_base_only(state):
+    target = build_snapshot(7)
+    for base in (build_snapshot(4), build_snapshot(5, queue_limit=1)):
+        delta = compare_snapshots(base, target)
+        assert offer(state, delta) is RefusalReason.OTHER_BASE
+    empty = make_catalogue_state()
+    delta = compare_snapshots(build_snapshot(5), target)
+    assert offer(empty, delta) is RefusalReason.OTHER_BASE
+    assert offer(state, delta) is Accepted
+    assert state.snapshot_ == target
+
+
+def test_a_delta_must_give_the_announced_digest(state):
+    delta = compare_snapshots(build_snapshot(5), build_snapshot(6))
+    false_head = dataclasses.replace(delta.head, digest=Digest("0" * 64))
+    for bad in (
+        dataclasses.replace(delta, head=false_head),
+        dataclasses.replace(delta, services={}),
+        dataclasses.replace(delta, removed_routes=("browse",)),
+    ):
+        assert offer(state, bad) is RefusalReason.DIGEST_MISMATCH
+    assert state.version == 5
+    assert state.match("GET", "a", "/fabrics").id == "browse"
+
+
+def test_matching_follows_the_version_in_force(state):
+    catalogue = builders.build_catalogue(6)
+    catalogue.routes[1].path = "/cloth"
+    del catalogue.routes[2]
+    delta = compare_snapshots(state.snapshot_, make_snapshot(catalogue))
+    assert delta.removed_routes == ("report",)
+    assert offer(state, delta) is Accepted
+    assert state.match("GET", "a", "/fabrics") is None
+    assert state.match("GET", "a", "/reports") is None
+    assert state.match("GET", "a", "/cloth/1").id == "browse"
