--- a/egretlever/orders/tests/test_ledger.py
+++ b/egretlever/orders/tests/test_ledger.py
@@ -27,7 +27,7 @@
 )
 from egretlever.testing import (
     FakeTableStore,
-    SteppedTableStore,
+    FlakyTableStore,
     run_steps,
 )
 from egretlever.testing.builders import build_order_request
@@ -118,7 +118,7 @@
 @pytest.mark.parametrize("same_node", [True, False])
 def test_of_two_claims_at_the_same_moment_one_is_given(same_node):
     nodes = Nodes()
-    store = SteppedTableStore(nodes.table, random.Random(1))
+    store = FlakyTableStore(nodes.table, random.Random(1))
     ledgers = [
         make_order_ledger(
             store,
@@ -263,7 +263,7 @@
 
 def test_a_cancelled_claim_is_released():
     nodes = Nodes()
-    store = SteppedTableStore(nodes.table, random.Random(1))
+    store = FlakyTableStore(nodes.table, random.Random(1))
     ledger = make_order_ledger(
         store,
         NodeId("n1"),
@@ -336,7 +336,7 @@
     nodes = Nodes()
     nodes.claimed(nodes.first)
     nodes.unix_time = 8 * DAY
-    store = SteppedTableStore(nodes.table, random.Random(1))
+    store = FlakyTableStore(nodes.table, random.Random(1))
     delayed = make_claim_sweep(
         store, NodeId("delayed"), read_unix_time=lambda: nodes.unix_time
     ).expire()
--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -3,6 +3,13 @@
 from egretlever.testing import builders
 from egretlever.testing._clock import VirtualClock, replace_clock, run_virtual
 from egretlever.testing._fakes import FakeObjectStore, FakeTableStore
+from egretlever.testing._faults import (
+    FaultyTableStore,
+    SteppedObjectStore,
+    SteppedTableStore,
+    Stepper,
+    run_steps,
+)
 from egretlever.testing._fleet import (
     Fleet,
     RunningProgram,
@@ -10,18 +17,22 @@
     wait_until,
 )
 from egretlever.testing._gossip import FakeCatalogueCopy, GossipNetwork
-from egretlever.testing._order_world import OrderWorld, run_steps
-from egretlever.testing._stepped_store import SteppedTableStore, pause
+from egretlever.testing._order_world import OrderWorld
+from egretlever.testing._stepped_store import FlakyTableStore, pause
 
 __all__ = [
     "FakeCatalogueCopy",
     "FakeObjectStore",
     "FakeTableStore",
+    "FaultyTableStore",
+    "FlakyTableStore",
     "Fleet",
-    "RunningProgram",
     "GossipNetwork",
     "OrderWorld",
+    "RunningProgram",
+    "SteppedObjectStore",
     "SteppedTableStore",
+    "Stepper",
     "VirtualClock",
     "builders",
     "pause",
--- a/egretlever/testing/_order_world.py
+++ b/egretlever/testing/_order_world.py
@@ -23,7 +23,8 @@
     make_order_ledger,
 )
 from egretlever.testing._fakes import FakeTableStore
-from egretlever.testing._stepped_store import SteppedTableStore, pause
+from egretlever.testing._faults import run_steps
+from egretlever.testing._stepped_store import FlakyTableStore, pause
 
 DAY = 86400.0
 
@@ -71,7 +72,7 @@
         self.mode = mode
         self.randomness = random.Random(seed)
         self.rows = FakeTableStore()
-        self.store = SteppedTableStore(self.rows, self.randomness)
+        self.store = FlakyTableStore(self.rows, self.randomness)
         self.now = 1000.0
         self.orders: list[SimulatedOrder] = []
         self.tasks: list[SimulatedTask] = []
@@ -249,12 +250,3 @@
             for _ in range(8):
                 run_steps(ledger.flush())
             assert ledger.describe().deferred == 0
-
-
-def run_steps(coroutine: Coroutine[Any, Any, Any]) -> Any:
-    """Run a coroutine that only pauses to its end and return its result."""
-    while True:
-        try:
-            coroutine.send(None)
-        except StopIteration as stop:
-            return stop.value
--- a/egretlever/testing/_stepped_store.py
+++ b/egretlever/testing/_stepped_store.py
@@ -19,7 +19,7 @@
     yield
 
 
-class SteppedTableStore:
+class FlakyTableStore:
     """Store over shared rows with pauses and faults around each call.
 
     Parameters
