--- a/egretlever/admission/_limit.py
+++ b/egretlever/admission/_limit.py
@@ -10,17 +10,23 @@
     require,
 )
 
-# Congestion is assumed when the smoothed latency exceeds this multiple of
-# the lowest smoothed latency of the last 30 to 60 s. The smoothed latency of
-# exponential service times varies by about a quarter of its mean.
+# Congestion is assumed when the short mean of the latency exceeds this
+# multiple of the lowest long mean of the last 30 to 60 s. For exponential
+# service times the short mean varies by 16% and the long one by 10%, so that
+# their ratio rarely exceeds 2.2 without congestion. Single samples may be a
+# hundred times below the mean, so the baseline waits for a number of them.
 _LATENCY_TOLERANCE = 2.5
 _BASELINE_WINDOW_S = 30.0
-_SMOOTHING = 0.1
-
-# Loss of limit for one shed reply. With one slot gained in a full round of
-# good attempts, n attempts in flight settle at 1 / (1 + n / 2) shed replies,
-# and nodes that share servers converge to equal limits.
-_SHED_STEP = 0.5
+_SHORT_SMOOTHING = 0.05
+_LONG_SMOOTHING = 0.02
+_BASELINE_SAMPLES = 50
+
+# Part of the limit lost for one shed reply. With one slot gained in a full
+# round of good attempts, n attempts in flight settle at a part of 5 / n^2 shed
+# replies: 5% at 10 in flight, within the retry budget of 10%. A loss of a
+# fixed number of slots settles at 1 / n, and left a node with few attempts
+# without its share, because it meets more shed replies than a node with many.
+_SHED_PART = 0.2
 _CONGESTED_SHARE = 0.9
 
 
@@ -29,7 +35,7 @@
 
     The limit grows by one in each round of good attempts while it is in use,
     and doubles each round until the first sign of overload. A shed reply
-    lowers it by half a slot. Timeouts and raised latency lower it by a tenth,
+    lowers it by a fifth. Timeouts and raised latency lower it by a tenth,
     at most once in a round.
 
     Parameters
@@ -44,7 +50,7 @@
     >>> limit = ConcurrencyLimit(ceiling=4)
     >>> limit.observe(AttemptResult.SHED, Seconds(0.0), 4, Seconds(1.0))
     >>> limit.allowed, limit.value_
-    (3, 3.5)
+    (3, 3.2)
     """
 
     __slots__ = (
@@ -52,9 +58,11 @@
         "_baseline_at",
         "_ceiling",
         "_latency",
+        "_long_latency",
         "_lowered_at",
         "_previous_baseline",
         "_probing",
+        "_samples",
         "value_",
     )
 
@@ -68,6 +76,8 @@
         self.value_ = min(initial, self._ceiling)
         self._probing = True
         self._latency = 0.0
+        self._long_latency = 0.0
+        self._samples = 0
         self._baseline = math.inf
         self._previous_baseline = math.inf
         self._baseline_at = 0.0
@@ -107,7 +117,7 @@
             self._observe_good(latency, in_flight, now)
         elif result is AttemptResult.SHED:
             self._probing = False
-            self.value_ -= _SHED_STEP
+            self.value_ *= 1.0 - _SHED_PART
         elif result in (AttemptResult.TIMEOUT, AttemptResult.CONNECT_TIMEOUT):
             self._lower(now)
         self.value_ = min(max(self.value_, 1.0), self._ceiling)
@@ -120,9 +130,11 @@
     def _observe_good(
         self, latency: Seconds, in_flight: int, now: Seconds
     ) -> None:
-        if self._latency == 0.0:
-            self._latency = latency
-        self._latency += _SMOOTHING * (latency - self._latency)
+        self._samples += 1
+        short = max(1.0 / self._samples, _SHORT_SMOOTHING)
+        long = max(1.0 / self._samples, _LONG_SMOOTHING)
+        self._latency += short * (latency - self._latency)
+        self._long_latency += long * (latency - self._long_latency)
         self._update_baseline(now)
         lowest = min(self._baseline, self._previous_baseline)
         if self._latency > _LATENCY_TOLERANCE * lowest:
@@ -135,7 +147,8 @@
             self._previous_baseline = self._baseline
             self._baseline = math.inf
             self._baseline_at = now
-        self._baseline = min(self._baseline, self._latency)
+        if self._samples >= _BASELINE_SAMPLES:
+            self._baseline = min(self._baseline, self._long_latency)
 
     def _lower(self, now: Seconds) -> None:
         self._probing = False
--- a/egretlever/admission/_ranks.py
+++ b/egretlever/admission/_ranks.py
@@ -7,6 +7,9 @@
 from egretlever.admission._interface import RankPolicy
 from egretlever.core import Finding, FindingsError
 
+# Keeps the expected wait finite.
+_LEAST_SHARE = 0.001
+
 
 def check_ranks(ranks: Sequence[RankPolicy]) -> None:
     """Check the ranks of a catalogue together.
@@ -95,8 +98,10 @@
         """Return the waiting places of a rank that no other rank takes."""
         return math.floor(self._shares[position] * queue_limit)
 
-    def available_share(self, position: int, urgent_share: float) -> float:
-        """Return the share of dispatches that a rank can expect.
+    def find_shares(
+        self, position: int, urgent_share: float
+    ) -> tuple[float, float]:
+        """Return the shares of dispatches that a rank can expect.
 
         Parameters
         ----------
@@ -104,10 +109,17 @@
             Position of the rank.
         urgent_share : float
             Share of dispatches taken by more urgent ranks lately.
+
+        Returns
+        -------
+        tuple of (float, float)
+            Share left by more urgent ranks and by minimum shares, and the
+            rank's own minimum share.
         """
         kept = sum(
             self._shares[other]
             for other in range(position + 1, len(self._shares))
             if self._queues[other]
         )
-        return max(1.0 - urgent_share - kept, self._shares[position], 0.001)
+        left = max(1.0 - urgent_share - kept, _LEAST_SHARE)
+        return left, max(self._shares[position], _LEAST_SHARE)
--- a/egretlever/admission/_service.py
+++ b/egretlever/admission/_service.py
@@ -20,7 +20,7 @@
 from egretlever.core import AttemptResult, Seconds, require
 
 # Memory of the dispatch rates and of the share of attempts that run.
-_RATE_MEMORY_S = 0.5
+_RATE_MEMORY_S = 2.0
 _RUN_SHARE_WEIGHT = 0.02
 _SHORTEST_RETRY_AFTER_S = 0.05
 
@@ -201,13 +201,15 @@
         position = self._positions[ticket.rank]
         queue = self._queues[position]
         throughput = self._read_throughput(now)
-        ahead = queue.count_ahead(queue.find_flow(ticket))
-        ahead += sum(map(len, self._queues[:position]))
-        urgent = sum(rate.read(now) for rate in self._dispatched[:position])
-        # Shed dispatches are dispatched again, so rates count attempts.
+        own = queue.count_ahead(queue.find_flow(ticket)) + 1
+        urgent = sum(map(len, self._queues[:position]))
+        rate = sum(rate.read(now) for rate in self._dispatched[:position])
+        # Shed attempts are dispatched again, so rates count attempts.
         attempts = throughput / max(self._run_share, 0.05)
-        share = self._schedule.available_share(position, urgent / attempts)
-        return ahead / (throughput * share)
+        left, kept = self._schedule.find_shares(position, rate / attempts)
+        return min(
+            (own + urgent) / (throughput * left), own / (throughput * kept)
+        )
 
     def _refuse(self, reason: RefusalReason, wait: float) -> Refused:
         return Refused(reason, Seconds(max(wait, _SHORTEST_RETRY_AFTER_S)))
--- a/egretlever/routing/_choice.py
+++ b/egretlever/routing/_choice.py
@@ -1,7 +1,9 @@
 """Choice among the servers of a subset."""
 
+import math
 import random
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from egretlever.core import FailureDomain, Seconds
 from egretlever.routing._interface import PlacementReason, PlacementRequest
@@ -11,9 +13,31 @@
 # Two free servers are found within six draws unless most are saturated.
 _DRAWS = 6
 
+# A server counts as free in a draw with at least this part of a slot left by
+# its own attempts and the reported load of other nodes.
+_LEAST_FREE = 0.5
+
+# Chance of a server that is reported full against one with a free slot.
+_LEAST_CHANCE = 0.02
+
 Choice = tuple[ServerLoad, int, PlacementReason]
 
 
+class _Rated(NamedTuple):
+    """A server as a candidate.
+
+    ``share`` is its weight and ramp, ``slots`` is 0 without a free slot under
+    its limit, ``free`` is the estimate of slots that no node uses, and
+    ``expected`` is the expected time, raised by a low share.
+    """
+
+    load: ServerLoad
+    share: float
+    slots: int
+    free: float
+    expected: float
+
+
 class ServerChooser:
     """Power of two choices over free, weighted servers.
 
@@ -53,22 +77,23 @@
         """Return a server with a free slot, its slots and the reason."""
         if not loads:
             return None
-        first: tuple[float, ServerLoad, int] | None = None
+        first: _Rated | None = None
         for _ in range(_DRAWS):
             load = loads[int(self._rng.random() * len(loads))]
-            if first is not None and load is first[1]:
+            if first is not None and load is first.load:
                 continue
-            share, slots = self._rate(pool, load, request, now)
-            if slots == 0 or (share < 1.0 and self._rng.random() >= share):
+            drawn = self._rate(pool, load, request, now)
+            if drawn.slots == 0 or drawn.free < _LEAST_FREE:
+                continue
+            if drawn.share < 1.0 and self._rng.random() >= drawn.share:
                 continue
-            drawn = (self._expect(pool, load, share, slots, now), load, slots)
             if first is None:
                 first = drawn
                 continue
-            _, load, slots = min(first, drawn, key=lambda item: item[0])
-            return load, slots, PlacementReason.LESS_LOADED
+            less = min(first, drawn, key=lambda rated: rated.expected)
+            return less.load, less.slots, PlacementReason.LESS_LOADED
         if first is not None:
-            return first[1], first[2], PlacementReason.SAMPLED
+            return first.load, first.slots, PlacementReason.SAMPLED
         return self._scan(pool, loads, request, now)
 
     def _scan(
@@ -78,23 +103,21 @@
         request: PlacementRequest,
         now: Seconds,
     ) -> Choice | None:
-        """Choose among all free servers by weight.
+        """Choose among all servers by weight and estimated free slots.
 
         A bad server often is the only free one, since it fails fast. It is
         taken only as often as its weight against the best of the subset says.
         """
-        rated = [
-            (load, *self._rate(pool, load, request, now)) for load in loads
-        ]
-        best = max(share for _, share, _ in rated)
-        free = [item for item in rated if item[2] > 0]
+        rated = [self._rate(pool, load, request, now) for load in loads]
+        best = max(item.share for item in rated)
+        free = [item for item in rated if item.slots > 0]
         if not free:
             return None
-        shares = [share for _, share, _ in free]
-        if self._rng.random() * best >= max(shares):
+        if self._rng.random() * best >= max(item.share for item in free):
             return None
-        load, _, slots = self._rng.choices(free, shares)[0]
-        return load, slots, PlacementReason.ONLY_FREE
+        shares = [item.share * max(item.free, _LEAST_CHANCE) for item in free]
+        item = self._rng.choices(free, shares)[0]
+        return item.load, item.slots, PlacementReason.ONLY_FREE
 
     def _rate(
         self,
@@ -102,31 +125,20 @@
         load: ServerLoad,
         request: PlacementRequest,
         now: Seconds,
-    ) -> tuple[float, int]:
-        """Return the share of a server and its slots, 0 without a free one."""
-        server = load.server.id
-        if not load.routable or server in request.exclude:
-            return 0.0, 0
+    ) -> "_Rated":
+        server = load.server
+        if not load.routable or server.id in request.exclude:
+            return _Rated(load, 0.0, 0, 0.0, math.inf)
         ramp = load.ramp(pool.warmup, now)
         share = ramp
         if request.weights is not None:
-            share *= request.weights.get(server, 0.0)
+            share *= request.weights.get(server.id, 0.0)
         slots = load.count_slots(ramp)
         if share <= 0.0 or load.outstanding >= slots:
-            return share, 0
-        return share, slots
-
-    def _expect(
-        self,
-        pool: ServicePool,
-        load: ServerLoad,
-        share: float,
-        slots: int,
-        now: Seconds,
-    ) -> float:
-        """Return the expected time on a server, raised by a low share."""
+            return _Rated(load, share, 0, 0.0, math.inf)
         time = load.latency(pool.latency_, now)
-        if load.server.failure_domain != self._domain:
+        if server.failure_domain != self._domain:
             time += self._domain_cost
         busy = load.estimate_load(pool.latency_, now)
-        return time * (busy + 1.0) / (slots * share)
+        expected = time * (busy + 1.0) / (slots * share)
+        return _Rated(load, share, slots, server.slots - busy, expected)
--- a/egretlever/routing/_interface.py
+++ b/egretlever/routing/_interface.py
@@ -133,7 +133,7 @@
     server : ServerId
         The server.
     busy, slots : int
-        Slots in use and slots in total.
+        Slots in use, that of the answered request included, and in total.
     """
 
     server: ServerId
--- a/egretlever/routing/_servers.py
+++ b/egretlever/routing/_servers.py
@@ -18,10 +18,12 @@
 # to the mean of its service, so that a server that was slow is tried again.
 _LATENCY_HALF_LIFE_S = 5.0
 
-# Reported load loses its value within a few service times.
-_HINT_MEMORY = 4.0
-_SHORTEST_HINT_MEMORY_S = 0.02
+# A report about the load of other nodes moves back to its mean within a
+# service time, and the mean itself is forgotten after a few seconds.
+_SHORTEST_HINT_MEMORY_S = 0.005
 _LONGEST_HINT_MEMORY_S = 1.0
+_MEAN_LOAD_MEMORY_S = 2.0
+_MEAN_LOAD_SMOOTHING = 0.1
 
 # The first part of the ramp, so that a cold server gets its first requests.
 _LEAST_RAMP = 0.02
@@ -40,6 +42,7 @@
         "_draining",
         "_latency",
         "_latency_at",
+        "_mean_others",
         "_others",
         "_others_at",
         "known",
@@ -60,6 +63,7 @@
         self._latency = 0.0
         self._latency_at = 0.0
         self._others = 0.0
+        self._mean_others = 0.0
         self._others_at = 0.0
 
     def replace(self, server: Server) -> None:
@@ -112,15 +116,27 @@
         return mean + kept * (self._latency - mean)
 
     def estimate_load(self, mean: float, now: Seconds) -> float:
-        """Return the busy slots: own attempts and the reported others."""
-        if self._others == 0.0:
+        """Return the busy slots: own attempts and the reported others.
+
+        Parameters
+        ----------
+        mean : float
+            Mean latency of the service in seconds.
+        now : Seconds
+            Reading of the local clock.
+
+        Returns
+        -------
+        float
+            Estimated busy slots.
+        """
+        if self._mean_others == 0.0:
             return self.outstanding
-        memory = min(
-            max(_HINT_MEMORY * mean, _SHORTEST_HINT_MEMORY_S),
-            _LONGEST_HINT_MEMORY_S,
-        )
         age = max(0.0, now - self._others_at)
-        return self.outstanding + self._others * math.exp(-age / memory)
+        memory = min(max(mean, _SHORTEST_HINT_MEMORY_S), _LONGEST_HINT_MEMORY_S)
+        usual = self._mean_others * math.exp(-age / _MEAN_LOAD_MEMORY_S)
+        recent = math.exp(-age / memory)
+        return self.outstanding + usual + recent * (self._others - usual)
 
     def hold(self, slots: int) -> None:
         """Count an attempt as outstanding."""
@@ -141,8 +157,11 @@
         )
 
     def hint(self, busy: int, now: Seconds) -> None:
-        """Take in the busy slots that the server reported."""
+        """Take in the busy slots reported with a response to an attempt."""
         self._others = float(max(0, busy - self.outstanding))
+        self._mean_others += _MEAN_LOAD_SMOOTHING * (
+            self._others - self._mean_others
+        )
         self._others_at = now
 
     def observe(self, attempt: Attempt, now: Seconds) -> bool:
@@ -158,7 +177,8 @@
         if attempt.result is AttemptResult.OK:
             self._observe_latency(attempt.latency, now)
         elif attempt.result is AttemptResult.SHED:
-            self.hint(self.server.slots, now)
+            # The shed attempt is outstanding but holds no slot.
+            self.hint(self.server.slots + 1, now)
         if attempt.result is not AttemptResult.OVERDUE:
             self.limit.observe(
                 attempt.result, attempt.latency, self.outstanding, now
