--- a/egretlever/admission/_service.py
+++ b/egretlever/admission/_service.py
@@ -20,7 +20,7 @@
 from egretlever.core import AttemptResult, Seconds, require
 
 # Memory of the dispatch rates and of the share of attempts that run.
-_RATE_MEMORY_S = 0.5
+_RATE_MEMORY_S = 2.0
 _RUN_SHARE_WEIGHT = 0.02
 _SHORTEST_RETRY_AFTER_S = 0.05
 
@@ -92,9 +92,7 @@
     def judge(self, ticket: Ticket, now: Seconds) -> Answer:
         """Return whether a ticket that can't be dispatched now may wait."""
         wait = self._expect_wait(ticket, now)
-        need = self._latency.read(now)
-        if need:
-            need += 2.0 * self._latency.deviation_
+        need = self._latency.read(now, deviations=2.0)
         if now + wait + need > ticket.deadline:
             return self._refuse(RefusalReason.WAIT_EXCEEDS_DEADLINE, wait)
         return Queued(Seconds(wait))
@@ -153,10 +151,16 @@
         return None
 
     def finish(
-        self, result: AttemptResult, latency: Seconds, now: Seconds
+        self,
+        ticket: Ticket,
+        result: AttemptResult,
+        latency: Seconds,
+        now: Seconds,
     ) -> None:
         """Take in the end of an attempt."""
         self.in_flight -= 1
+        if result is not AttemptResult.OK or now > ticket.deadline:
+            self._schedule.refund(self._positions[ticket.rank])
         require("in-flight-not-negative", self.in_flight >= 0)
         if now - latency < self._valid_from:
             return
@@ -201,13 +205,15 @@
         position = self._positions[ticket.rank]
         queue = self._queues[position]
         throughput = self._read_throughput(now)
-        ahead = queue.count_ahead(queue.find_flow(ticket))
-        ahead += sum(map(len, self._queues[:position]))
-        urgent = sum(rate.read(now) for rate in self._dispatched[:position])
-        # Shed dispatches are dispatched again, so rates count attempts.
+        own = queue.count_ahead(queue.find_flow(ticket)) + 1
+        urgent = sum(map(len, self._queues[:position]))
+        rate = sum(rate.read(now) for rate in self._dispatched[:position])
+        # Shed attempts are dispatched again, so rates count attempts.
         attempts = throughput / max(self._run_share, 0.05)
-        share = self._schedule.available_share(position, urgent / attempts)
-        return ahead / (throughput * share)
+        left, kept = self._schedule.find_shares(position, rate / attempts)
+        return min(
+            (own + urgent) / (throughput * left), own / (throughput * kept)
+        )
 
     def _refuse(self, reason: RefusalReason, wait: float) -> Refused:
         return Refused(reason, Seconds(max(wait, _SHORTEST_RETRY_AFTER_S)))
--- a/egretlever/testing/builders.py
+++ b/egretlever/testing/builders.py
@@ -2,17 +2,21 @@
 
 from typing import Any
 
+from egretlever.admission import RankPolicy, Ticket
 from egretlever.core import (
     Address,
     Attempt,
     AttemptResult,
+    CallerId,
     Digest,
     FailureDomain,
     HostName,
     Incarnation,
     NodeId,
     OrderKey,
+    RankName,
     RegionName,
+    RequestId,
     Seconds,
     Server,
     ServerId,
@@ -21,6 +25,7 @@
 )
 from egretlever.membership import NodeHeader, ServerAnnouncement
 from egretlever.orders import OrderRequest
+from egretlever.routing import Location, PlacementRequest
 from egretlever.schema import catalogue_pb2
 
 
@@ -230,3 +235,44 @@
         "uptime": 3600.0,
     }
     return ServerAnnouncement(**{**fields, **changes})
+
+
+def build_ticket(number: int = 1, **changes: Any) -> Ticket:
+    """Build a ticket of rank normal that has one second."""
+    fields: dict[str, Any] = {
+        "request": RequestId(f"request-{number}"),
+        "service": ServiceName("ordering"),
+        "rank": RankName("normal"),
+        "caller": CallerId(f"caller-{number}"),
+        "deadline": Seconds(1001.0),
+        "worth": 3.0,
+    }
+    return Ticket(**{**fields, **changes})
+
+
+def build_ranks() -> list[RankPolicy]:
+    """Build the ranks of ``build_catalogue`` for admission."""
+    return [
+        RankPolicy(RankName(rank.name), rank.priority, rank.minimum_share)
+        for rank in build_catalogue().ranks
+    ]
+
+
+def build_placement_request(**changes: Any) -> PlacementRequest:
+    """Build a request for a server of the service ordering."""
+    fields: dict[str, Any] = {
+        "service": ServiceName("ordering"),
+        "deadline": Seconds(2000.0),
+    }
+    return PlacementRequest(**{**fields, **changes})
+
+
+def build_location(number: int = 0, **changes: Any) -> Location:
+    """Build a node's location, as spread as the servers are."""
+    domain = number % 4
+    fields: dict[str, Any] = {
+        "node": NodeId(f"node-{number}"),
+        "failure_domain": FailureDomain(f"domain-{domain}"),
+        "region": RegionName("punjab" if domain < 2 else "sindh"),
+    }
+    return Location(**{**fields, **changes})
