Assemble the node: gossip, catalogue, evidence, orders and admin pages

The node runs its parts on one loop with a turn every 50 ms; a lag of more than 250 ms voids its own evidence.

--- a/egretlever/node/_attempts.py
+++ b/egretlever/node/_attempts.py
@@ -8,6 +8,7 @@
 from egretlever.core import Attempt, AttemptResult, Seconds, Server, make_log
 from egretlever.node._bodies import RequestBody
 from egretlever.node._context import RequestContext
+from egretlever.node._requests import Request
 from egretlever.transport import (
     BackendClosedError,
     BackendConnection,
@@ -91,11 +92,8 @@
     async def run(
         self,
         server: Server,
-        context: RequestContext,
-        head: RequestHead,
-        body: RequestBody,
+        request: Request,
         limits: AttemptLimits,
-        is_caller_gone: Callable[[], bool],
         fresh: bool = False,
     ) -> AttemptOutcome:
         """Run one attempt.
@@ -104,12 +102,10 @@
         ----------
         server : Server
             Server to try.
-        context, head, body
+        request : Request
             The request.
         limits : AttemptLimits
             Times of the attempt.
-        is_caller_gone : callable
-            Tells without waiting whether the answer has no receiver.
         fresh : bool, default=False
             Use a new connection. Orders always do: a kept connection may have
             gone silent, and its loss would leave the order unknown.
@@ -120,7 +116,7 @@
             What was learned, and the answer.
         """
         began = read_clock()
-        fresh = fresh or context.order_key is not None
+        fresh = fresh or request.context.order_key is not None
         try:
             connection = await self._pool.acquire(server.address, fresh)
         except ConnectError as error:
@@ -136,7 +132,7 @@
             connection, server, began, limits, self._report_overdue
         )
         try:
-            outcome = await exchange.run(context, head, body, is_caller_gone)
+            outcome = await exchange.run(request)
         except BaseException:
             await connection.close()
             raise
@@ -195,21 +191,13 @@
             response=response,
         )
 
-    async def run(
-        self,
-        context: RequestContext,
-        head: RequestHead,
-        body: RequestBody,
-        is_caller_gone: Callable[[], bool],
-    ) -> AttemptOutcome:
+    async def run(self, request: Request) -> AttemptOutcome:
         """Send the request and receive the answer, whole if it is small."""
         try:
-            response = await self._exchange_heads(
-                context, head, body, is_caller_gone
-            )
+            response = await self._exchange_heads(request)
             if isinstance(response, Attempt):
                 return AttemptOutcome(response)
-            return await self._receive_body(context, response)
+            return await self._receive_body(request.context, response)
         except curio.TaskTimeout:
             return AttemptOutcome(self._end(AttemptResult.TIMEOUT))
         except BackendClosedError as error:
@@ -231,14 +219,11 @@
     def _time_left(self) -> float:
         return max(0.0, self._limits.deadline - read_clock())
 
-    async def _exchange_heads(
-        self,
-        context: RequestContext,
-        head: RequestHead,
-        body: RequestBody,
-        is_caller_gone: Callable[[], bool],
-    ) -> ResponseHead | Attempt:
-        forwarded = _make_forwarded_head(context, head, self._limits)
+    async def _exchange_heads(self, request: Request) -> ResponseHead | Attempt:
+        body = request.body
+        forwarded = _make_forwarded_head(
+            request.context, request.head, self._limits
+        )
         uploader = None
         async with curio.timeout_after(self._time_left()):
             await self._connection.send_request(
@@ -247,7 +232,7 @@
         if not body.whole:
             uploader = await curio.spawn(self._upload, body, daemon=True)
         try:
-            return await self._await_response(context, body, is_caller_gone)
+            return await self._await_response(request)
         finally:
             if uploader is not None:
                 await uploader.cancel()
@@ -257,12 +242,7 @@
             await self._connection.send_data(data, ended=False)
         await self._connection.send_data(b"", ended=True)
 
-    async def _await_response(
-        self,
-        context: RequestContext,
-        body: RequestBody,
-        is_caller_gone: Callable[[], bool],
-    ) -> ResponseHead | Attempt:
+    async def _await_response(self, request: Request) -> ResponseHead | Attempt:
         first = min(self._limits.overdue_after, self._time_left())
         try:
             async with curio.timeout_after(first):
@@ -274,8 +254,8 @@
         if (
             not self._fresh
             and not self._connection.responded
-            and context.idempotent
-            and body.whole
+            and request.context.idempotent
+            and request.body.whole
         ):
             # A new connection tells a silent connection from a silent server.
             return self._end(AttemptResult.STALE_CONNECTION)
@@ -288,7 +268,7 @@
             except curio.TaskTimeout:
                 if self._time_left() <= 0:
                     raise
-                if is_caller_gone():
+                if request.is_caller_gone():
                     return self._end(AttemptResult.CANCELLED)
 
     async def _receive_body(
--- a/egretlever/node/_bodies.py
+++ b/egretlever/node/_bodies.py
@@ -18,6 +18,7 @@
         self._connection = connection
         self._taken = False
         self.start = b""
+        self.filled = False
 
     async def fill(self) -> None:
         """Read until the body ends or the buffer is full.
@@ -38,6 +39,7 @@
             parts.append(data)
             size += len(data)
         self.start = b"".join(parts)
+        self.filled = True
 
     @property
     def whole(self) -> bool:
--- a/egretlever/node/_engine.py
+++ b/egretlever/node/_engine.py
@@ -1,14 +1,12 @@
 """Runs the attempts of one request until it has an outcome."""
 
 import dataclasses
-from collections.abc import Callable
 
 import curio
 
 from egretlever.admission import RefusalReason, Ticket
 from egretlever.catalogue import CatalogueState
 from egretlever.core import (
-    Attempt,
     AttemptResult,
     Outcome,
     Seconds,
@@ -23,10 +21,12 @@
     AttemptOutcome,
     AttemptRunner,
 )
-from egretlever.node._bodies import RequestBody
 from egretlever.node._context import RequestContext
 from egretlever.node._gate import Gate, RefusedError
+from egretlever.node._orders import OrderDesk, Replay
+from egretlever.node._requests import Request
 from egretlever.node._selections import Selections
+from egretlever.orders import Claim
 from egretlever.retry import (
     FirstAttempt,
     RequestHistory,
@@ -34,8 +34,6 @@
     RetryPolicy,
     Stop,
     StopReason,
-    classify_attempt,
-    combine_outcomes,
 )
 from egretlever.routing import (
     LoadHint,
@@ -45,7 +43,7 @@
     PlacementRequest,
     Router,
 )
-from egretlever.transport import RequestHead, headers, read_clock
+from egretlever.transport import headers, read_clock
 
 _LOG = make_log("request")
 _ANSWER_BYTES = 2048  # expected size of an answer, for the region link
@@ -111,133 +109,163 @@
         Decision parts.
     runner : AttemptRunner
         Runs single attempts.
+    desk : OrderDesk
+        Claims orders before their dispatch.
     """
 
-    def __init__(self, parts: Parts, runner: AttemptRunner) -> None:
+    def __init__(
+        self, parts: Parts, runner: AttemptRunner, desk: OrderDesk
+    ) -> None:
         self._parts = parts
         self._runner = runner
+        self._desk = desk
         self._offered: dict[str, Selection] = {}
 
-    async def run(
-        self,
-        context: RequestContext,
-        head: RequestHead,
-        body: RequestBody,
-        is_caller_gone: Callable[[], bool],
-    ) -> Served | OwnAnswer:
+    async def run(self, request: Request) -> Served | OwnAnswer | Replay:
         """Run a request.
 
         Parameters
         ----------
-        context, head, body
-            The request.
-        is_caller_gone : callable
-            Tells without waiting whether the answer has no receiver.
+        request : Request
+            The request; its attempts are filled in.
 
         Returns
         -------
-        Served or OwnAnswer
+        Served or OwnAnswer or Replay
             The server's answer, or why there is none.
         """
-        attempts: list[Attempt] = []
-        exclude: frozenset[ServerId] = frozenset()
+        try:
+            result = await self._run_attempts(request)
+        except BaseException:
+            if request.claim is not None:
+                await self._desk.close(request.claim, request.combine())
+            raise
+        if request.claim is not None:
+            await self._close_order(request.claim, result)
+        return result
+
+    async def _close_order(
+        self, claim: Claim, result: Served | OwnAnswer | Replay
+    ) -> None:
+        if isinstance(result, Served):
+            await self._desk.close(claim, Outcome.COMPLETED, result.outcome)
+        elif isinstance(result, OwnAnswer):
+            await self._desk.close(claim, result.outcome)
+
+    async def _run_attempts(
+        self, request: Request
+    ) -> Served | OwnAnswer | Replay:
         while True:
-            served = await self._run_attempt(
-                context, head, body, is_caller_gone, attempts, exclude
-            )
-            if isinstance(served, OwnAnswer):
+            served = await self._run_attempt(request)
+            if not isinstance(served, Served):
                 return served
-            decision = self._decide(context, attempts, body)
+            decision = self._decide(request)
             if isinstance(decision, Stop):
                 return await self._end(served, decision)
-            await self._abandon(served.outcome)
-            exclude = decision.exclude
+            await self._abandon(served)
+            request.exclude = decision.exclude
             if decision.after > 0:
                 await curio.sleep(decision.after)
-            if is_caller_gone():
-                outcome = _combine(attempts)
-                return OwnAnswer(499, outcome, "the caller went away")
-
-    def _decide(
-        self,
-        context: RequestContext,
-        attempts: list[Attempt],
-        body: RequestBody,
-    ) -> Retry | Stop:
+            if request.is_caller_gone():
+                return OwnAnswer(499, request.combine(), "the caller went away")
+
+    def _decide(self, request: Request) -> Retry | Stop:
+        context = request.context
         history = RequestHistory(
             context.choice.service,
             context.idempotent,
             context.deadline,
-            tuple(attempts),
+            tuple(request.attempts),
         )
         decision = self._parts.retry.decide(history, read_clock())
-        if isinstance(decision, Retry) and body.repeatable:
-            _LOG.info(
-                "Request %s is tried again in %.0f ms after %s.",
-                context.id,
-                decision.after * 1000,
-                attempts[-1].result.value,
-            )
-            return decision
         if isinstance(decision, Stop):
             return decision
-        return Stop(_combine(attempts), StopReason.NO_RETRIES)
+        if not isinstance(decision, Retry) or not request.body.repeatable:
+            return Stop(request.combine(), StopReason.NO_RETRIES)
+        _LOG.info(
+            "Request %s is tried again in %.0f ms after %s.",
+            context.id,
+            decision.after * 1000,
+            request.attempts[-1].result.value,
+        )
+        return decision
 
     async def _run_attempt(
-        self,
-        context: RequestContext,
-        head: RequestHead,
-        body: RequestBody,
-        is_caller_gone: Callable[[], bool],
-        attempts: list[Attempt],
-        exclude: frozenset[ServerId],
-    ) -> Served | OwnAnswer:
-        parts = self._parts
-        ticket = _make_ticket(context, len(attempts) + 1)
-        self._offer_capacity(context)
+        self, request: Request
+    ) -> Served | OwnAnswer | Replay:
+        ticket = _make_ticket(request.context, len(request.attempts) + 1)
+        self._offer_capacity(request.context)
         try:
-            await parts.gate.enter(ticket)
+            await self._parts.gate.enter(ticket)
         except RefusedError as refused:
-            return _refuse(refused, attempts)
-        placement = await self._place(context, exclude)
-        if isinstance(placement, NoPlacement):
-            await parts.gate.leave(
-                ticket, AttemptResult.CANCELLED, Seconds(0.0)
-            )
-            return OwnAnswer(
-                503,
-                _combine(attempts),
-                placement.reason.value,
-                placement.retry_after,
-            )
+            return _refuse(refused, request)
+        try:
+            refusal = await self._prepare_first(request)
+            if refusal is None:
+                placement = await self._place(request)
+                if isinstance(placement, Placement):
+                    return await self._dispatch(request, ticket, placement)
+                refusal = OwnAnswer(
+                    503,
+                    request.combine(),
+                    placement.reason.value,
+                    placement.retry_after,
+                )
+        except BaseException:
+            await self._leave_unused(ticket)
+            raise
+        await self._leave_unused(ticket)
+        return refusal
+
+    async def _leave_unused(self, ticket: Ticket) -> None:
+        await self._parts.gate.leave(
+            ticket, AttemptResult.CANCELLED, Seconds(0.0)
+        )
+
+    async def _prepare_first(
+        self, request: Request
+    ) -> OwnAnswer | Replay | None:
+        if request.attempts:
+            return None
+        if not request.body.filled:
+            await request.body.fill()
+        if request.context.order_key is None:
+            return None
+        claim = await self._desk.open(request.context, request.head)
+        if not isinstance(claim, Claim):
+            return claim
+        request.claim = claim
+        return None
+
+    async def _dispatch(
+        self, request: Request, ticket: Ticket, placement: Placement
+    ) -> Served | OwnAnswer:
+        parts = self._parts
+        attempts = request.attempts
+        now = read_clock()
+        refusal = self._refuse_late(request)
+        if refusal is not None:
+            parts.router.release(placement, now)
+            await self._leave_unused(ticket)
+            return refusal
         if not attempts:
             parts.retry.observe(
-                FirstAttempt(context.choice.service), read_clock()
+                FirstAttempt(request.context.choice.service), now
             )
-            if not body.whole and not body.start:
-                await body.fill()
         limits = AttemptLimits(
-            context.deadline,
+            request.context.deadline,
             parts.detector.overdue_after(placement.server.id),
         )
-        stale = bool(attempts) and (
+        # After a stale connection a new one has to prove the server.
+        fresh = bool(attempts) and (
             attempts[-1].result is AttemptResult.STALE_CONNECTION
         )
         try:
             outcome = await self._runner.run(
-                placement.server,
-                context,
-                head,
-                body,
-                limits,
-                is_caller_gone,
-                fresh=stale,
+                placement.server, request, limits, fresh
             )
         except BaseException:
             parts.router.release(placement, read_clock())
-            await parts.gate.leave(
-                ticket, AttemptResult.CANCELLED, Seconds(0.0)
-            )
             raise
         served = Served(outcome, placement, ticket)
         attempts.append(outcome.attempt)
@@ -245,6 +273,14 @@
             await self.finish(served)
         return served
 
+    def _refuse_late(self, request: Request) -> OwnAnswer | None:
+        if read_clock() >= request.context.deadline:
+            return OwnAnswer(504, request.combine(), "deadline-passed")
+        claim = request.claim
+        if claim is not None and not self._desk.may_dispatch(claim):
+            return OwnAnswer(503, request.combine(), "claim-outdated")
+        return None
+
     def _offer_capacity(self, context: RequestContext) -> None:
         service = context.choice.service
         now = read_clock()
@@ -256,12 +292,11 @@
             )
             self._parts.gate.offer_capacity(service, slots, now)
 
-    async def _place(
-        self, context: RequestContext, exclude: frozenset[ServerId]
-    ) -> Placement | NoPlacement:
+    async def _place(self, request: Request) -> Placement | NoPlacement:
+        context = request.context
         while True:
-            placement = self._choose(context, exclude)
-            if isinstance(placement, NoPlacement) and exclude:
+            placement = self._choose(context, request.exclude)
+            if isinstance(placement, NoPlacement) and request.exclude:
                 placement = self._choose(context, frozenset())
             if (
                 isinstance(placement, Placement)
@@ -320,16 +355,18 @@
             hint = LoadHint(served.placement.server.id, int(busy), int(slots))
             self._parts.router.observe(hint, now)
 
-    async def _abandon(self, outcome: AttemptOutcome) -> None:
-        if outcome.connection is not None:
-            await outcome.connection.close()
-            outcome.connection = None
+    async def _abandon(self, served: Served) -> None:
+        connection = served.outcome.connection
+        if connection is not None:
+            await connection.close()
+            served.outcome.connection = None
+            await self.finish(served)
 
     async def _end(self, served: Served, stop: Stop) -> Served | OwnAnswer:
         attempt = served.outcome.attempt
         if attempt.result in (AttemptResult.OK, AttemptResult.ERROR):
             return served
-        await self._abandon(served.outcome)
+        await self._abandon(served)
         status = 504 if attempt.result is AttemptResult.TIMEOUT else 502
         if stop.outcome is Outcome.NOT_RUN:
             status = 503
@@ -341,11 +378,6 @@
         )
 
 
-def _combine(attempts: list[Attempt]) -> Outcome:
-    outcomes = [classify_attempt(attempt) for attempt in attempts]
-    return combine_outcomes(outcomes, running=False)
-
-
 def _make_ticket(context: RequestContext, number: int) -> Ticket:
     return Ticket(
         context.id,
@@ -358,7 +390,7 @@
     )
 
 
-def _refuse(refused: RefusedError, attempts: list[Attempt]) -> OwnAnswer:
+def _refuse(refused: RefusedError, request: Request) -> OwnAnswer:
     expired = refused.reason in (
         RefusalReason.DEADLINE_PASSED,
         RefusalReason.WAIT_EXCEEDS_DEADLINE,
@@ -366,7 +398,7 @@
     )
     return OwnAnswer(
         504 if expired else 503,
-        _combine(attempts),
+        request.combine(),
         refused.reason.value,
         refused.retry_after,
     )
--- /dev/null
+++ b/egretlever/node/_evidence.py
@@ -0,0 +1,152 @@
+"""Evidence between the detector and gossip, and probes of servers."""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import curio
+from google.protobuf.message import DecodeError
+
+from egretlever.core import Address, NodeId, Seconds, ServerId, make_log
+from egretlever.detection import (
+    Action,
+    Detector,
+    EvidenceReport,
+    LogChange,
+    PooledEvidence,
+    ProbeServer,
+    Sender,
+    SendPooled,
+    SendReport,
+    decode_pooled,
+    decode_report,
+    encode_pooled,
+    encode_report,
+)
+from egretlever.node import _metrics as metrics
+from egretlever.schema import evidence_pb2
+from egretlever.transport import read_clock, send_request
+
+_LOG = make_log("detection")
+_MAX_PAYLOAD = 900  # bytes that gossip carries in one message
+_PROBE_PATH = "/health"
+_ERROR_STATUS = 500
+
+Post = Callable[[Sequence[NodeId], bytes], None]
+
+
+class EvidenceLink:
+    """Carries out the detector's actions and hands evidence to it.
+
+    Parameters
+    ----------
+    detector : Detector
+        Judges the servers.
+    sender : Sender
+        This node.
+    post : callable
+        Sends a payload to nodes.
+    find_address : callable
+        Finds the address of a server, None for an unknown one.
+    invalidate : callable
+        Called after the standing of a server changed.
+    """
+
+    def __init__(
+        self,
+        detector: Detector,
+        sender: Sender,
+        post: Post,
+        find_address: Callable[[ServerId], Address | None],
+        invalidate: Callable[[], None],
+    ) -> None:
+        self._detector = detector
+        self._sender = sender
+        self._post = post
+        self._find_address = find_address
+        self._invalidate = invalidate
+
+    def receive(self, sender: NodeId, payload: bytes, now: Seconds) -> None:
+        """Take one evidence message from gossip."""
+        try:
+            message = evidence_pb2.EvidenceMessage.FromString(payload)
+        except DecodeError:
+            metrics.DROPPED_MESSAGES.labels("evidence").inc()
+            return
+        kind = message.WhichOneof("content")
+        if kind == "report":
+            report, origin = decode_report(message.report)
+            if origin.node == sender:
+                self._detector.receive_report(report, origin, now)
+        elif kind == "pooled":
+            pooled, origin = decode_pooled(message.pooled)
+            if origin.node == sender:
+                self._detector.receive(pooled, origin, now)
+                self._invalidate()
+        else:
+            metrics.DROPPED_MESSAGES.labels("evidence").inc()
+
+    async def run(self, actions: Sequence[Action]) -> None:
+        """Carry out actions of the detector."""
+        for action in actions:
+            if isinstance(action, LogChange):
+                _LOG.info("%s.", action)
+                self._invalidate()
+            elif isinstance(action, SendReport):
+                self._send_report(action)
+            elif isinstance(action, SendPooled):
+                self._send_pooled(action)
+            elif isinstance(action, ProbeServer):
+                await curio.spawn(self._probe, action, daemon=True)
+
+    def _send_report(self, action: SendReport) -> None:
+        def encode(servers: Sequence[Any]) -> evidence_pb2.EvidenceMessage:
+            part = EvidenceReport(action.report.service, tuple(servers))
+            return evidence_pb2.EvidenceMessage(
+                report=encode_report(part, self._sender)
+            )
+
+        self._post_parts(action.to, action.report.servers, encode)
+
+    def _send_pooled(self, action: SendPooled) -> None:
+        def encode(servers: Sequence[Any]) -> evidence_pb2.EvidenceMessage:
+            part = PooledEvidence(action.pooled.service, tuple(servers))
+            return evidence_pb2.EvidenceMessage(
+                pooled=encode_pooled(part, self._sender)
+            )
+
+        self._post_parts(action.to, action.pooled.servers, encode)
+
+    def _post_parts(
+        self,
+        to: Sequence[NodeId],
+        servers: Sequence[Any],
+        encode: Callable[[Sequence[Any]], evidence_pb2.EvidenceMessage],
+    ) -> None:
+        """Post in parts, because a datagram carries a bounded payload."""
+        payload = encode(servers).SerializeToString()
+        if len(payload) <= _MAX_PAYLOAD:
+            self._post(to, payload)
+        elif len(servers) > 1:
+            middle = len(servers) // 2
+            self._post_parts(to, servers[:middle], encode)
+            self._post_parts(to, servers[middle:], encode)
+        else:
+            metrics.DROPPED_MESSAGES.labels("evidence-too-large").inc()
+
+    async def _probe(self, action: ProbeServer) -> None:
+        address = self._find_address(action.server)
+        if address is None:
+            return
+        # The answer's content is not trusted: a probe only tells that the
+        # server accepts a connection and answers in time.
+        result = await send_request(
+            address, "GET", _PROBE_PATH, timeout=action.timeout
+        )
+        reply = result.value_or(None)
+        passed = reply is not None and reply.head.status < _ERROR_STATUS
+        _LOG.info(
+            "Probe of server %s %s.",
+            action.server,
+            "passed" if passed else "failed",
+        )
+        self._detector.observe_probe(action.server, passed, read_clock())
--- /dev/null
+++ b/egretlever/node/_node.py
@@ -0,0 +1,375 @@
+"""The node: decision parts, sockets and loops put together."""
+
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import curio
+from curio import socket
+
+from egretlever.core import (
+    Address,
+    Incarnation,
+    NodeId,
+    RegionName,
+    Seconds,
+    ServerId,
+    ServerState,
+    ServiceName,
+    make_log,
+)
+from egretlever.membership import (
+    CatalogueUpdate,
+    DatagramPort,
+    ServerAnnouncement,
+)
+from egretlever.node import _metrics as metrics
+from egretlever.node._admin import make_admin
+from egretlever.node._attempts import AttemptRunner
+from egretlever.node._catalogue import CatalogueCopy, CatalogueSync
+from egretlever.node._engine import Engine, Parts
+from egretlever.node._evidence import EvidenceLink
+from egretlever.node._orders import OrderDesk
+from egretlever.node._parts import make_member, make_parts
+from egretlever.node._proxy import Proxy
+from egretlever.node._status import describe_fleet
+from egretlever.platform import make_object_store, make_table_store
+from egretlever.schema import admin_pb2, gossip_pb2, settings_pb2
+from egretlever.settings import parse_address
+from egretlever.transport import (
+    CallerConnection,
+    ConnectionPool,
+    accept_connections,
+    open_listener,
+    read_clock,
+    serve_requests,
+)
+
+_LOG = make_log("node")
+_TICK = 0.05  # seconds between turns of the parts that wait for time
+_FLUSH_INTERVAL = 0.5  # seconds between writes of deferred order rows
+_SLOW_INTERVAL = 1.0  # seconds between expiries and updates of gauges
+_PAUSE_LIMIT = 0.25  # seconds of loop lag that void the node's own evidence
+_LEAVE_LINGER = 3.0  # seconds in which others learn of the departure
+_DATAGRAM_SIZE = 65536
+
+Datagrams = Sequence[tuple[Address, bytes]]
+
+
+class Node:
+    """A node of the fleet.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Checked settings.
+    randomness : random.Random
+        Source of all random choices.
+    """
+
+    def __init__(
+        self, settings: settings_pb2.NodeSettings, randomness: random.Random
+    ) -> None:
+        self._settings = settings
+        platform = settings.platform
+        timeout = Seconds(platform.timeout_s)
+        self._table = make_table_store(parse_address(platform.table), timeout)
+        self._objects = make_object_store(
+            parse_address(platform.objects), timeout
+        )
+        self._parts = make_parts(settings, self._table, randomness)
+        self._evidence = EvidenceLink(
+            self._parts.detector,
+            self._parts.sender,
+            self._post_evidence,
+            self._find_address,
+            self._parts.selections.invalidate,
+        )
+        copy = CatalogueCopy(self._parts.catalogue, self._take_catalogue)
+        self._member = make_member(
+            settings, self._parts, copy, self._evidence, randomness
+        )
+        self._port = DatagramPort(self._member)
+        self._sync = CatalogueSync(
+            self._parts.reader,
+            self._table,
+            self._objects,
+            self._publish,
+            self._is_joined,
+            self._take_catalogue,
+        )
+        self._outgoing: list[tuple[Address, bytes]] = []
+        self._stop = curio.Event()
+        self._leaving = False
+        self._make_proxy(randomness)
+
+    def _make_proxy(self, randomness: random.Random) -> None:
+        traffic = self._settings.traffic
+        parts = self._parts
+        self._pool = ConnectionPool(
+            Seconds(traffic.connect_timeout_s),
+            Seconds(traffic.server_idle_timeout_s),
+            traffic.server_connections,
+        )
+        runner = AttemptRunner(
+            self._pool,
+            lambda attempt: parts.detector.observe(attempt, read_clock()),
+        )
+        engine = Engine(
+            Parts(
+                parts.catalogue,
+                parts.gate,
+                parts.selections,
+                parts.router,
+                parts.detector,
+                parts.retry,
+            ),
+            runner,
+            OrderDesk(parts.ledger),
+        )
+        self._proxy = Proxy(parts.catalogue, engine, randomness)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the node may get requests."""
+        return (
+            not self._leaving
+            and self._parts.reader.ready
+            and self._member.is_ready(read_clock())
+        )
+
+    def _is_joined(self) -> bool:
+        return bool(self._member.is_ready(read_clock()))
+
+    def _take_catalogue(self) -> None:
+        self._parts.take_catalogue(read_clock())
+        metrics.CATALOGUE_VERSION.set(self._parts.catalogue.version)
+
+    def _publish(self, update: CatalogueUpdate) -> None:
+        sends = self._member.publish_catalogue(update, read_clock())
+        self._queue(self._port.encode(sends))
+
+    def _post_evidence(self, to: Sequence[NodeId], payload: bytes) -> None:
+        own = self._parts.sender.node
+        now = read_clock()
+        if own in to:
+            self._evidence.receive(own, payload, now)
+        others = [node for node in to if node != own]
+        sends = self._member.send_evidence(others, payload, now)
+        self._queue(self._port.encode(sends))
+
+    def _find_address(self, server: ServerId) -> Address | None:
+        found = self._parts.view.servers.get(server)
+        return found.address if found is not None else None
+
+    def _queue(self, datagrams: Datagrams) -> None:
+        self._outgoing.extend(datagrams)
+
+    async def run(self) -> None:
+        """Run until a planned stop is complete."""
+        listen = self._settings.listen
+        traffic = open_listener(parse_address(listen.traffic))
+        admin = open_listener(parse_address(listen.admin))
+        gossip = _open_datagrams(parse_address(listen.gossip))
+        _LOG.info("%s serves callers on %s.", self._parts.sender.node, traffic)
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(self._accept, traffic)
+            await tasks.spawn(serve_requests, admin, make_admin(self))
+            await tasks.spawn(self._receive_gossip, gossip)
+            await tasks.spawn(self._tick_forever, gossip)
+            await tasks.spawn(
+                _repeat, _FLUSH_INTERVAL, self._parts.ledger.flush
+            )
+            await tasks.spawn(_repeat, _SLOW_INTERVAL, self._maintain)
+            await tasks.spawn(self._stop.wait)
+        for sock in (traffic, admin, gossip):
+            await sock.close()
+        if tasks.exception:
+            raise tasks.exception
+
+    async def _accept(self, listener: Any) -> None:
+        traffic = self._settings.traffic
+
+        async def serve(sock: Any) -> None:
+            connection = CallerConnection(
+                sock,
+                traffic.max_header_bytes,
+                Seconds(traffic.header_timeout_s),
+                Seconds(traffic.body_timeout_s),
+                Seconds(traffic.idle_timeout_s),
+            )
+            await self._proxy.serve(connection, sock.getpeername()[0])
+
+        await accept_connections(listener, serve, traffic.max_connections)
+
+    async def _receive_gossip(self, sock: Any) -> None:
+        while True:
+            data, peer = await sock.recvfrom(_DATAGRAM_SIZE)
+            metrics.GOSSIP_BYTES.labels("received").inc(len(data))
+            sender = Address(peer[0], peer[1])
+            self._queue(self._port.receive(data, sender, read_clock()))
+            await self._send_gossip(sock)
+
+    async def _send_gossip(self, sock: Any) -> None:
+        outgoing, self._outgoing = self._outgoing, []
+        for address, data in outgoing:
+            metrics.GOSSIP_BYTES.labels("sent").inc(len(data))
+            try:
+                await sock.sendto(data, (address.ip, address.port))
+            except OSError as error:
+                _LOG.debug("No datagram to %s: %s.", address, error)
+
+    async def _tick_forever(self, gossip: Any) -> None:
+        last = read_clock()
+        while True:
+            await curio.sleep(_TICK)
+            now = read_clock()
+            lag = now - last - _TICK
+            last = now
+            if lag > _PAUSE_LIMIT:
+                self._observe_pause(Seconds(lag), now)
+            await self._tick(now)
+            await self._send_gossip(gossip)
+
+    def _observe_pause(self, lag: Seconds, now: Seconds) -> None:
+        _LOG.warning("The loop stood still for %.2f s.", lag)
+        metrics.LOOP_PAUSES.inc()
+        self._parts.detector.observe_pause(lag, now)
+        self._parts.gate.observe_pause(lag, now)
+
+    async def _tick(self, now: Seconds) -> None:
+        parts = self._parts
+        self._queue(self._port.advance(now))
+        parts.view.refresh(self._member, now)
+        await self._evidence.run(parts.detector.advance(now))
+        parts.router.advance(now)
+        await parts.gate.advance()
+        actions = parts.reader.advance(now)
+        if actions:
+            await curio.spawn(self._sync.run, actions, daemon=True)
+
+    async def _maintain(self) -> None:
+        now = read_clock()
+        parts = self._parts
+        await self._pool.expire(now)
+        readers = self._member.readers(
+            RegionName(self._settings.identity.region)
+        )
+        parts.reader.set_reader(parts.sender.node in readers, now)
+        metrics.IN_FLIGHT.set(self._proxy.in_flight)
+        metrics.WAITING.set(parts.gate.waiting)
+        selections = [
+            parts.selections.find(service, now)
+            for service in parts.selections.services()
+        ]
+        metrics.EJECTED.set(sum(len(item.ejected) for item in selections))
+        metrics.HELD_BY_FLOOR.set(
+            sum(len(item.held_by_floor) for item in selections)
+        )
+
+    async def take_announcement(
+        self, announcement: gossip_pb2.Announcement
+    ) -> str:
+        """Take what a backend server says of itself; empty when accepted."""
+        refusal = check_announcement(announcement)
+        if refusal:
+            return refusal
+        endpoint = announcement.address
+        sends = self._member.announce(
+            ServerAnnouncement(
+                ServerId(announcement.server),
+                ServiceName(announcement.service),
+                Address(endpoint.ip, endpoint.port),
+                ServerState[gossip_pb2.ServerState.Name(announcement.state)],
+                Incarnation(announcement.incarnation),
+                announcement.slots,
+                announcement.connections,
+                announcement.uptime_s,
+            ),
+            read_clock(),
+        )
+        self._queue(self._port.encode(sends))
+        return ""
+
+    def describe(self) -> admin_pb2.FleetStatus:
+        """Describe the fleet as the node sees it."""
+        return describe_fleet(
+            self._parts,
+            self._member,
+            self.ready,
+            self._proxy.in_flight,
+            read_clock(),
+        )
+
+    async def stop(self) -> None:
+        """Leave the fleet, finish what is in flight, then end `run`."""
+        if self._leaving:
+            return
+        self._leaving = True
+        _LOG.info("%s leaves.", self._parts.sender.node)
+        self._queue(self._port.encode(self._member.leave(read_clock())))
+        # Callers that have not heard yet are still served in this time.
+        await curio.sleep(_LEAVE_LINGER)
+        self._proxy.stop()
+        until = read_clock() + self._settings.traffic.drain_timeout_s
+        while self._proxy.in_flight and read_clock() < until:
+            await curio.sleep(_TICK)
+        while await self._parts.ledger.flush():
+            pass
+        await self._stop.set()
+
+
+def check_announcement(announcement: gossip_pb2.Announcement) -> str:
+    """Return what is wrong with an announcement, empty for a valid one."""
+    if not announcement.server or not announcement.service:
+        return "the announcement names no server or no service"
+    try:
+        parse_address(
+            f"[{announcement.address.ip}]:{announcement.address.port}"
+        )
+    except ValueError as error:
+        return str(error)
+    if not 0 < announcement.slots <= 10_000:
+        return "slots is not between 1 and 10000"
+    if announcement.state not in gossip_pb2.ServerState.values():
+        return "the state is unknown"
+    return ""
+
+
+def _open_datagrams(address: Address) -> Any:
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_DGRAM)
+    sock.bind((address.ip, address.port))
+    return sock
+
+
+async def _repeat(interval: float, work: Callable[[], Any]) -> None:
+    while True:
+        await curio.sleep(interval)
+        await work()
+
+
+def make_node(
+    settings: settings_pb2.NodeSettings, seed: int | None = None
+) -> Node:
+    """Make a node.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Checked settings.
+    seed : int, optional
+        Seed of its choices; the name and the time when absent.
+
+    Returns
+    -------
+    Node
+        A node that does nothing until `run`.
+    """
+    if seed is None:
+        return Node(
+            settings,
+            random.Random(f"{settings.identity.node}/{time.time_ns()}"),
+        )
+    return Node(settings, random.Random(seed))
--- a/egretlever/node/_proxy.py
+++ b/egretlever/node/_proxy.py
@@ -22,6 +22,8 @@
 from egretlever.node._bodies import RequestBody
 from egretlever.node._context import RequestContext, RouteChoice, make_context
 from egretlever.node._engine import Engine, Served
+from egretlever.node._orders import Replay
+from egretlever.node._requests import Request
 from egretlever.transport import (
     BackendClosedError,
     BackendProtocolError,
@@ -120,12 +122,16 @@
         body = RequestBody(connection)
         if not connection.expects_continue:
             await body.fill()
-        result = await self._engine.run(context, head, body, connection.is_gone)
+        request = Request(context, head, body, connection.is_gone)
+        result = await self._engine.run(request)
+        outcome = Outcome.COMPLETED
         if isinstance(result, OwnAnswer):
             outcome = result.outcome
             await self._send_own(connection, head, result, request_id)
+        elif isinstance(result, Replay):
+            answer = mark_outcome(result.head, outcome, request_id)
+            await connection.send_response(answer, result.body)
         else:
-            outcome = Outcome.COMPLETED
             await self._forward(connection, context, result)
         self._count(context, outcome)
 
