Add the operator's program with the catalogue commands

Typer's own exit code for a wrong command line is 2, the code of findings, which fits: both name what to correct.

--- /dev/null
+++ b/egretlever/programs/ctl.py
@@ -0,0 +1,61 @@
+"""The operator's program, ``egretlever-ctl``."""
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+import egretlever
+from egretlever.programs import _ctl_catalogue
+from egretlever.programs._ctl_common import CtlContext
+
+app = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    help="Operate a fleet of egretlever nodes. Exit codes: 0 done, 1 refused"
+    " or conflict, 2 findings, 3 store away, 4 effect unknown.",
+)
+app.add_typer(_ctl_catalogue.app, name="catalogue")
+
+
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(f"egretlever-ctl {egretlever.__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def read_options(
+    context: typer.Context,
+    settings: Annotated[
+        pathlib.Path,
+        typer.Option(envvar="EGRETLEVER_CTL_SETTINGS", help="Settings file."),
+    ] = pathlib.Path("ctl.ini"),
+    version: Annotated[
+        bool,
+        typer.Option(
+            "--version",
+            help="Print the version.",
+            is_eager=True,
+            callback=_print_version,
+        ),
+    ] = False,
+) -> None:
+    """Keep the options that stand before the command."""
+    context.obj = CtlContext(settings)
+
+
+@app.command()
+def check(context: typer.Context) -> None:
+    """Check the settings file and print every finding."""
+    context.obj.load()
+    typer.echo(f"{context.obj.settings_path}: no findings")
+
+
+def main() -> None:
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
