--- a/egretlever/orders/tests/test_ledger.py
+++ b/egretlever/orders/tests/test_ledger.py
@@ -110,9 +110,11 @@
 
 def test_a_key_in_progress_is_held_in_the_same_and_another_node():
     nodes = Nodes()
-    nodes.claimed(nodes.first)
+    claim = nodes.claimed(nodes.first)
     assert isinstance(nodes.claim(nodes.first), Held)
     assert isinstance(nodes.claim(nodes.second), Held)
+    # The second request must not take the first one's place in the node.
+    assert nodes.first.may_dispatch(claim, NOW)
 
 
 @pytest.mark.parametrize("same_node", [True, False])
--- a/egretlever/testing/_order_world.py
+++ b/egretlever/testing/_order_world.py
@@ -19,6 +19,7 @@
     Known,
     OrderRequest,
     RecordedAnswer,
+    Unavailable,
     make_claim_sweep,
     make_order_ledger,
 )
@@ -137,6 +138,10 @@
         result = await ledger.claim(request, Seconds(self.now))
         if not isinstance(result, Claimed):
             answer = result.answer if isinstance(result, Known) else None
+            if isinstance(result, Unavailable) and request.attempt > 1:
+                # Nothing could be looked up, so "not run" would be a guess.
+                not_run = result.outcome is Outcome.NOT_RUN
+                assert not not_run or order.dispatches == 0
             self._tell(order, request, result.outcome, answer)
             return
         outcome = Outcome.NOT_RUN
