Spread retries over half of the server's Retry-After

The jitter on top of Retry-After was at most 25 ms for a first retry, so requests shed together still returned nearly together.

--- a/egretlever/retry/_policy.py
+++ b/egretlever/retry/_policy.py
@@ -224,10 +224,11 @@
         ceiling = min(
             self._backoff_cap, self._base_backoff * 2.0 ** (failures - 1)
         )
-        jitter = self._randomness.uniform(0, ceiling)
-        # The jitter comes on top of Retry-After, or all callers that were
-        # shed together would return together.
-        return Seconds(jitter + (history.attempts[-1].retry_after or 0.0))
+        # The jitter comes on top of Retry-After and covers half of it, or all
+        # requests that were shed together would return together.
+        asked = history.attempts[-1].retry_after or 0.0
+        jitter = self._randomness.uniform(0, max(ceiling, asked / 2))
+        return Seconds(asked + jitter)
 
     def _decide_hedge(
         self,
