Settle evidence and contrast it with peers before ejection

Cause: the three outcomes of one request counted as three, so the first requests of a flood or a lost link ejected healthy servers. Change: evidence must last 0.15 s while peers do well, a reporter weighs at most 1.5, late answers retract their overdue report, and a region whose servers are mostly unreachable is not judged.

--- a/benchmarks/_detection_model.py
+++ b/benchmarks/_detection_model.py
@@ -44,7 +44,7 @@
     NONE = "none"
     BLACK_HOLE = "black hole"
     REFUSED = "refused"
-    ONE_WAY = "one-way"
+    ONE_WAY_PART = "one-way, a quarter of the nodes"
     SLOW = "5x slow"
     ERRORS = "30% errors"
     FLAPPING = "flapping"
@@ -284,7 +284,7 @@
         if server != self.victim:
             return result, latency
         dead = fault in (Fault.BLACK_HOLE, Fault.FLAPPING)
-        if dead or (fault is Fault.ONE_WAY and node.number % 4 == 0):
+        if dead or (fault is Fault.ONE_WAY_PART and node.number % 4 == 0):
             return AttemptResult.TIMEOUT, math.inf
         if fault is Fault.REFUSED:
             return AttemptResult.REFUSED, 0.001
@@ -347,7 +347,7 @@
     def share(self) -> float:
         """Return the victim's share of its fair share, on affected nodes."""
         nodes = self.nodes
-        if self.fault is Fault.ONE_WAY:
+        if self.fault is Fault.ONE_WAY_PART:
             nodes = [node for node in nodes if node.number % 4 == 0]
         total = 0.0
         for node in nodes:
--- a/benchmarks/detection.py
+++ b/benchmarks/detection.py
@@ -29,7 +29,9 @@
 KAPRA = Size("Kapra", 10, 6, 5, 4, 40.0)
 SABLAT = Size("Sablat", 11, 7, 7, 3, 30.0)
 SIZES = (DESIGN, KAPRA, SABLAT)
-TOTAL = (Fault.BLACK_HOLE, Fault.REFUSED, Fault.ONE_WAY)
+# A one-way fault is a black hole to the nodes that miss the answers. Here they
+# are a quarter of the nodes, as one failure domain has.
+TOTAL = (Fault.BLACK_HOLE, Fault.REFUSED, Fault.ONE_WAY_PART)
 PARTIAL = (Fault.SLOW, Fault.ERRORS, Fault.FLAPPING, Fault.LYING)
 QUIET = (Fault.NONE, Fault.FLOOD, Fault.PAUSED_NODE, Fault.LOST_LINK)
 # A node of the design size sees one request per second of a service, and needs
--- a/egretlever/detection/_comparison.py
+++ b/egretlever/detection/_comparison.py
@@ -15,13 +15,14 @@
 LIFETIME = WINDOWS[-1]
 # Expected bad outcomes per second of a server while nothing is known.
 PRIOR_RATE = (0.02, 0.02, 0.01)
-# Outcomes of one reporter that count in one window, so that a single node
-# with a broken path can't convict a server.
-_REPORTER_CAP = 2
+# A reporter weighs 1 with one bad outcome in a window and 1.5 with more. The
+# outcomes of one node are not independent, and a single node with a broken
+# path must not convict a server.
+_CONFIRMED = 1.5
 _EVENTS_PER_SERVER = 64
 
-Counts = tuple[tuple[int, int], ...]
-_NOTHING: Counts = ((0, 0),) * (len(KINDS) * len(WINDOWS))
+Counts = tuple[tuple[float, int], ...]
+_NOTHING: Counts = ((0.0, 0),) * (len(KINDS) * len(WINDOWS))
 
 
 class ServerEvents:
@@ -33,7 +34,7 @@
         Incarnation of the server that the reports are about.
     """
 
-    __slots__ = ("events", "hinted_until", "incarnation", "sent")
+    __slots__ = ("crossed", "events", "hinted_until", "incarnation", "sent")
 
     def __init__(self, incarnation: Incarnation) -> None:
         self.incarnation = incarnation
@@ -42,10 +43,12 @@
             collections.deque(maxlen=_EVENTS_PER_SERVER)
         )
         self.sent = -math.inf
+        # Time since which the score is above the threshold.
+        self.crossed = math.inf
         self.hinted_until = -math.inf
 
     def count(self, now: float, ignored: Collection[NodeId]) -> Counts:
-        """Return capped outcomes and reporters for each kind and window."""
+        """Return weight and number of reporters for each kind and window."""
         if not self.events:
             return _NOTHING
         by_reporter: list[dict[NodeId, int]] = [
@@ -59,7 +62,10 @@
                     counts = by_reporter[kind * len(WINDOWS) + index]
                     counts[reporter] = counts.get(reporter, 0) + number
         return tuple(
-            (sum(min(n, _REPORTER_CAP) for n in counts.values()), len(counts))
+            (
+                sum(1.0 if n == 1 else _CONFIRMED for n in counts.values()),
+                len(counts),
+            )
             for counts in by_reporter
         )
 
@@ -125,6 +131,10 @@
         kind, window = divmod(index, len(WINDOWS))
         rate = max(base[kind], PRIOR_RATE[kind])
         typical = estimate_typical([counts[index][0] for counts in peers])
+        # The longest window has the least error of estimation.
+        last = kind * len(WINDOWS) + len(WINDOWS) - 1
+        lasting = estimate_typical([counts[last][0] for counts in peers])
+        rate = max(rate, lasting / LIFETIME)
         expected = max(typical, rate * WINDOWS[window])
         score = score_excess(bad, expected)
         if bad >= min_ratio * expected and score > best[0]:
--- a/egretlever/detection/_detector.py
+++ b/egretlever/detection/_detector.py
@@ -45,6 +45,12 @@
 _HINTED = 0.75
 _ANNOUNCE_INTERVAL = 5.0
 _EXTENSION = 1.0
+# Time for which own evidence has to stay conclusive, in which a flood or a
+# lost link shows on the peers as well.
+_SETTLE = 0.15
+# Errors and slow answers occur on healthy servers far more often than
+# unreachability does, and need a score higher by this factor.
+_FREQUENT = 1.5
 # Loop lag above which the evidence of the time is void.
 _PAUSE = 0.25
 
@@ -94,6 +100,8 @@
         self._probes = ProbePacer()
         self._ejections = Ejections(self._own.clear)
         self._announced: dict[ServerId, float] = {}
+        # Servers with conclusive own evidence, and since when.
+        self._pending: dict[ServerId, Seconds] = {}
         self._due: list[Action] = []
         self._dropped: collections.Counter[str] = collections.Counter()
         self._now = Seconds(0.0)
@@ -132,21 +140,45 @@
         if judgement.newly_blamed:
             evidence = f"most servers of region {server.region} are unreachable"
             self._ejections.log(server.id, Change.LINK_BLAMED, evidence)
-        needed = self._pair_threshold
-        hinted = now < self._own.find_pair(server).suspected_until
-        if hinted or self._ejections.is_ramping(server.id):
-            needed *= _HINTED
+        needed = self._find_threshold(server.id, judgement.kind, now)
         if judgement.score >= needed:
-            self._ejections.condemn(
-                server, Cause.PAIR, judgement.kind, judgement.score, 1, now
-            )
-        elif (
+            self._pending.setdefault(server.id, now)
+        if (
             judgement.probe
             and not self._ejections.find_bad(server.id)
             and self._probes.start_suspicion(server.id, now)
         ):
             self._due.append(self._make_probe(server.id))
 
+    def _find_threshold(
+        self, server_id: ServerId, kind: EvidenceKind, now: Seconds
+    ) -> float:
+        needed = self._pair_threshold
+        if kind is not EvidenceKind.UNREACHABLE:
+            needed *= _FREQUENT
+        pair = self._own.pairs.get(server_id)
+        hinted = pair is not None and now < pair.suspected_until
+        if hinted or self._ejections.is_ramping(server_id):
+            return needed * _HINTED
+        return needed
+
+    def _settle_pending(self, now: Seconds) -> None:
+        """Condemn pairs whose evidence lasts while their peers do well."""
+        for server_id, since in list(self._pending.items()):
+            if now - since < _SETTLE:
+                continue
+            pair = self._own.pairs.get(server_id)
+            server = self._directory.servers.get(server_id)
+            if pair is None or server is None:
+                del self._pending[server_id]
+                continue
+            score, kind = pair.score(now)
+            if score < self._find_threshold(server_id, kind, now):
+                del self._pending[server_id]
+            elif pair.group.has_good_peers(server_id, since):
+                del self._pending[server_id]
+                self._ejections.condemn(server, Cause.PAIR, kind, score, 1, now)
+
     def _make_probe(self, server_id: ServerId) -> ProbeServer:
         timeout = min(max(self.overdue_after(server_id), 0.1), 0.25)
         return ProbeServer(server_id, Seconds(timeout))
@@ -293,6 +325,7 @@
         """Move time forward and return the actions that are due."""
         self._now = now
         self._probes.expire(now)
+        self._settle_pending(now)
         for standing in self._ejections.advance(self._probes_itself, now):
             if self._probes.start(standing.server, now):
                 self._due.append(self._make_probe(standing.server))
--- a/egretlever/detection/_own_evidence.py
+++ b/egretlever/detection/_own_evidence.py
@@ -140,6 +140,8 @@
                 pair.add_good(now)
                 return None
             kind = EvidenceKind.SLOW
+            if attempt.latency > latency.overdue_after:
+                pair.retract_unreachable()
         elif result in _UNREACHABLE:
             kind = EvidenceKind.UNREACHABLE
         else:
--- a/egretlever/detection/_pairs.py
+++ b/egretlever/detection/_pairs.py
@@ -1,5 +1,6 @@
 """A node's own evidence about the servers that it tries."""
 
+import collections
 import math
 from collections.abc import Iterable
 
@@ -8,6 +9,7 @@
 from egretlever.detection._scores import score_excess
 from egretlever.detection._types import EvidenceKind, ServerReport
 
+LIFETIME = 10.0
 # Outcomes lose half of their weight in 3.5 s, so that a partial fault is
 # judged from the last 10 s, in which evidence also expires.
 _DECAY = 5.0
@@ -20,6 +22,7 @@
 }
 _PRIOR_WEIGHT = 20.0
 _KINDS = tuple(EvidenceKind)
+_RECENT = 32
 
 
 class Pair:
@@ -86,6 +89,7 @@
 
     def add_good(self, now: float) -> None:
         """Count an attempt that ended well."""
+        self.group.recent.append((now, self.server_id, True))
         self._decay(now)
         self.attempts_ += 1
         self.run = 0
@@ -95,16 +99,26 @@
 
     def add_bad(self, kind: EvidenceKind, now: float) -> None:
         """Count an attempt that ended badly."""
+        self.group.recent.append((now, self.server_id, False))
         self._decay(now)
         self.attempts_ += 1
         if self.bad_ is None:
             self.bad_ = [0.0] * len(_KINDS)
         index = _KINDS.index(kind)
         self.bad_[index] += 1
-        self.run = self.run + 1 if kind is EvidenceKind.UNREACHABLE else 0
+        recent = self.run if now - self.last_bad < LIFETIME else 0
+        self.run = recent + 1 if kind is EvidenceKind.UNREACHABLE else 0
         self.last_bad = now
         self.since_report[index] += 1
 
+    def retract_unreachable(self) -> None:
+        """Take back one overdue attempt whose answer came after all."""
+        if self.bad_ is not None:
+            index = _KINDS.index(EvidenceKind.UNREACHABLE)
+            self.bad_[index] = max(0.0, self.bad_[index] - 1)
+            if self.since_report[index] > 0:
+                self.since_report[index] -= 1
+
     def measure(self, now: float) -> tuple[float, tuple[float, ...]]:
         """Return the decayed numbers of attempts and of bad ones by kind."""
         factor = math.exp((self.at - now) / _DECAY)
@@ -140,7 +154,8 @@
         best = (0.0, EvidenceKind.FAILED)
         for kind, count, share in zip(_KINDS, bad, expected, strict=True):
             value = score_excess(count, max(attempts, 1.0) * share)
-            if kind is EvidenceKind.UNREACHABLE and self.run:
+            lasting = self.run and now - self.last_bad < LIFETIME
+            if kind is EvidenceKind.UNREACHABLE and lasting:
                 value = max(value, score_excess(self.run, self.run * share))
             best = max(best, (value, kind), key=lambda item: item[0])
         return best
@@ -158,12 +173,30 @@
         Region of the servers.
     """
 
-    __slots__ = ("latency", "pairs", "region")
+    __slots__ = ("latency", "pairs", "recent", "region")
 
     def __init__(self, region: RegionName) -> None:
         self.region = region
         self.latency = LatencyDistribution()
         self.pairs: dict[ServerId, Pair] = {}
+        self.recent: collections.deque[tuple[float, ServerId, bool]] = (
+            collections.deque(maxlen=_RECENT)
+        )
+
+    def has_good_peers(self, judged: ServerId, since: float) -> bool:
+        """Tell whether other servers did well while this one did badly.
+
+        Without this contrast a flood or a lost link is as likely a cause as
+        the server. Good outcomes after the last bad one prove nothing, because
+        the fault may have ended in between.
+        """
+        good = bad = 0
+        until = self.pairs[judged].last_bad
+        for at, server_id, is_good in self.recent:
+            if since <= at <= until and server_id != judged:
+                good += is_good
+                bad += not is_good
+        return good >= 2 and good >= 2 * bad
 
     def expect_shares(self, judged: Pair, now: float) -> list[float]:
         """Return the share of bad outcomes by kind of a server's peers.
--- a/egretlever/detection/_pool.py
+++ b/egretlever/detection/_pool.py
@@ -1,7 +1,7 @@
 """Pooling of evidence on an evidence node."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from egretlever.core import (
     Interval,
@@ -17,6 +17,7 @@
     LIFETIME,
     PRIOR_RATE,
     WINDOWS,
+    Counts,
     ServerEvents,
     count_all,
     find_worst,
@@ -24,6 +25,7 @@
 from egretlever.detection._directory import Directory
 from egretlever.detection._scores import estimate_typical
 from egretlever.detection._types import (
+    EvidenceKind,
     EvidenceReport,
     PooledEvidence,
     PooledServerEvidence,
@@ -42,10 +44,24 @@
 _JUDGE_INTERVAL = 0.05
 _JUDGE_INTERVAL_MUCH = 0.5
 _MUCH = 500
+# Time for which evidence has to stay conclusive. At the onset of a flood the
+# first reports name few servers; their peers follow within this time.
+_SETTLE = 0.15
+# Errors and slow answers occur on healthy servers far more often than
+# unreachability does, so that chance has more opportunities.
+_FREQUENT = 14.0 / 12.0
 
 
 class _Service:
-    __slots__ = ("base_", "evidence", "judged", "named", "updated", "users")
+    __slots__ = (
+        "base_",
+        "evidence",
+        "judged",
+        "named",
+        "updated",
+        "updates",
+        "users",
+    )
 
     def __init__(self) -> None:
         self.evidence: dict[ServerId, ServerEvents] = {}
@@ -54,6 +70,7 @@
         self.users: dict[NodeId, float] = {}
         self.base_: dict[str, list[float]] = {}
         self.updated = -math.inf
+        self.updates = 0
 
 
 class EvidencePool:
@@ -64,8 +81,8 @@
     directory : Directory
         Known servers and nodes.
     threshold : float, default=12.0
-        Score that convicts a server. Judged once per bad outcome, 12 is
-        reached by chance less than once in 1000 server-hours at 1% errors.
+        Score that convicts a server as unreachable. Errors and slow answers
+        need one sixth more.
     min_reporters : int, default=2
         Distinct nodes that must have reported.
     min_ratio : float, default=2.5
@@ -196,6 +213,8 @@
     def _update_base(
         self, service: ServiceName, state: _Service, now: float
     ) -> None:
+        state.updates += 1
+        smoothing = max(_BASE_SMOOTHING, 1.0 / state.updates)
         for region, servers in self._find_groups(service).items():
             base = state.base_.setdefault(region, list(PRIOR_RATE))
             counts = count_all(state.evidence, servers, now)
@@ -203,7 +222,7 @@
                 column = kind * len(WINDOWS) + len(WINDOWS) - 1
                 values = [row[column][0] for row in counts.values()]
                 rate = estimate_typical(values) / LIFETIME
-                base[kind] += _BASE_SMOOTHING * (rate - base[kind])
+                base[kind] += smoothing * (rate - base[kind])
 
     def _find_groups(self, service: ServiceName) -> dict[str, list[ServerId]]:
         groups: dict[str, list[ServerId]] = {}
@@ -246,6 +265,7 @@
         now: Seconds,
     ) -> list[PooledServerEvidence]:
         counts = count_all(state.evidence, peers, now)
+        lost = self._is_link_lost(counts)
         verdicts = []
         for server_id in judged:
             evidence = state.evidence.get(server_id)
@@ -259,9 +279,16 @@
                 self._min_reporters,
                 self._min_ratio,
             )
-            hinted = evidence.hinted_until > now
-            if score >= self._threshold * (0.75 if hinted else 1.0):
+            blamed = lost and kind is EvidenceKind.UNREACHABLE
+            if blamed or score < self._find_threshold(kind, evidence, now):
+                evidence.crossed = math.inf
+                continue
+            evidence.crossed = min(evidence.crossed, now)
+            if now - evidence.crossed < _SETTLE:
+                state.named.add(server_id)
+            else:
                 evidence.sent = now
+                evidence.crossed = math.inf
                 age = Seconds(max(0.0, now - evidence.events[-1][0]))
                 verdicts.append(
                     PooledServerEvidence(
@@ -275,6 +302,25 @@
                 )
         return verdicts
 
+    def _is_link_lost(self, counts: Mapping[ServerId, Counts]) -> bool:
+        """Tell whether most servers of another region are unreachable."""
+        column = KINDS.index(EvidenceKind.UNREACHABLE) * len(WINDOWS) + 1
+        servers = self._directory.servers
+        remote = [
+            row[column][0] > 0
+            for server_id, row in counts.items()
+            if servers[server_id].region != self._directory.region
+        ]
+        return sum(remote) >= 2 and sum(remote) > len(remote) / 2
+
+    def _find_threshold(
+        self, kind: EvidenceKind, evidence: ServerEvents, now: float
+    ) -> float:
+        needed = self._threshold
+        if kind is not EvidenceKind.UNREACHABLE:
+            needed *= _FREQUENT
+        return needed * (0.75 if evidence.hinted_until > now else 1.0)
+
     def _send(
         self,
         service: ServiceName,
