--- a/egretlever/node/_parts.py
+++ b/egretlever/node/_parts.py
@@ -20,6 +20,7 @@
     HostName,
     Incarnation,
     NodeId,
+    RankName,
     RegionName,
     Seconds,
     ServiceName,
@@ -45,6 +46,9 @@
 from egretlever.schema import settings_pb2
 from egretlever.settings import parse_address
 
+# No request is admitted before the first catalogue replaces this rank.
+_FIRST_RANK = RankPolicy(RankName("none"), 0)
+
 
 @dataclasses.dataclass(slots=True)
 class NodeParts:
@@ -154,7 +158,7 @@
             lambda service: find_mode(catalogue, service),
             randomness,
         ),
-        Gate(make_admission([], [], randomness)),
+        Gate(make_admission([], [_FIRST_RANK], randomness)),
         randomness,
     )
 
