--- a/egretlever/orders/_backlog.py
+++ b/egretlever/orders/_backlog.py
@@ -56,6 +56,8 @@
         self._writes: collections.OrderedDict[OrderKey, DeferredWrite] = (
             collections.OrderedDict()
         )
+        # Keys of the batches being sent, which other flushes leave out.
+        self._sending: set[OrderKey] = set()
 
     def __len__(self) -> int:
         return len(self._writes)
@@ -95,11 +97,21 @@
             Writes that are done and removed.
         """
         before = len(self._writes)
-        chosen = list(keys if keys is not None else self._writes)[:BATCH_SIZE]
-        for _ in range(_MAX_TRIES):
-            batch = [self._writes[key] for key in chosen if key in self._writes]
-            if not batch or not await self._write_batch(batch):
-                break
+        chosen = [
+            key
+            for key in (keys if keys is not None else self._writes)
+            if key not in self._sending
+        ][:BATCH_SIZE]
+        self._sending.update(chosen)
+        try:
+            for _ in range(_MAX_TRIES):
+                batch = [
+                    self._writes[key] for key in chosen if key in self._writes
+                ]
+                if not batch or not await self._write_batch(batch):
+                    break
+        finally:
+            self._sending.difference_update(chosen)
         return max(0, before - len(self._writes))
 
     async def _write_batch(self, batch: list[DeferredWrite]) -> bool:
--- a/egretlever/orders/tests/test_ledger.py
+++ b/egretlever/orders/tests/test_ledger.py
@@ -175,6 +175,25 @@
     assert (nodes.table.writes, nodes.table.reads) == (1, 1)
 
 
+def test_flushes_at_the_same_moment_write_a_row_once():
+    nodes = Nodes()
+    store = SteppedTableStore(nodes.table, random.Random(1))
+    ledger = make_order_ledger(
+        store,
+        NodeId("n1"),
+        lambda service: OrderMode.STRICT,
+        random.Random(1),
+        lambda: 0.0,
+    )
+    nodes.complete(ledger, nodes.claimed(ledger))
+    first = ledger.flush()
+    first.send(None)
+    run_steps(ledger.flush())
+    assert nodes.table.writes == 1
+    assert run_steps(first) == 1
+    assert nodes.table.writes == 2
+
+
 def test_a_lost_record_is_written_once():
     nodes = Nodes()
     nodes.complete(nodes.first, nodes.claimed(nodes.first))
