--- a/egretlever/orders/__init__.py
+++ b/egretlever/orders/__init__.py
@@ -1,13 +1,8 @@
 """Order claims, which run an order at most once."""
 
 from egretlever.orders._encoding import digest_request
-from egretlever.orders._ledger import (
-    LedgerView,
-    ModeSource,
-    OrderLedger,
-    TableOrderLedger,
-    make_order_ledger,
-)
+from egretlever.orders._interfaces import LedgerView, ModeSource, OrderLedger
+from egretlever.orders._ledger import TableOrderLedger, make_order_ledger
 from egretlever.orders._rows import (
     Claim,
     Claimed,
--- a/egretlever/orders/_ledger.py
+++ b/egretlever/orders/_ledger.py
@@ -4,7 +4,6 @@
 import random
 import time
 from collections.abc import Callable
-from typing import Protocol
 
 from egretlever.core import (
     Interval,
@@ -13,7 +12,6 @@
     OrderMode,
     Outcome,
     Seconds,
-    ServiceName,
     Version,
     check_parameters,
     make_log,
@@ -21,6 +19,7 @@
 )
 from egretlever.orders._backlog import Backlog, DeferredWrite
 from egretlever.orders._claiming import ClaimTry, ClaimTryEnd, try_claim
+from egretlever.orders._interfaces import LedgerView, ModeSource
 from egretlever.orders._memory import RecentKey, RecentKeys
 from egretlever.orders._rows import (
     Claim,
@@ -48,48 +47,6 @@
 MAX_ANSWER_BYTES = 4096
 _RETRY_AFTER = Seconds(1.0)
 
-ModeSource = Callable[[ServiceName], OrderMode]
-
-
-class OrderLedger(Protocol):
-    """Runs each order at most once."""
-
-    async def claim(self, request: OrderRequest, now: Seconds) -> ClaimResult:
-        """Claim an order before its dispatch."""
-
-    def may_dispatch(self, claim: Claim, now: Seconds) -> bool:
-        """Whether a claim still allows a dispatch."""
-
-    async def record(
-        self,
-        claim: Claim,
-        outcome: Outcome,
-        answer: RecordedAnswer | None = None,
-    ) -> None:
-        """Record how a claimed order ended."""
-
-    async def flush(self) -> int:
-        """Write a batch of deferred rows."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LedgerView:
-    """Snapshot of a ledger for operators.
-
-    Parameters
-    ----------
-    active : int
-        Orders claimed by this node that have not ended.
-    recent : int
-        Keys in the node's memory.
-    deferred : int
-        Rows that wait for the store.
-    """
-
-    active: int
-    recent: int
-    deferred: int
-
 
 class TableOrderLedger:
     """Order ledger over the table service.
--- a/egretlever/orders/tests/test_ledger.py
+++ b/egretlever/orders/tests/test_ledger.py
@@ -33,7 +33,7 @@
 from egretlever.testing.builders import build_order_request
 
 NOW = Seconds(1000.0)
-ANSWER = RecordedAnswer(201, "text/plain", b"cut")
+ANSWER = RecordedAnswer(201, "text/plain", b"swatch is cut")
 DAY = 86400.0
 
 
@@ -194,6 +194,28 @@
     assert nodes.table.writes == 2
 
 
+def test_an_outcome_recorded_during_a_flush_is_not_lost():
+    nodes = Nodes()
+    store = SteppedTableStore(nodes.table, random.Random(1))
+    ledger = make_order_ledger(
+        store,
+        NodeId("n1"),
+        lambda service: OrderMode.FIRST_ATTEMPT,
+        random.Random(1),
+        lambda: 0.0,
+    )
+    nodes.table.away = True
+    claim = nodes.claimed(ledger)
+    nodes.table.away = False
+    flush = ledger.flush()
+    flush.send(None)
+    nodes.complete(ledger, claim)
+    run_steps(flush)
+    assert ledger.describe().deferred == 1
+    run_steps(ledger.flush())
+    assert nodes.claim(nodes.second) == Known(ANSWER)
+
+
 def test_a_lost_record_is_written_once():
     nodes = Nodes()
     nodes.complete(nodes.first, nodes.claimed(nodes.first))
