--- a/egretlever/orders/_claiming.py
+++ b/egretlever/orders/_claiming.py
@@ -84,10 +84,10 @@
     ClaimTryEnd
         A version when claimed, an answer, or neither without the store.
     """
-    # The insert goes first because most keys are new: one write, no read. A
-    # later attempt in first-attempt mode never claims and only reads.
-    later = attempt.request.attempt > 1
-    read_next = attempt.mode is OrderMode.FIRST_ATTEMPT and later
+    # The key of a first attempt is mostly new, so its insert goes first: one
+    # write, no read. A later attempt mostly finds a row, and the store carries
+    # several times more reads than writes.
+    read_next = attempt.request.attempt > 1
     for _ in range(_MAX_CALLS):
         if read_next:
             current = await _read(store, attempt)
