--- a/egretlever/orders/__init__.py
+++ b/egretlever/orders/__init__.py
@@ -1,12 +1,8 @@
 """Order claims, which run an order at most once."""
 
 from egretlever.orders._encoding import digest_request
-from egretlever.orders._ledger import (
-    LedgerView,
-    ModeSource,
-    OrderLedger,
-    make_order_ledger,
-)
+from egretlever.orders._interfaces import LedgerView, ModeSource, OrderLedger
+from egretlever.orders._ledger import TableOrderLedger, make_order_ledger
 from egretlever.orders._rows import (
     Claim,
     Claimed,
@@ -39,6 +35,7 @@
     "RecordedAnswer",
     "Refused",
     "SweepReport",
+    "TableOrderLedger",
     "Unavailable",
     "choose_sweeper",
     "digest_request",
