Add the demonstration, and keep waiting on an overdue kept connection

Cause: an overdue attempt on a kept connection was given up as stale at once, so a slow server was never measured. Before: a server slowed 10x was not ejected within 10 s. Now the attempt is reported as overdue and goes on; it is given up as stale after four times that wait.

--- a/Makefile
+++ b/Makefile
@@ -32,13 +32,13 @@
 	  cmp $$file egretlever/schema/$$(basename $$file) || exit 1; done
 
 demo: $(VENV)/.ready
-	$(BIN)/python -m egretlever.programs.demo
+	$(BIN)/python -m examples.demo
 
 bench: $(VENV)/.ready
 	$(BIN)/python -m benchmarks
 
 soak: $(VENV)/.ready
-	$(BIN)/python -m egretlever.programs.soak
+	$(BIN)/python -m benchmarks._soak
 
 clean:
 	rm -rf build
--- a/egretlever/node/_attempts.py
+++ b/egretlever/node/_attempts.py
@@ -27,6 +27,10 @@
 HOLD_LIMIT = 65536  # bytes of an answer that are held until it is whole
 _ERROR_STATUS = 500
 _GONE_CHECK = Seconds(0.25)  # between looks for a caller that went away
+# A slow server answers late; a kept connection that stays silent for longer
+# than this is given up, and the request is tried on a new one.
+_STALE_FACTOR = 4.0  # times the wait after which an attempt is overdue
+_STALE_MINIMUM = 0.5  # seconds
 
 
 @dataclasses.dataclass(slots=True)
@@ -250,16 +254,15 @@
         except curio.TaskTimeout:
             if self._time_left() <= 0:
                 raise
-        overdue = self._end(AttemptResult.OVERDUE)
-        if (
+        self._report_overdue(self._end(AttemptResult.OVERDUE))
+        stale_after = max(
+            _STALE_FACTOR * self._limits.overdue_after, _STALE_MINIMUM
+        )
+        may_be_stale = (
             not self._fresh
-            and not self._connection.responded
             and request.context.idempotent
             and request.body.whole
-        ):
-            # A new connection tells a silent connection from a silent server.
-            return self._end(AttemptResult.STALE_CONNECTION)
-        self._report_overdue(overdue)
+        )
         while True:
             pause = min(_GONE_CHECK, self._time_left())
             try:
@@ -268,8 +271,12 @@
             except curio.TaskTimeout:
                 if self._time_left() <= 0:
                     raise
-                if request.is_caller_gone():
-                    return self._end(AttemptResult.CANCELLED)
+            if request.is_caller_gone():
+                return self._end(AttemptResult.CANCELLED)
+            waited = read_clock() - self._began
+            silent = not self._connection.responded
+            if may_be_stale and silent and waited > stale_after:
+                return self._end(AttemptResult.STALE_CONNECTION)
 
     async def _receive_body(
         self, context: RequestContext, response: ResponseHead
--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -48,7 +48,7 @@
 
 _LOG = make_log("node")
 _TICK = 0.05  # seconds between turns of the parts that wait for time
-_FLUSH_INTERVAL = 0.5  # seconds between writes of deferred order rows
+_FLUSH_INTERVAL = 0.05  # seconds between writes of deferred order rows
 _SLOW_INTERVAL = 1.0  # seconds between expiries and updates of gauges
 _PAUSE_LIMIT = 0.25  # seconds of loop lag that void the node's own evidence
 _LEAVE_LINGER = 3.0  # seconds in which others learn of the departure
--- a/egretlever/node/_orders.py
+++ b/egretlever/node/_orders.py
@@ -75,6 +75,10 @@
         if isinstance(result, Claimed):
             return result.claim
         if isinstance(result, Known):
+            if result.answer.omitted:
+                return OwnAnswer(
+                    410, result.outcome, "completed, its answer was not kept"
+                )
             return _make_replay(result.answer)
         if isinstance(result, Held):
             return OwnAnswer(409, result.outcome, result.reason)
--- a/egretlever/orders/tests/test_ledger.py
+++ b/egretlever/orders/tests/test_ledger.py
@@ -177,7 +177,7 @@
 
 def test_flushes_at_the_same_moment_write_a_row_once():
     nodes = Nodes()
-    store = SteppedTableStore(nodes.table, random.Random(1))
+    store = FlakyTableStore(nodes.table, random.Random(1))
     ledger = make_order_ledger(
         store,
         NodeId("n1"),
@@ -196,7 +196,7 @@
 
 def test_an_outcome_recorded_during_a_flush_is_not_lost():
     nodes = Nodes()
-    store = SteppedTableStore(nodes.table, random.Random(1))
+    store = FlakyTableStore(nodes.table, random.Random(1))
     ledger = make_order_ledger(
         store,
         NodeId("n1"),
--- a/egretlever/routing/_router.py
+++ b/egretlever/routing/_router.py
@@ -324,7 +324,7 @@
         load.hold(slots)
         self._pools[request.service].outstanding += 1
         require("placement-on-routable-server", load.routable, load.server.id)
-        _log.debug(
+        _log.info(
             "%s placed on %s: %s",
             request.service,
             load.server.id,
@@ -338,7 +338,7 @@
         reason: NoPlacementReason,
         retry_after: float,
     ) -> NoPlacement:
-        _log.debug(
+        _log.info(
             "%s not placed: %s, retry after %.3f s",
             request.service,
             reason.value,
--- a/egretlever/standins/_backend.py
+++ b/egretlever/standins/_backend.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import curio
+from google.protobuf import json_format
 
 from egretlever.core import Seconds, ServerState, make_log
 from egretlever.schema import gossip_pb2, settings_pb2, standins_pb2
@@ -62,6 +63,11 @@
         self._changed = curio.Event()
         self._stopped = curio.Event()
         self._last_answer = b""
+        self._record_file = (
+            open(settings.record_file, "ab", buffering=0)  # noqa: SIM115
+            if settings.record_file
+            else None
+        )
 
     @property
     def busy(self) -> int:
@@ -211,7 +217,7 @@
             at_unix_s=time.time(),
             during_drain=self.state is ServerState.DRAINING,
         )
-        self.records.append(record)
+        self._keep_record(record)
         until = read_clock() + self._draw_service_time(faults)
         while (left := until - read_clock()) > 0:
             await curio.sleep(min(left, _CANCEL_CHECK))
@@ -220,6 +226,13 @@
         record.completed = True
         return True
 
+    def _keep_record(self, record: standins_pb2.BackendRecord) -> None:
+        self.records.append(record)
+        if self._record_file is not None:
+            line = json_format.MessageToJson(record, indent=None)
+            # Unbuffered, so that the record outlives a killed process.
+            self._record_file.write(line.encode() + b"\n")
+
     def _draw_service_time(self, faults: standins_pb2.BackendFaults) -> float:
         mean = self._settings.service_time_s * (faults.slow_factor or 1.0)
         if self.state is ServerState.COLD:
--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -18,7 +18,9 @@
 )
 from egretlever.testing._gossip import FakeCatalogueCopy, GossipNetwork
 from egretlever.testing._order_world import OrderWorld
+from egretlever.testing._small_fleet import SmallFleet
 from egretlever.testing._stepped_store import FlakyTableStore, pause
+from egretlever.testing._verdicts import Verdict, judge_run
 
 __all__ = [
     "FakeCatalogueCopy",
@@ -30,11 +32,14 @@
     "GossipNetwork",
     "OrderWorld",
     "RunningProgram",
+    "SmallFleet",
     "SteppedObjectStore",
     "SteppedTableStore",
     "Stepper",
+    "Verdict",
     "VirtualClock",
     "builders",
+    "judge_run",
     "pause",
     "replace_clock",
     "reserve_addresses",
--- a/egretlever/testing/_fleet.py
+++ b/egretlever/testing/_fleet.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable, Iterator, Mapping
 from types import TracebackType
+from typing import Self
 
 from egretlever.core import Address
 
@@ -83,7 +84,7 @@
         self.path = pathlib.Path(self._folder.name)
         self.programs: dict[str, RunningProgram] = {}
 
-    def __enter__(self) -> "Fleet":
+    def __enter__(self) -> Self:
         return self
 
     def __exit__(
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that show egretlever at work, and example catalogues."""
