Report a withdrawn ticket of the FIFO admission as refused

The interface says that a waiting ticket leaves exactly once through advance; the baseline dropped it silently.

--- a/egretlever/admission/_fifo.py
+++ b/egretlever/admission/_fifo.py
@@ -45,6 +45,7 @@
             )
         self._queues: dict[ServiceName, collections.deque[Ticket]] = {}
         self._running: dict[ServiceName, set[Ticket]] = {}
+        self._departed = Departures()
 
     def offer(self, ticket: Ticket, now: Seconds) -> Answer:
         """Offer a ticket; the queue refuses only when it is full."""
@@ -63,7 +64,7 @@
 
     def advance(self, now: Seconds) -> Departures:
         """Dispatch in the order of arrival while the limit allows it."""
-        departures = Departures()
+        departures, self._departed = self._departed, Departures()
         for name, queue in self._queues.items():
             running = self._running[name]
             limit = self._policies[name].concurrency_limit
@@ -89,11 +90,13 @@
         running.remove(ticket)
 
     def withdraw(self, ticket: Ticket, now: Seconds) -> bool:
-        """Remove a waiting ticket; False if not waiting."""
+        """Refuse a waiting ticket; False if not waiting."""
         queue = self._queues.get(ticket.service, ())
         if ticket not in queue:
             return False
         self._queues[ticket.service].remove(ticket)
+        refused = Refused(RefusalReason.WITHDRAWN)
+        self._departed.refused.append((ticket, refused))
         return True
 
     def observe(self, event: Event, now: Seconds) -> None:
--- a/egretlever/admission/tests/test_admission.py
+++ b/egretlever/admission/tests/test_admission.py
@@ -16,6 +16,7 @@
     Refused,
     ServicePolicy,
     make_admission,
+    make_fifo_admission,
 )
 from egretlever.core import AttemptResult, FindingsError, InvariantError
 from egretlever.testing.builders import build_ranks, build_ticket
@@ -222,8 +223,11 @@
         admission.finish(running[0], OK, 0.1, NOW)
 
 
-def test_withdrawn_ticket_leaves_once():
-    admission = make()
+@pytest.mark.parametrize(
+    "admission",
+    [make(), make_fifo_admission([ServicePolicy("ordering", 9, 2)])],
+)
+def test_withdrawn_ticket_leaves_once(admission):
     fill(admission)
     ticket = build_ticket(1)
     admission.offer(ticket, NOW)
