Flood ranks in the state machine of admission

A trial without credits for minimum shares passed the machine, since random steps kept no rank backlogged for long. A rule now serves 150 attempts under two floods, and the same trial fails.

--- a/egretlever/admission/tests/test_admission_machine.py
+++ b/egretlever/admission/tests/test_admission_machine.py
@@ -95,24 +95,34 @@
     )
     def offer(self, service, rank, callers, left):
         for caller in callers:
-            self.number += 1
-            ticket = build_ticket(
-                self.number,
-                service=service,
-                rank=rank,
-                caller=f"caller-{caller}",
-                deadline=self.now + left,
-            )
-            answer = self.admission.offer(ticket, self.now)
-            if isinstance(answer, Admitted):
-                self.running.append(ticket)
-                self.record_dispatch(ticket)
-            elif isinstance(answer, Queued):
-                self.waiting.add(ticket)
-            else:
-                assert answer.retry_after >= 0.0
-                self.gone.add(ticket)
-            self.advance()
+            self.offer_one(service, rank, caller, left)
+
+    def offer_one(self, service, rank, caller, left):
+        self.number += 1
+        ticket = build_ticket(
+            self.number,
+            service=service,
+            rank=rank,
+            caller=f"caller-{caller}",
+            deadline=self.now + left,
+        )
+        answer = self.admission.offer(ticket, self.now)
+        if isinstance(answer, Admitted):
+            self.running.append(ticket)
+            self.record_dispatch(ticket)
+        elif isinstance(answer, Queued):
+            self.waiting.add(ticket)
+        else:
+            assert answer.retry_after >= 0.0
+            self.gone.add(ticket)
+        self.advance()
+
+    def end(self, ticket, result, latency):
+        self.running.remove(ticket)
+        self.gone.add(ticket)
+        self.now += 0.001
+        self.admission.finish(ticket, result, latency, self.now)
+        self.advance()
 
     @precondition(lambda self: self.running)
     @rule(
@@ -124,11 +134,17 @@
     def finish(self, data, result, latency, count):
         for _ in range(min(count, len(self.running))):
             at = data.draw(st.integers(0, len(self.running) - 1))
-            ticket = self.running.pop(at)
-            self.gone.add(ticket)
-            self.now += 0.001
-            self.admission.finish(ticket, result, latency, self.now)
-            self.advance()
+            self.end(self.running[at], result, latency)
+
+    @rule(rank=st.sampled_from(["normal", "background"]))
+    def flood(self, rank):
+        """Serve 150 attempts while the urgent rank and another one flood."""
+        for turn in range(150):
+            for other in ("urgent", rank):
+                if turn % 3 == 0 or other == "urgent":
+                    self.offer_one(SERVICES[0], other, turn % 31, 60.0)
+            running = [t for t in self.running if t.service == SERVICES[0]]
+            self.end(running[0], AttemptResult.OK, 0.01)
 
     @precondition(lambda self: self.waiting)
     @rule(data=st.data())
