--- a/egretlever/catalogue/__init__.py
+++ b/egretlever/catalogue/__init__.py
@@ -45,12 +45,12 @@
     HeadUnavailable,
     NoPeers,
     PeerHead,
+    ReaderDescription,
     ReadHead,
     VersionReceived,
 )
 from egretlever.catalogue._reader import (
     CatalogueReader,
-    ReaderDescription,
     make_catalogue_reader,
 )
 from egretlever.catalogue._snapshot import (
--- a/egretlever/catalogue/_editor.py
+++ b/egretlever/catalogue/_editor.py
@@ -6,7 +6,6 @@
 from returns.result import Failure, Result, Success
 
 from egretlever.catalogue._codec import (
-    decode_catalogue,
     decode_head,
     decode_snapshot,
     make_snapshot,
@@ -27,6 +26,7 @@
     Unchanged,
     confirm_edit,
     decode_edit,
+    extract_content,
     find_overlap,
     list_changes,
     make_edit_key,
@@ -207,7 +207,7 @@
         snapshot = await self.read_version(version)
         if isinstance(snapshot, Failure):
             return snapshot
-        content = _strip(decode_catalogue(snapshot.unwrap()))
+        content = extract_content(snapshot.unwrap())
         return await self.apply(dataclasses.replace(request, content=content))
 
     async def _write(
@@ -392,9 +392,3 @@
     if error.kind is StoreErrorKind.REFUSED_CONDITION:
         return EditRefused(error.message)
     return StoreAway(error.message)
-
-
-def _strip(content: catalogue_pb2.Catalogue) -> catalogue_pb2.Catalogue:
-    content.ClearField("version")
-    content.ClearField("edit_id")
-    return content
--- a/egretlever/catalogue/_edits.py
+++ b/egretlever/catalogue/_edits.py
@@ -344,7 +344,12 @@
         Unchecked content without version and edit id.
     """
     merged = apply_delta(theirs, compare_snapshots(base, mine))
-    content = decode_catalogue(merged)
+    return extract_content(merged)
+
+
+def extract_content(snapshot: Snapshot) -> catalogue_pb2.Catalogue:
+    """Return the entries of a snapshot without its version and edit id."""
+    content = decode_catalogue(snapshot)
     content.ClearField("version")
     content.ClearField("edit_id")
     return content
--- a/egretlever/catalogue/_events.py
+++ b/egretlever/catalogue/_events.py
@@ -1,4 +1,4 @@
-"""Events and actions of the catalogue reader."""
+"""Events, actions and description of the catalogue reader."""
 
 import dataclasses
 
@@ -114,3 +114,31 @@
 
 
 Action = ReadHead | AskPeers | FetchFromStore | FetchFromPeer | Announce
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReaderDescription:
+    """Snapshot of a reader for operators.
+
+    Parameters
+    ----------
+    held : Head or None
+        Version in force.
+    wanted : Head or None
+        Higher version that is being fetched.
+    is_reader : bool
+        Whether the node polls the store.
+    ready : bool
+        Whether the node may serve requests.
+    poll_failures : int
+        Reads of the head that failed in a row.
+    stale_heads : int
+        Heads from the store that were lower than one known before.
+    """
+
+    held: Head | None
+    wanted: Head | None
+    is_reader: bool
+    ready: bool
+    poll_failures: int
+    stale_heads: int
--- a/egretlever/catalogue/_reader.py
+++ b/egretlever/catalogue/_reader.py
@@ -1,6 +1,5 @@
 """Decisions of a node about where its catalogue comes from."""
 
-import dataclasses
 import math
 import random
 
@@ -16,6 +15,7 @@
     HeadUnavailable,
     NoPeers,
     PeerHead,
+    ReaderDescription,
     ReadHead,
     VersionReceived,
 )
@@ -51,34 +51,6 @@
 _JITTER = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReaderDescription:
-    """Snapshot of a reader for operators.
-
-    Parameters
-    ----------
-    held : Head or None
-        Version in force.
-    wanted : Head or None
-        Higher version that is being fetched.
-    is_reader : bool
-        Whether the node polls the store.
-    ready : bool
-        Whether the node may serve requests.
-    poll_failures : int
-        Reads of the head that failed in a row.
-    stale_heads : int
-        Heads from the store that were lower than one known before.
-    """
-
-    held: Head | None
-    wanted: Head | None
-    is_reader: bool
-    ready: bool
-    poll_failures: int
-    stale_heads: int
-
-
 class _Fetch:
     """Fetch of one version."""
 
