Test detection, record and replay traces, blame links by servers

Cause: the link was blamed by the share of outcomes, so a busy node needed seconds after the loss (a test showed it); a late TIMEOUT counted again what its OVERDUE had reported, after the link was back. Change: a link is blamed when most recently tried servers of the region are bad; a fresh TIMEOUT adds nothing; own good outcomes contradict pooled evidence only without a bad one within 3 s.

--- a/egretlever/detection/__init__.py
+++ b/egretlever/detection/__init__.py
@@ -11,6 +11,12 @@
     encode_report,
 )
 from egretlever.detection._pool import EvidencePool
+from egretlever.detection._traces import (
+    Replay,
+    read_trace,
+    replay_trace,
+    write_trace,
+)
 from egretlever.detection._types import (
     Action,
     Cause,
@@ -48,6 +54,7 @@
     "PooledEvidence",
     "PooledServerEvidence",
     "ProbeServer",
+    "Replay",
     "Selection",
     "SendPooled",
     "SendReport",
@@ -61,4 +68,7 @@
     "encode_pooled",
     "encode_report",
     "make_detector",
+    "read_trace",
+    "replay_trace",
+    "write_trace",
 ]
--- a/egretlever/detection/_causes.py
+++ b/egretlever/detection/_causes.py
@@ -6,6 +6,9 @@
 
 _DECAY = 3.0
 _BLAME_FOR = 3.0
+_RECENT = 6.0
+# Servers remembered for each region, enough to tell most from few.
+_SERVERS = 64
 
 
 class _RegionOutcomes:
@@ -15,27 +18,28 @@
         self.at = 0.0
         self.good_ = 0.0
         self.bad_ = 0.0
-        # Last bad outcome of each server, at most 16 of them.
-        self.servers: dict[ServerId, float] = {}
+        # Time of the last outcome of each server and whether it was bad.
+        self.servers: dict[ServerId, tuple[float, bool]] = {}
 
     def add(self, server: ServerId, bad: bool, now: float) -> None:
         factor = math.exp((self.at - now) / _DECAY)
         self.at = now
         self.good_ = self.good_ * factor + (not bad)
         self.bad_ = self.bad_ * factor + bad
-        if bad:
-            self.servers.pop(server, None)
-            self.servers[server] = now
-            if len(self.servers) > 16:
-                del self.servers[next(iter(self.servers))]
-        else:
-            self.servers.pop(server, None)
+        self.servers.pop(server, None)
+        self.servers[server] = (now, bad)
+        if len(self.servers) > _SERVERS:
+            del self.servers[next(iter(self.servers))]
 
     def bad_share(self) -> float:
         return self.bad_ / (self.good_ + self.bad_ + 1.0)
 
-    def count_bad_servers(self, now: float) -> int:
-        return sum(1 for at in self.servers.values() if now - at < 2 * _DECAY)
+    def count_servers(self, now: float) -> tuple[int, int]:
+        """Return the servers whose last outcome is bad, and all recent."""
+        recent = [
+            bad for at, bad in self.servers.values() if now - at < _RECENT
+        ]
+        return sum(recent), len(recent)
 
 
 class CauseTracker:
@@ -67,7 +71,8 @@
         if own is not None and own.bad_share() > 0.2:
             return False
         # Two servers, because a single bad one is more likely than a link.
-        if outcomes.bad_share() > 0.5 and outcomes.count_bad_servers(now) >= 2:
+        bad_servers, servers = outcomes.count_servers(now)
+        if bad_servers >= 2 and bad_servers > servers / 2:
             before = self._blamed.get(region, -math.inf)
             self._blamed[region] = now + _BLAME_FOR
             return before < now
@@ -93,7 +98,7 @@
             own is not None
             and own.bad_ >= 6
             and own.bad_share() > 0.8
-            and own.count_bad_servers(now) >= 4
+            and own.count_servers(now)[0] >= 4
         )
 
     def is_link_blamed(self, region: RegionName, now: float) -> bool:
--- a/egretlever/detection/_detector.py
+++ b/egretlever/detection/_detector.py
@@ -1,6 +1,7 @@
 """The detector of a node: own evidence, pooled evidence and ejection."""
 
 import collections
+import dataclasses
 from collections.abc import Iterable, Sequence
 
 from egretlever.core import (
@@ -17,6 +18,7 @@
 from egretlever.detection._directory import Directory
 from egretlever.detection._ejections import Ejections
 from egretlever.detection._interfaces import Detector
+from egretlever.detection._judging import PairJudge
 from egretlever.detection._own_evidence import Judgement, OwnEvidence
 from egretlever.detection._pool import EvidencePool
 from egretlever.detection._recovery import ProbePacer, finish_probe
@@ -25,7 +27,6 @@
 from egretlever.detection._types import (
     Action,
     Cause,
-    Change,
     DetectorState,
     EvidenceKind,
     EvidenceReport,
@@ -41,16 +42,10 @@
 )
 
 _EVIDENCE_LIFETIME = 10.0
-# Share of the threshold that is enough against a suspected server.
-_HINTED = 0.75
 _ANNOUNCE_INTERVAL = 5.0
 _EXTENSION = 1.0
-# Time for which own evidence has to stay conclusive, in which a flood or a
-# lost link shows on the peers as well.
-_SETTLE = 0.15
-# Errors and slow answers occur on healthy servers far more often than
-# unreachability does, and need a score higher by this factor.
-_FREQUENT = 1.5
+# Good outcomes contradict pooled evidence when no bad one came in this time.
+_UNDISPUTED = 3.0
 # Loop lag above which the evidence of the time is void.
 _PAUSE = 0.25
 
@@ -89,7 +84,6 @@
         allowed = Interval(1, 100)
         check_parameters("GrayDetector", values, dict.fromkeys(values, allowed))
         self._node = node
-        self._pair_threshold = pair_threshold
         self._min_reporters = min_reporters
         self._directory = Directory(region)
         self._pool = EvidencePool(
@@ -99,9 +93,10 @@
         self._own = OwnEvidence(self._directory, self._reporter)
         self._probes = ProbePacer()
         self._ejections = Ejections(self._own.clear)
+        self._pair_judge = PairJudge(
+            self._directory, self._own, self._ejections, pair_threshold
+        )
         self._announced: dict[ServerId, float] = {}
-        # Servers with conclusive own evidence, and since when.
-        self._pending: dict[ServerId, Seconds] = {}
         self._due: list[Action] = []
         self._dropped: collections.Counter[str] = collections.Counter()
         self._now = Seconds(0.0)
@@ -137,12 +132,7 @@
     def _judge(
         self, server: Server, judgement: Judgement, now: Seconds
     ) -> None:
-        if judgement.newly_blamed:
-            evidence = f"most servers of region {server.region} are unreachable"
-            self._ejections.log(server.id, Change.LINK_BLAMED, evidence)
-        needed = self._find_threshold(server.id, judgement.kind, now)
-        if judgement.score >= needed:
-            self._pending.setdefault(server.id, now)
+        self._pair_judge.observe(server, judgement, now)
         if (
             judgement.probe
             and not self._ejections.find_bad(server.id)
@@ -150,35 +140,6 @@
         ):
             self._due.append(self._make_probe(server.id))
 
-    def _find_threshold(
-        self, server_id: ServerId, kind: EvidenceKind, now: Seconds
-    ) -> float:
-        needed = self._pair_threshold
-        if kind is not EvidenceKind.UNREACHABLE:
-            needed *= _FREQUENT
-        pair = self._own.pairs.get(server_id)
-        hinted = pair is not None and now < pair.suspected_until
-        if hinted or self._ejections.is_ramping(server_id):
-            return needed * _HINTED
-        return needed
-
-    def _settle_pending(self, now: Seconds) -> None:
-        """Condemn pairs whose evidence lasts while their peers do well."""
-        for server_id, since in list(self._pending.items()):
-            if now - since < _SETTLE:
-                continue
-            pair = self._own.pairs.get(server_id)
-            server = self._directory.servers.get(server_id)
-            if pair is None or server is None:
-                del self._pending[server_id]
-                continue
-            score, kind = pair.score(now)
-            if score < self._find_threshold(server_id, kind, now):
-                del self._pending[server_id]
-            elif pair.group.has_good_peers(server_id, since):
-                del self._pending[server_id]
-                self._ejections.condemn(server, Cause.PAIR, kind, score, 1, now)
-
     def _make_probe(self, server_id: ServerId) -> ProbeServer:
         timeout = min(max(self.overdue_after(server_id), 0.1), 0.25)
         return ProbeServer(server_id, Seconds(timeout))
@@ -319,37 +280,37 @@
         pair = self._own.pairs.get(item.server)
         if pair is None or item.kind is not EvidenceKind.UNREACHABLE:
             return False
-        return pair.last_good > seen_at and pair.run == 0
+        return (
+            pair.last_good > seen_at and seen_at - pair.last_bad > _UNDISPUTED
+        )
 
     def advance(self, now: Seconds) -> list[Action]:
         """Move time forward and return the actions that are due."""
         self._now = now
         self._probes.expire(now)
-        self._settle_pending(now)
+        self._pair_judge.advance(now)
         for standing in self._ejections.advance(self._probes_itself, now):
             if self._probes.start(standing.server, now):
                 self._due.append(self._make_probe(standing.server))
         for report in self._reporter.advance(now):
-            self._deliver_report(report, now)
+            self._deliver(report, now)
         for pooled in self._pool.advance(now):
-            self._deliver_pooled(pooled, now)
+            self._deliver(pooled, now)
         due, self._due = self._due, []
         return [*due, *self._ejections.take_changes()]
 
-    def _deliver_report(self, action: SendReport, now: Seconds) -> None:
-        if self._node in action.to:
-            self._pool.receive(action.report, self._node, now)
+    def _deliver(self, action: SendReport | SendPooled, now: Seconds) -> None:
+        """Hand a message to this node itself and send it to the others."""
         others = tuple(node for node in action.to if node != self._node)
         if others:
-            self._due.append(SendReport(others, action.report))
-
-    def _deliver_pooled(self, action: SendPooled, now: Seconds) -> None:
-        if self._node in action.to:
+            self._due.append(dataclasses.replace(action, to=others))
+        if self._node not in action.to:
+            return
+        if isinstance(action, SendReport):
+            self._pool.receive(action.report, self._node, now)
+        else:
             for item in action.pooled.servers:
                 self._receive_server(item, now)
-        others = tuple(node for node in action.to if node != self._node)
-        if others:
-            self._due.append(SendPooled(others, action.pooled))
 
     def health(self, server_id: ServerId) -> Health:
         """Return the health of a server at the last call of ``advance``."""
@@ -417,25 +378,7 @@
     pool_threshold: float = 12.0,
     min_reporters: int = 2,
 ) -> Detector:
-    """Make the detector of a node.
-
-    Parameters
-    ----------
-    node : NodeId
-        This node.
-    region : RegionName
-        Region of this node.
-    pair_threshold : float, default=8.0
-        Score of own evidence that ejects a server.
-    pool_threshold : float, default=12.0
-        Score of pooled evidence that ejects a server.
-    min_reporters : int, default=2
-        Distinct reporters that pooled evidence needs.
-
-    Returns
-    -------
-    Detector
-        A detector without any evidence.
+    """Make the detector of a node, with the parameters of `GrayDetector`.
 
     Examples
     --------
--- a/egretlever/detection/_own_evidence.py
+++ b/egretlever/detection/_own_evidence.py
@@ -147,8 +147,10 @@
         else:
             kind = EvidenceKind.FAILED
         if result is AttemptResult.TIMEOUT:
-            # A short deadline of the caller says nothing of the server.
-            if attempt.latency < pair.group.latency.overdue_after:
+            # A short deadline of the caller says nothing of the server, and on
+            # a fresh connection the wait was counted when it was overdue.
+            overdue = attempt.latency >= pair.group.latency.overdue_after
+            if attempt.fresh_connection or not overdue:
                 return None
         elif not attempt.fresh_connection and result in (
             AttemptResult.OVERDUE,
--- a/egretlever/detection/_pool.py
+++ b/egretlever/detection/_pool.py
@@ -47,6 +47,9 @@
 # Time for which evidence has to stay conclusive. At the onset of a flood the
 # first reports name few servers; their peers follow within this time.
 _SETTLE = 0.15
+# Servers of another region get few requests, so a lost link takes longer to
+# show on most of them. Requests do not depend on them meanwhile.
+_SETTLE_REMOTE = 0.6
 # Errors and slow answers occur on healthy servers far more often than
 # unreachability does, so that chance has more opportunities.
 _FREQUENT = 14.0 / 12.0
@@ -250,9 +253,8 @@
             peers = servers
             if len(servers) < 3:
                 peers = [item for group in groups.values() for item in group]
-            base = state.base_.get(region, PRIOR_RATE)
             judged = sorted(named.intersection(servers))
-            verdicts += self._compare(state, judged, peers, base, now)
+            verdicts += self._compare(state, judged, peers, region, now)
         if verdicts:
             self._send(service, state, verdicts, now)
 
@@ -261,11 +263,13 @@
         state: _Service,
         judged: Sequence[ServerId],
         peers: Sequence[ServerId],
-        base: Sequence[float],
+        region: str,
         now: Seconds,
     ) -> list[PooledServerEvidence]:
+        base = state.base_.get(region, PRIOR_RATE)
         counts = count_all(state.evidence, peers, now)
         lost = self._is_link_lost(counts)
+        settle = _SETTLE if region == self._directory.region else _SETTLE_REMOTE
         verdicts = []
         for server_id in judged:
             evidence = state.evidence.get(server_id)
@@ -284,7 +288,7 @@
                 evidence.crossed = math.inf
                 continue
             evidence.crossed = min(evidence.crossed, now)
-            if now - evidence.crossed < _SETTLE:
+            if now - evidence.crossed < settle:
                 state.named.add(server_id)
             else:
                 evidence.sent = now
--- /dev/null
+++ b/egretlever/detection/tests/test_pool.py
@@ -0,0 +1,125 @@
+"""Pooled evidence: reporters, peers, expiry, incarnations, messages."""
+
+import pytest
+
+from egretlever.core import FindingsError, Incarnation, NodeId, Seconds
+from egretlever.detection import (
+    Directory,
+    EvidencePool,
+    Sender,
+    Verdict,
+    choose_evidence_nodes,
+    decode_pooled,
+    decode_report,
+    encode_pooled,
+    encode_report,
+    make_detector,
+)
+from egretlever.testing.builders import (
+    build_member,
+    build_pooled,
+    build_report,
+    build_server,
+    build_servers,
+)
+
+SERVERS = build_servers(8, region="punjab")
+MEMBERS = [build_member(number) for number in range(10)]
+FIRST = Incarnation(1)
+
+
+def build_pool():
+    directory = Directory("punjab")
+    for server in SERVERS:
+        directory.update_server(server)
+    directory.update_members(MEMBERS)
+    return EvidencePool(directory)
+
+
+def feed(pool, reports, start=100.0, step=0.1):
+    """Feed (server, reporter) pairs and return the servers convicted."""
+    now = start
+    convicted = set()
+    for server, reporter in [*reports, (None, 0), (None, 0), (None, 0)]:
+        now += step
+        if server is not None:
+            report = build_report(server)
+            pool.receive(report, NodeId(f"node-{reporter}"), Seconds(now))
+        for action in pool.advance(Seconds(now)):
+            convicted |= {item.server for item in action.pooled.servers}
+    return convicted
+
+
+def test_distinct_reporters_convict_a_server():
+    # Guards against a black hole that thin pairs see once each.
+    reports = [(SERVERS[0], node) for node in range(4)]
+    assert feed(build_pool(), reports) == {SERVERS[0].id}
+
+
+def test_one_reporter_convicts_nobody():
+    # Guards against a node with a broken path that ejects for all others.
+    reports = [(SERVERS[0], 1)] * 50
+    assert feed(build_pool(), reports) == set()
+
+
+def test_equal_evidence_on_all_servers_convicts_nobody():
+    # Guards against ejection in a flood.
+    reports = [(server, node) for node in range(8) for server in SERVERS]
+    assert feed(build_pool(), reports, step=0.01) == set()
+
+
+def test_evidence_expires():
+    # Guards against adding up rare outcomes over a long time.
+    reports = [(SERVERS[0], node) for node in range(10)]
+    assert feed(build_pool(), reports, step=11.0) == set()
+
+
+def test_reports_on_other_incarnations_have_no_effect():
+    # Guards against convicting a restarted server for its former life.
+    old = build_server(1, region="punjab", incarnation=Incarnation(7))
+    reports = [(old, node) for node in range(9)]
+    assert feed(build_pool(), reports) == set()
+
+
+def test_parameters_are_checked():
+    # Guards against a threshold that convicts on any evidence.
+    with pytest.raises(FindingsError):
+        EvidencePool(Directory("punjab"), threshold=0)
+
+
+def test_evidence_nodes_change_little_when_a_node_dies():
+    # Guards against moving all pools when one node leaves.
+    chosen = choose_evidence_nodes("ordering", MEMBERS)
+    assert len(chosen) == 2
+    left = [member for member in MEMBERS if member.id != chosen[0]]
+    assert chosen[1] in choose_evidence_nodes("ordering", left)
+
+
+def receive(pooled, sender):
+    detector = make_detector(NodeId("node-1"), "punjab")
+    detector.update_members(MEMBERS, Seconds(0.0))
+    detector.update_servers(SERVERS, Seconds(0.0))
+    detector.receive(pooled, sender, Seconds(1.0))
+    return detector.select(SERVERS, 16, Seconds(1.0)).ejected
+
+
+def test_pooled_evidence_ejects_only_when_valid():
+    # Guards against stale, foreign and outdated evidence taking effect.
+    node = choose_evidence_nodes("ordering", MEMBERS)[0]
+    good = Sender(node, FIRST)
+    server = SERVERS[0]
+    assert receive(build_pooled(server), good) == (server.id,)
+    assert receive(build_pooled(server, age=11.0), good) == ()
+    assert receive(build_pooled(server, incarnation=0), good) == ()
+    assert receive(build_pooled(server, reporters=1), good) == ()
+    assert receive(build_pooled(server), Sender(node, Incarnation(2))) == ()
+    assert receive(build_pooled(server), Sender("stranger", FIRST)) == ()
+
+
+def test_messages_keep_their_content():
+    # Guards against a field that is lost between nodes.
+    sender = Sender(NodeId("node-3"), Incarnation(9))
+    report = build_report(failed=2, slow=3, good=5)
+    assert decode_report(encode_report(report, sender)) == (report, sender)
+    pooled = build_pooled(verdict=Verdict.RECOVERED, age=1.5)
+    assert decode_pooled(encode_pooled(pooled, sender)) == (pooled, sender)
--- /dev/null
+++ b/egretlever/detection/tests/test_readmission.py
@@ -0,0 +1,126 @@
+"""Stays, probes, ramps and the floor of ejected servers."""
+
+from egretlever.core import Health, Incarnation, NodeId, Seconds, ServerState
+from egretlever.detection import (
+    Change,
+    ProbeServer,
+    Sender,
+    choose_evidence_nodes,
+    make_detector,
+)
+from egretlever.testing.builders import (
+    build_member,
+    build_pooled,
+    build_server,
+    build_servers,
+)
+
+MEMBERS = [build_member(number) for number in range(6)]
+CHOSEN = choose_evidence_nodes("ordering", MEMBERS)
+SERVERS = build_servers(6, region="punjab")
+
+
+def build_detector(node=CHOSEN[0]):
+    detector = make_detector(NodeId(node), "punjab")
+    detector.update_members(MEMBERS, Seconds(0.0))
+    detector.update_servers(SERVERS, Seconds(0.0))
+    return detector
+
+
+def condemn(detector, server, now, badness=20.0):
+    sender = Sender(CHOSEN[1], Incarnation(1))
+    pooled = build_pooled(server, badness=badness)
+    detector.receive(pooled, sender, Seconds(now))
+
+
+def run(detector, start, end, passes):
+    """Advance in steps of 0.1 s; return the actions with their times."""
+    actions = []
+    now = start
+    while now < end:
+        now += 0.1
+        detector.select(SERVERS, 12, Seconds(now))
+        for action in detector.advance(Seconds(now)):
+            actions.append((now, action))
+            if isinstance(action, ProbeServer):
+                detector.observe_probe(action.server, passes, Seconds(now))
+    return actions
+
+
+def test_stay_doubles_with_each_ejection_up_to_a_minute():
+    # Guards against a flapping server that comes back as fast each time.
+    detector = build_detector()
+    now = 1.0
+    stays = []
+    for _ in range(7):
+        condemn(detector, SERVERS[0], now)
+        detector.select(SERVERS, 12, Seconds(now))
+        standing = detector.describe().standings[0]
+        stays.append(standing.until - now)
+        while detector.health(SERVERS[0].id) is not Health.RAMPING:
+            run(detector, now, now + 0.1, True)
+            now += 0.1
+        now += 1.0
+    assert [round(stay) for stay in stays] == [2, 4, 8, 16, 32, 60, 60]
+
+
+def test_failing_probes_keep_a_server_out():
+    # Guards against readmitting a dead server when its stay ends.
+    detector = build_detector()
+    condemn(detector, SERVERS[0], 1.0)
+    actions = run(detector, 1.0, 120.0, False)
+    probes = [at for at, action in actions if isinstance(action, ProbeServer)]
+    assert detector.health(SERVERS[0].id) is Health.PROBING
+    assert 20 <= len(probes) <= 120
+
+
+def test_only_evidence_nodes_probe_after_a_server_fault():
+    # Guards against 1,000 nodes that probe one server.
+    other = next(m.id for m in MEMBERS if m.id not in CHOSEN)
+    detector = build_detector(other)
+    condemn(detector, SERVERS[0], 1.0)
+    actions = run(detector, 1.0, 30.0, True)
+    assert not any(isinstance(a, ProbeServer) for _, a in actions)
+    assert detector.health(SERVERS[0].id) is Health.HEALTHY
+
+
+def test_ramp_grows_from_a_small_weight():
+    # Guards against full load on a server that was just readmitted.
+    detector = build_detector()
+    condemn(detector, SERVERS[0], 1.0)
+    weights = []
+    for step in range(120):
+        run(detector, 1.0 + step * 0.1, 1.1 + step * 0.1, True)
+        now = Seconds(1.1 + step * 0.1)
+        chosen = detector.select(SERVERS, 12, now).eligible
+        weights.append(chosen.get(SERVERS[0].id, 0.0))
+    ramp = [weight for weight in weights[1:] if 0 < weight < 1]
+    assert ramp[0] < 0.1
+    assert ramp == sorted(ramp)
+    assert weights[-1] == 1.0
+
+
+def test_worst_server_is_ejected_first_and_the_rest_is_held():
+    # Guards against ejecting the less bad server when the floor allows one.
+    detector = build_detector()
+    condemn(detector, SERVERS[0], 1.0, badness=15.0)
+    condemn(detector, SERVERS[1], 1.0, badness=50.0)
+    chosen = detector.select(SERVERS, 20, Seconds(1.0))
+    assert chosen.ejected == (SERVERS[1].id,)
+    assert chosen.held_by_floor == (SERVERS[0].id,)
+    assert chosen.eligible[SERVERS[0].id] <= 0.05
+    changes = [action.change for action in detector.advance(Seconds(1.0))]
+    assert changes == [Change.EJECTED, Change.HELD_BY_FLOOR]
+
+
+def test_drain_of_a_peer_readmits_an_ejected_server():
+    # Guards against a floor that is checked only at the time of ejection.
+    detector = build_detector()
+    condemn(detector, SERVERS[0], 1.0)
+    assert detector.select(SERVERS, 20, Seconds(1.0)).ejected
+    draining = build_server(2, region="punjab", state=ServerState.DRAINING)
+    servers = [SERVERS[0], draining, *SERVERS[2:]]
+    chosen = detector.select(servers, 20, Seconds(1.1))
+    assert chosen.held_by_floor == (SERVERS[0].id,)
+    log = [str(action) for action in detector.advance(Seconds(1.1))]
+    assert any("readmitted by the floor" in line for line in log)
--- a/egretlever/testing/builders.py
+++ b/egretlever/testing/builders.py
@@ -17,6 +17,14 @@
     ServerState,
     ServiceName,
 )
+from egretlever.detection import (
+    EvidenceKind,
+    EvidenceReport,
+    Member,
+    PooledEvidence,
+    PooledServerEvidence,
+    ServerReport,
+)
 from egretlever.schema import catalogue_pb2
 
 
@@ -141,3 +149,47 @@
         "concurrency_limit": 10000,
     }
     return catalogue_pb2.Service(**{**fields, **changes})
+
+
+def build_member(number: int = 1, **changes: Any) -> Member:
+    """Build a live node of the region of the first server."""
+    fields: dict[str, Any] = {
+        "id": NodeId(f"node-{number}"),
+        "region": RegionName("punjab"),
+    }
+    return Member(**{**fields, **changes})
+
+
+def build_pooled(
+    server: Server | None = None, **changes: Any
+) -> PooledEvidence:
+    """Build conclusive pooled evidence against one server."""
+    server = server or build_server()
+    fields: dict[str, Any] = {
+        "server": server.id,
+        "incarnation": server.incarnation,
+        "reporters": 3,
+        "badness": 20.0,
+        "kind": EvidenceKind.UNREACHABLE,
+    }
+    item = PooledServerEvidence(**{**fields, **changes})
+    return PooledEvidence(server.service, (item,))
+
+
+def build_report(
+    server: Server | None = None, **changes: Any
+) -> EvidenceReport:
+    """Build a report of one attempt without answer on one server."""
+    server = server or build_server()
+    fields: dict[str, Any] = {
+        "server": server.id,
+        "incarnation": server.incarnation,
+        "good": 0,
+        "failed": 0,
+        "slow": 0,
+        "unreachable": 1,
+        "window": Seconds(1.0),
+    }
+    return EvidenceReport(
+        server.service, (ServerReport(**{**fields, **changes}),)
+    )
