Convict unreachable servers on two confirmed reporters in 3 s

Change: the prior rate of unreachability is halved to 0.005/s; where peers are unreachable as well the score counts 0.7.

--- a/egretlever/detection/_comparison.py
+++ b/egretlever/detection/_comparison.py
@@ -14,11 +14,15 @@
 WINDOWS = (1.0, 3.0, 10.0)
 LIFETIME = WINDOWS[-1]
 # Expected bad outcomes per second of a server while nothing is known.
-PRIOR_RATE = (0.02, 0.02, 0.01)
+PRIOR_RATE = (0.02, 0.02, 0.005)
 # A reporter weighs 1 with one bad outcome in a window and 1.5 with more. The
 # outcomes of one node are not independent, and a single node with a broken
 # path must not convict a server.
 _CONFIRMED = 1.5
+# Unreachability that the peers show as well, as in a flood, varies more than
+# chance alone explains, and its score counts less.
+_TROUBLED = 0.25
+_TROUBLED_FACTOR = 0.7
 _EVENTS_PER_SERVER = 64
 
 Counts = tuple[tuple[float, int], ...]
@@ -137,6 +141,8 @@
         rate = max(rate, lasting / LIFETIME)
         expected = max(typical, rate * WINDOWS[window])
         score = score_excess(bad, expected)
+        if typical > _TROUBLED and KINDS[kind] is EvidenceKind.UNREACHABLE:
+            score *= _TROUBLED_FACTOR
         if bad >= min_ratio * expected and score > best[0]:
             best = (score, reporters, KINDS[kind])
     return best
