--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,393 @@
+"""Dissemination time, bytes, processor time and memory of membership.
+
+A message queue in virtual time carries the messages. Figures of processor
+time include the queue, so they are upper bounds.
+"""
+
+import dataclasses
+import random
+import time
+import tracemalloc
+from collections.abc import Callable, Iterable
+
+from benchmarks._report import Bound, Measure, run_benchmark
+from egretlever.core import (
+    Digest,
+    Incarnation,
+    Seconds,
+    Server,
+    ServerState,
+    Version,
+)
+from egretlever.membership import (
+    CatalogueHead,
+    CatalogueUpdate,
+    Change,
+    ChangeKind,
+    Collaborators,
+    GossipMembership,
+    Parameters,
+    make_membership,
+)
+from egretlever.testing import FakeCatalogueCopy, GossipNetwork, builders
+
+SIZES = (50, 100, 250, 500, 1000)
+SERVERS = 14
+JOINERS = 250
+SEEDS = 4
+LOSS = 0.1
+CUT_SHARE = 0.05
+LINK_TARGET = 0.05 * 30e6 / 8
+DELTA = bytes(300)
+
+
+class Arrivals:
+    """Listener that notes which nodes learned a change, and when."""
+
+    def __init__(self) -> None:
+        self.servers: dict[object, dict[object, float]] = {}
+        self.catalogue: dict[object, float] = {}
+
+    def watch(self, node: object) -> "Watcher":
+        """Return the listener of one node."""
+        return Watcher(self, node)
+
+
+@dataclasses.dataclass
+class Watcher:
+    """Listener of one node."""
+
+    arrivals: Arrivals
+    node: object
+
+    def observe(self, change: Change, now: Seconds) -> None:
+        """Note the time of a change."""
+        if change.kind is ChangeKind.CATALOGUE_HEAD:
+            self.arrivals.catalogue[self.node] = now
+        elif change.kind is ChangeKind.SERVERS_CHANGED:
+            for server in change.servers:
+                seen = self.arrivals.servers.get(server)
+                if seen is not None:
+                    seen.setdefault(self.node, now)
+
+
+class Fleet:
+    """Members that know one another, on one message queue."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.network = GossipNetwork(seed)
+        self.arrivals = Arrivals()
+        self.headers = [builders.build_header(n) for n in range(size)]
+        self.seeds = [header.gossip for header in self.headers[:SEEDS]]
+        self.copies: dict[object, FakeCatalogueCopy] = {}
+        self._rng = random.Random(seed)
+        for number in range(size):
+            self.start(number, Incarnation(1))
+        now = self.network.now
+        deltas = [member.own_delta(now) for member in self.members()]
+        for member in self.members():
+            member.restore(deltas, now)
+
+    def members(self) -> list[GossipMembership]:
+        """Return the running members."""
+        return list(self.network.members.values())
+
+    def start(self, number: int, incarnation: Incarnation) -> None:
+        """Start a member with 14 announced servers."""
+        while number >= len(self.headers):
+            self.headers.append(builders.build_header(len(self.headers)))
+        header = self.headers[number]
+        copy = FakeCatalogueCopy(
+            CatalogueHead(Version(1), Digest("300")), DELTA
+        )
+        self.copies[header.node] = copy
+        member = make_membership(
+            header,
+            incarnation,
+            self.seeds,
+            # The queue carries no repeated announcements of servers.
+            Parameters(announcement_timeout=1e6),
+            collaborators=Collaborators(
+                catalogue=copy, listener=self.arrivals.watch(header.node)
+            ),
+            rng=random.Random(self._rng.getrandbits(32)),
+        )
+        self.network.add(header, member)
+        self.announce(number, ServerState.SERVING, incarnation)
+
+    def announce(
+        self, number: int, state: ServerState, incarnation: Incarnation
+    ) -> None:
+        """Announce all servers of a node in one state."""
+        address = self.headers[number].gossip
+        for server in range(SERVERS):
+            self.network.members[address].announce(
+                builders.build_announcement(
+                    server, number, state=state, incarnation=incarnation
+                ),
+                self.network.now,
+            )
+        self.network.poke(address)
+
+    def member(self, number: int) -> GossipMembership:
+        """Return a member by its number."""
+        return self.network.members[self.headers[number].gossip]
+
+    def break_links(self) -> None:
+        """Lose 10% of messages and cut one direction of 5% of the links."""
+        self.network.loss = LOSS
+        addresses = list(self.network.members)
+        for sender in addresses:
+            count = int(CUT_SHARE * len(addresses))
+            for receiver in self._rng.sample(addresses, count):
+                if (receiver, sender) not in self.network.cuts:
+                    self.network.cuts.add((sender, receiver))
+
+    def mend_links(self) -> None:
+        """End the faults."""
+        self.network.loss = 0.0
+        self.network.cuts.clear()
+
+    def run_until(self, done: Callable[[], bool], limit: float) -> None:
+        """Run until a condition holds, at most for a duration."""
+        end = self.network.now + limit
+        while not done() and self.network.now < end:
+            self.network.run(0.25)
+
+
+@dataclasses.dataclass
+class Traffic:
+    """Bytes per node and second over a run of seconds."""
+
+    mean: float
+    peak: float
+    link: float
+
+
+def run_traffic(fleet: Fleet, seconds: int) -> Traffic:
+    """Run and measure the bytes sent in each second."""
+    total = peak = link = 0.0
+    for _ in range(seconds):
+        fleet.network.sent.clear()
+        fleet.network.link.clear()
+        fleet.network.run(1.0)
+        total += sum(fleet.network.sent.values())
+        peak = max(peak, *fleet.network.sent.values())
+        link = max(link, *fleet.network.link.values(), 0)
+    return Traffic(total / seconds / len(fleet.members()), peak, link)
+
+
+def time_departure(fleet: Fleet, number: int) -> float:
+    """Let a server drain; return when the last node learned of it."""
+    announcement = builders.build_announcement(
+        3, number, state=ServerState.DRAINING
+    )
+    start = fleet.network.now
+    seen: dict[object, float] = {}
+    fleet.arrivals.servers[announcement.id] = seen
+    fleet.member(number).announce(announcement, start)
+    fleet.network.poke(fleet.headers[number].gossip)
+    others = len(fleet.members()) - 1
+    fleet.run_until(lambda: len(seen) >= others, 20)
+    complete = len(seen) >= others
+    return max(seen.values()) - start if complete else float("inf")
+
+
+def time_catalogue(fleet: Fleet, number: int) -> float:
+    """Publish an update; return when the last node had taken it."""
+    header = fleet.headers[number]
+    copy = fleet.copies[header.node]
+    base = copy.head()
+    length = len(copy.content()) + len(DELTA)
+    head = CatalogueHead(Version(base.version + 1), Digest(str(length)))
+    update = CatalogueUpdate(head, base.version, DELTA)
+    start = fleet.network.now
+    copy.offer(update, start)
+    fleet.arrivals.catalogue.clear()
+    fleet.network.carry(
+        header.gossip, fleet.member(number).publish_catalogue(update, start)
+    )
+    others = len(fleet.members()) - 1
+
+    def is_done() -> bool:
+        return len(fleet.arrivals.catalogue) >= others
+
+    fleet.run_until(is_done, 20)
+    if not is_done():
+        return float("inf")
+    return max(fleet.arrivals.catalogue.values()) - start
+
+
+def restart(fleet: Fleet, number: int) -> None:
+    """Drain a host, stop its node and start it with a new incarnation."""
+    fleet.announce(number, ServerState.DRAINING, Incarnation(1))
+    fleet.network.run(2.0)
+    address = fleet.headers[number].gossip
+    fleet.network.carry(address, fleet.member(number).leave(fleet.network.now))
+    fleet.network.run(1.0)
+    fleet.network.remove(address)
+    fleet.network.run(1.0)
+    fleet.start(number, Incarnation(2))
+
+
+def measure_memory(fleet: Fleet) -> float:
+    """Return the bytes that one node's view takes, unshared.
+
+    Returns
+    -------
+    float
+        Bytes of a member that took every record from decoded messages.
+    """
+    from egretlever.membership._codec import decode_message, encode_message
+    from egretlever.membership._messages import Message
+
+    now = fleet.network.now
+    encoded = [
+        encode_message(
+            Message(
+                member.describe().node,
+                Incarnation(1),
+                deltas=(member.own_delta(now),),
+            )
+        )
+        for member in fleet.members()
+    ]
+    tracemalloc.start()
+    header = builders.build_header(len(fleet.headers) + 1)
+    member = make_membership(header, Incarnation(1))
+    member.restore(
+        (
+            delta
+            for data in encoded
+            for delta in decode_message(data).unwrap().deltas
+        ),
+        now,
+    )
+    servers: list[Server] = member.servers()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(servers) >= len(encoded)
+    return float(used)
+
+
+def measure_size(size: int, seed: int) -> Iterable[Measure]:
+    """Measure one size."""
+    label = f"{size} nodes"
+    fleet = Fleet(size, seed)
+    fleet.network.run(3.0)
+    started = time.process_time()
+    steady = run_traffic(fleet, 5)
+    cpu = (time.process_time() - started) / 5 / size
+    at_most = Bound.AT_MOST
+    yield Measure(
+        f"steady bytes, mean, {label}", steady.mean, "B/s", 15000, at_most
+    )
+    yield Measure(
+        f"steady bytes, peak second, {label}",
+        steady.peak,
+        "B/s",
+        15000,
+        at_most,
+    )
+    yield Measure(
+        f"region link, one direction, {label}",
+        steady.link,
+        "B/s",
+        LINK_TARGET,
+        at_most,
+    )
+    yield Measure(f"processor time, {label}", 100 * cpu, "% core", 2.3, at_most)
+    memory = measure_memory(fleet) / 1e6
+    yield Measure(f"memory, {label}", memory, "MB", 256, at_most)
+    fleet.break_links()
+    departures = [time_departure(fleet, size // 3 + n) for n in range(3)]
+    yield Measure(
+        f"departure known, worst of 3, {label}",
+        max(departures),
+        "s",
+        3,
+        at_most,
+    )
+    updates = [time_catalogue(fleet, n) for n in range(3)]
+    yield Measure(
+        f"catalogue known, worst of 3, {label}", max(updates), "s", 4, at_most
+    )
+
+
+def measure_restarts(size: int, seed: int) -> Iterable[Measure]:
+    """Measure one restart in 20 s; 980 a day are one in 88 s."""
+    fleet = Fleet(size, seed)
+    fleet.network.run(3.0)
+    fleet.network.sent.clear()
+    fleet.network.link.clear()
+    start = fleet.network.now
+    restart(fleet, size // 2)
+    fleet.network.run(start + 20 - fleet.network.now)
+    mean = sum(fleet.network.sent.values()) / 20 / size
+    link = max(fleet.network.link.values()) / 20
+    yield Measure(
+        f"one restart in 20 s, mean bytes, {size} nodes",
+        mean,
+        "B/s",
+        15000,
+        Bound.AT_MOST,
+    )
+    yield Measure(
+        f"one restart in 20 s, region link, {size} nodes",
+        link,
+        "B/s",
+        LINK_TARGET,
+        Bound.AT_MOST,
+    )
+
+
+def measure_start(size: int, joiners: int, seed: int) -> Iterable[Measure]:
+    """Measure the start of many nodes together."""
+    fleet = Fleet(size - joiners, seed)
+    fleet.network.run(2.0)
+    start = fleet.network.now
+    fresh = range(size - joiners, size)
+    for number in fresh:
+        fleet.start(number, Incarnation(1))
+    peak = link = total = 0.0
+    seconds = 0
+    while seconds < 60:
+        traffic = run_traffic(fleet, 1)
+        seconds += 1
+        peak, link = max(peak, traffic.peak), max(link, traffic.link)
+        total += traffic.mean
+        now = fleet.network.now
+        if all(fleet.member(number).is_ready(now) for number in fresh):
+            break
+    label = f"start of {joiners} among {size} nodes"
+    at_most = Bound.AT_MOST
+    yield Measure(f"{label}, all ready", fleet.network.now - start, "s")
+    yield Measure(
+        f"{label}, mean bytes", total / seconds, "B/s", 15000, at_most
+    )
+    yield Measure(f"{label}, peak second", peak, "B/s", 15000, at_most)
+    yield Measure(f"{label}, region link", link, "B/s", LINK_TARGET, at_most)
+
+
+def run(seed: int) -> list[Measure]:
+    """Measure all sizes, restarts, and a start of 250 nodes."""
+    measures: list[Measure] = []
+    for size in SIZES:
+        measures += measure_size(size, seed)
+    measures += measure_restarts(1000, seed)
+    measures += measure_start(1000, JOINERS, seed)
+    values = {measure.name: measure.value for measure in measures}
+    for name, unit in (
+        ("steady bytes, mean", "B/s"),
+        ("processor time", "% core"),
+        ("memory", "MB"),
+    ):
+        rise = values[f"{name}, 1000 nodes"] - values[f"{name}, 250 nodes"]
+        measures.append(
+            Measure(f"{name}, slope per 100 nodes", rise / 7.5, unit)
+        )
+    return measures
+
+
+if __name__ == "__main__":
+    run_benchmark("membership", run)
--- a/egretlever/membership/_liveness.py
+++ b/egretlever/membership/_liveness.py
@@ -139,7 +139,7 @@
         own.raise_version(suspicion.version)
         self._state.view.store(own.record, now)
         self._state.spread_record(
-            self._state.node, base, False, now, relays=REFUTATION_RELAYS
+            self._state.node, base, True, now, relays=REFUTATION_RELAYS
         )
 
     def _doubt(
--- a/egretlever/membership/_membership.py
+++ b/egretlever/membership/_membership.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Protocol
 
 from egretlever.core import (
@@ -42,7 +42,7 @@
 )
 from egretlever.membership._own import ServerAnnouncement
 from egretlever.membership._receiving import Receiving
-from egretlever.membership._records import NodeHeader
+from egretlever.membership._records import NodeHeader, RecordDelta
 from egretlever.membership._rounds import Rounds
 from egretlever.membership._snapshots import NodeSnapshot, Snapshots
 from egretlever.membership._state import Parameters, State
@@ -226,6 +226,17 @@
             self._state.send(target, Priority.URGENT, evidence=evidence)
         return self._state.outbox.flush(now)
 
+    def restore(self, deltas: Iterable[RecordDelta], now: Seconds) -> None:
+        """Take records known from elsewhere without spreading them."""
+        self._state.started = Seconds(float("-inf"))
+        for delta in deltas:
+            if delta.node != self._state.node:
+                self._state.view.apply(delta, now)
+
+    def own_delta(self, now: Seconds) -> RecordDelta:
+        """Return this node's record as one delta of any size."""
+        return self._state.own_delta(now, 1 << 30)
+
     def count_drop(self, reason: Drop) -> None:
         """Count a datagram that was dropped before it became a message."""
         self._state.count(reason)
--- a/egretlever/membership/_records.py
+++ b/egretlever/membership/_records.py
@@ -1,6 +1,7 @@
 """Records of nodes and the changes between their versions."""
 
 import dataclasses
+import functools
 import hashlib
 from collections.abc import Mapping
 
@@ -233,6 +234,7 @@
     )
 
 
+@functools.lru_cache(maxsize=8192)
 def hash_text(text: str) -> int:
     """Return a 32-bit hash that does not cancel out under XOR, unlike CRC."""
     digest = hashlib.blake2b(text.encode(), digest_size=4).digest()
