--- a/egretlever/membership/_gossip.py
+++ b/egretlever/membership/_gossip.py
@@ -68,6 +68,11 @@
             return
         # Only this node writes its record: another process uses its name.
         self._liveness.report_duplicate(self._state.node, now)
+        if delta.header is not None and delta.incarnation > own.incarnation:
+            named = RecordVersion(delta.node, delta.incarnation, delta.version)
+            self._state.send_address(
+                delta.header.gossip, Priority.PROBE, versions=(named,)
+            )
 
     def _take_delta(
         self,
--- a/egretlever/membership/_liveness.py
+++ b/egretlever/membership/_liveness.py
@@ -14,8 +14,10 @@
 
 DOUBT_RELAYS = 8
 REFUTATION_RELAYS = 10
-# A death this old was open to refutation long enough to be taken over.
+# A node that starts takes over deaths that were long open to refutation, so
+# that it does not keep their records for another full time.
 SETTLED_DEATH = 30.0
+START_TIME = 60.0
 DUPLICATE_MESSAGES = 3
 DUPLICATE_TIME = 2.0
 
@@ -120,7 +122,12 @@
             return
         if node not in self._state.view.records:
             return
-        settled = suspicion.age >= SETTLED_DEATH
+        started = self._state.started
+        settled = (
+            suspicion.age >= SETTLED_DEATH
+            and started is not None
+            and now - started < START_TIME
+        )
         if suspicion.state is NodeState.DEAD and settled:
             since = Seconds(now - suspicion.age)
             self._doubt(node, stamp, NodeState.DEAD, since, now)
--- a/egretlever/membership/_receiving.py
+++ b/egretlever/membership/_receiving.py
@@ -45,9 +45,7 @@
         """Take one message."""
         state = self._state
         if message.sender == state.node:
-            state.count(Drop.OWN_NAME)
-            if message.incarnation > state.incarnation:
-                self._liveness.report_duplicate(state.node, now)
+            self._take_own_name(message, sender, now)
             return
         known = message.sender in state.view.records
         if known and not self._check_sender(message, sender, now):
@@ -55,12 +53,17 @@
         self._gossip.take_deltas(message, sender, now)
         if message.acknowledged:
             self._liveness.acknowledge(message.acknowledged, now)
+        for suspicion in message.suspicions:
+            # After a long split the sender may be unknown here as well.
+            if suspicion.node == state.node:
+                self._liveness.take_suspicion(suspicion, now)
         if message.sender not in state.view.records:
             self._ask_name(message, sender, now)
             return
         state.refresh_contacts(now)
         for suspicion in message.suspicions:
-            self._liveness.take_suspicion(suspicion, now)
+            if suspicion.node != state.node:
+                self._liveness.take_suspicion(suspicion, now)
         if message.population:
             self._joining.note_answer(message.population)
         if message.versions or message.buckets:
@@ -75,6 +78,23 @@
         if message.evidence_received:
             self._post.acknowledge(message.evidence_received)
 
+    def _take_own_name(
+        self, message: Message, sender: Address, now: Seconds
+    ) -> None:
+        state = self._state
+        state.count(Drop.OWN_NAME)
+        # An older process that names this incarnation lives beside it; a
+        # replayed message can't name it.
+        named = any(
+            version.node == state.node
+            and version.incarnation == state.incarnation
+            for version in message.versions
+        )
+        if message.incarnation > state.incarnation or (
+            named and sender != state.header.gossip
+        ):
+            self._liveness.report_duplicate(state.node, now)
+
     def _check_sender(
         self, message: Message, sender: Address, now: Seconds
     ) -> bool:
@@ -85,6 +105,16 @@
             return True
         self._state.count(Drop.OLD_INCARNATION)
         self._liveness.check_rival(message, sender, now)
+        # The process with the old incarnation learns of the newer one.
+        newer = self._state.delta_after(
+            message.sender,
+            message.incarnation,
+            Version(0),
+            now,
+            INTRODUCTION_BYTES,
+        )
+        if newer is not None and sender != record.header.gossip:
+            self._state.send_address(sender, Priority.PROBE, deltas=(newer,))
         return False
 
     def _ask_name(
