Bound replies to other regions by the link budget; widen the pull window

Cause: replies went to addresses without regard to their region, and a start of 250 among 1,000 nodes sent 317 KB/s over the link (bound 187.5 KB/s). The pull window fell to 4 records.

--- a/egretlever/membership/_pulls.py
+++ b/egretlever/membership/_pulls.py
@@ -10,8 +10,8 @@
 MAX_BATCHES = 8
 # The queue of a busy peer holds about 2.5 s of its byte budget.
 TIMEOUT = 3.0
-MIN_WINDOW = 4
-FIRST_WINDOW = 16
+MIN_WINDOW = 16
+FIRST_WINDOW = 32
 MAX_WINDOW = 64
 
 
@@ -49,6 +49,9 @@
             if (known.version.incarnation, known.version.version) < stamp:
                 known.version = version
                 known.source = source
+            elif known.source is None:
+                # Random peers that start as well would not have the record.
+                known.source = source
             known.asked = asked or known.asked
         elif len(self._missing) < MAX_MISSING:
             self._missing[version.node] = _Missing(version, source, asked)
--- a/egretlever/membership/_rounds.py
+++ b/egretlever/membership/_rounds.py
@@ -21,7 +21,7 @@
 REMOTE_CHANCE = 1 / 64
 HEALING_CHANCE = 1 / 32
 # Beyond it the node has enough to pull and asks for no further versions.
-MAX_MISSING_FOR_DIGEST = 64
+MAX_MISSING_FOR_DIGEST = 512
 
 
 class Rounds:
--- a/egretlever/membership/_state.py
+++ b/egretlever/membership/_state.py
@@ -160,7 +160,9 @@
     ) -> None:
         """Queue a message to an address whose node may be unknown."""
         message = self.message(**fields)
-        self.outbox.add(address, message, priority, False)
+        region = self.view.regions.get(address, self.header.region)
+        far = region != self.header.region
+        self.outbox.add(address, message, priority, far)
 
     def delta_after(
         self,
--- a/egretlever/membership/_view.py
+++ b/egretlever/membership/_view.py
@@ -5,9 +5,11 @@
 from collections.abc import Iterator
 
 from egretlever.core import (
+    Address,
     Incarnation,
     NodeId,
     NodeState,
+    RegionName,
     Seconds,
     ServerId,
     Version,
@@ -72,6 +74,7 @@
         self.doubts: dict[NodeId, Doubt] = {}
         self.orphans: dict[ServerId, Orphan] = {}
         self.started: dict[ServerId, tuple[Incarnation, Seconds]] = {}
+        self.regions: dict[Address, RegionName] = {}
         self.digest = [0] * BUCKETS
         self.generation = 0
         self._members: list[set[NodeId]] = [set() for _ in range(BUCKETS)]
@@ -154,6 +157,7 @@
         node = record.header.node
         old = self.records.get(node)
         self.records[node] = record
+        self.regions[record.header.gossip] = record.header.region
         if old is None:
             self._bucket_of[node] = hash_text(node) % BUCKETS
             self._members[self._bucket_of[node]].add(node)
@@ -241,6 +245,7 @@
         bucket = self._bucket_of.pop(node)
         self._members[bucket].discard(node)
         self.digest[bucket] ^= self._hashes.pop(node)
+        self.regions.pop(record.header.gossip, None)
         self.doubts.pop(node, None)
         self._left.pop(node, None)
         self.generation += 1
