Let record lists yield to records, and joiners not act as bridges

A joiner that knows few nodes took itself for a bridge and spent a bridge's share of the link. The effect on the link at 1,000 nodes is not measured yet.

--- a/egretlever/membership/_contacts.py
+++ b/egretlever/membership/_contacts.py
@@ -73,6 +73,7 @@
         self._region = region
         self._rng = rng
         self._order: list[NodeId] = []
+        self.settled = True
         self.local: list[NodeId] = []
         self.remote: dict[RegionName, list[NodeId]] = {}
         self.bridges: dict[RegionName, tuple[NodeId, ...]] = {}
@@ -80,7 +81,7 @@
     @property
     def is_bridge(self) -> bool:
         """Whether this node carries control traffic between regions."""
-        return self._node in self.bridges.get(self._region, ())
+        return self.settled and self._node in self.bridges.get(self._region, ())
 
     def update(self, records: Iterable[NodeRecord]) -> None:
         """Take the records of the live nodes, this node's included."""
--- a/egretlever/membership/_gossip.py
+++ b/egretlever/membership/_gossip.py
@@ -26,7 +26,7 @@
 from egretlever.membership._state import DELTA_ROOM, State
 
 VERSIONS_ROOM = 800
-MAX_VERSION_MESSAGES = 3
+MAX_VERSION_MESSAGES = 1
 MAX_PUSHED = 2
 PULL_PEERS = 4
 
--- a/egretlever/membership/_receiving.py
+++ b/egretlever/membership/_receiving.py
@@ -66,6 +66,7 @@
                 self._liveness.take_suspicion(suspicion, now)
         if message.population:
             self._joining.note_answer(message.population)
+            state.fleet = max(message.population, int(state.fleet * 0.9))
         if message.versions or message.buckets:
             self._gossip.take_versions(message, sender, now)
         if message.wanted:
@@ -143,7 +144,10 @@
             return
         fields: dict[str, object] = {"acknowledged": sequence}
         if message.population:
-            listed = self._gossip.answer_digest(message.digest, sender)
+            listed = {}
+            if state.outbox.has_room(now):
+                # Lists of versions must not starve the records themselves.
+                listed = self._gossip.answer_digest(message.digest, sender)
             room = 0 if listed else RIDE_ROOM
             fields.update(state.ride_along(now, room), **listed)
             doubt = state.view.doubts.get(message.sender)
--- a/egretlever/membership/_state.py
+++ b/egretlever/membership/_state.py
@@ -53,6 +53,7 @@
 # A new node's record reaches every peer in this time even at a mass start.
 INTRODUCTION_TIME = 40.0
 CONTACTS_INTERVAL = 0.5
+SETTLED_SHARE = 0.8
 # Five percent of a link of 30 Mbit/s, in bytes per second.
 LINK_CONTROL_RATE = 30e6 / 8 * 0.05
 
@@ -122,6 +123,7 @@
         )
         self.doubt_rumors: Rumors[NodeId, Suspicion] = Rumors(256)
         self.started: Seconds | None = None
+        self.fleet = 0
         self._generation = -1
         self._contacts_at = float("-inf")
         self.view.store(self.own.record, Seconds(0.0))
@@ -310,11 +312,13 @@
         self._generation = self.view.generation
         live = list(self.view.live())
         self.contacts.update(live)
+        # A node that knows few others would take itself for a bridge.
+        self.contacts.settled = len(live) >= SETTLED_SHARE * self.fleet
         share = self.parameters.link_bytes_per_second / 2
         share /= (
             REPRESENTATIVES
             if self.contacts.is_bridge
-            else 1 + len(self.contacts.local)
+            else max(1 + len(self.contacts.local), self.fleet)
         )
         self.outbox.limit_link(share)
 
