--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -67,4 +67,16 @@
     "send_request",
     "serve_requests",
     "set_no_delay",
+from egretlever.transport._datagrams import (
+    DatagramEndpoint,
+    DatagramFaults,
+    InjectedFaults,
+    NoFaults,
+)
+
+__all__ = [
+    "DatagramEndpoint",
+    "DatagramFaults",
+    "InjectedFaults",
+    "NoFaults",
 ]
