--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -7,6 +7,12 @@
     BackendProtocolError,
 )
 from egretlever.transport._callers import CallerConnection, CallerGoneError
+from egretlever.transport._datagrams import (
+    DatagramEndpoint,
+    DatagramFaults,
+    InjectedFaults,
+    NoFaults,
+)
 from egretlever.transport._exchanges import (
     ExchangeError,
     ExchangeFailure,
@@ -67,14 +73,6 @@
     "send_request",
     "serve_requests",
     "set_no_delay",
-from egretlever.transport._datagrams import (
-    DatagramEndpoint,
-    DatagramFaults,
-    InjectedFaults,
-    NoFaults,
-)
-
-__all__ = [
     "DatagramEndpoint",
     "DatagramFaults",
     "InjectedFaults",
