Judge four slow outcomes in a row alone, and use the datagram endpoint

Cause: routing avoids a slow server, so its earlier good outcomes outweigh the few slow ones for seconds. The run of slow outcomes helps, but the sample rate of an avoided server stays the limit.

--- a/egretlever/detection/_pairs.py
+++ b/egretlever/detection/_pairs.py
@@ -23,6 +23,9 @@
 _PRIOR_WEIGHT = 20.0
 _KINDS = tuple(EvidenceKind)
 _RECENT = 32
+# Routing soon avoids a slow server, so that its earlier good outcomes outweigh
+# the few slow ones for long. This many slow outcomes in a row are judged alone.
+_SLOW_RUN = 4
 
 
 class Pair:
@@ -51,6 +54,7 @@
         "run",
         "server_id",
         "since_report",
+        "slow_run",
         "suspected_until",
     )
 
@@ -71,6 +75,7 @@
         self.attempts_ = 0.0
         self.bad_: list[float] | None = None
         self.run = 0
+        self.slow_run = 0
         self.provisional = -math.inf
         self.last_bad = -math.inf
         self.last_good = -math.inf
@@ -93,6 +98,7 @@
         self._decay(now)
         self.attempts_ += 1
         self.run = 0
+        self.slow_run = 0
         self.last_good = now
         self.provisional = -math.inf
         self.since_report[3] += 1
@@ -108,6 +114,8 @@
         self.bad_[index] += 1
         recent = self.run if now - self.last_bad < LIFETIME else 0
         self.run = recent + 1 if kind is EvidenceKind.UNREACHABLE else 0
+        slow = self.slow_run if now - self.last_bad < LIFETIME else 0
+        self.slow_run = slow + 1 if kind is EvidenceKind.SLOW else 0
         self.last_bad = now
         self.since_report[index] += 1
 
@@ -157,6 +165,9 @@
             lasting = self.run and now - self.last_bad < LIFETIME
             if kind is EvidenceKind.UNREACHABLE and lasting:
                 value = max(value, score_excess(self.run, self.run * share))
+            if kind is EvidenceKind.SLOW and self.slow_run >= _SLOW_RUN:
+                run = self.slow_run
+                value = max(value, score_excess(run, run * share))
             best = max(best, (value, kind), key=lambda item: item[0])
         return best
 
--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import curio
-from curio import socket
 
 from egretlever.core import (
     Address,
@@ -40,6 +39,7 @@
 from egretlever.transport import (
     CallerConnection,
     ConnectionPool,
+    DatagramEndpoint,
     accept_connections,
     open_listener,
     read_clock,
@@ -52,7 +52,6 @@
 _SLOW_INTERVAL = 1.0  # seconds between expiries and updates of gauges
 _PAUSE_LIMIT = 0.25  # seconds of loop lag that void the node's own evidence
 _LEAVE_LINGER = 3.0  # seconds in which others learn of the departure
-_DATAGRAM_SIZE = 65536
 
 Datagrams = Sequence[tuple[Address, bytes]]
 
@@ -171,8 +170,10 @@
         listen = self._settings.listen
         traffic = open_listener(parse_address(listen.traffic))
         admin = open_listener(parse_address(listen.admin))
-        gossip = _open_datagrams(parse_address(listen.gossip))
-        _LOG.info("%s serves callers on %s.", self._parts.sender.node, traffic)
+        gossip = DatagramEndpoint(parse_address(listen.gossip))
+        _LOG.info(
+            "%s serves callers on %s.", self._parts.sender.node, listen.traffic
+        )
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._accept, traffic)
             await tasks.spawn(serve_requests, admin, make_admin(self))
@@ -203,24 +204,20 @@
 
         await accept_connections(listener, serve, traffic.max_connections)
 
-    async def _receive_gossip(self, sock: Any) -> None:
+    async def _receive_gossip(self, gossip: DatagramEndpoint) -> None:
         while True:
-            data, peer = await sock.recvfrom(_DATAGRAM_SIZE)
+            data, sender = await gossip.receive()
             metrics.GOSSIP_BYTES.labels("received").inc(len(data))
-            sender = Address(peer[0], peer[1])
             self._queue(self._port.receive(data, sender, read_clock()))
-            await self._send_gossip(sock)
+            await self._send_gossip(gossip)
 
-    async def _send_gossip(self, sock: Any) -> None:
+    async def _send_gossip(self, gossip: DatagramEndpoint) -> None:
         outgoing, self._outgoing = self._outgoing, []
-        for address, data in outgoing:
-            metrics.GOSSIP_BYTES.labels("sent").inc(len(data))
-            try:
-                await sock.sendto(data, (address.ip, address.port))
-            except OSError as error:
-                _LOG.debug("No datagram to %s: %s.", address, error)
-
-    async def _tick_forever(self, gossip: Any) -> None:
+        sent = sum(len(data) for _, data in outgoing)
+        metrics.GOSSIP_BYTES.labels("sent").inc(sent)
+        await gossip.send_all(outgoing)
+
+    async def _tick_forever(self, gossip: DatagramEndpoint) -> None:
         last = read_clock()
         while True:
             await curio.sleep(_TICK)
@@ -337,13 +334,6 @@
     return ""
 
 
-def _open_datagrams(address: Address) -> Any:
-    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_DGRAM)
-    sock.bind((address.ip, address.port))
-    return sock
-
-
 async def _repeat(interval: float, work: Callable[[], Any]) -> None:
     while True:
         await curio.sleep(interval)
