--- a/egretlever/membership/tests/test_faults.py
+++ b/egretlever/membership/tests/test_faults.py
@@ -97,6 +97,13 @@
     assert set(cluster.states(2).values()) == {NodeState.ALIVE}
 
 
+def test_an_announcement_is_a_change_at_its_own_node():
+    # A node without peers would never route to the servers on its own host.
+    cluster = Cluster(1)
+    cluster.announce(0)
+    assert ChangeKind.SERVERS_CHANGED in cluster.recorders[0].changes
+
+
 def test_dead_node_leaves_orphans_for_their_time():
     # Guards against a suspicion that removes servers, and against leaks.
     cluster = Cluster(4, orphan_time=30, announcement_timeout=1000)
