Show nodes and servers, stop and start servers, and offer edits to nodes

egretlever-ctl had only the catalogue's commands, and an accepted edit was lost to the nodes for as long as the store stayed away after acceptance.

ctl gains nodes, servers, server stop and server start, with tables and JSON. A planned stop is asked for at the home node, which announces the server as draining whatever the server says, so it works for a server that does not answer. After apply and rollback, ctl offers the version to the nodes of its settings.

--- /dev/null
+++ b/egretlever/admin/_client.py
@@ -0,0 +1,207 @@
+"""Requests to the admin pages of nodes."""
+
+import dataclasses
+from collections.abc import Sequence
+from typing import TypeVar
+
+import curio
+from google.protobuf import json_format, message
+from returns.result import Failure, Result, Success
+
+from egretlever.catalogue import (
+    Snapshot,
+    compare_snapshots,
+    encode_delta,
+)
+from egretlever.core import Address, Seconds
+from egretlever.schema import admin_pb2, catalogue_pb2
+from egretlever.transport import ExchangeError, ExchangeFailure, send_request
+
+_TIMEOUT = Seconds(2.0)
+# Connections held at once, far below the usual limit of 1,024 descriptors.
+_OFFERS_AT_ONCE = 64
+# A read of the store may be stale for a moment after an edit was accepted.
+_OFFER_TRIES = 4
+_OFFER_PAUSE = 0.2  # seconds between tries
+
+_Message = TypeVar("_Message", bound=message.Message)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetAnswer:
+    """The fleet as one node sees it.
+
+    Parameters
+    ----------
+    address : Address
+        Admin address of the node that answered.
+    status : FleetStatus
+        Its answer.
+    silent : tuple of Address
+        Nodes that were asked before and did not answer.
+    """
+
+    address: Address
+    status: admin_pb2.FleetStatus
+    silent: tuple[Address, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeOffer:
+    """What became of an offer to one node.
+
+    Parameters
+    ----------
+    address : Address
+        Admin address of the node.
+    answer : CatalogueOfferAnswer or None
+        Its answer, None when it gave none.
+    error : str
+        Why there is no answer.
+    """
+
+    address: Address
+    answer: admin_pb2.CatalogueOfferAnswer | None
+    error: str = ""
+
+
+async def ask_fleet(
+    nodes: Sequence[Address], timeout: Seconds = _TIMEOUT
+) -> FleetAnswer | None:
+    """Ask nodes in turn until a ready one describes the fleet.
+
+    Parameters
+    ----------
+    nodes : sequence of Address
+        Admin addresses.
+    timeout : Seconds, default=2
+        Time for the answer of one node.
+
+    Returns
+    -------
+    FleetAnswer or None
+        Answer of the first node that is ready, else of the first one that
+        answered; None when none did.
+    """
+    first: FleetAnswer | None = None
+    silent: list[Address] = []
+    for address in nodes:
+        status = admin_pb2.FleetStatus()
+        result = await _exchange(address, "GET", "/fleet", b"", status, timeout)
+        if isinstance(result, Failure):
+            silent.append(address)
+            continue
+        answer = FleetAnswer(address, status, tuple(silent))
+        if status.ready:
+            return answer
+        first = first or answer
+    return first
+
+
+async def order_server(
+    node: Address, order: admin_pb2.ServerOrder, timeout: Seconds = _TIMEOUT
+) -> Result[admin_pb2.ServerOrderAnswer, ExchangeError]:
+    """Order a node to stop or start a server on its host."""
+    answer = admin_pb2.ServerOrderAnswer()
+    body = order.SerializeToString()
+    return await _exchange(node, "POST", "/server", body, answer, timeout)
+
+
+async def offer_catalogue(
+    nodes: Sequence[Address],
+    snapshot: Snapshot,
+    base: Snapshot | None = None,
+    timeout: Seconds = _TIMEOUT,
+) -> list[NodeOffer]:
+    """Offer a version that the store has accepted to several nodes at once.
+
+    Parameters
+    ----------
+    nodes : sequence of Address
+        Admin addresses.
+    snapshot : Snapshot
+        The version.
+    base : Snapshot or None
+        Version before. A node that holds it gets the change only.
+    timeout : Seconds, default=2
+        Time for one answer.
+
+    Returns
+    -------
+    list of NodeOffer
+        One for each node, in the order of addresses.
+    """
+    offers = _make_offers(snapshot, base)
+    permits = curio.Semaphore(_OFFERS_AT_ONCE)
+
+    async def offer(address: Address) -> NodeOffer:
+        async with permits:
+            return await _offer_to_node(address, offers, timeout)
+
+    async with curio.TaskGroup() as group:
+        tasks = [await group.spawn(offer, address) for address in nodes]
+    return [task.result for task in tasks]
+
+
+def _make_offers(
+    snapshot: Snapshot, base: Snapshot | None
+) -> list[admin_pb2.CatalogueOffer]:
+    """Make the offers in the order in which they are tried."""
+    head = catalogue_pb2.CatalogueHead(
+        version=snapshot.head.version,
+        edit_id=snapshot.head.edit_id,
+        digest=snapshot.head.digest,
+    )
+    offers = []
+    if base is not None:
+        delta = encode_delta(compare_snapshots(base, snapshot))
+        offers.append(admin_pb2.CatalogueOffer(head=head, delta=delta))
+    offers.append(admin_pb2.CatalogueOffer(head=head, snapshot=snapshot.join()))
+    return offers
+
+
+async def _offer_to_node(
+    address: Address,
+    offers: Sequence[admin_pb2.CatalogueOffer],
+    timeout: Seconds,
+) -> NodeOffer:
+    waiting = list(offers)
+    for number in range(_OFFER_TRIES):
+        answer = admin_pb2.CatalogueOfferAnswer()
+        body = waiting[0].SerializeToString()
+        result = await _exchange(
+            address, "POST", "/catalogue", body, answer, timeout
+        )
+        if isinstance(result, Failure):
+            return NodeOffer(address, None, result.failure().message)
+        if answer.verdict == admin_pb2.OTHER_BASE and len(waiting) > 1:
+            waiting.pop(0)
+        elif answer.verdict != admin_pb2.NOT_IN_STORE:
+            break
+        elif number < _OFFER_TRIES - 1:
+            await curio.sleep(_OFFER_PAUSE)
+    return NodeOffer(address, answer)
+
+
+async def _exchange(
+    address: Address,
+    method: str,
+    path: str,
+    body: bytes,
+    answer: _Message,
+    timeout: Seconds,
+) -> Result[_Message, ExchangeError]:
+    result = await send_request(address, method, path, body, timeout)
+    if isinstance(result, Failure):
+        return result
+    reply = result.unwrap()
+    message_text = reply.body.decode("utf-8", "replace")
+    if reply.head.status != 200:
+        text = f"{address} answered {reply.head.status}: {message_text.strip()}"
+        return Failure(ExchangeError(ExchangeFailure.BAD_ANSWER, text))
+    try:
+        json_format.Parse(message_text, answer, ignore_unknown_fields=True)
+    except json_format.ParseError as error:
+        text = f"{address}: {error}"
+        return Failure(ExchangeError(ExchangeFailure.BAD_ANSWER, text))
+    return Success(answer)
--- /dev/null
+++ b/egretlever/admin/tests/test_client.py
@@ -0,0 +1,62 @@
+"""Guards offers of catalogue versions against answers that ask for more."""
+
+import curio
+
+from egretlever.admin import offer_catalogue
+from egretlever.catalogue import make_snapshot
+from egretlever.core import Address, Seconds
+from egretlever.schema import admin_pb2
+from egretlever.testing.builders import build_catalogue
+from egretlever.transport import Answer, open_listener, serve_requests
+
+BASE, TARGET = (make_snapshot(build_catalogue(number)) for number in (4, 5))
+
+
+def offer_to(verdicts):
+    """Offer to a node that answers with verdicts; return offers and answer."""
+    offers = []
+
+    async def handle(head, body):
+        offers.append(admin_pb2.CatalogueOffer.FromString(body))
+        verdict = verdicts[min(len(offers), len(verdicts)) - 1]
+        return Answer(body=b'{"verdict": "%s"}' % verdict.encode())
+
+    async def run():
+        listener = open_listener(Address("127.0.0.1", 0))
+        address = Address(*listener.getsockname()[:2])
+        server = await curio.spawn(serve_requests, listener, handle)
+        result = await offer_catalogue([address], TARGET, BASE)
+        await server.cancel()
+        await listener.close()
+        return result
+
+    (result,) = curio.run(run)
+    kinds = [offer.WhichOneof("content") for offer in offers]
+    return kinds, admin_pb2.OfferVerdict.Name(result.answer.verdict)
+
+
+def test_a_node_with_another_base_gets_the_snapshot():
+    kinds, verdict = offer_to(["OTHER_BASE", "TAKEN"])
+    assert kinds == ["delta", "snapshot"]
+    assert verdict == "TAKEN"
+
+
+def test_a_stale_read_of_the_store_is_asked_again():
+    kinds, verdict = offer_to(["NOT_IN_STORE", "NOT_IN_STORE", "TAKEN"])
+    assert kinds == ["delta"] * 3
+    assert verdict == "TAKEN"
+
+
+def test_the_tries_are_bounded():
+    for verdict in ("NOT_IN_STORE", "OTHER_BASE"):
+        kinds, last = offer_to([verdict])
+        assert len(kinds) <= 4
+        assert last == verdict
+
+
+def test_a_node_that_does_not_answer_is_reported():
+    (result,) = curio.run(
+        offer_catalogue, [Address("127.0.0.1", 1)], TARGET, None, Seconds(1.0)
+    )
+    assert result.answer is None
+    assert result.error
--- a/egretlever/catalogue/_editor.py
+++ b/egretlever/catalogue/_editor.py
@@ -182,8 +182,10 @@
             return confirm_edit(plan, edit)
         if (head.version if head else 0) != request.base_version:
             return await self._refuse(plan, request)
-        if head is not None and await self._is_unchanged(head, plan):
+        base = await self._read_current(head)
+        if head and base and not list_changes(base, plan.snapshot):
             return Success(Unchanged(head))
+        plan = dataclasses.replace(plan, base=base)
         return await self._write(plan, request)
 
     async def rollback(
@@ -221,7 +223,8 @@
         for _ in range(_TRIES):
             written = await self._tables.write(plan.rows, plan.conditions)
             if isinstance(written, Success):
-                return Success(Applied(plan.snapshot.head))
+                head = plan.snapshot.head
+                return Success(Applied(head, plan.snapshot, plan.base))
             error = written.failure()
             message = error.message
             if error.kind is StoreErrorKind.REFUSED_CONDITION:
@@ -346,11 +349,10 @@
                 break
         return Failure(EditRefused(f"version {version} is not in the history"))
 
-    async def _is_unchanged(self, head: Head, plan: EditPlan) -> bool:
-        current = await self.read_snapshot(head.digest)
-        if isinstance(current, Failure):
-            return False
-        return not list_changes(current.unwrap(), plan.snapshot)
+    async def _read_current(self, head: Head | None) -> Snapshot | None:
+        if head is None:
+            return None
+        return (await self.read_snapshot(head.digest)).value_or(None)
 
     async def _read_row(self, key: str) -> Result[Row, EditFailure]:
         row = await self._tables.read(key)
--- a/egretlever/catalogue/_edits.py
+++ b/egretlever/catalogue/_edits.py
@@ -88,9 +88,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Applied:
-    """The edit is in force: ``head`` is the version that it made."""
+    """The edit is accepted: ``head`` is the version that it made.
+
+    ``snapshot`` is its content and ``base`` the one before, if it was read.
+    """
 
     head: Head
+    snapshot: Snapshot | None = dataclasses.field(default=None, compare=False)
+    base: Snapshot | None = dataclasses.field(default=None, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,11 +179,14 @@
         Rows of the transaction.
     conditions : dict of str to Version
         Versions of rows that the transaction depends on.
+    base : Snapshot or None
+        Version before, when it was read.
     """
 
     snapshot: Snapshot
     rows: dict[str, bytes]
     conditions: dict[str, Version]
+    base: Snapshot | None = None
 
     @property
     def edit_key(self) -> str:
@@ -287,7 +295,7 @@
 def confirm_edit(plan: EditPlan, recorded: Edit) -> Result[EditDone, Any]:
     """Decide whether a recorded edit is the planned one."""
     if recorded.head == plan.snapshot.head:
-        return Success(Applied(recorded.head))
+        return Success(Applied(recorded.head, plan.snapshot))
     return Failure(
         EditRefused(
             f"edit id {recorded.head.edit_id} was used by {recorded.operator}"
--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -10,32 +10,27 @@
 
 from egretlever.core import (
     Address,
-    Incarnation,
     NodeId,
     RegionName,
     Seconds,
     ServerId,
-    ServerState,
-    ServiceName,
     make_log,
 )
-from egretlever.membership import (
-    CatalogueUpdate,
-    DatagramPort,
-    ServerAnnouncement,
-)
+from egretlever.membership import CatalogueUpdate, DatagramPort, Send
 from egretlever.node import _metrics as metrics
-from egretlever.node._admin import make_admin
+from egretlever.node._admin import serve_admin
 from egretlever.node._attempts import AttemptRunner
 from egretlever.node._catalogue import CatalogueCopy, CatalogueSync
 from egretlever.node._engine import Engine, Parts
 from egretlever.node._evidence import EvidenceLink
+from egretlever.node._offers import OfferDesk
+from egretlever.node._operations import Operations
 from egretlever.node._orders import OrderDesk
 from egretlever.node._parts import make_member, make_parts
 from egretlever.node._proxy import Proxy
 from egretlever.node._status import describe_fleet
 from egretlever.platform import make_object_store, make_table_store
-from egretlever.schema import admin_pb2, gossip_pb2, settings_pb2
+from egretlever.schema import admin_pb2, catalogue_pb2, settings_pb2
 from egretlever.settings import parse_address
 from egretlever.transport import (
     CallerConnection,
@@ -43,7 +38,6 @@
     accept_connections,
     open_listener,
     read_clock,
-    serve_requests,
 )
 
 _LOG = make_log("node")
@@ -99,6 +93,18 @@
             self._is_joined,
             self._take_catalogue,
         )
+        self._operations = Operations(
+            self._parts.sender.node,
+            self._member,
+            self._parts,
+            OfferDesk(
+                self._parts.catalogue,
+                self._parts.reader,
+                self._table,
+                self._sync.run,
+            ),
+            self._queue_sends,
+        )
         self._outgoing: list[tuple[Address, bytes]] = []
         self._stop = curio.Event()
         self._leaving = False
@@ -166,6 +172,9 @@
     def _queue(self, datagrams: Datagrams) -> None:
         self._outgoing.extend(datagrams)
 
+    def _queue_sends(self, sends: Sequence[Send]) -> None:
+        self._queue(self._port.encode(sends))
+
     async def run(self) -> None:
         """Run until a planned stop is complete."""
         listen = self._settings.listen
@@ -175,7 +184,7 @@
         _LOG.info("%s serves callers on %s.", self._parts.sender.node, traffic)
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._accept, traffic)
-            await tasks.spawn(serve_requests, admin, make_admin(self))
+            await tasks.spawn(serve_admin, admin, self, self._operations)
             await tasks.spawn(self._receive_gossip, gossip)
             await tasks.spawn(self._tick_forever, gossip)
             await tasks.spawn(
@@ -268,30 +277,6 @@
             sum(len(item.held_by_floor) for item in selections)
         )
 
-    async def take_announcement(
-        self, announcement: gossip_pb2.Announcement
-    ) -> str:
-        """Take what a backend server says of itself; empty when accepted."""
-        refusal = check_announcement(announcement)
-        if refusal:
-            return refusal
-        endpoint = announcement.address
-        sends = self._member.announce(
-            ServerAnnouncement(
-                ServerId(announcement.server),
-                ServiceName(announcement.service),
-                Address(endpoint.ip, endpoint.port),
-                ServerState[gossip_pb2.ServerState.Name(announcement.state)],
-                Incarnation(announcement.incarnation),
-                announcement.slots,
-                announcement.connections,
-                announcement.uptime_s,
-            ),
-            read_clock(),
-        )
-        self._queue(self._port.encode(sends))
-        return ""
-
     def describe(self) -> admin_pb2.FleetStatus:
         """Describe the fleet as the node sees it."""
         return describe_fleet(
@@ -302,6 +287,15 @@
             read_clock(),
         )
 
+    def describe_catalogue(self) -> catalogue_pb2.CatalogueHead:
+        """Describe the version of the catalogue in force."""
+        head = self._parts.catalogue.head
+        if head is None:
+            return catalogue_pb2.CatalogueHead()
+        return catalogue_pb2.CatalogueHead(
+            version=head.version, edit_id=head.edit_id, digest=head.digest
+        )
+
     async def stop(self) -> None:
         """Leave the fleet, finish what is in flight, then end `run`."""
         if self._leaving:
@@ -320,23 +314,6 @@
         await self._stop.set()
 
 
-def check_announcement(announcement: gossip_pb2.Announcement) -> str:
-    """Return what is wrong with an announcement, empty for a valid one."""
-    if not announcement.server or not announcement.service:
-        return "the announcement names no server or no service"
-    try:
-        parse_address(
-            f"[{announcement.address.ip}]:{announcement.address.port}"
-        )
-    except ValueError as error:
-        return str(error)
-    if not 0 < announcement.slots <= 10_000:
-        return "slots is not between 1 and 10000"
-    if announcement.state not in gossip_pb2.ServerState.values():
-        return "the state is unknown"
-    return ""
-
-
 def _open_datagrams(address: Address) -> Any:
     family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_DGRAM)
--- /dev/null
+++ b/egretlever/node/_operations.py
@@ -0,0 +1,125 @@
+"""What servers and operators tell a node through its admin pages."""
+
+import time
+from collections.abc import Callable, Sequence
+
+from egretlever.core import (
+    Address,
+    Incarnation,
+    NodeId,
+    ServerId,
+    ServerState,
+    ServiceName,
+)
+from egretlever.membership import GossipMembership, Send, ServerAnnouncement
+from egretlever.node._offers import OfferDesk
+from egretlever.node._parts import NodeParts
+from egretlever.node._stops import PlannedStops
+from egretlever.schema import admin_pb2, gossip_pb2
+from egretlever.settings import parse_address
+from egretlever.transport import read_clock
+
+
+class Operations:
+    """Takes announcements, planned stops and starts, and catalogue offers.
+
+    Parameters
+    ----------
+    node : NodeId
+        This node.
+    member : GossipMembership
+        Spreads what is announced.
+    parts : NodeParts
+        Decision parts of the node.
+    offers : OfferDesk
+        Takes versions of the catalogue.
+    queue : callable
+        Sends messages to other nodes.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        member: GossipMembership,
+        parts: NodeParts,
+        offers: OfferDesk,
+        queue: Callable[[Sequence[Send]], None],
+    ) -> None:
+        self._node = node
+        self._member = member
+        self._parts = parts
+        self._offers = offers
+        self._queue = queue
+        self._stops = PlannedStops()
+
+    def take_announcement(self, announcement: gossip_pb2.Announcement) -> str:
+        """Take what a backend server says of itself; empty when accepted."""
+        refusal = check_announcement(announcement)
+        if not refusal:
+            said = _read_announcement(announcement)
+            self._announce(self._stops.adapt(said))
+        return refusal
+
+    def take_order(
+        self, order: admin_pb2.ServerOrder
+    ) -> admin_pb2.ServerOrderAnswer:
+        """Stop or start a server of this host for an operator."""
+        server = ServerId(order.server)
+        if order.serve:
+            known = self._parts.view.servers.get(server)
+            state = known.state if known is not None else None
+            verdict, said = self._stops.start(server, state, int(time.time()))
+        else:
+            verdict, said = self._stops.stop(server)
+        if said is not None:
+            self._announce(said)
+        return admin_pb2.ServerOrderAnswer(
+            node=self._node, verdict=verdict.name
+        )
+
+    async def take_offer(
+        self, offer: admin_pb2.CatalogueOffer
+    ) -> admin_pb2.CatalogueOfferAnswer:
+        """Take a version of the catalogue that the store accepted."""
+        verdict = await self._offers.take(offer)
+        return admin_pb2.CatalogueOfferAnswer(
+            node=self._node,
+            verdict=verdict.name,
+            version=self._parts.catalogue.version,
+        )
+
+    def _announce(self, said: ServerAnnouncement) -> None:
+        self._queue(self._member.announce(said, read_clock()))
+
+
+def _read_announcement(
+    announcement: gossip_pb2.Announcement,
+) -> ServerAnnouncement:
+    endpoint = announcement.address
+    return ServerAnnouncement(
+        ServerId(announcement.server),
+        ServiceName(announcement.service),
+        Address(endpoint.ip, endpoint.port),
+        ServerState[gossip_pb2.ServerState.Name(announcement.state)],
+        Incarnation(announcement.incarnation),
+        announcement.slots,
+        announcement.connections,
+        announcement.uptime_s,
+    )
+
+
+def check_announcement(announcement: gossip_pb2.Announcement) -> str:
+    """Return what is wrong with an announcement, empty for a valid one."""
+    if not announcement.server or not announcement.service:
+        return "the announcement names no server or no service"
+    try:
+        parse_address(
+            f"[{announcement.address.ip}]:{announcement.address.port}"
+        )
+    except ValueError as error:
+        return str(error)
+    if not 0 < announcement.slots <= 10_000:
+        return "slots is not between 1 and 10000"
+    if announcement.state not in gossip_pb2.ServerState.values():
+        return "the state is unknown"
+    return ""
--- /dev/null
+++ b/egretlever/node/tests/test_offers.py
@@ -0,0 +1,134 @@
+"""Guards which offered versions of the catalogue a node takes."""
+
+import dataclasses
+import random
+
+import pytest
+
+from egretlever.catalogue import (
+    FetchFromStore,
+    compare_snapshots,
+    encode_delta,
+    encode_head,
+    make_catalogue_reader,
+    make_catalogue_state,
+    make_snapshot,
+)
+from egretlever.core import Version
+from egretlever.node._offers import OfferDesk, Verdict
+from egretlever.schema import admin_pb2
+from egretlever.testing import FaultyTableStore, run_virtual
+from egretlever.testing.builders import build_catalogue, build_offer
+
+
+class Desk:
+    """A desk over a fake store, and the actions that the reader wanted run."""
+
+    def __init__(self, held, stored):
+        self.store = FaultyTableStore()
+        self.state = make_catalogue_state()
+        self.reader = make_catalogue_reader(self.state, random.Random(1))
+        if held:
+            self.state.offer(make_snapshot(build_catalogue(held)), 0.0)
+        self.ran = []
+        self.stored = stored
+
+    def take(self, offer):
+        return run_virtual(self._take(offer))
+
+    async def _take(self, offer):
+        if self.stored is None:
+            self.store.away = True
+        elif self.stored:
+            head = make_snapshot(build_catalogue(self.stored)).head
+            await self.store.write(
+                {"catalogue/head": encode_head(head)},
+                {"catalogue/head": Version(0)},
+            )
+        desk = OfferDesk(self.state, self.reader, self.store, self._run)
+        return await desk.take(offer)
+
+    async def _run(self, actions):
+        self.ran.extend(actions)
+
+
+# Stored None stands for a store that does not answer, 0 for an empty one.
+@pytest.mark.parametrize(
+    ("held", "stored", "offered", "verdict"),
+    [
+        (4, 5, 5, Verdict.TAKEN),
+        (0, 5, 5, Verdict.TAKEN),
+        (4, None, 5, Verdict.TAKEN),
+        (4, None, 68, Verdict.TAKEN),
+        (4, None, 69, Verdict.UNCONFIRMED),
+        (0, None, 5, Verdict.UNCONFIRMED),
+        (4, 4, 5, Verdict.NOT_IN_STORE),
+        (4, 0, 5, Verdict.NOT_IN_STORE),
+        (4, 6, 5, Verdict.SUPERSEDED),
+        (5, None, 5, Verdict.ALREADY_HELD),
+        (5, None, 4, Verdict.LOWER_VERSION),
+    ],
+)
+def test_a_claim_is_taken_only_as_far_as_it_is_trusted(
+    held, stored, offered, verdict
+):
+    desk = Desk(held, stored)
+    assert desk.take(build_offer(offered)) is verdict
+    taken = verdict is Verdict.TAKEN
+    assert desk.state.version == (offered if taken else held)
+
+
+def test_a_superseded_offer_makes_the_node_fetch_the_higher_version():
+    desk = Desk(4, 6)
+    desk.take(build_offer(5))
+    fetches = [one for one in desk.ran if isinstance(one, FetchFromStore)]
+    assert [fetch.head.version for fetch in fetches] == [6]
+
+
+def test_a_content_that_is_not_the_head_is_refused():
+    forged = build_offer(5)
+    forged.head.digest = build_offer(6).head.digest
+    relabelled = build_offer(5)
+    relabelled.head.version = 6
+    for offer in (
+        forged,
+        relabelled,
+        admin_pb2.CatalogueOffer(),
+        admin_pb2.CatalogueOffer(snapshot=b"\xff"),
+    ):
+        desk = Desk(4, None)
+        assert desk.take(offer) is Verdict.BAD_CONTENT
+        assert desk.state.version == 4
+
+
+def test_another_content_of_the_stored_version_is_refused():
+    other = build_catalogue(5)
+    other.services[0].owner = "somebody"
+    desk = Desk(4, 5)
+    offer = build_offer(5, other)
+    assert desk.take(offer) is Verdict.CONFLICTING_DIGEST
+    assert desk.state.version == 4
+
+
+def test_a_delta_is_taken_by_a_node_that_holds_its_base():
+    base, target = (make_snapshot(build_catalogue(n)) for n in (4, 5))
+    offer = build_offer(5)
+    offer.delta = encode_delta(compare_snapshots(base, target))
+    assert Desk(4, None).take(offer) is Verdict.TAKEN
+    assert Desk(3, None).take(offer) is Verdict.OTHER_BASE
+    offer.delta = encode_delta(
+        compare_snapshots(base, make_snapshot(build_catalogue(6)))
+    )
+    assert Desk(4, None).take(offer) is Verdict.BAD_CONTENT
+
+
+def test_a_delta_with_a_wrong_digest_does_not_take_effect():
+    base, target = (make_snapshot(build_catalogue(n)) for n in (4, 5))
+    delta = compare_snapshots(base, target)
+    head = dataclasses.replace(delta.head, digest="0" * 64)
+    offer = build_offer(5)
+    offer.head.digest = head.digest
+    offer.delta = encode_delta(dataclasses.replace(delta, head=head))
+    desk = Desk(4, None)
+    assert desk.take(offer) is Verdict.BAD_CONTENT
+    assert desk.state.version == 4
--- a/egretlever/programs/_ctl_catalogue.py
+++ b/egretlever/programs/_ctl_catalogue.py
@@ -29,7 +29,7 @@
     render_catalogue,
 )
 from egretlever.core import EditId, Finding, Version
-from egretlever.programs import _ctl_common
+from egretlever.programs import _ctl_common, _ctl_notify
 from egretlever.programs._ctl_common import (
     CtlContext,
     ExitCode,
@@ -137,7 +137,7 @@
                 None,
             )
             result = run_on_loop(editor.apply, request)
-    _report_edit(result)
+    _report_edit(context.obj, result)
 
 
 @app.command()
@@ -186,7 +186,8 @@
         summary or f"rollback to version {version}",
         edit_id,
     )
-    _report_edit(run_on_loop(editor.rollback, Version(version), request))
+    result = run_on_loop(editor.rollback, Version(version), request)
+    _report_edit(context.obj, result)
 
 
 def _make_editor(context: CtlContext) -> CatalogueEditor:
@@ -228,7 +229,9 @@
     return result.unwrap()
 
 
-def _report_edit(result: Result[EditDone, EditFailure]) -> None:
+def _report_edit(
+    context: CtlContext, result: Result[EditDone, EditFailure]
+) -> None:
     if isinstance(result, Failure):
         _exit_with_failure(result.failure())
     done = result.unwrap()
@@ -237,6 +240,7 @@
             f"version {done.head.version} is in the store, edit"
             f" {done.head.edit_id}"
         )
+        _ctl_notify.tell_nodes(context, done)
     else:
         typer.echo(f"nothing differs from version {done.head.version}")
 
--- a/egretlever/programs/_ctl_common.py
+++ b/egretlever/programs/_ctl_common.py
@@ -30,6 +30,7 @@
     FINDINGS = 2
     STORE_AWAY = 3
     EFFECT_UNKNOWN = 4
+    NODES_AWAY = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/egretlever/programs/ctl.py
+++ b/egretlever/programs/ctl.py
@@ -6,16 +6,19 @@
 import typer
 
 import egretlever
-from egretlever.programs import _ctl_catalogue
+from egretlever.programs import _ctl_catalogue, _ctl_servers
 from egretlever.programs._ctl_common import CtlContext
 
 app = typer.Typer(
     no_args_is_help=True,
     add_completion=False,
     help="Operate a fleet of egretlever nodes. Exit codes: 0 done, 1 refused"
-    " or conflict, 2 findings, 3 store away, 4 effect unknown.",
+    " or conflict, 2 findings, 3 store away, 4 effect unknown, 5 nodes away.",
 )
 app.add_typer(_ctl_catalogue.app, name="catalogue")
+app.add_typer(_ctl_servers.server_app, name="server")
+app.command("nodes")(_ctl_servers.show_nodes)
+app.command("servers")(_ctl_servers.show_servers)
 
 
 def _print_version(wanted: bool) -> None:
--- a/egretlever/testing/builders.py
+++ b/egretlever/testing/builders.py
@@ -1,8 +1,10 @@
 """Builders of test data: each gives a valid object, changed by keywords."""
 
+import dataclasses
 from typing import Any
 
 from egretlever.admission import RankPolicy, Ticket
+from egretlever.catalogue import Head, make_snapshot
 from egretlever.core import (
     Address,
     Attempt,
@@ -26,7 +28,7 @@
 from egretlever.membership import NodeHeader, ServerAnnouncement
 from egretlever.orders import OrderRequest
 from egretlever.routing import Location, PlacementRequest
-from egretlever.schema import catalogue_pb2
+from egretlever.schema import admin_pb2, catalogue_pb2
 
 
 def build_server(number: int = 1, **changes: Any) -> Server:
@@ -148,6 +150,27 @@
     )
 
 
+def build_head(version: int = 1, **changes: Any) -> Head:
+    """Build the head of a version of the catalogue."""
+    head = make_snapshot(build_catalogue(version)).head
+    return dataclasses.replace(head, **changes)
+
+
+def build_offer(
+    version: int = 1, content: catalogue_pb2.Catalogue | None = None
+) -> admin_pb2.CatalogueOffer:
+    """Build the offer of a version as a snapshot."""
+    snapshot = make_snapshot(content or build_catalogue(version))
+    return admin_pb2.CatalogueOffer(
+        head=catalogue_pb2.CatalogueHead(
+            version=version,
+            edit_id=snapshot.head.edit_id,
+            digest=snapshot.head.digest,
+        ),
+        snapshot=snapshot.join(),
+    )
+
+
 def build_service(name: str, **changes: Any) -> catalogue_pb2.Service:
     """Build a service of the catalogue."""
     fields: dict[str, Any] = {
