--- /dev/null
+++ b/benchmarks/chores.py
@@ -0,0 +1,86 @@
+"""Store operations per second of the address sample and the claim sweep.
+
+The schedules of 1,000 nodes of two regions run through an hour of virtual time
+in which the sweep never ends a pass. A second part starts 250 nodes of which
+none reaches a seed. A sweep step costs two reads, and a write when a claim of
+its page has expired, which is counted as if every page had one.
+"""
+
+import collections
+import random
+
+from benchmarks._report import Measure, run_benchmark
+from egretlever.core import Address, Incarnation, Seconds
+from egretlever.membership import Collaborators, make_membership
+from egretlever.node import Chore, ChoreSchedule
+from egretlever.orders import SweepReport
+from egretlever.testing.builders import build_header
+
+NODES = 1000
+WRITERS = 2  # one reader node per region
+STARTING = 250
+_HOUR = 3600
+_START_TIME = 60.0  # seconds without a seed
+_STEP = 0.5  # seconds, the gossip interval
+_READS = {Chore.READ_SAMPLE: 1, Chore.SWEEP: 2, Chore.WRITE_SAMPLE: 0}
+_WRITES = {Chore.READ_SAMPLE: 0, Chore.SWEEP: 1, Chore.WRITE_SAMPLE: 1}
+_FULL_PAGE = SweepReport(100, 1, False)
+
+
+def measure_hour(seed: int) -> list[Measure]:
+    """Count the operations of an hour with all nodes joined."""
+    schedules = []
+    for number in range(NODES):
+        schedule = ChoreSchedule(random.Random(f"{seed}/{number}"))
+        schedule.set_roles(number < WRITERS, number == 0, Seconds(0.0))
+        schedules.append(schedule)
+    counts: collections.Counter[Chore] = collections.Counter()
+    for second in range(_HOUR):
+        now = Seconds(float(second))
+        for schedule in schedules:
+            due = schedule.advance(now)
+            counts.update(due)
+            if Chore.SWEEP in due:
+                schedule.observe_sweep(_FULL_PAGE, now)
+    measures = []
+    for chore in (Chore.WRITE_SAMPLE, Chore.SWEEP):
+        name = f"{NODES} nodes, {chore.value}"
+        reads = counts[chore] * _READS[chore] / _HOUR
+        writes = counts[chore] * _WRITES[chore] / _HOUR
+        measures.append(Measure(f"{name}: reads", reads, "1/s"))
+        measures.append(Measure(f"{name}: writes", writes, "1/s"))
+    return measures
+
+
+def measure_start(seed: int) -> list[Measure]:
+    """Count the reads of nodes that start while no seed answers."""
+    reads: collections.Counter[int] = collections.Counter()
+    for number in range(STARTING):
+        generator = random.Random(f"{seed}/start/{number}")
+        schedule = ChoreSchedule(generator)
+        member = make_membership(
+            build_header(number),
+            Incarnation(1),
+            [Address("127.0.0.1", 9)],
+            collaborators=Collaborators(sample=schedule),
+            rng=generator,
+        )
+        for tick in range(int(_START_TIME / _STEP)):
+            now = Seconds(tick * _STEP)
+            member.advance(now)
+            reads[int(now)] += Chore.READ_SAMPLE in schedule.advance(now)
+    name = f"start of {STARTING} nodes without a seed"
+    mean = reads.total() / _START_TIME
+    return [
+        Measure(f"{name}: most reads in a second", max(reads.values()), "1/s"),
+        Measure(f"{name}: mean of {_START_TIME:g} s", mean, "1/s"),
+    ]
+
+
+def run(seed: int) -> list[Measure]:
+    """Count the store operations of all chores."""
+    return [*measure_hour(seed), *measure_start(seed)]
+
+
+if __name__ == "__main__":
+    run_benchmark("chores", run)
--- /dev/null
+++ b/egretlever/node/_chores.py
@@ -0,0 +1,251 @@
+"""Slow work of chosen nodes in the store: address sample and claim sweep."""
+
+import dataclasses
+import enum
+import math
+import random
+import time
+from collections.abc import Sequence
+from typing import Protocol
+
+from google.protobuf.message import DecodeError
+from returns.result import Failure, Result
+
+from egretlever.core import (
+    Address,
+    NodeId,
+    NodeState,
+    RegionName,
+    Seconds,
+    make_log,
+)
+from egretlever.membership import NodeSnapshot
+from egretlever.node import _metrics as metrics
+from egretlever.orders import SweepReport, choose_sweeper
+from egretlever.platform import Row, StoreError, TableStore
+from egretlever.schema import gossip_pb2
+from egretlever.transport import read_clock
+
+_LOG = make_log("chores")
+SAMPLE_PREFIX = "members/sample/"
+SAMPLE_SIZE = 16  # addresses of a region; a starting node tries two a round
+_MAX_REGIONS = 8
+_SAMPLE_INTERVAL = 30.0  # seconds
+# Below the second between two runs with its jitter, so that each run sweeps a
+# page: 100 claims a second, which is 8.6 million claims a day.
+_PAGE_INTERVAL = 0.8  # seconds
+# Claims are kept for 7 days, so the passes need not follow each other closely.
+_PASS_INTERVAL = 3600.0  # seconds
+_BACKOFF = 30.0  # seconds after a failed store operation
+_JITTER = 0.2
+_NEVER = Seconds(math.inf)
+
+
+class Chore(enum.Enum):
+    """Store operation that is due."""
+
+    READ_SAMPLE = "read-sample"
+    WRITE_SAMPLE = "write-sample"
+    SWEEP = "sweep"
+
+
+class ChoreSchedule:
+    """Decides when a node reads or writes the sample and sweeps claims.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Source of jitter.
+
+    Examples
+    --------
+    >>> schedule = ChoreSchedule(random.Random(1))
+    >>> schedule.set_roles(writes_sample=True, sweeps=False, now=Seconds(0.0))
+    >>> schedule.advance(Seconds(0.0)), schedule.advance(Seconds(36.0))
+    ([], [<Chore.WRITE_SAMPLE: 'write-sample'>])
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+        self._asked = False
+        self._due = {Chore.WRITE_SAMPLE: _NEVER, Chore.SWEEP: _NEVER}
+
+    def request(self, now: Seconds) -> None:
+        """Ask for the sample; membership calls it while no seed answers."""
+        self._asked = True
+
+    def set_roles(
+        self, writes_sample: bool, sweeps: bool, now: Seconds
+    ) -> None:
+        """Tell which chores this node is chosen for."""
+        self._set_role(Chore.WRITE_SAMPLE, writes_sample, now)
+        self._set_role(Chore.SWEEP, sweeps, now)
+
+    def _set_role(self, chore: Chore, chosen: bool, now: Seconds) -> None:
+        if not chosen:
+            self._due[chore] = _NEVER
+        elif self._due[chore] == _NEVER:
+            # A choice that changes back and forth, as at a start, costs
+            # nothing before it has held for a while.
+            wait = self._generator.uniform(0, _SAMPLE_INTERVAL)
+            self._due[chore] = Seconds(now + wait)
+
+    def advance(self, now: Seconds) -> list[Chore]:
+        """Return the chores that are due."""
+        found = [chore for chore, due in self._due.items() if now >= due]
+        for chore in found:
+            self._plan(chore, _SAMPLE_INTERVAL, now)
+        if self._asked:
+            self._asked = False
+            found.append(Chore.READ_SAMPLE)
+        return found
+
+    def observe_sweep(self, report: SweepReport | None, now: Seconds) -> None:
+        """Take the result of a page, None when the store failed."""
+        if report is None:
+            wait = _BACKOFF
+        else:
+            wait = _PASS_INTERVAL if report.finished else _PAGE_INTERVAL
+        self._plan(Chore.SWEEP, wait, now)
+
+    def _plan(self, chore: Chore, wait: float, now: Seconds) -> None:
+        if self._due[chore] != _NEVER:
+            spread = self._generator.uniform(1 - _JITTER, 1 + _JITTER)
+            self._due[chore] = Seconds(now + wait * spread)
+
+
+class Members(Protocol):
+    """What the chores need of the gossip overlay."""
+
+    def offer_addresses(self, addresses: Sequence[Address]) -> None:
+        """Take the sample of live addresses asked for."""
+
+
+class Sweep(Protocol):
+    """Removes expired claims, one page at a time."""
+
+    async def expire(self) -> Result[SweepReport, StoreError]:
+        """Read one page and remove its expired claims."""
+
+
+@dataclasses.dataclass(slots=True)
+class StoreChores:
+    """Runs the chores that are due.
+
+    Parameters
+    ----------
+    node : NodeId
+        This node.
+    region : RegionName
+        Its region, whose sample it may write.
+    schedule : ChoreSchedule
+        Decides what is due.
+    table : TableStore
+        Table service.
+    sweep : Sweep
+        Sweep of expired claims.
+    members : Members
+        Takes the addresses that were read.
+    generator : random.Random
+        Chooses the addresses of the sample.
+    live : tuple of Address
+        Gossip addresses of live nodes of the region.
+    """
+
+    node: NodeId
+    region: RegionName
+    schedule: ChoreSchedule
+    table: TableStore
+    sweep: Sweep
+    members: Members
+    generator: random.Random
+    live: tuple[Address, ...] = ()
+
+    def choose_roles(
+        self,
+        readers: Sequence[NodeId],
+        nodes: Sequence[NodeSnapshot],
+        now: Seconds,
+    ) -> None:
+        """Take the reader nodes of the region and all known nodes."""
+        alive = [node for node in nodes if node.state is NodeState.ALIVE]
+        self.live = tuple(
+            node.gossip for node in alive if node.region == self.region
+        )
+        sweeper = choose_sweeper(node.id for node in alive)
+        self.schedule.set_roles(
+            self.node in readers[:1], sweeper == self.node, now
+        )
+
+    async def run(self) -> None:
+        """Run what is due; store failures are counted and tried again."""
+        for chore in self.schedule.advance(read_clock()):
+            if chore is Chore.READ_SAMPLE:
+                await self._read_sample()
+            elif chore is Chore.WRITE_SAMPLE:
+                await self._write_sample()
+            else:
+                await self._sweep_page()
+
+    async def _read_sample(self) -> None:
+        result = await self.table.scan(SAMPLE_PREFIX, _MAX_REGIONS, "")
+        if isinstance(result, Failure):
+            self._count(result.failure())
+            return
+        addresses = decode_sample(result.unwrap())
+        self.generator.shuffle(addresses)
+        _LOG.info("no seed answered, the sample has %d nodes", len(addresses))
+        self.members.offer_addresses(addresses)
+
+    async def _write_sample(self) -> None:
+        size = min(SAMPLE_SIZE, len(self.live))
+        chosen = self.generator.sample(self.live, size)
+        value = encode_sample(chosen, self.node, time.time())
+        key = f"{SAMPLE_PREFIX}{self.region}"
+        # Two nodes may believe themselves chosen; any sample of theirs serves.
+        result = await self.table.write({key: value}, {})
+        if isinstance(result, Failure):
+            self._count(result.failure())
+
+    async def _sweep_page(self) -> None:
+        result = await self.sweep.expire()
+        if isinstance(result, Failure):
+            self._count(result.failure())
+        report = result.value_or(None)
+        if report is not None and report.removed:
+            _LOG.info("removed %d expired claims", report.removed)
+        self.schedule.observe_sweep(report, read_clock())
+
+    def _count(self, error: StoreError) -> None:
+        metrics.STORE_ERRORS.labels(error.kind.value).inc()
+
+
+def encode_sample(
+    addresses: Sequence[Address], writer: NodeId, at_unix_s: float
+) -> bytes:
+    """Encode a sample as a row of the table service."""
+    row = gossip_pb2.AddressSampleRow(writer=writer, at_unix_s=at_unix_s)
+    for address in addresses:
+        row.addresses.add(ip=address.ip, port=address.port)
+    return row.SerializeToString()
+
+
+def decode_sample(rows: Sequence[Row]) -> list[Address]:
+    """Decode the samples of all regions; rows that can't be read are left out.
+
+    Examples
+    --------
+    >>> value = encode_sample([Address("10.0.0.1", 70)], NodeId("a"), 0.0)
+    >>> decode_sample([Row("members/sample/x", value, 1), Row("y", b"?", 1)])
+    [Address(ip='10.0.0.1', port=70)]
+    """
+    found: list[Address] = []
+    for row in rows:
+        try:
+            sample = gossip_pb2.AddressSampleRow.FromString(row.value)
+        except DecodeError:
+            continue
+        found.extend(
+            Address(one.ip, one.port) for one in sample.addresses if one.port
+        )
+    return found
--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -21,6 +21,7 @@
 from egretlever.node._admin import serve_admin
 from egretlever.node._attempts import AttemptRunner
 from egretlever.node._catalogue import CatalogueCopy, CatalogueSync
+from egretlever.node._chores import StoreChores
 from egretlever.node._engine import Engine, Parts
 from egretlever.node._evidence import EvidenceLink
 from egretlever.node._offers import OfferDesk
@@ -29,6 +30,7 @@
 from egretlever.node._parts import make_member, make_parts
 from egretlever.node._proxy import Proxy
 from egretlever.node._status import describe_fleet
+from egretlever.orders import make_claim_sweep
 from egretlever.platform import make_object_store, make_table_store
 from egretlever.schema import admin_pb2, catalogue_pb2, settings_pb2
 from egretlever.settings import parse_address
@@ -44,6 +46,7 @@
 _TICK = 0.05  # seconds between turns of the parts that wait for time
 _FLUSH_INTERVAL = 0.05  # seconds between writes of deferred order rows
 _SLOW_INTERVAL = 1.0  # seconds between expiries and updates of gauges
+_ROLE_INTERVAL = 30.0  # seconds between choices for slow work in the store
 _PAUSE_LIMIT = 0.25  # seconds of loop lag that void the node's own evidence
 _LEAVE_LINGER = 3.0  # seconds in which others learn of the departure
 _DATAGRAM_SIZE = 65536
@@ -105,6 +108,15 @@
             ),
             self._queue_sends,
         )
+        self._chores = StoreChores(
+            self._parts.sender.node,
+            RegionName(settings.identity.region),
+            self._parts.chores,
+            self._table,
+            make_claim_sweep(self._table, self._parts.sender.node),
+            self._member,
+            randomness,
+        )
         self._outgoing: list[tuple[Address, bytes]] = []
         self._stop = curio.Event()
         self._leaving = False
@@ -191,6 +203,8 @@
                 _repeat, _FLUSH_INTERVAL, self._parts.ledger.flush
             )
             await tasks.spawn(_repeat, _SLOW_INTERVAL, self._maintain)
+            await tasks.spawn(_repeat, _SLOW_INTERVAL, self._chores.run)
+            await tasks.spawn(_repeat, _ROLE_INTERVAL, self._choose_roles)
             await tasks.spawn(self._stop.wait)
         for sock in (traffic, admin, gossip):
             await sock.close()
@@ -258,6 +272,11 @@
         if actions:
             await curio.spawn(self._sync.run, actions, daemon=True)
 
+    async def _choose_roles(self) -> None:
+        region = RegionName(self._settings.identity.region)
+        readers = self._member.readers(region)
+        self._chores.choose_roles(readers, self._member.nodes(), read_clock())
+
     async def _maintain(self) -> None:
         now = read_clock()
         parts = self._parts
--- a/egretlever/node/_parts.py
+++ b/egretlever/node/_parts.py
@@ -34,6 +34,7 @@
     make_membership,
 )
 from egretlever.node._catalogue import CatalogueCopy
+from egretlever.node._chores import ChoreSchedule
 from egretlever.node._evidence import EvidenceLink
 from egretlever.node._gate import Gate
 from egretlever.node._orders import find_mode
@@ -65,6 +66,7 @@
     ledger: OrderLedger
     gate: Gate
     randomness: random.Random
+    chores: ChoreSchedule
     ranks: tuple[RankPolicy, ...] = ()
 
     def take_catalogue(self, now: Seconds) -> None:
@@ -160,6 +162,7 @@
         ),
         Gate(make_admission([], [_FIRST_RANK], randomness)),
         randomness,
+        ChoreSchedule(randomness),
     )
 
 
@@ -196,6 +199,7 @@
             evidence=evidence,
             listener=parts.view,
             warmup=_CatalogueWarmup(parts.catalogue),
+            sample=parts.chores,
         ),
         randomness,
     )
--- a/egretlever/testing/_small_fleet.py
+++ b/egretlever/testing/_small_fleet.py
@@ -127,6 +127,14 @@
 
     def run_ctl(self, *arguments: object) -> "subprocess.CompletedProcess[str]":
         """Run the operator's program with arguments."""
+        process = self.start_ctl(*arguments)
+        output, errors = process.communicate()
+        return subprocess.CompletedProcess(
+            process.args, process.returncode, output, errors
+        )
+
+    def start_ctl(self, *arguments: object) -> "subprocess.Popen[str]":
+        """Start the operator's program with arguments, without waiting."""
         admins = ", ".join(str(node.admin) for node in self.nodes.values())
         path = self.write_settings(
             "ctl",
@@ -140,7 +148,12 @@
         )
         command = [sys.executable, "-m", "egretlever.programs.ctl"]
         command += ["--settings", str(path), *map(str, arguments)]
-        return subprocess.run(command, capture_output=True, text=True)
+        return subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
 
     def apply_catalogue(self, path: pathlib.Path, base: int = 0) -> None:
         """Apply a catalogue file through the operator's program.
--- a/egretlever/testing/builders.py
+++ b/egretlever/testing/builders.py
@@ -15,6 +15,7 @@
     HostName,
     Incarnation,
     NodeId,
+    NodeState,
     OrderKey,
     RankName,
     RegionName,
@@ -24,8 +25,13 @@
     ServerId,
     ServerState,
     ServiceName,
+    Version,
+)
+from egretlever.membership import (
+    NodeHeader,
+    NodeSnapshot,
+    ServerAnnouncement,
 )
-from egretlever.membership import NodeHeader, ServerAnnouncement
 from egretlever.orders import OrderRequest
 from egretlever.routing import Location, PlacementRequest
 from egretlever.schema import admin_pb2, catalogue_pb2
@@ -242,6 +248,29 @@
     return NodeHeader(**{**fields, **changes})
 
 
+def build_node_snapshots(count: int) -> list[NodeSnapshot]:
+    """Build snapshots of live nodes over all failure domains."""
+    found = []
+    for number in range(count):
+        header = build_header(number)
+        found.append(
+            NodeSnapshot(
+                header.node,
+                Incarnation(1),
+                Version(1),
+                NodeState.ALIVE,
+                header.traffic,
+                header.gossip,
+                header.admin,
+                header.host,
+                header.failure_domain,
+                header.region,
+                14,
+            )
+        )
+    return found
+
+
 def build_announcement(
     number: int = 1, host: int = 1, **changes: Any
 ) -> ServerAnnouncement:
