--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -9,32 +9,29 @@
 
 from egretlever.core import (
     Address,
-    Incarnation,
     NodeId,
     RegionName,
     Seconds,
     ServerId,
-    ServerState,
-    ServiceName,
     make_log,
 )
-from egretlever.membership import (
-    CatalogueUpdate,
-    DatagramPort,
-    ServerAnnouncement,
-)
+from egretlever.membership import CatalogueUpdate, DatagramPort, Send
 from egretlever.node import _metrics as metrics
-from egretlever.node._admin import make_admin
+from egretlever.node._admin import serve_admin
 from egretlever.node._attempts import AttemptRunner
 from egretlever.node._catalogue import CatalogueCopy, CatalogueSync
+from egretlever.node._chores import StoreChores
 from egretlever.node._engine import Engine, Parts
 from egretlever.node._evidence import EvidenceLink
+from egretlever.node._offers import OfferDesk
+from egretlever.node._operations import Operations
 from egretlever.node._orders import OrderDesk
 from egretlever.node._parts import make_member, make_parts
 from egretlever.node._proxy import Proxy
 from egretlever.node._status import describe_fleet
+from egretlever.orders import make_claim_sweep
 from egretlever.platform import make_object_store, make_table_store
-from egretlever.schema import admin_pb2, gossip_pb2, settings_pb2
+from egretlever.schema import admin_pb2, catalogue_pb2, settings_pb2
 from egretlever.settings import parse_address
 from egretlever.transport import (
     CallerConnection,
@@ -43,13 +40,13 @@
     accept_connections,
     open_listener,
     read_clock,
-    serve_requests,
 )
 
 _LOG = make_log("node")
 _TICK = 0.05  # seconds between turns of the parts that wait for time
 _FLUSH_INTERVAL = 0.05  # seconds between writes of deferred order rows
 _SLOW_INTERVAL = 1.0  # seconds between expiries and updates of gauges
+_ROLE_INTERVAL = 30.0  # seconds between choices for slow work in the store
 _PAUSE_LIMIT = 0.25  # seconds of loop lag that void the node's own evidence
 _LEAVE_LINGER = 3.0  # seconds in which others learn of the departure
 
@@ -98,6 +95,27 @@
             self._is_joined,
             self._take_catalogue,
         )
+        self._operations = Operations(
+            self._parts.sender.node,
+            self._member,
+            self._parts,
+            OfferDesk(
+                self._parts.catalogue,
+                self._parts.reader,
+                self._table,
+                self._sync.run,
+            ),
+            self._queue_sends,
+        )
+        self._chores = StoreChores(
+            self._parts.sender.node,
+            RegionName(settings.identity.region),
+            self._parts.chores,
+            self._table,
+            make_claim_sweep(self._table, self._parts.sender.node),
+            self._member,
+            randomness,
+        )
         self._outgoing: list[tuple[Address, bytes]] = []
         self._stop = curio.Event()
         self._leaving = False
@@ -165,6 +183,9 @@
     def _queue(self, datagrams: Datagrams) -> None:
         self._outgoing.extend(datagrams)
 
+    def _queue_sends(self, sends: Sequence[Send]) -> None:
+        self._queue(self._port.encode(sends))
+
     async def run(self) -> None:
         """Run until a planned stop is complete."""
         listen = self._settings.listen
@@ -176,13 +197,15 @@
         )
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._accept, traffic)
-            await tasks.spawn(serve_requests, admin, make_admin(self))
+            await tasks.spawn(serve_admin, admin, self, self._operations)
             await tasks.spawn(self._receive_gossip, gossip)
             await tasks.spawn(self._tick_forever, gossip)
             await tasks.spawn(
                 _repeat, _FLUSH_INTERVAL, self._parts.ledger.flush
             )
             await tasks.spawn(_repeat, _SLOW_INTERVAL, self._maintain)
+            await tasks.spawn(_repeat, _SLOW_INTERVAL, self._chores.run)
+            await tasks.spawn(_repeat, _ROLE_INTERVAL, self._choose_roles)
             await tasks.spawn(self._stop.wait)
         for sock in (traffic, admin, gossip):
             await sock.close()
@@ -246,6 +269,11 @@
         if actions:
             await curio.spawn(self._sync.run, actions, daemon=True)
 
+    async def _choose_roles(self) -> None:
+        region = RegionName(self._settings.identity.region)
+        readers = self._member.readers(region)
+        self._chores.choose_roles(readers, self._member.nodes(), read_clock())
+
     async def _maintain(self) -> None:
         now = read_clock()
         parts = self._parts
@@ -265,30 +293,6 @@
             sum(len(item.held_by_floor) for item in selections)
         )
 
-    async def take_announcement(
-        self, announcement: gossip_pb2.Announcement
-    ) -> str:
-        """Take what a backend server says of itself; empty when accepted."""
-        refusal = check_announcement(announcement)
-        if refusal:
-            return refusal
-        endpoint = announcement.address
-        sends = self._member.announce(
-            ServerAnnouncement(
-                ServerId(announcement.server),
-                ServiceName(announcement.service),
-                Address(endpoint.ip, endpoint.port),
-                ServerState[gossip_pb2.ServerState.Name(announcement.state)],
-                Incarnation(announcement.incarnation),
-                announcement.slots,
-                announcement.connections,
-                announcement.uptime_s,
-            ),
-            read_clock(),
-        )
-        self._queue(self._port.encode(sends))
-        return ""
-
     def describe(self) -> admin_pb2.FleetStatus:
         """Describe the fleet as the node sees it."""
         return describe_fleet(
@@ -299,6 +303,15 @@
             read_clock(),
         )
 
+    def describe_catalogue(self) -> catalogue_pb2.CatalogueHead:
+        """Describe the version of the catalogue in force."""
+        head = self._parts.catalogue.head
+        if head is None:
+            return catalogue_pb2.CatalogueHead()
+        return catalogue_pb2.CatalogueHead(
+            version=head.version, edit_id=head.edit_id, digest=head.digest
+        )
+
     async def stop(self) -> None:
         """Leave the fleet, finish what is in flight, then end `run`."""
         if self._leaving:
@@ -317,23 +330,6 @@
         await self._stop.set()
 
 
-def check_announcement(announcement: gossip_pb2.Announcement) -> str:
-    """Return what is wrong with an announcement, empty for a valid one."""
-    if not announcement.server or not announcement.service:
-        return "the announcement names no server or no service"
-    try:
-        parse_address(
-            f"[{announcement.address.ip}]:{announcement.address.port}"
-        )
-    except ValueError as error:
-        return str(error)
-    if not 0 < announcement.slots <= 10_000:
-        return "slots is not between 1 and 10000"
-    if announcement.state not in gossip_pb2.ServerState.values():
-        return "the state is unknown"
-    return ""
-
-
 async def _repeat(interval: float, work: Callable[[], Any]) -> None:
     while True:
         await curio.sleep(interval)
