Inject faults into a node's links for tests

The randomised run needs one-way cuts, delay and loss between chosen addresses, which the stand-ins can't produce. The transport takes a FaultInjector; production has NoFaults, whose wrap returns the socket itself, so reads and writes of both connection kinds run the same code as before. [testing] fault_injection turns the injector on, and POST /faults on the admin port steers it; the page is unknown otherwise.

TCP bytes sent into a cut are held and leave in order afterwards, also after a close, because the system's send buffer does the same. Ruled out: failing the write at once, which would prove to the node that nothing ran.

--- a/egretlever/node/_admin.py
+++ b/egretlever/node/_admin.py
@@ -5,9 +5,16 @@
 from google.protobuf import json_format
 from google.protobuf.message import DecodeError
 
+from egretlever.node._fault_page import answer_faults
 from egretlever.node._metrics import render_metrics
 from egretlever.schema import admin_pb2, gossip_pb2
-from egretlever.transport import Answer, Handler, RequestHead
+from egretlever.transport import (
+    NO_FAULTS,
+    Answer,
+    FaultInjector,
+    Handler,
+    RequestHead,
+)
 
 _METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -28,19 +35,24 @@
         """Describe the fleet as the node sees it."""
 
 
-def make_admin(node: Administered) -> Handler:
+def make_admin(
+    node: Administered, faults: FaultInjector = NO_FAULTS
+) -> Handler:
     """Make the handler of a node's admin pages.
 
     ``GET /healthz`` tells that the process runs, ``GET /readyz`` whether it
     may get requests, ``GET /metrics`` gives metrics, ``GET /fleet`` gives
     `FleetStatus` as JSON, and ``POST /announce`` takes an `Announcement` in
-    binary form.
+    binary form. ``/faults`` gives and takes `LinkFaults` as JSON where tests
+    may inject faults, and is unknown elsewhere.
     """
 
     async def handle(head: RequestHead, body: bytes) -> Answer:
         request = (head.method, head.path)
         if request == ("POST", "/announce"):
             return await _take_announcement(node, body)
+        if head.path == "/faults":
+            return answer_faults(faults, head.method, body)
         if head.method not in ("GET", "HEAD"):
             return Answer(405, b"method not allowed\n")
         if head.path == "/healthz":
--- a/egretlever/node/_evidence.py
+++ b/egretlever/node/_evidence.py
@@ -24,7 +24,12 @@
 )
 from egretlever.node import _metrics as metrics
 from egretlever.schema import evidence_pb2
-from egretlever.transport import read_clock, send_request
+from egretlever.transport import (
+    NO_FAULTS,
+    FaultInjector,
+    read_clock,
+    send_request,
+)
 
 _LOG = make_log("detection")
 _MAX_PAYLOAD = 900  # bytes that gossip carries in one message
@@ -49,6 +54,8 @@
         Finds the address of a server, None for an unknown one.
     invalidate : callable
         Called after the standing of a server changed.
+    faults : FaultInjector, optional
+        Faults of the links that probes take, which only tests inject.
     """
 
     def __init__(
@@ -58,12 +65,14 @@
         post: Post,
         find_address: Callable[[ServerId], Address | None],
         invalidate: Callable[[], None],
+        faults: FaultInjector = NO_FAULTS,
     ) -> None:
         self._detector = detector
         self._sender = sender
         self._post = post
         self._find_address = find_address
         self._invalidate = invalidate
+        self._faults = faults
 
     def receive(self, sender: NodeId, payload: bytes, now: Seconds) -> None:
         """Take one evidence message from gossip."""
@@ -140,7 +149,11 @@
         # The answer's content is not trusted: a probe only tells that the
         # server accepts a connection and answers in time.
         result = await send_request(
-            address, "GET", _PROBE_PATH, timeout=action.timeout
+            address,
+            "GET",
+            _PROBE_PATH,
+            timeout=action.timeout,
+            faults=self._faults,
         )
         reply = result.value_or(None)
         passed = reply is not None and reply.head.status < _ERROR_STATUS
--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import curio
-from curio import socket
 
 from egretlever.core import (
     Address,
@@ -28,6 +27,7 @@
 from egretlever.node._admin import make_admin
 from egretlever.node._attempts import AttemptRunner
 from egretlever.node._catalogue import CatalogueCopy, CatalogueSync
+from egretlever.node._datagrams import Datagrams, GossipSocket
 from egretlever.node._engine import Engine, Parts
 from egretlever.node._evidence import EvidenceLink
 from egretlever.node._orders import OrderDesk
@@ -41,6 +41,7 @@
     CallerConnection,
     ConnectionPool,
     accept_connections,
+    make_fault_injector,
     open_listener,
     read_clock,
     serve_requests,
@@ -52,9 +53,6 @@
 _SLOW_INTERVAL = 1.0  # seconds between expiries and updates of gauges
 _PAUSE_LIMIT = 0.25  # seconds of loop lag that void the node's own evidence
 _LEAVE_LINGER = 3.0  # seconds in which others learn of the departure
-_DATAGRAM_SIZE = 65536
-
-Datagrams = Sequence[tuple[Address, bytes]]
 
 
 class Node:
@@ -72,6 +70,9 @@
         self, settings: settings_pb2.NodeSettings, randomness: random.Random
     ) -> None:
         self._settings = settings
+        self._faults = make_fault_injector(
+            settings.testing.fault_injection, randomness
+        )
         platform = settings.platform
         timeout = Seconds(platform.timeout_s)
         self._table = make_table_store(parse_address(platform.table), timeout)
@@ -85,6 +86,7 @@
             self._post_evidence,
             self._find_address,
             self._parts.selections.invalidate,
+            self._faults,
         )
         copy = CatalogueCopy(self._parts.catalogue, self._take_catalogue)
         self._member = make_member(
@@ -111,6 +113,7 @@
             Seconds(traffic.connect_timeout_s),
             Seconds(traffic.server_idle_timeout_s),
             traffic.server_connections,
+            self._faults,
         )
         runner = AttemptRunner(
             self._pool,
@@ -171,11 +174,13 @@
         listen = self._settings.listen
         traffic = open_listener(parse_address(listen.traffic))
         admin = open_listener(parse_address(listen.admin))
-        gossip = _open_datagrams(parse_address(listen.gossip))
+        gossip = GossipSocket(parse_address(listen.gossip), self._faults)
         _LOG.info("%s serves callers on %s.", self._parts.sender.node, traffic)
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._accept, traffic)
-            await tasks.spawn(serve_requests, admin, make_admin(self))
+            await tasks.spawn(
+                serve_requests, admin, make_admin(self, self._faults)
+            )
             await tasks.spawn(self._receive_gossip, gossip)
             await tasks.spawn(self._tick_forever, gossip)
             await tasks.spawn(
@@ -192,35 +197,29 @@
         traffic = self._settings.traffic
 
         async def serve(sock: Any) -> None:
+            peer = sock.getpeername()
             connection = CallerConnection(
-                sock,
+                self._faults.wrap(sock, Address(peer[0], peer[1])),
                 traffic.max_header_bytes,
                 Seconds(traffic.header_timeout_s),
                 Seconds(traffic.body_timeout_s),
                 Seconds(traffic.idle_timeout_s),
             )
-            await self._proxy.serve(connection, sock.getpeername()[0])
+            await self._proxy.serve(connection, peer[0])
 
         await accept_connections(listener, serve, traffic.max_connections)
 
-    async def _receive_gossip(self, sock: Any) -> None:
+    async def _receive_gossip(self, sock: GossipSocket) -> None:
         while True:
-            data, peer = await sock.recvfrom(_DATAGRAM_SIZE)
-            metrics.GOSSIP_BYTES.labels("received").inc(len(data))
-            sender = Address(peer[0], peer[1])
+            data, sender = await sock.receive()
             self._queue(self._port.receive(data, sender, read_clock()))
             await self._send_gossip(sock)
 
-    async def _send_gossip(self, sock: Any) -> None:
+    async def _send_gossip(self, sock: GossipSocket) -> None:
         outgoing, self._outgoing = self._outgoing, []
-        for address, data in outgoing:
-            metrics.GOSSIP_BYTES.labels("sent").inc(len(data))
-            try:
-                await sock.sendto(data, (address.ip, address.port))
-            except OSError as error:
-                _LOG.debug("No datagram to %s: %s.", address, error)
-
-    async def _tick_forever(self, gossip: Any) -> None:
+        await sock.send(outgoing)
+
+    async def _tick_forever(self, gossip: GossipSocket) -> None:
         last = read_clock()
         while True:
             await curio.sleep(_TICK)
@@ -337,13 +336,6 @@
     return ""
 
 
-def _open_datagrams(address: Address) -> Any:
-    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_DGRAM)
-    sock.bind((address.ip, address.port))
-    return sock
-
-
 async def _repeat(interval: float, work: Callable[[], Any]) -> None:
     while True:
         await curio.sleep(interval)
--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -13,6 +13,13 @@
     Reply,
     send_request,
 )
+from egretlever.transport._faults import (
+    NO_FAULTS,
+    Direction,
+    FaultInjector,
+    LinkFaultInjector,
+    make_fault_injector,
+)
 from egretlever.transport._heads import (
     Headers,
     RequestError,
@@ -39,6 +46,7 @@
 )
 
 __all__ = [
+    "NO_FAULTS",
     "Answer",
     "BackendClosedError",
     "BackendConnection",
@@ -47,10 +55,13 @@
     "CallerGoneError",
     "ConnectError",
     "ConnectionPool",
+    "Direction",
     "ExchangeError",
     "ExchangeFailure",
+    "FaultInjector",
     "Handler",
     "Headers",
+    "LinkFaultInjector",
     "Reply",
     "RequestError",
     "RequestHead",
@@ -60,6 +71,7 @@
     "find_content_length",
     "headers",
     "is_chunked",
+    "make_fault_injector",
     "open_connection",
     "open_listener",
     "read_clock",
--- a/egretlever/transport/_exchanges.py
+++ b/egretlever/transport/_exchanges.py
@@ -13,6 +13,7 @@
     BackendConnection,
     BackendProtocolError,
 )
+from egretlever.transport._faults import NO_FAULTS, FaultInjector
 from egretlever.transport._heads import RequestHead, ResponseHead
 from egretlever.transport._sockets import ConnectError, open_connection
 
@@ -66,6 +67,7 @@
     body: bytes = b"",
     timeout: Seconds = Seconds(5.0),
     headers: Sequence[tuple[bytes, bytes]] = (),
+    faults: FaultInjector = NO_FAULTS,
 ) -> Result[Reply, ExchangeError]:
     """Send one request on a connection of its own and read the whole answer.
 
@@ -81,6 +83,8 @@
         Time for the whole exchange.
     headers : sequence of tuple of bytes, optional
         Further headers with lower-case names.
+    faults : FaultInjector, optional
+        Faults of the link, which only tests inject.
 
     Returns
     -------
@@ -88,7 +92,7 @@
         The whole answer, whatever its status.
     """
     try:
-        sock = await open_connection(address, timeout)
+        sock = await open_connection(address, timeout, faults)
     except ConnectError as error:
         return Failure(ExchangeError(ExchangeFailure.NOT_CONNECTED, str(error)))
     connection = BackendConnection(sock)
--- a/egretlever/transport/_pool.py
+++ b/egretlever/transport/_pool.py
@@ -2,6 +2,7 @@
 
 from egretlever.core import Address, Seconds
 from egretlever.transport._backends import BackendConnection
+from egretlever.transport._faults import NO_FAULTS, FaultInjector
 from egretlever.transport._sockets import open_connection, read_clock
 
 
@@ -16,14 +17,21 @@
         Idle time after which a connection is not used again.
     limit : int
         Idle connections kept to one address.
+    faults : FaultInjector, optional
+        Faults of the links, which only tests inject.
     """
 
     def __init__(
-        self, connect_timeout: Seconds, idle_timeout: Seconds, limit: int
+        self,
+        connect_timeout: Seconds,
+        idle_timeout: Seconds,
+        limit: int,
+        faults: FaultInjector = NO_FAULTS,
     ) -> None:
         self._connect_timeout = connect_timeout
         self._idle_timeout = idle_timeout
         self._limit = limit
+        self._faults = faults
         self._idle: dict[Address, list[BackendConnection]] = {}
 
     async def acquire(
@@ -49,7 +57,9 @@
             if age < self._idle_timeout and not connection.is_gone():
                 return connection
             await connection.close()
-        sock = await open_connection(address, self._connect_timeout)
+        sock = await open_connection(
+            address, self._connect_timeout, self._faults
+        )
         return BackendConnection(sock)
 
     async def release(
--- a/egretlever/transport/_sockets.py
+++ b/egretlever/transport/_sockets.py
@@ -8,6 +8,7 @@
 from curio import socket
 
 from egretlever.core import Address, Seconds
+from egretlever.transport._faults import NO_FAULTS, FaultInjector
 
 _BACKLOG = 1024
 
@@ -41,7 +42,9 @@
     return socket.AF_INET6 if ":" in ip else socket.AF_INET
 
 
-async def open_connection(address: Address, timeout: Seconds) -> Any:
+async def open_connection(
+    address: Address, timeout: Seconds, faults: FaultInjector = NO_FAULTS
+) -> Any:
     """Open a TCP connection.
 
     Parameters
@@ -50,6 +53,8 @@
         Where to connect.
     timeout : Seconds
         Time allowed for the connection.
+    faults : FaultInjector, optional
+        Faults of the link, which only tests inject.
 
     Returns
     -------
@@ -64,6 +69,7 @@
     sock = socket.socket(_choose_family(address.ip), socket.SOCK_STREAM)
     try:
         async with curio.timeout_after(timeout):
+            await faults.await_connect(address)
             await sock.connect((address.ip, address.port))
     except curio.TaskTimeout:
         await sock.close()
@@ -75,7 +81,7 @@
         await sock.close()
         raise
     set_no_delay(sock)
-    return sock
+    return faults.wrap(sock, address)
 
 
 def open_listener(address: Address) -> Any:
--- /dev/null
+++ b/egretlever/transport/tests/test_faults.py
@@ -0,0 +1,125 @@
+"""Guards injected faults, which the randomised runs rely on."""
+
+import random
+
+import curio
+import pytest
+
+from egretlever.core import Address, Seconds
+from egretlever.schema import faults_pb2
+from egretlever.testing import run_virtual
+from egretlever.transport import (
+    NO_FAULTS,
+    ConnectError,
+    Direction,
+    LinkFaultInjector,
+    make_fault_injector,
+    open_connection,
+    open_listener,
+    read_clock,
+)
+
+
+async def run_echo(body):
+    """Run a body with an injector and the address of an echoing server."""
+    listener = open_listener(Address("127.0.0.1", 0))
+    address = Address("127.0.0.1", listener.getsockname()[1])
+
+    async def echo():
+        while True:
+            sock, _ = await listener.accept()
+            while data := await sock.recv(100):
+                await sock.sendall(data)
+            await sock.close()
+
+    server = await curio.spawn(echo)
+    try:
+        return await body(LinkFaultInjector(random.Random(1)), address)
+    finally:
+        await server.cancel()
+        await listener.close()
+
+
+def make_fault(address, **changes):
+    return faults_pb2.LinkFault(ip=address.ip, port=address.port, **changes)
+
+
+@pytest.mark.parametrize(
+    "direction", [faults_pb2.SENDING, faults_pb2.RECEIVING]
+)
+def test_bytes_of_a_cut_arrive_whole_and_in_order_after_it(direction):
+    # A cut that lost bytes would be a fault that TCP doesn't have.
+    async def body(injector, address):
+        sock = await open_connection(address, Seconds(1.0), injector)
+        fault = make_fault(address, direction=direction, cut=True)
+        injector.replace([fault])
+        await sock.sendall(b"ab")
+        await sock.sendall(b"cd")
+        silent = await curio.ignore_after(5, sock.recv, 100)
+        injector.replace([])
+        received = b""
+        while len(received) < 4:
+            received += await sock.recv(100)
+        await sock.close()
+        return silent, received
+
+    assert run_virtual(run_echo(body)) == (None, b"abcd")
+
+
+def test_a_cut_hides_the_close_of_the_peer():
+    async def body(injector, address):
+        sock = await open_connection(address, Seconds(1.0), injector)
+        injector.replace([make_fault(address, cut=True)])
+        await sock.close()
+        held = sock.fileno()
+        injector.replace([])
+        await curio.sleep(0.1)
+        return held >= 0, sock.fileno()
+
+    assert run_virtual(run_echo(body)) == (True, -1)
+
+
+def test_no_connection_is_established_while_one_direction_is_cut():
+    async def body(injector, address):
+        fault = make_fault(address, direction=faults_pb2.RECEIVING, cut=True)
+        injector.replace([fault])
+        await open_connection(address, Seconds(1.0), injector)
+
+    with pytest.raises(ConnectError) as caught:
+        run_virtual(run_echo(body))
+    assert caught.value.timed_out
+
+
+def test_delays_of_both_directions_add_up():
+    async def body(injector, address):
+        sock = await open_connection(address, Seconds(1.0), injector)
+        injector.replace([make_fault(address, delay_s=0.5)])
+        began = read_clock()
+        await sock.sendall(b"a")
+        await sock.recv(100)
+        await sock.close()
+        return read_clock() - began
+
+    assert run_virtual(run_echo(body)) == pytest.approx(1.0, abs=0.05)
+
+
+def test_datagrams_are_lost_only_on_the_chosen_link_and_way():
+    injector = LinkFaultInjector(random.Random(1))
+    near, far = Address("127.0.0.1", 1), Address("127.0.0.1", 2)
+    injector.replace(
+        [make_fault(near, direction=faults_pb2.SENDING, loss_share=0.5)]
+    )
+    plans = [
+        injector.plan_datagram(near, Direction.SENDING) for _ in range(1000)
+    ]
+    assert 400 < plans.count(None) < 600
+    assert injector.plan_datagram(near, Direction.RECEIVING) == 0
+    assert injector.plan_datagram(far, Direction.SENDING) == 0
+
+
+def test_production_uses_the_socket_itself():
+    # A wrapper around each socket would cost time on every request.
+    injector = make_fault_injector(False, random.Random(1))
+    sock = object()
+    assert injector is NO_FAULTS
+    assert injector.wrap(sock, Address("127.0.0.1", 1)) is sock
