Add the randomised run with real processes

The load generator notes the node, the begin and the kind of failure of each attempt, and leaves a node alone that closes its connections.

--- /dev/null
+++ b/benchmarks/_soak_checks.py
@@ -0,0 +1,247 @@
+"""Checks of the randomised run from callers' and servers' own records."""
+
+import itertools
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+
+from google.protobuf import json_format, message
+
+from benchmarks._soak_history import Edit, History, Sample, Span
+from benchmarks._soak_plan import Kind
+from egretlever.core import Outcome
+from egretlever.schema import standins_pb2
+from egretlever.testing import judge_run
+
+_DRAIN_LIMIT = 3.0  # seconds, invariant I5
+_EDIT_LIMIT = 4.0  # seconds, invariant I7
+_LONGEST_REQUEST = 12.0  # seconds: the longest deadline, its grace, a resend
+_NODE_STOPS = (Kind.NODE_KILL, Kind.NODE_PAUSE, Kind.NODE_LEAVE)
+
+Results = Sequence[standins_pb2.LoadResult]
+Runs = Mapping[str, Sequence[standins_pb2.BackendRecord]]
+
+
+def _show(item: message.Message) -> str:
+    return json_format.MessageToJson(
+        item, preserving_proto_field_name=True, indent=None
+    )
+
+
+def check_outcomes(results: Results, runs: Runs, history: History) -> None:
+    """Check orders, "not run" and the ownership of answers."""
+    verdict = judge_run(results, runs)
+    for key in verdict.doubled:
+        records = _find_records(key, results, runs)
+        history.report("no order ran twice", key, *records)
+    for key in verdict.lost:
+        records = _find_records(key, results, runs)
+        history.report("no completed order is lost", key, *records)
+    for request in verdict.not_run_but_ran:
+        records = _find_records(request, results, runs)
+        history.report("nothing told not run has run", request, *records)
+    if verdict.foreign:
+        foreign = [
+            _show(result)
+            for result in results
+            if result.outcome == Outcome.COMPLETED.value
+            and result.status == 200
+            and not result.whole
+        ]
+        history.report("every whole answer is its caller's own", *foreign)
+
+
+def _find_records(name: str, results: Results, runs: Runs) -> list[str]:
+    told = [
+        f"told {_show(result)}"
+        for result in results
+        if name in (result.order_key, result.request_id)
+    ]
+    ran = [
+        f"ran on {server} {_show(run)}"
+        for server, records in runs.items()
+        for run in records
+        if name in (run.order_key, run.request_id)
+    ]
+    return told + ran
+
+
+def check_departures(results: Results, runs: Runs, history: History) -> None:
+    """Check the planned stops of servers.
+
+    A departure is announced by the node beside the server, so nothing is
+    required while that node is down or paused.
+    """
+    told = {result.request_id: result for result in results}
+    for span in _find(history, Kind.SERVER_DRAIN):
+        if math.isinf(span.announced):
+            continue
+        present = [
+            run
+            for run in runs[span.target]
+            if span.began - _LONGEST_REQUEST <= run.at_unix_s <= span.ended
+        ]
+        for run in present:
+            late = run.at_unix_s - span.announced
+            if late > _DRAIN_LIMIT:
+                history.report(
+                    "a leaving server gets no request after 3 s",
+                    str(span),
+                    f"{late:.2f} s {_show(run)}",
+                    *_list_faults(history, span),
+                )
+            result = told.get(run.request_id)
+            if result is not None and _was_cut(result, span, history):
+                history.report(
+                    "planned stops of servers cut nothing",
+                    str(span),
+                    _show(result),
+                    _show(run),
+                )
+
+
+def _list_faults(history: History, span: Span) -> list[str]:
+    """List the stops of nodes around the announcement of a departure."""
+    return [
+        str(other)
+        for other in history.spans
+        if other.kind in (*_NODE_STOPS, Kind.CUT_TO_NODE)
+        and other.overlaps(span.began, span.announced + _DRAIN_LIMIT)
+    ]
+
+
+def _was_cut(
+    result: standins_pb2.LoadResult, span: Span, history: History
+) -> bool:
+    """Tell whether only the departure explains an unknown outcome."""
+    began = result.began_unix_s
+    ended = began + result.latency_s
+    if result.outcome != Outcome.UNKNOWN.value or ended < span.began:
+        return False
+    others = [
+        other
+        for other in history.spans
+        if other is not span
+        and other.overlaps(began - 1.0, ended)
+        and (
+            other.target == span.target
+            or (
+                other.kind is Kind.CUT_TO_SERVER
+                and other.detail.endswith(f" {span.target}")
+            )
+            or (other.kind in _NODE_STOPS)
+            or other.kind in (Kind.PLATFORM, Kind.FLOOD)
+        )
+    ]
+    return not others
+
+
+def check_node_leaves(
+    results: Results, nodes: Mapping[str, str], history: History
+) -> None:
+    """Check that no request broke at a node that left in a planned way.
+
+    A connection that was never established is no broken request. An answer
+    that was cut in its middle counts only when no server was in trouble: the
+    node passes such a cut on.
+    """
+    by_node = defaultdict(list)
+    for result in results:
+        if result.failure in ("closed", "cut"):
+            by_node[result.node].append(result)
+    for span in _find(history, Kind.NODE_LEAVE):
+        for result in by_node[nodes[span.target]]:
+            began = result.began_unix_s
+            if not span.began - _LONGEST_REQUEST <= began <= span.ended:
+                continue
+            if began + result.latency_s < span.began:
+                continue
+            if result.failure == "cut" and _servers_in_trouble(
+                history, began, began + result.latency_s
+            ):
+                continue
+            history.report(
+                "planned stops of nodes cut nothing", str(span), _show(result)
+            )
+
+
+def _servers_in_trouble(history: History, began: float, ended: float) -> bool:
+    return any(
+        span.kind.value.startswith(("server", "cut-to-server"))
+        and span.overlaps(began, ended)
+        for span in history.spans
+    )
+
+
+def check_catalogue(history: History) -> None:
+    """Check that versions never go back and edits are in force in time."""
+    by_node = defaultdict(list)
+    for sample in history.samples:
+        by_node[sample.node].append(sample)
+    for samples in by_node.values():
+        _check_order(samples, history)
+        for edit in history.edits:
+            _check_edit(edit, samples, history)
+    versions = sorted(edit.version for edit in history.edits)
+    for first, second in itertools.pairwise(versions):
+        if first == second:
+            made = [str(e) for e in history.edits if e.version == first]
+            history.report("one edit makes a version", *made)
+
+
+def _check_order(samples: Iterable[Sample], history: History) -> None:
+    highest: Sample | None = None
+    for sample in samples:
+        if not sample.ready:
+            continue
+        if highest is not None and sample.version < highest.version:
+            history.report(
+                "the catalogue never goes back", str(highest), str(sample)
+            )
+        if highest is None or sample.version > highest.version:
+            highest = sample
+
+
+def _check_edit(
+    edit: Edit, samples: Sequence[Sample], history: History
+) -> None:
+    """Check the first reading that began 4 s or more after an edit.
+
+    A node that was stopped or paused in between was not reachable.
+    """
+    before = [item for item in samples if item.answered <= edit.accepted]
+    after = [
+        item for item in samples if item.asked >= edit.accepted + _EDIT_LIMIT
+    ]
+    if not before or not before[-1].ready or not after:
+        return
+    first = after[0]
+    if first.ready is None or history.find(
+        first.node, before[-1].asked, first.answered, *_NODE_STOPS
+    ):
+        return
+    if first.version < edit.version:
+        faults = [
+            str(span)
+            for span in history.spans
+            if span.overlaps(edit.accepted - 2.0, first.answered)
+        ]
+        history.report(
+            "edits are in force within 4 s", str(edit), str(first), *faults
+        )
+
+
+def check_logs(logs: Mapping[str, str], history: History) -> None:
+    """Check that no log shows a broken invariant or a crashed task."""
+    for name, text in logs.items():
+        lines = text.splitlines()
+        for number, line in enumerate(lines):
+            if "InvariantError" in line:
+                history.report("no invariant breaks", f"{name}: {line}")
+            elif line.startswith("Traceback"):
+                shown = "\n".join(lines[number : number + 40])
+                history.report("no task crashes", f"{name}: {shown}")
+
+
+def _find(history: History, kind: Kind) -> list[Span]:
+    return [span for span in history.spans if span.kind is kind]
--- /dev/null
+++ b/benchmarks/_soak_watch.py
@@ -0,0 +1,127 @@
+"""Reads the admin pages of all nodes during the randomised run."""
+
+import time
+from collections.abc import Mapping
+
+import curio
+
+from benchmarks._soak_events import Events
+from benchmarks._soak_fleet import SoakFleet
+from benchmarks._soak_history import History, Sample
+from egretlever.schema import admin_pb2, gossip_pb2
+
+_INTERVAL = 1.0  # seconds between readings of one node
+_METRICS_EVERY = 5  # readings of the view per reading of the metrics
+_INVARIANTS = "egretlever_invariant_failures_total{"
+_TOLERANCE = 1e-6  # slots, for shares such as 0.6 that have no exact form
+
+
+class Watch:
+    """Samples the view of each node and checks it at once.
+
+    Parameters
+    ----------
+    fleet : SoakFleet
+        Fleet to read.
+    history : History
+        Gets samples and violations.
+    events : Events
+        Knows which processes an event has ended.
+    floors : mapping of str to float
+        Floor share by service.
+    """
+
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        history: History,
+        events: Events,
+        floors: Mapping[str, float],
+    ) -> None:
+        self._fleet = fleet
+        self._history = history
+        self._events = events
+        self._floors = floors
+
+    async def run(self, node: str) -> None:
+        """Sample a node until cancelled."""
+        readings = 0
+        while True:
+            await self.sample(node)
+            if readings % _METRICS_EVERY == 0:
+                await self.check_metrics(node)
+            readings += 1
+            if node not in self._events.down and not self._fleet.is_running(
+                node
+            ):
+                self._history.report("no node ends by itself", node)
+            await curio.sleep(_INTERVAL)
+
+    async def sample(self, node: str) -> bool:
+        """Read the view of a node; tell whether it is ready."""
+        asked = time.time()
+        status = await self._fleet.ask_status(node)
+        answered = time.time()
+        if status is None:
+            self._history.samples.append(Sample(node, asked, answered, None))
+            return False
+        self._history.samples.append(
+            Sample(
+                node, asked, answered, status.ready, status.catalogue_version
+            )
+        )
+        for breach in find_floor_breaches(status, self._floors):
+            self._history.report(
+                "ejection leaves the floor", f"{node} {asked:.3f} {breach}"
+            )
+        return status.ready
+
+    async def check_metrics(self, node: str) -> None:
+        """Read the count of broken invariants of a node."""
+        for line in (await self._fleet.ask_metrics(node)).splitlines():
+            if line.startswith(_INVARIANTS) and float(line.split()[-1]) > 0:
+                self._history.report("no invariant breaks", f"{node} {line}")
+
+
+def find_floor_breaches(
+    status: admin_pb2.FleetStatus, floors: Mapping[str, float]
+) -> list[str]:
+    """Find services whose ejected servers leave less than the floor.
+
+    Parameters
+    ----------
+    status : FleetStatus
+        View of a node.
+    floors : mapping of str to float
+        Floor share by service.
+
+    Returns
+    -------
+    list of str
+        One line for each service.
+
+    Examples
+    --------
+    >>> status = admin_pb2.FleetStatus()
+    >>> for weight in (1.0, 0.0):
+    ...     _ = status.servers.add(
+    ...         service="a", state="SERVING", slots=4, weight=weight
+    ...     )
+    >>> find_floor_breaches(status, {"a": 0.5})
+    []
+    >>> find_floor_breaches(status, {"a": 0.6})
+    ['a: 4 of 8 slots remain of a floor of 0.6']
+    """
+    breaches = []
+    for service, share in floors.items():
+        servers = [item for item in status.servers if item.service == service]
+        known = sum(item.slots for item in servers)
+        serving = [item for item in servers if item.state == gossip_pb2.SERVING]
+        left = sum(item.slots for item in serving if item.weight > 0)
+        ejected = any(item.weight <= 0 for item in serving)
+        if ejected and left < share * known - _TOLERANCE:
+            breaches.append(
+                f"{service}: {left} of {known} slots remain of a floor of"
+                f" {share:g}"
+            )
+    return breaches
--- a/egretlever/standins/_load.py
+++ b/egretlever/standins/_load.py
@@ -1,6 +1,7 @@
 """Load generator: plays recorded requests and checks every answer."""
 
 import random
+import time
 from collections.abc import Sequence
 
 import curio
@@ -25,6 +26,7 @@
 _KEPT_CONNECTIONS = 256
 _GRACE = 2.0  # seconds that a caller waits beyond its deadline
 _RESEND_PAUSE = 0.1  # seconds before an order is sent again
+_AVOID_TIME = 5.0  # seconds without requests to a node that leaves
 
 
 class LoadGenerator:
@@ -32,7 +34,8 @@
 
     An order is sent again, with the same key and a higher attempt number and
     through another node, when the answer says that it was not run or when the
-    connection broke. It is not sent again when its outcome is unknown.
+    connection broke. It is not sent again when its outcome is unknown. A node
+    that closes its connections behind its answers gets no request for a while.
 
     Parameters
     ----------
@@ -65,6 +68,7 @@
         self._pool = ConnectionPool(
             _CONNECT_TIMEOUT, _IDLE_TIMEOUT, _KEPT_CONNECTIONS
         )
+        self._avoided: dict[Address, float] = {}
         self._run_id = f"{randomness.getrandbits(64):016x}"
         self.results: list[standins_pb2.LoadResult] = []
 
@@ -109,7 +113,9 @@
             attempt=attempt,
             order_key=token if request.order else "",
         )
-        node = self._randomness.choice(self._nodes)
+        node = self._choose_node()
+        result.node = str(node)
+        result.began_unix_s = time.time()
         head = _make_head(request, token, attempt)
         body = b"x" * request.body_bytes
         limit = began + request.deadline_s + _GRACE - read_clock()
@@ -121,13 +127,21 @@
             BackendClosedError,
             BackendProtocolError,
             ConnectError,
-        ):
+        ) as error:
+            result.failure = _name_failure(error)
             result.latency_s = read_clock() - began
             return result
         result.latency_s = read_clock() - began
         _fill_result(result, request, answer, content, token)
         return result
 
+    def _choose_node(self) -> Address:
+        now = read_clock()
+        staying = [
+            node for node in self._nodes if self._avoided.get(node, 0.0) <= now
+        ]
+        return self._randomness.choice(staying or self._nodes)
+
     async def _exchange(
         self, node: Address, head: RequestHead, body: bytes
     ) -> tuple[ResponseHead, bytes]:
@@ -136,13 +150,34 @@
             await connection.send_request(head, body)
             answer = await connection.read_response()
             content = await _read_content(connection)
+        except BackendClosedError as error:
+            await connection.close()
+            if connection.responded:
+                raise _CutError(str(error)) from None
+            raise
         except BaseException:
             await connection.close()
             raise
+        if answer.find(b"connection") == "close":
+            self._avoided[node] = read_clock() + _AVOID_TIME
         await self._pool.release(node, connection)
         return answer, content
 
 
+class _CutError(BackendClosedError):
+    """The connection ended within an answer."""
+
+
+def _name_failure(error: BaseException) -> str:
+    if isinstance(error, ConnectError):
+        return "refused"
+    if isinstance(error, _CutError):
+        return "cut"
+    if isinstance(error, BackendClosedError):
+        return "closed"
+    return "timeout" if isinstance(error, curio.TaskTimeout) else "malformed"
+
+
 async def _read_content(connection: BackendConnection) -> bytes:
     parts = []
     ended = False
@@ -180,6 +215,7 @@
 ) -> None:
     result.status = answer.status
     result.outcome = answer.find(headers.OUTCOME) or ""
+    result.reason = answer.find(headers.REASON) or ""
     result.request_id = answer.find(headers.REQUEST_ID) or ""
     result.whole = answer.status == 200 and is_own_and_whole(
         token, request.answer_bytes, content
--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -18,7 +18,7 @@
 )
 from egretlever.testing._gossip import FakeCatalogueCopy, GossipNetwork
 from egretlever.testing._order_world import OrderWorld
-from egretlever.testing._small_fleet import SmallFleet
+from egretlever.testing._small_fleet import NodeAddresses, SmallFleet
 from egretlever.testing._stepped_store import FlakyTableStore, pause
 from egretlever.testing._verdicts import Verdict, judge_run
 
@@ -30,6 +30,7 @@
     "FlakyTableStore",
     "Fleet",
     "GossipNetwork",
+    "NodeAddresses",
     "OrderWorld",
     "RunningProgram",
     "SmallFleet",
--- a/egretlever/testing/_small_fleet.py
+++ b/egretlever/testing/_small_fleet.py
@@ -48,10 +48,16 @@
         Addresses of each started node.
     servers : dict of str to ServerAddresses
         Addresses of each started server.
+
+    Parameters
+    ----------
+    fault_injection : bool, default=False
+        Whether the nodes' links can be given faults.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, fault_injection: bool = False) -> None:
         super().__init__()
+        self._fault_injection = fault_injection
         self.nodes: dict[str, NodeAddresses] = {}
         self.servers: dict[str, ServerAddresses] = {}
         self._platform = reserve_addresses(1)[0]
@@ -99,6 +105,7 @@
                     "gossip": addresses.gossip,
                 },
                 "members": {"seeds": ", ".join(seeds)},
+                "testing": {"fault_injection": self._fault_injection},
                 "platform": {
                     "table": self._platform,
                     "objects": self._platform,
