--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -38,6 +38,7 @@
     ConnectionPool,
     DatagramEndpoint,
     accept_connections,
+    make_fault_injector,
     open_listener,
     read_clock,
 )
@@ -68,6 +69,9 @@
         self, settings: settings_pb2.NodeSettings, randomness: random.Random
     ) -> None:
         self._settings = settings
+        self._faults = make_fault_injector(
+            settings.testing.fault_injection, randomness
+        )
         platform = settings.platform
         timeout = Seconds(platform.timeout_s)
         self._table = make_table_store(parse_address(platform.table), timeout)
@@ -81,6 +85,7 @@
             self._post_evidence,
             self._find_address,
             self._parts.selections.invalidate,
+            self._faults,
         )
         copy = CatalogueCopy(self._parts.catalogue, self._take_catalogue)
         self._member = make_member(
@@ -128,6 +133,7 @@
             Seconds(traffic.connect_timeout_s),
             Seconds(traffic.server_idle_timeout_s),
             traffic.server_connections,
+            self._faults,
         )
         runner = AttemptRunner(
             self._pool,
@@ -191,13 +197,15 @@
         listen = self._settings.listen
         traffic = open_listener(parse_address(listen.traffic))
         admin = open_listener(parse_address(listen.admin))
-        gossip = DatagramEndpoint(parse_address(listen.gossip))
+        gossip = DatagramEndpoint(parse_address(listen.gossip), self._faults)
         _LOG.info(
             "%s serves callers on %s.", self._parts.sender.node, listen.traffic
         )
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._accept, traffic)
-            await tasks.spawn(serve_admin, admin, self, self._operations)
+            await tasks.spawn(
+                serve_admin, admin, self, self._operations, self._faults
+            )
             await tasks.spawn(self._receive_gossip, gossip)
             await tasks.spawn(self._tick_forever, gossip)
             await tasks.spawn(
@@ -216,14 +224,15 @@
         traffic = self._settings.traffic
 
         async def serve(sock: Any) -> None:
+            peer = sock.getpeername()
             connection = CallerConnection(
-                sock,
+                self._faults.wrap(sock, Address(peer[0], peer[1])),
                 traffic.max_header_bytes,
                 Seconds(traffic.header_timeout_s),
                 Seconds(traffic.body_timeout_s),
                 Seconds(traffic.idle_timeout_s),
             )
-            await self._proxy.serve(connection, sock.getpeername()[0])
+            await self._proxy.serve(connection, peer[0])
 
         await accept_connections(listener, serve, traffic.max_connections)
 
--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -7,18 +7,20 @@
     BackendProtocolError,
 )
 from egretlever.transport._callers import CallerConnection, CallerGoneError
-from egretlever.transport._datagrams import (
-    DatagramEndpoint,
-    DatagramFaults,
-    InjectedFaults,
-    NoFaults,
-)
+from egretlever.transport._datagrams import DatagramEndpoint
 from egretlever.transport._exchanges import (
     ExchangeError,
     ExchangeFailure,
     Reply,
     send_request,
 )
+from egretlever.transport._faults import (
+    NO_FAULTS,
+    Direction,
+    FaultInjector,
+    LinkFaultInjector,
+    make_fault_injector,
+)
 from egretlever.transport._heads import (
     Headers,
     RequestError,
@@ -45,6 +47,7 @@
 )
 
 __all__ = [
+    "NO_FAULTS",
     "Answer",
     "BackendClosedError",
     "BackendConnection",
@@ -53,10 +56,13 @@
     "CallerGoneError",
     "ConnectError",
     "ConnectionPool",
+    "Direction",
     "ExchangeError",
     "ExchangeFailure",
+    "FaultInjector",
     "Handler",
     "Headers",
+    "LinkFaultInjector",
     "Reply",
     "RequestError",
     "RequestHead",
@@ -66,6 +72,7 @@
     "find_content_length",
     "headers",
     "is_chunked",
+    "make_fault_injector",
     "open_connection",
     "open_listener",
     "read_clock",
@@ -74,7 +81,4 @@
     "serve_requests",
     "set_no_delay",
     "DatagramEndpoint",
-    "DatagramFaults",
-    "InjectedFaults",
-    "NoFaults",
 ]
--- a/egretlever/transport/tests/test_datagrams.py
+++ b/egretlever/transport/tests/test_datagrams.py
@@ -4,20 +4,34 @@
 
 import curio
 
-from egretlever.core import Address, Incarnation, Seconds
+from egretlever.core import Address, Incarnation
 from egretlever.membership import DatagramPort, make_membership
+from egretlever.schema import faults_pb2
 from egretlever.testing import builders, run_virtual
-from egretlever.transport import DatagramEndpoint, InjectedFaults
+from egretlever.transport import (
+    DatagramEndpoint,
+    make_fault_injector,
+)
 
 LOOPBACK = Address("127.0.0.1", 0)
 
 
+def make_fault(receiver, **effect):
+    return faults_pb2.LinkFault(
+        ip=receiver.address.ip,
+        port=receiver.address.port,
+        direction=faults_pb2.SENDING,
+        **effect,
+    )
+
+
 def test_datagram_reaches_its_receiver_after_the_delay():
     # Guards against delays that block the sender.
     async def main():
-        faults = InjectedFaults(random.Random(1), delay=Seconds(2.0))
+        faults = make_fault_injector(True, random.Random(1))
         left = DatagramEndpoint(LOOPBACK, faults)
         right = DatagramEndpoint(LOOPBACK)
+        faults.replace([make_fault(right, delay_s=2.0)])
         start = await curio.clock()
         await left.send(right.address, b"hello")
         assert await curio.clock() == start
@@ -34,10 +48,10 @@
 def test_cut_holds_in_one_direction_only():
     # Guards against a cut that also loses the way back.
     async def main():
-        faults = InjectedFaults(random.Random(1))
+        faults = make_fault_injector(True, random.Random(1))
         left = DatagramEndpoint(LOOPBACK, faults)
-        right = DatagramEndpoint(LOOPBACK, faults)
-        faults.cuts.add((left.address, right.address))
+        right = DatagramEndpoint(LOOPBACK)
+        faults.replace([make_fault(right, cut=True)])
         await left.send(right.address, b"lost")
         await right.send(left.address, b"kept")
         received, _ = await left.receive()
