--- a/egretlever/standins/_load.py
+++ b/egretlever/standins/_load.py
@@ -88,23 +88,33 @@
     ) -> None:
         began = read_clock()
         attempts = self._order_attempts if request.order else 1
+        unknown = 0
         async with self._in_flight:
             for attempt in range(1, attempts + 1):
-                result = await self._try(number, request, attempt, began)
+                # An attempt that was not run does not count for the node.
+                head = _make_head(
+                    request, self._make_token(number), unknown + 1
+                )
+                result = await self._try(number, request, attempt, began, head)
                 self.results.append(result)
+                unknown += result.outcome == ""
                 may_resend = result.outcome in ("", Outcome.NOT_RUN.value)
                 if result.whole or not may_resend:
                     return
                 await curio.sleep(_RESEND_PAUSE)
 
+    def _make_token(self, number: int) -> str:
+        return f"{self._run_id}-{number}"
+
     async def _try(
         self,
         number: int,
         request: standins_pb2.LoadRequest,
         attempt: int,
         began: Seconds,
+        head: RequestHead,
     ) -> standins_pb2.LoadResult:
-        token = f"{self._run_id}-{number}"
+        token = self._make_token(number)
         result = standins_pb2.LoadResult(
             number=number,
             rank=request.rank,
@@ -116,7 +126,6 @@
         node = self._choose_node()
         result.node = str(node)
         result.began_unix_s = time.time()
-        head = _make_head(request, token, attempt)
         body = b"x" * request.body_bytes
         limit = began + request.deadline_s + _GRACE - read_clock()
         try:
