Change ranks in place instead of replacing the admission

A changed rank made the node build a second admission. The earlier one kept its tickets beside it, so that a service had two queues and two limits until the last earlier ticket ended, and what was learned of latencies was lost.

configure now takes changed ranks. Ranks that stay keep queue, order, credit and rate; waiting tickets of a removed rank are refused as not run. The gate has one admission and no replace. The state machine test also changes ranks.

--- a/egretlever/admission/_admission.py
+++ b/egretlever/admission/_admission.py
@@ -1,9 +1,8 @@
 """Admission by ranks with adaptive limits."""
 
-import enum
 import heapq
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from egretlever.admission._flows import Waiting
 from egretlever.admission._interface import (
@@ -35,13 +34,6 @@
 _log = make_log("admission")
 
 
-class _TicketState(enum.Enum):
-    """Where a ticket that has not finished is."""
-
-    WAITING = "waiting"
-    RUNNING = "running"
-
-
 class RankedAdmission:
     """Rank queues and adaptive concurrency limits for all services.
 
@@ -202,14 +194,20 @@
             queue.void_before(now)
 
     def configure(
-        self, services: Iterable[ServicePolicy], now: Seconds
+        self,
+        services: Iterable[ServicePolicy],
+        now: Seconds,
+        ranks: Sequence[RankPolicy] | None = None,
     ) -> None:
-        """Replace the services by those of a new catalogue.
+        """Replace the services, and the ranks if given, by new ones.
 
-        Waiting tickets of a removed service are refused; running ones end as
-        usual. What was learned about the other services is kept.
+        Waiting tickets of a removed service or rank are refused; running ones
+        end as usual. What was learned about the others is kept, and their
+        waiting tickets keep their order.
         """
         self._move(now)
+        if ranks is not None:
+            self._change_ranks(ranks)
         self._policies = {policy.name: policy for policy in services}
         for name, queue in tuple(self._services.items()):
             policy = self._policies.get(name)
@@ -239,13 +237,33 @@
         return queue
 
     def _close(self, name: ServiceName, queue: ServiceQueue) -> None:
-        for ticket, waiting in tuple(self._tickets.items()):
-            if waiting is not None and ticket.service == name:
-                waiting.queue.discard(waiting)
-                self._refuse(waiting, Refused(RefusalReason.SERVICE_REMOVED))
+        self._refuse_waiting(
+            RefusalReason.SERVICE_REMOVED, lambda one: one.service == name
+        )
         if not queue.in_flight:
             del self._services[name]
 
+    def _change_ranks(self, ranks: Sequence[RankPolicy]) -> None:
+        check_ranks(ranks)
+        ordered = sorted(ranks, key=lambda rank: rank.priority)
+        if ordered == self._ranks:
+            return
+        names = {rank.name for rank in ordered}
+        self._refuse_waiting(
+            RefusalReason.RANK_REMOVED, lambda one: one.rank not in names
+        )
+        self._ranks = ordered
+        for queue in self._services.values():
+            queue.change_ranks(ordered)
+
+    def _refuse_waiting(
+        self, reason: RefusalReason, concerns: Callable[[Ticket], bool]
+    ) -> None:
+        for ticket, waiting in tuple(self._tickets.items()):
+            if waiting is not None and concerns(ticket):
+                waiting.queue.discard(waiting)
+                self._refuse(waiting, Refused(reason))
+
     def _enqueue(
         self, queue: ServiceQueue, ticket: Ticket, now: Seconds
     ) -> Answer:
--- a/egretlever/admission/_fifo.py
+++ b/egretlever/admission/_fifo.py
@@ -1,7 +1,7 @@
 """First-in-first-out admission, the baseline of benchmarks."""
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from egretlever.admission._interface import (
     Admission,
@@ -10,6 +10,7 @@
     Departures,
     Event,
     Queued,
+    RankPolicy,
     RefusalReason,
     Refused,
     ServicePolicy,
@@ -103,9 +104,12 @@
         """Ignore hints."""
 
     def configure(
-        self, services: Iterable[ServicePolicy], now: Seconds
+        self,
+        services: Iterable[ServicePolicy],
+        now: Seconds,
+        ranks: Sequence[RankPolicy] | None = None,
     ) -> None:
-        """Replace the limits of known services."""
+        """Replace the limits of known services; ranks are ignored."""
         self._policies.update((policy.name, policy) for policy in services)
 
     def describe(self) -> tuple[ServiceSnapshot, ...]:
--- a/egretlever/admission/_interface.py
+++ b/egretlever/admission/_interface.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Protocol
 
 from egretlever.core import (
@@ -27,6 +27,7 @@
     INFEASIBLE = "infeasible"
     WITHDRAWN = "withdrawn"
     SERVICE_REMOVED = "service-removed"
+    RANK_REMOVED = "rank-removed"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -238,9 +239,12 @@
         """Take in a capacity hint or a pause of the node."""
 
     def configure(
-        self, services: Iterable[ServicePolicy], now: Seconds
+        self,
+        services: Iterable[ServicePolicy],
+        now: Seconds,
+        ranks: Sequence[RankPolicy] | None = None,
     ) -> None:
-        """Replace the services by those of a new catalogue."""
+        """Replace the services, and the ranks if given, by new ones."""
 
     def describe(self) -> tuple[ServiceSnapshot, ...]:
         """Return the state of each service in use."""
--- a/egretlever/admission/_ranks.py
+++ b/egretlever/admission/_ranks.py
@@ -78,6 +78,28 @@
         self._credits = [0.0] * len(ranks)
         self._refunds = [0.0] * len(ranks)
 
+    def change(
+        self,
+        ranks: Sequence[RankPolicy],
+        queues: Sequence[RankQueue],
+        kept: Sequence[int | None],
+    ) -> "RankSchedule":
+        """Make the schedule of changed ranks, which keep their credit.
+
+        Parameters
+        ----------
+        ranks, queues
+            As for the constructor.
+        kept : sequence of int or None
+            Position of each rank before the change, None for a new one.
+        """
+        changed = RankSchedule(ranks, queues)
+        for position, before in enumerate(kept):
+            if before is not None:
+                changed._credits[position] = self._credits[before]
+                changed._refunds[position] = self._refunds[before]
+        return changed
+
     def choose(self) -> int | None:
         """Return the position of the rank to be dispatched next."""
         most_urgent = None
--- a/egretlever/admission/_service.py
+++ b/egretlever/admission/_service.py
@@ -49,6 +49,8 @@
     ) -> None:
         self.policy = policy
         self.in_flight = 0
+        self._flows = flows
+        self._salt = salt
         self._ranks = ranks
         self._positions = {rank.name: at for at, rank in enumerate(ranks)}
         self._queues = [RankQueue(flows, salt) for _ in ranks]
@@ -159,8 +161,10 @@
     ) -> None:
         """Take in the end of an attempt."""
         self.in_flight -= 1
-        if result is not AttemptResult.OK or now > ticket.deadline:
-            self._schedule.refund(self._positions[ticket.rank])
+        position = self._positions.get(ticket.rank)
+        late = result is not AttemptResult.OK or now > ticket.deadline
+        if late and position is not None:
+            self._schedule.refund(position)
         require("in-flight-not-negative", self.in_flight >= 0)
         if now - latency < self._valid_from:
             return
@@ -184,6 +188,26 @@
         self.policy = policy
         self.limit.set_ceiling(policy.concurrency_limit)
 
+    def change_ranks(self, ranks: Sequence[RankPolicy]) -> None:
+        """Replace the ranks; those that stay keep queue, credit and rate.
+
+        No ticket may wait in a rank that is removed.
+        """
+        kept = [self._positions.get(rank.name) for rank in ranks]
+        self._ranks = ranks
+        self._positions = {rank.name: at for at, rank in enumerate(ranks)}
+        self._queues = [
+            RankQueue(self._flows, self._salt)
+            if at is None
+            else self._queues[at]
+            for at in kept
+        ]
+        self._dispatched = [
+            DecayingRate(_RATE_MEMORY_S) if at is None else self._dispatched[at]
+            for at in kept
+        ]
+        self._schedule = self._schedule.change(ranks, self._queues, kept)
+
     def describe(self) -> ServiceSnapshot:
         """Return the state for operators."""
         return ServiceSnapshot(
--- a/egretlever/admission/tests/test_admission_machine.py
+++ b/egretlever/admission/tests/test_admission_machine.py
@@ -17,6 +17,7 @@
     Capacity,
     Pause,
     Queued,
+    RankPolicy,
     ServicePolicy,
     make_admission,
 )
@@ -179,6 +180,16 @@
         policies = [ServicePolicy(name, QUEUE_LIMIT, 8) for name in SERVICES]
         self.admission.configure(policies, self.now)
 
+    @rule(rank=st.sampled_from(RANKS), priority=st.integers(3, 9))
+    def change_ranks(self, rank, priority):
+        policies = [ServicePolicy(name, QUEUE_LIMIT, 8) for name in SERVICES]
+        others = [one for one in build_ranks() if one.name != rank]
+        changed = [*others, RankPolicy("other", priority, 0.0)]
+        self.admission.configure(policies, self.now, changed)
+        self.advance()
+        assert all(ticket.rank != rank for ticket in self.waiting)
+        self.admission.configure(policies, self.now, build_ranks())
+
     @invariant()
     def books_agree(self):
         for snapshot in self.admission.describe():
--- a/egretlever/node/_gate.py
+++ b/egretlever/node/_gate.py
@@ -1,7 +1,7 @@
 """Waiting for admission: the tasks behind the tickets of `Admission`."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import curio
 
@@ -9,8 +9,8 @@
     Admission,
     Admitted,
     Capacity,
-    Departures,
     Pause,
+    RankPolicy,
     RefusalReason,
     Refused,
     ServicePolicy,
@@ -55,24 +55,17 @@
 
     def __init__(self, admission: Admission) -> None:
         self._admission = admission
-        self._earlier: list[Admission] = []
-        self._owners: dict[Ticket, Admission] = {}
         self._waiters: dict[Ticket, _Waiter] = {}
         self._entered = 0
 
-    def replace(self, admission: Admission) -> None:
-        """Use another admission for coming tickets.
-
-        Tickets that were offered already end in the admission that took them.
-        """
-        self._earlier.append(self._admission)
-        self._admission = admission
-
     def configure(
-        self, services: Iterable[ServicePolicy], now: Seconds
+        self,
+        services: Iterable[ServicePolicy],
+        ranks: Sequence[RankPolicy],
+        now: Seconds,
     ) -> None:
-        """Give admission the services of a new catalogue."""
-        self._admission.configure(services, now)
+        """Give admission the services and ranks of a new catalogue."""
+        self._admission.configure(services, now, ranks)
 
     def observe_pause(self, duration: Seconds, now: Seconds) -> None:
         """Tell admission that the loop stood still."""
@@ -108,8 +101,6 @@
             When the ticket was refused or expired.
         """
         answer = self._admission.offer(ticket, read_clock())
-        if not isinstance(answer, Refused):
-            self._owners[ticket] = self._admission
         if isinstance(answer, Admitted):
             self._entered += 1
             await self.advance()
@@ -139,8 +130,8 @@
         now = read_clock()
         if waiter.dispatched:
             await self.leave(ticket, AttemptResult.CANCELLED, Seconds(0.0))
-        elif ticket in self._owners:
-            self._owners.pop(ticket).withdraw(ticket, now)
+        else:
+            self._admission.withdraw(ticket, now)
 
     async def leave(
         self, ticket: Ticket, result: AttemptResult, latency: Seconds
@@ -148,21 +139,12 @@
         """Report the end of a dispatched ticket."""
         self._entered -= 1
         require("gate-count-not-negative", self._entered >= 0)
-        owner = self._owners.pop(ticket)
-        owner.finish(ticket, result, latency, read_clock())
+        self._admission.finish(ticket, result, latency, read_clock())
         await self.advance()
 
     async def advance(self) -> None:
         """Move admission forward and wake the tasks whose tickets left."""
-        for admission in (*self._earlier, self._admission):
-            await self._wake_departures(admission.advance(read_clock()))
-        if self._earlier:
-            owners = set(map(id, self._owners.values()))
-            self._earlier = [
-                item for item in self._earlier if id(item) in owners
-            ]
-
-    async def _wake_departures(self, departures: Departures) -> None:
+        departures = self._admission.advance(read_clock())
         for ticket in departures.dispatched:
             await self._wake(ticket, None)
         for ticket in departures.expired:
@@ -177,8 +159,6 @@
             return
         waiter.refused = refused
         waiter.dispatched = refused is None
-        if not waiter.dispatched:
-            self._owners.pop(ticket, None)
         if waiter.dispatched:
             self._entered += 1
         await waiter.event.set()
--- a/egretlever/node/_parts.py
+++ b/egretlever/node/_parts.py
@@ -65,9 +65,7 @@
     retry: RetryPolicy
     ledger: OrderLedger
     gate: Gate
-    randomness: random.Random
     chores: ChoreSchedule
-    ranks: tuple[RankPolicy, ...] = ()
 
     def take_catalogue(self, now: Seconds) -> None:
         """Give the limits of a new catalogue version to the parts."""
@@ -85,11 +83,7 @@
             RankPolicy(rank.name, rank.priority, rank.minimum_share)
             for rank in (entry.value for entry in snapshot.ranks.values())
         )
-        if ranks != self.ranks:
-            self.ranks = ranks
-            self.gate.replace(make_admission(policies, ranks, self.randomness))
-        else:
-            self.gate.configure(policies, now)
+        self.gate.configure(policies, ranks, now)
         for service in services:
             limits = RetryLimits(
                 service.max_attempts, service.retry_budget, service.hedge
@@ -161,7 +155,6 @@
             randomness,
         ),
         Gate(make_admission([], [_FIRST_RANK], randomness)),
-        randomness,
         ChoreSchedule(randomness),
     )
 
