--- a/egretlever/node/_admin.py
+++ b/egretlever/node/_admin.py
@@ -5,11 +5,14 @@
 from google.protobuf import json_format
 from google.protobuf.message import DecodeError, Message
 
+from egretlever.node._fault_page import answer_faults
 from egretlever.node._metrics import render_metrics
 from egretlever.schema import admin_pb2, catalogue_pb2, gossip_pb2
 from egretlever.transport import (
+    NO_FAULTS,
     Answer,
     CallerConnection,
+    FaultInjector,
     Handler,
     RequestHead,
     accept_connections,
@@ -54,10 +57,13 @@
 
 
 async def serve_admin(
-    listener: Any, node: Administered, operated: Operated
+    listener: Any,
+    node: Administered,
+    operated: Operated,
+    faults: FaultInjector = NO_FAULTS,
 ) -> None:
     """Serve the admin pages on a listening socket for ever."""
-    handle = make_admin(node, operated)
+    handle = make_admin(node, operated, faults)
 
     async def serve(sock: Any) -> None:
         connection = CallerConnection(sock)
@@ -66,7 +72,9 @@
     await accept_connections(listener, serve, _MAX_CONNECTIONS)
 
 
-def make_admin(node: Administered, operated: Operated) -> Handler:
+def make_admin(
+    node: Administered, operated: Operated, faults: FaultInjector = NO_FAULTS
+) -> Handler:
     """Make the handler of a node's admin pages.
 
     ``GET /healthz`` tells that the process runs, ``GET /readyz`` whether it
@@ -74,10 +82,13 @@
     `FleetStatus` and ``GET /catalogue`` the `CatalogueHead` in force as JSON.
     ``POST /announce`` takes an `Announcement`, ``POST /server`` a
     `ServerOrder` and ``POST /catalogue`` a `CatalogueOffer` in binary form;
-    the last two answer with JSON.
+    the last two answer with JSON. ``/faults`` gives and takes `LinkFaults` as
+    JSON where tests may inject faults, and is unknown elsewhere.
     """
 
     async def handle(head: RequestHead, body: bytes) -> Answer:
+        if head.path == "/faults":
+            return answer_faults(faults, head.method, body)
         if head.method == "POST":
             return await _take(operated, head.path, body)
         if head.method not in ("GET", "HEAD"):
