--- a/egretlever/membership/_liveness.py
+++ b/egretlever/membership/_liveness.py
@@ -13,9 +13,12 @@
 from egretlever.membership._state import State
 
 DOUBT_RELAYS = 8
-REFUTATION_RELAYS = 10
-# A death this old was open to refutation long enough to be taken over.
+# Below the relays of a departure, which goes first when room is short.
+REFUTATION_RELAYS = 6
+# A node that starts takes over deaths that were long open to refutation, so
+# that it does not keep their records for another full time.
 SETTLED_DEATH = 30.0
+START_TIME = 60.0
 DUPLICATE_MESSAGES = 3
 DUPLICATE_TIME = 2.0
 
@@ -120,7 +123,12 @@
             return
         if node not in self._state.view.records:
             return
-        settled = suspicion.age >= SETTLED_DEATH
+        started = self._state.started
+        settled = (
+            suspicion.age >= SETTLED_DEATH
+            and started is not None
+            and now - started < START_TIME
+        )
         if suspicion.state is NodeState.DEAD and settled:
             since = Seconds(now - suspicion.age)
             self._doubt(node, stamp, NodeState.DEAD, since, now)
@@ -139,7 +147,7 @@
         own.raise_version(suspicion.version)
         self._state.view.store(own.record, now)
         self._state.spread_record(
-            self._state.node, base, False, now, relays=REFUTATION_RELAYS
+            self._state.node, base, True, now, relays=REFUTATION_RELAYS
         )
 
     def _doubt(
--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -9,51 +9,50 @@
 
 from egretlever.core import (
     Address,
-    Incarnation,
     NodeId,
     RegionName,
     Seconds,
     ServerId,
-    ServerState,
-    ServiceName,
     make_log,
 )
-from egretlever.membership import (
-    CatalogueUpdate,
-    DatagramPort,
-    ServerAnnouncement,
-)
+from egretlever.membership import CatalogueUpdate, DatagramPort, Send
 from egretlever.node import _metrics as metrics
-from egretlever.node._admin import make_admin
+from egretlever.node._admin import serve_admin
 from egretlever.node._attempts import AttemptRunner
 from egretlever.node._catalogue import CatalogueCopy, CatalogueSync
-from egretlever.node._datagrams import Datagrams, GossipSocket
+from egretlever.node._chores import StoreChores
 from egretlever.node._engine import Engine, Parts
 from egretlever.node._evidence import EvidenceLink
+from egretlever.node._offers import OfferDesk
+from egretlever.node._operations import Operations
 from egretlever.node._orders import OrderDesk
 from egretlever.node._parts import make_member, make_parts
 from egretlever.node._proxy import Proxy
 from egretlever.node._status import describe_fleet
+from egretlever.orders import make_claim_sweep
 from egretlever.platform import make_object_store, make_table_store
-from egretlever.schema import admin_pb2, gossip_pb2, settings_pb2
+from egretlever.schema import admin_pb2, catalogue_pb2, settings_pb2
 from egretlever.settings import parse_address
 from egretlever.transport import (
     CallerConnection,
     ConnectionPool,
+    DatagramEndpoint,
     accept_connections,
     make_fault_injector,
     open_listener,
     read_clock,
-    serve_requests,
 )
 
 _LOG = make_log("node")
 _TICK = 0.05  # seconds between turns of the parts that wait for time
 _FLUSH_INTERVAL = 0.05  # seconds between writes of deferred order rows
 _SLOW_INTERVAL = 1.0  # seconds between expiries and updates of gauges
+_ROLE_INTERVAL = 30.0  # seconds between choices for slow work in the store
 _PAUSE_LIMIT = 0.25  # seconds of loop lag that void the node's own evidence
 _LEAVE_LINGER = 3.0  # seconds in which others learn of the departure
 
+Datagrams = Sequence[tuple[Address, bytes]]
+
 
 class Node:
     """A node of the fleet.
@@ -101,6 +100,27 @@
             self._is_joined,
             self._take_catalogue,
         )
+        self._operations = Operations(
+            self._parts.sender.node,
+            self._member,
+            self._parts,
+            OfferDesk(
+                self._parts.catalogue,
+                self._parts.reader,
+                self._table,
+                self._sync.run,
+            ),
+            self._queue_sends,
+        )
+        self._chores = StoreChores(
+            self._parts.sender.node,
+            RegionName(settings.identity.region),
+            self._parts.chores,
+            self._table,
+            make_claim_sweep(self._table, self._parts.sender.node),
+            self._member,
+            randomness,
+        )
         self._outgoing: list[tuple[Address, bytes]] = []
         self._stop = curio.Event()
         self._leaving = False
@@ -169,17 +189,22 @@
     def _queue(self, datagrams: Datagrams) -> None:
         self._outgoing.extend(datagrams)
 
+    def _queue_sends(self, sends: Sequence[Send]) -> None:
+        self._queue(self._port.encode(sends))
+
     async def run(self) -> None:
         """Run until a planned stop is complete."""
         listen = self._settings.listen
         traffic = open_listener(parse_address(listen.traffic))
         admin = open_listener(parse_address(listen.admin))
-        gossip = GossipSocket(parse_address(listen.gossip), self._faults)
-        _LOG.info("%s serves callers on %s.", self._parts.sender.node, traffic)
+        gossip = DatagramEndpoint(parse_address(listen.gossip), self._faults)
+        _LOG.info(
+            "%s serves callers on %s.", self._parts.sender.node, listen.traffic
+        )
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._accept, traffic)
             await tasks.spawn(
-                serve_requests, admin, make_admin(self, self._faults)
+                serve_admin, admin, self, self._operations, self._faults
             )
             await tasks.spawn(self._receive_gossip, gossip)
             await tasks.spawn(self._tick_forever, gossip)
@@ -187,6 +212,8 @@
                 _repeat, _FLUSH_INTERVAL, self._parts.ledger.flush
             )
             await tasks.spawn(_repeat, _SLOW_INTERVAL, self._maintain)
+            await tasks.spawn(_repeat, _SLOW_INTERVAL, self._chores.run)
+            await tasks.spawn(_repeat, _ROLE_INTERVAL, self._choose_roles)
             await tasks.spawn(self._stop.wait)
         for sock in (traffic, admin, gossip):
             await sock.close()
@@ -209,17 +236,20 @@
 
         await accept_connections(listener, serve, traffic.max_connections)
 
-    async def _receive_gossip(self, sock: GossipSocket) -> None:
+    async def _receive_gossip(self, gossip: DatagramEndpoint) -> None:
         while True:
-            data, sender = await sock.receive()
+            data, sender = await gossip.receive()
+            metrics.GOSSIP_BYTES.labels("received").inc(len(data))
             self._queue(self._port.receive(data, sender, read_clock()))
-            await self._send_gossip(sock)
+            await self._send_gossip(gossip)
 
-    async def _send_gossip(self, sock: GossipSocket) -> None:
+    async def _send_gossip(self, gossip: DatagramEndpoint) -> None:
         outgoing, self._outgoing = self._outgoing, []
-        await sock.send(outgoing)
+        sent = sum(len(data) for _, data in outgoing)
+        metrics.GOSSIP_BYTES.labels("sent").inc(sent)
+        await gossip.send_all(outgoing)
 
-    async def _tick_forever(self, gossip: GossipSocket) -> None:
+    async def _tick_forever(self, gossip: DatagramEndpoint) -> None:
         last = read_clock()
         while True:
             await curio.sleep(_TICK)
@@ -248,6 +278,11 @@
         if actions:
             await curio.spawn(self._sync.run, actions, daemon=True)
 
+    async def _choose_roles(self) -> None:
+        region = RegionName(self._settings.identity.region)
+        readers = self._member.readers(region)
+        self._chores.choose_roles(readers, self._member.nodes(), read_clock())
+
     async def _maintain(self) -> None:
         now = read_clock()
         parts = self._parts
@@ -267,30 +302,6 @@
             sum(len(item.held_by_floor) for item in selections)
         )
 
-    async def take_announcement(
-        self, announcement: gossip_pb2.Announcement
-    ) -> str:
-        """Take what a backend server says of itself; empty when accepted."""
-        refusal = check_announcement(announcement)
-        if refusal:
-            return refusal
-        endpoint = announcement.address
-        sends = self._member.announce(
-            ServerAnnouncement(
-                ServerId(announcement.server),
-                ServiceName(announcement.service),
-                Address(endpoint.ip, endpoint.port),
-                ServerState[gossip_pb2.ServerState.Name(announcement.state)],
-                Incarnation(announcement.incarnation),
-                announcement.slots,
-                announcement.connections,
-                announcement.uptime_s,
-            ),
-            read_clock(),
-        )
-        self._queue(self._port.encode(sends))
-        return ""
-
     def describe(self) -> admin_pb2.FleetStatus:
         """Describe the fleet as the node sees it."""
         return describe_fleet(
@@ -301,6 +312,15 @@
             read_clock(),
         )
 
+    def describe_catalogue(self) -> catalogue_pb2.CatalogueHead:
+        """Describe the version of the catalogue in force."""
+        head = self._parts.catalogue.head
+        if head is None:
+            return catalogue_pb2.CatalogueHead()
+        return catalogue_pb2.CatalogueHead(
+            version=head.version, edit_id=head.edit_id, digest=head.digest
+        )
+
     async def stop(self) -> None:
         """Leave the fleet, finish what is in flight, then end `run`."""
         if self._leaving:
@@ -319,23 +339,6 @@
         await self._stop.set()
 
 
-def check_announcement(announcement: gossip_pb2.Announcement) -> str:
-    """Return what is wrong with an announcement, empty for a valid one."""
-    if not announcement.server or not announcement.service:
-        return "the announcement names no server or no service"
-    try:
-        parse_address(
-            f"[{announcement.address.ip}]:{announcement.address.port}"
-        )
-    except ValueError as error:
-        return str(error)
-    if not 0 < announcement.slots <= 10_000:
-        return "slots is not between 1 and 10000"
-    if announcement.state not in gossip_pb2.ServerState.values():
-        return "the state is unknown"
-    return ""
-
-
 async def _repeat(interval: float, work: Callable[[], Any]) -> None:
     while True:
         await curio.sleep(interval)
--- a/egretlever/testing/builders.py
+++ b/egretlever/testing/builders.py
@@ -1,8 +1,10 @@
 """Builders of test data: each gives a valid object, changed by keywords."""
 
+import dataclasses
 from typing import Any
 
 from egretlever.admission import RankPolicy, Ticket
+from egretlever.catalogue import Head, make_snapshot
 from egretlever.core import (
     Address,
     Attempt,
@@ -13,6 +15,7 @@
     HostName,
     Incarnation,
     NodeId,
+    NodeState,
     OrderKey,
     RankName,
     RegionName,
@@ -22,11 +25,24 @@
     ServerId,
     ServerState,
     ServiceName,
+    Version,
+)
+from egretlever.detection import (
+    EvidenceKind,
+    EvidenceReport,
+    Member,
+    PooledEvidence,
+    PooledServerEvidence,
+    ServerReport,
+)
+from egretlever.membership import (
+    NodeHeader,
+    NodeSnapshot,
+    ServerAnnouncement,
 )
-from egretlever.membership import NodeHeader, ServerAnnouncement
 from egretlever.orders import OrderRequest
 from egretlever.routing import Location, PlacementRequest
-from egretlever.schema import catalogue_pb2
+from egretlever.schema import admin_pb2, catalogue_pb2
 
 
 def build_server(number: int = 1, **changes: Any) -> Server:
@@ -148,6 +164,27 @@
     )
 
 
+def build_head(version: int = 1, **changes: Any) -> Head:
+    """Build the head of a version of the catalogue."""
+    head = make_snapshot(build_catalogue(version)).head
+    return dataclasses.replace(head, **changes)
+
+
+def build_offer(
+    version: int = 1, content: catalogue_pb2.Catalogue | None = None
+) -> admin_pb2.CatalogueOffer:
+    """Build the offer of a version as a snapshot."""
+    snapshot = make_snapshot(content or build_catalogue(version))
+    return admin_pb2.CatalogueOffer(
+        head=catalogue_pb2.CatalogueHead(
+            version=version,
+            edit_id=snapshot.head.edit_id,
+            digest=snapshot.head.digest,
+        ),
+        snapshot=snapshot.join(),
+    )
+
+
 def build_service(name: str, **changes: Any) -> catalogue_pb2.Service:
     """Build a service of the catalogue."""
     fields: dict[str, Any] = {
@@ -219,6 +256,29 @@
     return NodeHeader(**{**fields, **changes})
 
 
+def build_node_snapshots(count: int) -> list[NodeSnapshot]:
+    """Build snapshots of live nodes over all failure domains."""
+    found = []
+    for number in range(count):
+        header = build_header(number)
+        found.append(
+            NodeSnapshot(
+                header.node,
+                Incarnation(1),
+                Version(1),
+                NodeState.ALIVE,
+                header.traffic,
+                header.gossip,
+                header.admin,
+                header.host,
+                header.failure_domain,
+                header.region,
+                14,
+            )
+        )
+    return found
+
+
 def build_announcement(
     number: int = 1, host: int = 1, **changes: Any
 ) -> ServerAnnouncement:
@@ -276,3 +336,47 @@
         "region": RegionName("punjab" if domain < 2 else "sindh"),
     }
     return Location(**{**fields, **changes})
+
+
+def build_member(number: int = 1, **changes: Any) -> Member:
+    """Build a live node of the region of the first server."""
+    fields: dict[str, Any] = {
+        "id": NodeId(f"node-{number}"),
+        "region": RegionName("punjab"),
+    }
+    return Member(**{**fields, **changes})
+
+
+def build_pooled(
+    server: Server | None = None, **changes: Any
+) -> PooledEvidence:
+    """Build conclusive pooled evidence against one server."""
+    server = server or build_server()
+    fields: dict[str, Any] = {
+        "server": server.id,
+        "incarnation": server.incarnation,
+        "reporters": 3,
+        "badness": 20.0,
+        "kind": EvidenceKind.UNREACHABLE,
+    }
+    item = PooledServerEvidence(**{**fields, **changes})
+    return PooledEvidence(server.service, (item,))
+
+
+def build_report(
+    server: Server | None = None, **changes: Any
+) -> EvidenceReport:
+    """Build a report of one attempt without answer on one server."""
+    server = server or build_server()
+    fields: dict[str, Any] = {
+        "server": server.id,
+        "incarnation": server.incarnation,
+        "good": 0,
+        "failed": 0,
+        "slow": 0,
+        "unreachable": 1,
+        "window": Seconds(1.0),
+    }
+    return EvidenceReport(
+        server.service, (ServerReport(**{**fields, **changes}),)
+    )
--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -7,6 +7,12 @@
     BackendProtocolError,
 )
 from egretlever.transport._callers import CallerConnection, CallerGoneError
+from egretlever.transport._datagrams import (
+    DatagramEndpoint,
+    DatagramFaults,
+    InjectedFaults,
+    NoFaults,
+)
 from egretlever.transport._exchanges import (
     ExchangeError,
     ExchangeFailure,
@@ -55,13 +61,17 @@
     "CallerGoneError",
     "ConnectError",
     "ConnectionPool",
+    "DatagramEndpoint",
+    "DatagramFaults",
     "Direction",
     "ExchangeError",
     "ExchangeFailure",
     "FaultInjector",
     "Handler",
     "Headers",
+    "InjectedFaults",
     "LinkFaultInjector",
+    "NoFaults",
     "Reply",
     "RequestError",
     "RequestHead",
--- a/egretlever/transport/_faults.py
+++ b/egretlever/transport/_faults.py
@@ -9,6 +9,7 @@
 
 from egretlever.core import Address, Seconds, make_log
 from egretlever.schema import faults_pb2
+from egretlever.transport._datagrams import DatagramFaults, NoFaults
 from egretlever.transport._faulty_socket import FaultySocket, LinkEffect
 
 _LOG = make_log("faults")
@@ -23,7 +24,7 @@
     RECEIVING = faults_pb2.RECEIVING
 
 
-class FaultInjector(Protocol):
+class FaultInjector(DatagramFaults, Protocol):
     """Stands between a node and its links."""
 
     async def await_connect(self, peer: Address) -> None:
@@ -32,13 +33,8 @@
     def wrap(self, sock: Any, peer: Address) -> Any:
         """Return the socket to use instead of a connected one."""
 
-    def plan_datagram(
-        self, peer: Address, direction: Direction
-    ) -> Seconds | None:
-        """Return the delay of a datagram, None for a lost one."""
-
 
-class NoFaults:
+class NoLinkFaults(NoFaults):
     """Injector of production, which changes nothing."""
 
     async def await_connect(self, peer: Address) -> None:
@@ -48,12 +44,6 @@
         """Return the socket itself, so that no call passes through here."""
         return sock
 
-    def plan_datagram(
-        self, peer: Address, direction: Direction
-    ) -> Seconds | None:
-        """Return no delay."""
-        return Seconds(0.0)
-
 
 class LinkFaultInjector:
     """Injector that applies a list of faults, for tests.
@@ -68,7 +58,8 @@
     >>> injector = LinkFaultInjector(random.Random(1))
     >>> fault = faults_pb2.LinkFault(ip="127.0.0.1", cut=True)
     >>> injector.replace([fault])
-    >>> injector.plan_datagram(Address("127.0.0.1", 80), Direction.SENDING)
+    >>> injector.admits(Address("127.0.0.1", 80))
+    False
     """
 
     def __init__(self, randomness: random.Random) -> None:
@@ -85,8 +76,8 @@
         self._faults = tuple(faults)
         _LOG.info("%d link faults are in force.", len(self._faults))
 
-    def decide(self, peer: Address, direction: Direction) -> LinkEffect:
-        """Decide what happens to traffic at this moment."""
+    def judge(self, peer: Address, direction: Direction) -> LinkEffect:
+        """Judge what happens to traffic at this moment."""
         cut, lost, delay = False, False, 0.0
         for fault in self._faults:
             if not _applies(fault, peer, direction):
@@ -107,7 +98,7 @@
         """Wait while either direction is cut: a handshake needs both."""
         while any(self.is_cut(peer, direction) for direction in Direction):
             await curio.sleep(_CONNECT_CHECK)
-        effects = [self.decide(peer, direction) for direction in Direction]
+        effects = [self.judge(peer, direction) for direction in Direction]
         await curio.sleep(
             sum(
                 effect.delay + _RESEND_DELAY * effect.lost for effect in effects
@@ -127,16 +118,23 @@
     ) -> Seconds | None:
         if self.is_cut(peer, direction):
             return None
-        effect = self.decide(peer, direction)
+        effect = self.judge(peer, direction)
         return Seconds(effect.delay + _RESEND_DELAY * effect.lost)
 
-    def plan_datagram(
-        self, peer: Address, direction: Direction
-    ) -> Seconds | None:
-        """Return the delay of a datagram, None for a lost one."""
-        effect = self.decide(peer, direction)
+    def decide(self, sender: Address, receiver: Address) -> Seconds | None:
+        """Return the delay of a sent datagram, None to lose it."""
+        effect = self.judge(receiver, Direction.SENDING)
         return None if effect.cut or effect.lost else effect.delay
 
+    def admits(self, sender: Address) -> bool:
+        """Return whether a datagram that arrived is taken.
+
+        A delay of this direction is left out: the wait would hold up the
+        datagrams of all other nodes.
+        """
+        effect = self.judge(sender, Direction.RECEIVING)
+        return not (effect.cut or effect.lost)
+
 
 def _applies(
     fault: faults_pb2.LinkFault, peer: Address, direction: Direction
@@ -148,7 +146,7 @@
     )
 
 
-NO_FAULTS = NoFaults()
+NO_FAULTS = NoLinkFaults()
 
 
 def make_fault_injector(
@@ -166,6 +164,6 @@
     Returns
     -------
     FaultInjector
-        `LinkFaultInjector` when enabled, else `NoFaults`.
+        `LinkFaultInjector` when enabled, else `NoLinkFaults`.
     """
     return LinkFaultInjector(randomness) if enabled else NO_FAULTS
