--- a/benchmarks/_soak_fleet.py
+++ b/benchmarks/_soak_fleet.py
@@ -5,7 +5,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import time
 
 import curio
@@ -160,9 +159,9 @@
         file = self.path / f"{name}-catalogue.ini"
         file.write_text(content, encoding="utf-8")
         stores = {"table": self.platform, "objects": self.platform}
-        settings = self.write_settings(
-            name, {"platform": stores, "ctl": {"operator": operator}}
-        )
+        admins = ", ".join(str(node.admin) for node in self.nodes.values())
+        ctl = {"operator": operator, "nodes": admins}
+        settings = self.write_settings(name, {"platform": stores, "ctl": ctl})
         options: list[object] = ["--base", base]
         options += ["--rebase"] if rebase else []
         running = self.start(
@@ -206,4 +205,4 @@
 
 def find_revision() -> str:
     """Find the revision that is run, for the report."""
-    return run_command("git", "rev-parse", "--short", "HEAD") or sys.version
+    return run_command("git", "rev-parse", "--short", "HEAD") or "unknown"
