--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -7,7 +7,12 @@
     BackendProtocolError,
 )
 from egretlever.transport._callers import CallerConnection, CallerGoneError
-from egretlever.transport._datagrams import DatagramEndpoint
+from egretlever.transport._datagrams import (
+    DatagramEndpoint,
+    DatagramFaults,
+    InjectedFaults,
+    NoFaults,
+)
 from egretlever.transport._exchanges import (
     ExchangeError,
     ExchangeFailure,
@@ -56,13 +61,17 @@
     "CallerGoneError",
     "ConnectError",
     "ConnectionPool",
+    "DatagramEndpoint",
+    "DatagramFaults",
     "Direction",
     "ExchangeError",
     "ExchangeFailure",
     "FaultInjector",
     "Handler",
     "Headers",
+    "InjectedFaults",
     "LinkFaultInjector",
+    "NoFaults",
     "Reply",
     "RequestError",
     "RequestHead",
@@ -80,5 +89,4 @@
     "send_request",
     "serve_requests",
     "set_no_delay",
-    "DatagramEndpoint",
 ]
--- a/egretlever/transport/_datagrams.py
+++ b/egretlever/transport/_datagrams.py
@@ -1,19 +1,81 @@
 """UDP datagrams on curio, with fault injection for tests."""
 
-from collections.abc import Iterable
-from typing import Any
+import random
+import socket
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Protocol
 
 import curio
-from curio import socket
 
 from egretlever.core import Address, Seconds, make_log
-from egretlever.transport._faults import NO_FAULTS, Direction, FaultInjector
 
 MAX_RECEIVED_BYTES = 65536
 
 _LOG = make_log("datagrams")
 
 
+class DatagramFaults(Protocol):
+    """Decides what happens to each datagram."""
+
+    def decide(self, sender: Address, receiver: Address) -> Seconds | None:
+        """Return the delay of a sent datagram, None to lose it."""
+
+    def admits(self, sender: Address) -> bool:
+        """Return whether a datagram that arrived is taken."""
+
+
+class NoFaults:
+    """Delivers everything at once."""
+
+    def decide(self, sender: Address, receiver: Address) -> Seconds | None:
+        """Return no delay."""
+        return Seconds(0.0)
+
+    def admits(self, sender: Address) -> bool:
+        """Take every datagram."""
+        return True
+
+
+class InjectedFaults:
+    """Loss, delay and one-way cuts for tests.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the losses.
+    loss : float, default=0
+        Share of datagrams lost.
+    delay : Seconds, default=0
+        Delay of each datagram in seconds.
+
+    Attributes
+    ----------
+    cuts : set of tuple of Address
+        Directions (sender, receiver) that lose everything.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        loss: float = 0.0,
+        delay: Seconds = Seconds(0.0),  # noqa: B008
+    ) -> None:
+        self._rng = rng
+        self.loss = loss
+        self.delay = delay
+        self.cuts: set[tuple[Address, Address]] = set()
+
+    def decide(self, sender: Address, receiver: Address) -> Seconds | None:
+        """Return the delay of a datagram in seconds, None to lose it."""
+        if (sender, receiver) in self.cuts or self._rng.random() < self.loss:
+            return None
+        return self.delay
+
+    def admits(self, sender: Address) -> bool:
+        """Take every datagram: the sending side decides on the faults."""
+        return True
+
+
 class DatagramEndpoint:
     """A bound UDP socket.
 
@@ -21,32 +83,28 @@
     ----------
     address : Address
         Address to bind; port 0 chooses a free one.
-    faults : FaultInjector, optional
-        Faults of the links, which only tests inject.
+    faults : DatagramFaults, optional
+        Faults injected by tests.
 
     Attributes
     ----------
     failed : int
         Datagrams that the system refused to send.
-    sent_bytes, received_bytes : int
-        Content of all datagrams so far, in bytes.
     """
 
     def __init__(
-        self, address: Address, faults: FaultInjector = NO_FAULTS
+        self, address: Address, faults: DatagramFaults | None = None
     ) -> None:
         family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-        self._socket: Any = socket.socket(family, socket.SOCK_DGRAM)
+        self._socket = curio.socket.socket(family, socket.SOCK_DGRAM)
         self._socket.bind((address.ip, address.port))
         self.address = Address(*self._socket.getsockname()[:2])
-        self._faults = faults
+        self._faults = faults or NoFaults()
         self.failed = 0
-        self.sent_bytes = 0
-        self.received_bytes = 0
 
     async def send(self, receiver: Address, data: bytes) -> None:
         """Send a datagram; a refusal of the system is counted as a loss."""
-        delay = self._faults.plan_datagram(receiver, Direction.SENDING)
+        delay = self._faults.decide(self.address, receiver)
         if delay is None:
             return
         if delay > 0:
@@ -67,17 +125,22 @@
         """Wait for a datagram; return it with its sender."""
         while True:
             try:
-                data, peer = await self._socket.recvfrom(MAX_RECEIVED_BYTES)
+                data, sender = await self._socket.recvfrom(MAX_RECEIVED_BYTES)
             except ConnectionError:
                 # An earlier datagram met a closed port; nothing was received.
                 continue
-            sender = Address(*peer[:2])
-            # A delay is added at the sending side only, because waiting here
-            # would hold up the datagrams of all other nodes.
-            planned = self._faults.plan_datagram(sender, Direction.RECEIVING)
-            if planned is not None:
-                self.received_bytes += len(data)
-                return data, sender
+            peer = Address(*sender[:2])
+            if self._faults.admits(peer):
+                return data, peer
+
+    async def serve(
+        self,
+        take: Callable[[bytes, Address], Awaitable[None]],
+    ) -> None:
+        """Hand each received datagram to a coroutine function, forever."""
+        while True:
+            data, sender = await self.receive()
+            await take(data, sender)
 
     async def close(self) -> None:
         """Close the socket."""
@@ -90,7 +153,6 @@
         await self._send_now(receiver, data)
 
     async def _send_now(self, receiver: Address, data: bytes) -> None:
-        self.sent_bytes += len(data)
         try:
             await self._socket.sendto(data, (receiver.ip, receiver.port))
         except OSError as error:
--- a/egretlever/transport/tests/test_faults.py
+++ b/egretlever/transport/tests/test_faults.py
@@ -11,7 +11,6 @@
 from egretlever.transport import (
     NO_FAULTS,
     ConnectError,
-    Direction,
     LinkFaultInjector,
     make_fault_injector,
     open_connection,
@@ -109,12 +108,10 @@
     injector.replace(
         [make_fault(near, direction=faults_pb2.SENDING, loss_share=0.5)]
     )
-    plans = [
-        injector.plan_datagram(near, Direction.SENDING) for _ in range(1000)
-    ]
+    plans = [injector.decide(far, near) for _ in range(1000)]
     assert 400 < plans.count(None) < 600
-    assert injector.plan_datagram(near, Direction.RECEIVING) == 0
-    assert injector.plan_datagram(far, Direction.SENDING) == 0
+    assert all(injector.admits(near) for _ in range(100))
+    assert injector.decide(near, far) == 0
 
 
 def test_production_uses_the_socket_itself():
