Tell the listener of changes of a node's own servers

An announcement changed the node's record without a notification. A node alone never used its own servers, and a home node learned of their departure only when another record changed.

--- a/egretlever/membership/_membership.py
+++ b/egretlever/membership/_membership.py
@@ -25,6 +25,7 @@
 from egretlever.membership._interfaces import (
     AddressSample,
     CatalogueCopy,
+    ChangeKind,
     EvidenceSink,
     Listener,
     OrphanJudge,
@@ -186,6 +187,9 @@
         self._state.view.store(self._state.own.record, now)
         self._state.view.note_entry(entry, now)
         self._rounds.note_change(base, entry.departing, now)
+        self._state.notify(
+            ChangeKind.SERVERS_CHANGED, self._state.node, now, [entry.id]
+        )
         return []
 
     def leave(self, now: Seconds) -> list[Send]:
