--- a/egretlever/node/_answers.py
+++ b/egretlever/node/_answers.py
@@ -50,7 +50,7 @@
     fields = [
         (b"content-type", b"text/plain; charset=utf-8"),
         (b"content-length", b"%d" % len(body)),
-        (headers.REASON, answer.reason.encode("ascii", "replace")),
+        (headers.REASON, _make_printable(answer.reason)),
     ]
     if answer.retry_after is not None:
         seconds = max(1, math.ceil(answer.retry_after))
@@ -59,6 +59,11 @@
     return mark_outcome(head, answer.outcome, request_id), body
 
 
+def _make_printable(text: str) -> bytes:
+    printable = "".join(char if char.isprintable() else "?" for char in text)
+    return printable.strip().encode("ascii", "replace")
+
+
 def mark_outcome(
     head: ResponseHead, outcome: Outcome, request_id: RequestId
 ) -> ResponseHead:
--- a/egretlever/node/_engine.py
+++ b/egretlever/node/_engine.py
@@ -4,122 +4,64 @@
 
 import curio
 
-from egretlever.admission import RefusalReason, Ticket
+from egretlever.admission import RefusalReason
 from egretlever.catalogue import CatalogueState
-from egretlever.core import (
-    AttemptResult,
-    Outcome,
-    Seconds,
-    ServerId,
-    make_log,
-)
-from egretlever.detection import Detector, Selection
-from egretlever.node import _metrics as metrics
+from egretlever.core import AttemptResult, Outcome, ServerId, make_log
 from egretlever.node._answers import OwnAnswer
-from egretlever.node._attempts import (
-    AttemptLimits,
-    AttemptOutcome,
-    AttemptRunner,
-)
-from egretlever.node._context import RequestContext
-from egretlever.node._gate import Gate, RefusedError
+from egretlever.node._dispatch import Dispatcher, Leg, Served
+from egretlever.node._gate import AbandonedError, RefusedError
 from egretlever.node._orders import OrderDesk, Replay
 from egretlever.node._requests import Request
-from egretlever.node._selections import Selections
 from egretlever.orders import Claim
 from egretlever.retry import (
-    FirstAttempt,
+    Hedge,
     RequestHistory,
     Retry,
     RetryPolicy,
     Stop,
     StopReason,
 )
-from egretlever.routing import (
-    LoadHint,
-    NoPlacement,
-    NoPlacementReason,
-    Placement,
-    PlacementRequest,
-    Router,
-)
-from egretlever.transport import headers, read_clock
+from egretlever.routing import Placement
+from egretlever.transport import RequestError, read_clock
 
 _LOG = make_log("request")
-_ANSWER_BYTES = 2048  # expected size of an answer, for the region link
-_PLACEMENT_PAUSE = 0.005  # seconds between tries while all servers are busy
-_WAITING_REASONS = frozenset(
-    {NoPlacementReason.SATURATED, NoPlacementReason.LINK_BUDGET_SPENT}
-)
-
+_GONE = "the caller went away"
 
-@dataclasses.dataclass(slots=True)
-class Served:
-    """A request with a backend server's answer.
 
-    Parameters
-    ----------
-    outcome : AttemptOutcome
-        The answer; its connection holds the rest of a long body.
-    placement : Placement
-        Slot that the answer occupies until it is whole.
-    ticket : Ticket
-        Admission of the attempt.
-    """
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Second:
+    """A decision to run an attempt beside the first one."""
 
-    outcome: AttemptOutcome
-    placement: Placement
-    ticket: Ticket
+    exclude: frozenset[ServerId]
+    fresh: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Parts:
-    """Decision parts that the engine asks.
+class Engine:
+    """Runs attempts by the decisions of the retry policy.
 
     Parameters
     ----------
     catalogue : CatalogueState
-        Limits of services and ranks.
-    gate : Gate
-        Admission.
-    selections : Selections
-        Eligible servers.
-    router : Router
-        Choice among them.
-    detector : Detector
-        Judgement of outcomes.
+        Tells which services are hedged.
     retry : RetryPolicy
         What follows an attempt.
-    """
-
-    catalogue: CatalogueState
-    gate: Gate
-    selections: Selections
-    router: Router
-    detector: Detector
-    retry: RetryPolicy
-
-
-class Engine:
-    """Runs attempts by the decisions of the parts.
-
-    Parameters
-    ----------
-    parts : Parts
-        Decision parts.
-    runner : AttemptRunner
+    dispatcher : Dispatcher
         Runs single attempts.
     desk : OrderDesk
         Claims orders before their dispatch.
     """
 
     def __init__(
-        self, parts: Parts, runner: AttemptRunner, desk: OrderDesk
+        self,
+        catalogue: CatalogueState,
+        retry: RetryPolicy,
+        dispatcher: Dispatcher,
+        desk: OrderDesk,
     ) -> None:
-        self._parts = parts
-        self._runner = runner
+        self._catalogue = catalogue
+        self._retry = retry
+        self._dispatcher = dispatcher
         self._desk = desk
-        self._offered: dict[str, Selection] = {}
 
     async def run(self, request: Request) -> Served | OwnAnswer | Replay:
         """Run a request.
@@ -132,7 +74,8 @@
         Returns
         -------
         Served or OwnAnswer or Replay
-            The server's answer, or why there is none.
+            The server's answer, or why there is none. `finish` has to follow
+            an answer of a server.
         """
         try:
             result = await self._run_attempts(request)
@@ -140,51 +83,70 @@
             if request.claim is not None:
                 await self._desk.close(request.claim, request.combine())
             raise
-        if request.claim is not None:
-            await self._close_order(request.claim, result)
+        if request.claim is None:
+            return result
+        if isinstance(result, OwnAnswer):
+            await self._desk.close(request.claim, result.outcome)
+        elif isinstance(result, Served) and result.outcome.whole:
+            await self._close_served(request.claim, result)
         return result
 
-    async def _close_order(
-        self, claim: Claim, result: Served | OwnAnswer | Replay
-    ) -> None:
-        if isinstance(result, Served):
-            await self._desk.close(claim, Outcome.COMPLETED, result.outcome)
-        elif isinstance(result, OwnAnswer):
-            await self._desk.close(claim, result.outcome)
+    async def finish(self, request: Request, served: Served) -> None:
+        """Finish a request whose answer was passed on, or was cut."""
+        if served.finished:
+            return
+        await self._dispatcher.finish(served)
+        if request.claim is not None:
+            await self._close_served(request.claim, served)
+
+    async def _close_served(self, claim: Claim, served: Served) -> None:
+        if served.outcome.whole:
+            await self._desk.close(claim, Outcome.COMPLETED, served.outcome)
+        else:
+            await self._desk.close(claim, Outcome.UNKNOWN)
 
     async def _run_attempts(
         self, request: Request
     ) -> Served | OwnAnswer | Replay:
+        error: Served | None = None
         while True:
             served = await self._run_attempt(request)
             if not isinstance(served, Served):
-                return served
+                return error or served
+            if served.outcome.attempt.result is AttemptResult.CANCELLED:
+                return _explain_cancel(request)
             decision = self._decide(request)
             if isinstance(decision, Stop):
-                return await self._end(served, decision)
-            await self._abandon(served)
+                return await self._end(request, served, decision, error)
+            await self._dispatcher.abandon(served)
+            if served.is_answer and served.outcome.whole:
+                error = served
             request.exclude = decision.exclude
             if decision.after > 0:
                 await curio.sleep(decision.after)
             if request.is_caller_gone():
-                return OwnAnswer(499, request.combine(), "the caller went away")
+                return OwnAnswer(499, request.combine(), _GONE)
 
-    def _decide(self, request: Request) -> Retry | Stop:
+    def _make_history(self, request: Request) -> RequestHistory:
         context = request.context
-        history = RequestHistory(
+        return RequestHistory(
             context.choice.service,
             context.idempotent,
             context.deadline,
             tuple(request.attempts),
+            tuple(request.running),
         )
-        decision = self._parts.retry.decide(history, read_clock())
+
+    def _decide(self, request: Request) -> Retry | Stop:
+        history = self._make_history(request)
+        decision = self._retry.decide(history, read_clock())
         if isinstance(decision, Stop):
             return decision
         if not isinstance(decision, Retry) or not request.body.repeatable:
             return Stop(request.combine(), StopReason.NO_RETRIES)
         _LOG.info(
             "Request %s is tried again in %.0f ms after %s.",
-            context.id,
+            request.context.id,
             decision.after * 1000,
             request.attempts[-1].result.value,
         )
@@ -193,34 +155,49 @@
     async def _run_attempt(
         self, request: Request
     ) -> Served | OwnAnswer | Replay:
-        ticket = _make_ticket(request.context, len(request.attempts) + 1)
-        self._offer_capacity(request.context)
         try:
-            await self._parts.gate.enter(ticket)
+            ticket = await self._dispatcher.enter(request)
         except RefusedError as refused:
             return _refuse(refused, request)
+        except AbandonedError:
+            return OwnAnswer(499, request.combine(), _GONE)
         try:
-            refusal = await self._prepare_first(request)
-            if refusal is None:
-                placement = await self._place(request)
-                if isinstance(placement, Placement):
-                    return await self._dispatch(request, ticket, placement)
-                refusal = OwnAnswer(
-                    503,
-                    request.combine(),
-                    placement.reason.value,
-                    placement.retry_after,
-                )
+            placement = await self._prepare(request)
+        except AbandonedError:
+            await self._dispatcher.leave_unused(ticket)
+            return OwnAnswer(499, request.combine(), _GONE)
         except BaseException:
-            await self._leave_unused(ticket)
+            await self._dispatcher.leave_unused(ticket)
             raise
-        await self._leave_unused(ticket)
-        return refusal
-
-    async def _leave_unused(self, ticket: Ticket) -> None:
-        await self._parts.gate.leave(
-            ticket, AttemptResult.CANCELLED, Seconds(0.0)
+        if not isinstance(placement, Placement):
+            await self._dispatcher.leave_unused(ticket)
+            return placement
+        # After a stale connection a new one has to prove the server.
+        fresh = bool(request.attempts) and (
+            request.attempts[-1].result is AttemptResult.STALE_CONNECTION
         )
+        leg = self._dispatcher.dispatch(request, ticket, placement, fresh)
+        return await self._await_leg(request, leg)
+
+    async def _prepare(
+        self, request: Request
+    ) -> Placement | OwnAnswer | Replay:
+        refusal = await self._prepare_first(request)
+        if refusal is not None:
+            return refusal
+        placement = await self._dispatcher.place(request)
+        if not isinstance(placement, Placement):
+            return OwnAnswer(
+                503,
+                request.combine(),
+                placement.reason.value,
+                placement.retry_after,
+            )
+        refusal = self._refuse_late(request)
+        if refusal is not None:
+            self._dispatcher.release(placement)
+            return refusal
+        return placement
 
     async def _prepare_first(
         self, request: Request
@@ -237,42 +214,6 @@
         request.claim = claim
         return None
 
-    async def _dispatch(
-        self, request: Request, ticket: Ticket, placement: Placement
-    ) -> Served | OwnAnswer:
-        parts = self._parts
-        attempts = request.attempts
-        now = read_clock()
-        refusal = self._refuse_late(request)
-        if refusal is not None:
-            parts.router.release(placement, now)
-            await self._leave_unused(ticket)
-            return refusal
-        if not attempts:
-            parts.retry.observe(
-                FirstAttempt(request.context.choice.service), now
-            )
-        limits = AttemptLimits(
-            request.context.deadline,
-            parts.detector.overdue_after(placement.server.id),
-        )
-        # After a stale connection a new one has to prove the server.
-        fresh = bool(attempts) and (
-            attempts[-1].result is AttemptResult.STALE_CONNECTION
-        )
-        try:
-            outcome = await self._runner.run(
-                placement.server, request, limits, fresh
-            )
-        except BaseException:
-            parts.router.release(placement, read_clock())
-            raise
-        served = Served(outcome, placement, ticket)
-        attempts.append(outcome.attempt)
-        if outcome.connection is None:
-            await self.finish(served)
-        return served
-
     def _refuse_late(self, request: Request) -> OwnAnswer | None:
         if read_clock() >= request.context.deadline:
             return OwnAnswer(504, request.combine(), "deadline-passed")
@@ -281,113 +222,134 @@
             return OwnAnswer(503, request.combine(), "claim-outdated")
         return None
 
-    def _offer_capacity(self, context: RequestContext) -> None:
-        service = context.choice.service
-        now = read_clock()
-        selection = self._parts.selections.find(service, now)
-        if self._offered.get(service) is not selection:
-            self._offered[service] = selection
-            slots = self._parts.router.count_slots(
-                service, selection.eligible, now
-            )
-            self._parts.gate.offer_capacity(service, slots, now)
-
-    async def _place(self, request: Request) -> Placement | NoPlacement:
-        context = request.context
+    async def _await_leg(self, request: Request, leg: Leg) -> Served:
+        if not request.is_repeatable():
+            served = await leg.wait()
+            assert served is not None
+            return served
+        entry = self._catalogue.service(request.context.choice.service)
+        hedged = entry is not None and entry.hedge
         while True:
-            placement = self._choose(context, request.exclude)
-            if isinstance(placement, NoPlacement) and request.exclude:
-                placement = self._choose(context, frozenset())
-            if (
-                isinstance(placement, Placement)
-                or placement.reason not in _WAITING_REASONS
-                or read_clock() + _PLACEMENT_PAUSE >= context.deadline
-            ):
-                return placement
-            await curio.sleep(_PLACEMENT_PAUSE)
-
-    def _choose(
-        self, context: RequestContext, exclude: frozenset[ServerId]
-    ) -> Placement | NoPlacement:
-        parts = self._parts
-        now = read_clock()
-        service = context.choice.service
-        rank = parts.catalogue.rank(context.rank)
-        request = PlacementRequest(
-            service,
-            context.deadline,
-            rank.priority if rank else 0,
-            rank.cross_region if rank else False,
-            _ANSWER_BYTES,
-            Seconds(0.0),
-            exclude,
-            parts.selections.find(service, now).eligible,
-        )
-        return parts.router.decide(request, now)
+            until = float("inf")
+            second: _Second | None = None
+            if leg.is_silent:
+                second = self._replace_silent(request, leg)
+            elif hedged:
+                decision = self._retry.decide(
+                    self._make_history(request), read_clock()
+                )
+                if not isinstance(decision, Hedge):
+                    hedged = False
+                elif decision.after > 0:
+                    until = read_clock() + decision.after
+                else:
+                    second = _Second(decision.exclude, fresh=False)
+            if second is not None:
+                return await self._race(request, leg, second)
+            served = await leg.wait(until)
+            if served is not None:
+                return served
 
-    async def finish(self, served: Served) -> None:
-        """Report the end of an attempt and give back its slot."""
-        parts = self._parts
-        now = read_clock()
-        attempt = served.outcome.attempt
-        parts.router.release(served.placement, now)
-        parts.router.observe(attempt, now)
-        self._observe_load(served, now)
-        parts.detector.observe(attempt, now)
-        parts.retry.observe(attempt, now)
-        metrics.ATTEMPTS.labels(attempt.service, attempt.result.value).inc()
-        await parts.gate.leave(served.ticket, attempt.result, attempt.latency)
-
-    async def finish_stream(self, served: Served) -> None:
-        """Finish an attempt whose answer was passed on part by part."""
-        if served.outcome.connection is None:
-            return
-        await self._runner.settle(served.placement.server, served.outcome)
-        await self.finish(served)
+    def _replace_silent(self, request: Request, leg: Leg) -> _Second | None:
+        leg.keep_waiting()
+        history = dataclasses.replace(
+            self._make_history(request),
+            attempts=(*request.attempts, leg.preview()),
+            running=(),
+        )
+        if isinstance(self._retry.decide(history, read_clock()), Retry):
+            return _Second(frozenset(), fresh=True)
+        return None
 
-    def _observe_load(self, served: Served, now: Seconds) -> None:
-        response = served.outcome.response
-        load = response.find(headers.LOAD) if response is not None else None
-        if load is None:
-            return
-        busy, _, slots = load.partition("/")
-        if busy.isdecimal() and slots.isdecimal() and int(slots) > 0:
-            hint = LoadHint(served.placement.server.id, int(busy), int(slots))
-            self._parts.router.observe(hint, now)
-
-    async def _abandon(self, served: Served) -> None:
-        connection = served.outcome.connection
-        if connection is not None:
-            await connection.close()
-            served.outcome.connection = None
-            await self.finish(served)
-
-    async def _end(self, served: Served, stop: Stop) -> Served | OwnAnswer:
-        attempt = served.outcome.attempt
-        if attempt.result in (AttemptResult.OK, AttemptResult.ERROR):
+    async def _race(
+        self, request: Request, leg: Leg, second: _Second
+    ) -> Served:
+        """Run an attempt beside the first; the first good answer wins."""
+        _LOG.info(
+            "Request %s is tried beside %s: %s.",
+            request.context.id,
+            leg.server,
+            "its connection is silent" if second.fresh else "it is slow",
+        )
+        leg.keep_waiting()
+        best: Served | None = None
+        async with curio.TaskGroup() as group:
+            tasks = [
+                await group.spawn(leg.wait),
+                await group.spawn(self._run_second, request, second),
+            ]
+            while (task := await group.next_done()) is not None:
+                best = await self._choose_better(best, task.result)
+                if best is not None and best.is_good:
+                    leg.lose()
+                    await group.cancel_remaining()
+                    await self._abandon_others(tasks, best)
+                    break
+        assert best is not None
+        return best
+
+    async def _abandon_others(
+        self, tasks: list[curio.Task], best: Served
+    ) -> None:
+        for task in tasks:
+            if task.exception is None and task.result not in (None, best):
+                await self._dispatcher.abandon(task.result)
+
+    async def _choose_better(
+        self, best: Served | None, ended: Served | None
+    ) -> Served | None:
+        if best is None or ended is None:
+            return best or ended
+        if best.is_good or (best.is_answer and not ended.is_answer):
+            best, ended = ended, best
+        await self._dispatcher.abandon(best)
+        return ended
+
+    async def _run_second(
+        self, request: Request, second: _Second
+    ) -> Served | None:
+        try:
+            ticket = await self._dispatcher.enter(request)
+        except (RefusedError, AbandonedError):
+            return None
+        placement = self._dispatcher.choose(request.context, second.exclude)
+        if not isinstance(placement, Placement):
+            await self._dispatcher.leave_unused(ticket)
+            return None
+        leg = self._dispatcher.dispatch(
+            request, ticket, placement, second.fresh
+        )
+        return await leg.wait()
+
+    async def _end(
+        self,
+        request: Request,
+        served: Served,
+        stop: Stop,
+        error: Served | None,
+    ) -> Served | OwnAnswer:
+        if served.is_answer:
             return served
-        await self._abandon(served)
+        if error is not None:
+            return error
+        attempt = served.outcome.attempt
+        outcome = request.combine()
         status = 504 if attempt.result is AttemptResult.TIMEOUT else 502
-        if stop.outcome is Outcome.NOT_RUN:
+        if outcome is Outcome.NOT_RUN:
             status = 503
         return OwnAnswer(
             status,
-            stop.outcome,
+            outcome,
             f"{attempt.result.value}, {stop.reason.value}",
             attempt.retry_after,
         )
 
 
-def _make_ticket(context: RequestContext, number: int) -> Ticket:
-    return Ticket(
-        context.id,
-        context.choice.service,
-        context.rank,
-        context.caller,
-        context.deadline,
-        context.choice.worth,
-        number,
-    )
+def _explain_cancel(request: Request) -> OwnAnswer:
+    error = request.upload_error
+    if isinstance(error, RequestError):
+        return OwnAnswer(error.status, request.combine(), str(error))
+    return OwnAnswer(499, request.combine(), _GONE)
 
 
 def _refuse(refused: RefusedError, request: Request) -> OwnAnswer:
@@ -396,8 +358,11 @@
         RefusalReason.WAIT_EXCEEDS_DEADLINE,
         RefusalReason.INFEASIBLE,
     )
+    status = 504 if expired else 503
+    if refused.reason is RefusalReason.UNKNOWN_RANK:
+        status = 400
     return OwnAnswer(
-        504 if expired else 503,
+        status,
         request.combine(),
         refused.reason.value,
         refused.retry_after,
--- /dev/null
+++ b/egretlever/node/_frontend.py
@@ -0,0 +1,73 @@
+"""The request path put together: proxy, engine, attempts, connections."""
+
+import random
+from typing import Any
+
+from egretlever.core import Seconds
+from egretlever.node import _metrics as metrics
+from egretlever.node._attempts import AttemptRunner
+from egretlever.node._dispatch import Dispatcher, Parts
+from egretlever.node._engine import Engine
+from egretlever.node._orders import OrderDesk
+from egretlever.node._parts import NodeParts
+from egretlever.node._proxy import Proxy
+from egretlever.schema import settings_pb2
+from egretlever.transport import (
+    CallerConnection,
+    ConnectionPool,
+    accept_connections,
+    read_clock,
+)
+
+
+def make_pool(traffic: settings_pb2.TrafficSection) -> ConnectionPool:
+    """Make the pool of connections to backend servers."""
+    return ConnectionPool(
+        Seconds(traffic.connect_timeout_s),
+        Seconds(traffic.server_idle_timeout_s),
+        traffic.server_connections,
+    )
+
+
+def make_proxy(
+    parts: NodeParts, pool: ConnectionPool, randomness: random.Random
+) -> Proxy:
+    """Make the proxy of a node over its decision parts."""
+    runner = AttemptRunner(
+        pool, lambda attempt: parts.detector.observe(attempt, read_clock())
+    )
+    dispatcher = Dispatcher(
+        Parts(
+            parts.catalogue,
+            parts.gate,
+            parts.selections,
+            parts.router,
+            parts.detector,
+            parts.retry,
+        ),
+        runner,
+    )
+    engine = Engine(
+        parts.catalogue, parts.retry, dispatcher, OrderDesk(parts.ledger)
+    )
+    return Proxy(parts.catalogue, engine, randomness)
+
+
+async def accept_callers(
+    listener: Any, proxy: Proxy, traffic: settings_pb2.TrafficSection
+) -> None:
+    """Accept callers' connections for ever."""
+
+    async def serve(sock: Any) -> None:
+        connection = CallerConnection(
+            sock,
+            traffic.max_header_bytes,
+            Seconds(traffic.header_timeout_s),
+            Seconds(traffic.body_timeout_s),
+            Seconds(traffic.idle_timeout_s),
+        )
+        await proxy.serve(connection, sock.getpeername()[0])
+
+    await accept_connections(
+        listener, serve, traffic.max_connections, metrics.count_bad_request
+    )
--- a/egretlever/node/_gate.py
+++ b/egretlever/node/_gate.py
@@ -1,7 +1,7 @@
 """Waiting for admission: the tasks behind the tickets of `Admission`."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import curio
 
@@ -19,6 +19,12 @@
 from egretlever.core import AttemptResult, Seconds, ServiceName, require
 from egretlever.transport import read_clock
 
+_GONE_CHECK = 0.25  # seconds between looks for a caller that went away
+
+
+class AbandonedError(Exception):
+    """The caller of a waiting ticket went away."""
+
 
 class RefusedError(Exception):
     """A ticket was not dispatched, so its attempt was not run.
@@ -94,16 +100,22 @@
         """Tell admission how many slots routing can offer."""
         self._admission.observe(Capacity(service, slots), now)
 
-    async def enter(self, ticket: Ticket) -> None:
+    async def enter(
+        self, ticket: Ticket, is_abandoned: Callable[[], bool]
+    ) -> None:
         """Wait until a ticket is dispatched.
 
         Parameters
         ----------
         ticket : Ticket
             Ticket that is offered for the first time.
+        is_abandoned : callable
+            Tells without waiting whether the caller went away.
 
         Raises
         ------
+        AbandonedError
+            When the caller went away while the ticket waited.
         RefusedError
             When the ticket was refused or expired.
         """
@@ -119,20 +131,29 @@
         waiter = self._waiters[ticket] = _Waiter(curio.Event())
         try:
             await self.advance()
-            await self._wait(ticket, waiter)
-        except curio.CancelledError:
+            await self._wait(ticket, waiter, is_abandoned)
+        except (curio.CancelledError, AbandonedError):
             await self._abandon(ticket, waiter)
             raise
         if waiter.refused is not None:
             refused = waiter.refused
             raise RefusedError(refused.reason, refused.retry_after)
 
-    async def _wait(self, ticket: Ticket, waiter: _Waiter) -> None:
+    async def _wait(
+        self,
+        ticket: Ticket,
+        waiter: _Waiter,
+        is_abandoned: Callable[[], bool],
+    ) -> None:
         while not waiter.event.is_set():
             left = max(0.0, ticket.deadline - read_clock())
-            if await curio.ignore_after(left + 0.001, waiter.event.wait()):
+            pause = min(left + 0.001, _GONE_CHECK)
+            if await curio.ignore_after(pause, waiter.event.wait()):
                 continue
-            await self.advance()
+            if is_abandoned():
+                raise AbandonedError
+            if left <= pause:
+                await self.advance()
 
     async def _abandon(self, ticket: Ticket, waiter: _Waiter) -> None:
         self._waiters.pop(ticket, None)
--- a/egretlever/node/_metrics.py
+++ b/egretlever/node/_metrics.py
@@ -72,6 +72,11 @@
 )
 
 
+def count_bad_request(status: int) -> None:
+    """Count a refused request, or an exception as status 0."""
+    BAD_REQUESTS.labels(status).inc()
+
+
 def render_metrics() -> bytes:
     """Render all metrics in the text format of Prometheus."""
     return prometheus_client.generate_latest()
--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -26,21 +26,15 @@
 )
 from egretlever.node import _metrics as metrics
 from egretlever.node._admin import make_admin
-from egretlever.node._attempts import AttemptRunner
 from egretlever.node._catalogue import CatalogueCopy, CatalogueSync
-from egretlever.node._engine import Engine, Parts
 from egretlever.node._evidence import EvidenceLink
-from egretlever.node._orders import OrderDesk
+from egretlever.node._frontend import accept_callers, make_pool, make_proxy
 from egretlever.node._parts import make_member, make_parts
-from egretlever.node._proxy import Proxy
 from egretlever.node._status import describe_fleet
 from egretlever.platform import make_object_store, make_table_store
 from egretlever.schema import admin_pb2, gossip_pb2, settings_pb2
 from egretlever.settings import parse_address
 from egretlever.transport import (
-    CallerConnection,
-    ConnectionPool,
-    accept_connections,
     open_listener,
     read_clock,
     serve_requests,
@@ -53,6 +47,7 @@
 _PAUSE_LIMIT = 0.25  # seconds of loop lag that void the node's own evidence
 _LEAVE_LINGER = 3.0  # seconds in which others learn of the departure
 _DATAGRAM_SIZE = 65536
+_ADMIN_CONNECTIONS = 256
 
 Datagrams = Sequence[tuple[Address, bytes]]
 
@@ -102,33 +97,9 @@
         self._outgoing: list[tuple[Address, bytes]] = []
         self._stop = curio.Event()
         self._leaving = False
-        self._make_proxy(randomness)
-
-    def _make_proxy(self, randomness: random.Random) -> None:
-        traffic = self._settings.traffic
-        parts = self._parts
-        self._pool = ConnectionPool(
-            Seconds(traffic.connect_timeout_s),
-            Seconds(traffic.server_idle_timeout_s),
-            traffic.server_connections,
-        )
-        runner = AttemptRunner(
-            self._pool,
-            lambda attempt: parts.detector.observe(attempt, read_clock()),
-        )
-        engine = Engine(
-            Parts(
-                parts.catalogue,
-                parts.gate,
-                parts.selections,
-                parts.router,
-                parts.detector,
-                parts.retry,
-            ),
-            runner,
-            OrderDesk(parts.ledger),
-        )
-        self._proxy = Proxy(parts.catalogue, engine, randomness)
+        self._acceptor: curio.Task | None = None
+        self._pool = make_pool(settings.traffic)
+        self._proxy = make_proxy(self._parts, self._pool, randomness)
 
     @property
     def ready(self) -> bool:
@@ -174,8 +145,20 @@
         gossip = _open_datagrams(parse_address(listen.gossip))
         _LOG.info("%s serves callers on %s.", self._parts.sender.node, traffic)
         async with curio.TaskGroup(wait=any) as tasks:
-            await tasks.spawn(self._accept, traffic)
-            await tasks.spawn(serve_requests, admin, make_admin(self))
+            self._acceptor = await curio.spawn(
+                accept_callers,
+                traffic,
+                self._proxy,
+                self._settings.traffic,
+                daemon=True,
+            )
+            await tasks.spawn(
+                serve_requests,
+                admin,
+                make_admin(self),
+                _ADMIN_CONNECTIONS,
+                metrics.count_bad_request,
+            )
             await tasks.spawn(self._receive_gossip, gossip)
             await tasks.spawn(self._tick_forever, gossip)
             await tasks.spawn(
@@ -188,21 +171,6 @@
         if tasks.exception:
             raise tasks.exception
 
-    async def _accept(self, listener: Any) -> None:
-        traffic = self._settings.traffic
-
-        async def serve(sock: Any) -> None:
-            connection = CallerConnection(
-                sock,
-                traffic.max_header_bytes,
-                Seconds(traffic.header_timeout_s),
-                Seconds(traffic.body_timeout_s),
-                Seconds(traffic.idle_timeout_s),
-            )
-            await self._proxy.serve(connection, sock.getpeername()[0])
-
-        await accept_connections(listener, serve, traffic.max_connections)
-
     async def _receive_gossip(self, sock: Any) -> None:
         while True:
             data, peer = await sock.recvfrom(_DATAGRAM_SIZE)
@@ -309,11 +277,16 @@
         self._leaving = True
         _LOG.info("%s leaves.", self._parts.sender.node)
         self._queue(self._port.encode(self._member.leave(read_clock())))
+        self._proxy.leave()
         # Callers that have not heard yet are still served in this time.
         await curio.sleep(_LEAVE_LINGER)
-        self._proxy.stop()
+        if self._acceptor is not None:
+            await self._acceptor.cancel()
+        await self._proxy.stop()
         until = read_clock() + self._settings.traffic.drain_timeout_s
-        while self._proxy.in_flight and read_clock() < until:
+        # An answer is complete only when its connection has ended: bytes that
+        # were sent are lost when the process ends with unread input.
+        while self._proxy.connections and read_clock() < until:
             await curio.sleep(_TICK)
         while await self._parts.ledger.flush():
             pass
--- a/egretlever/node/_orders.py
+++ b/egretlever/node/_orders.py
@@ -5,8 +5,8 @@
 from egretlever.catalogue import CatalogueState
 from egretlever.core import OrderMode, Outcome, ServiceName
 from egretlever.node._answers import OwnAnswer
-from egretlever.node._attempts import AttemptOutcome
 from egretlever.node._context import RequestContext
+from egretlever.node._exchange import AttemptOutcome
 from egretlever.orders import (
     Claim,
     Claimed,
@@ -108,8 +108,8 @@
     return RecordedAnswer(
         outcome.response.status,
         outcome.response.find(b"content-type") or "",
-        outcome.data if outcome.connection is None else b"",
-        omitted=outcome.connection is not None,
+        outcome.data if outcome.held else b"",
+        omitted=not outcome.held,
     )
 
 
--- a/egretlever/node/_proxy.py
+++ b/egretlever/node/_proxy.py
@@ -21,7 +21,8 @@
 )
 from egretlever.node._bodies import RequestBody
 from egretlever.node._context import RequestContext, RouteChoice, make_context
-from egretlever.node._engine import Engine, Served
+from egretlever.node._dispatch import Served
+from egretlever.node._engine import Engine
 from egretlever.node._orders import Replay
 from egretlever.node._requests import Request
 from egretlever.transport import (
@@ -31,6 +32,7 @@
     CallerGoneError,
     RequestError,
     RequestHead,
+    ResponseHead,
     read_clock,
 )
 
@@ -38,6 +40,10 @@
 _STREAM_TIMEOUT = Seconds(30.0)  # silence of a server within an answer
 
 
+class CutAnswerError(Exception):
+    """A server's answer ended early after its head had been passed on."""
+
+
 class Proxy:
     """Serves callers' connections.
 
@@ -62,6 +68,9 @@
         self._prefix = f"{randomness.getrandbits(48):012x}"
         self._number = 0
         self._in_flight = 0
+        self._connections = 0
+        self._idle: set[curio.Task] = set()
+        self._leaving = False
         self._stopping = False
 
     @property
@@ -69,27 +78,61 @@
         """Requests that have not ended."""
         return self._in_flight
 
-    def stop(self) -> None:
-        """Close each connection after the request that it carries."""
-        self._stopping = True
+    @property
+    def connections(self) -> int:
+        """Open connections of callers."""
+        return self._connections
+
+    def leave(self) -> None:
+        """Ask callers, in each answer, to close their connections."""
+        self._leaving = True
+
+    async def stop(self) -> None:
+        """Close idle connections, and each other one after its answer."""
+        self._leaving = self._stopping = True
+        for task in list(self._idle):
+            await task.cancel(blocking=False)
 
     async def serve(self, connection: CallerConnection, peer: str) -> None:
         """Serve a caller's connection until it ends."""
+        self._connections += 1
         try:
-            while head := await connection.read_request():
+            while head := await self._read_next(connection):
                 self._in_flight += 1
                 try:
                     await self._serve_request(connection, head, peer)
                 finally:
                     self._in_flight -= 1
-                if self._stopping or not connection.prepare_next():
+                if not connection.prepare_next():
                     break
             await connection.close_gracefully()
         except RequestError as error:
             metrics.BAD_REQUESTS.labels(error.status).inc()
             await self._refuse_bad_request(connection, error)
+        except CutAnswerError:
+            await connection.abort()
         except CallerGoneError:
             metrics.LOST_CALLERS.inc()
+        finally:
+            self._connections -= 1
+
+    async def _read_next(
+        self, connection: CallerConnection
+    ) -> RequestHead | None:
+        if self._stopping and not connection.has_input():
+            return None
+        task = await curio.current_task()
+        self._idle.add(task)
+        try:
+            await connection.wait_for_request()
+        except curio.CancelledError:
+            if not self._stopping:
+                raise
+            if not connection.has_input():
+                return None
+        finally:
+            self._idle.discard(task)
+        return await connection.read_request()
 
     def _make_id(self) -> RequestId:
         self._number += 1
@@ -103,6 +146,8 @@
         answer = OwnAnswer(error.status, Outcome.NOT_RUN, str(error))
         head, body = encode_own_answer(answer, self._make_id())
         head.headers.append((b"connection", b"close"))
+        if connection.method == "HEAD":
+            body = b""
         try:
             await connection.send_response(head, body)
             await connection.close_gracefully()
@@ -130,9 +175,9 @@
             await self._send_own(connection, head, result, request_id)
         elif isinstance(result, Replay):
             answer = mark_outcome(result.head, outcome, request_id)
-            await connection.send_response(answer, result.body)
+            await self._send(connection, answer, result.body)
         else:
-            await self._forward(connection, context, result)
+            await self._forward(connection, request, result)
         self._count(context, outcome)
 
     def _count(self, context: RequestContext, outcome: Outcome) -> None:
@@ -175,23 +220,33 @@
         head, body = encode_own_answer(answer, request_id)
         if request.method == "HEAD":
             body = b""
-        await connection.send_response(head, body)
+        await self._send(connection, head, body)
 
-    async def _forward(
+    async def _send(
         self,
         connection: CallerConnection,
-        context: RequestContext,
-        served: Served,
+        head: ResponseHead,
+        data: bytes,
+        ended: bool = True,
+    ) -> None:
+        if self._leaving:
+            head.headers.append((b"connection", b"close"))
+        await connection.send_response(head, data, ended)
+
+    async def _forward(
+        self, connection: CallerConnection, request: Request, served: Served
     ) -> None:
         result = served.outcome
         assert result.response is not None
-        head = mark_outcome(result.response, Outcome.COMPLETED, context.id)
+        head = mark_outcome(
+            result.response, Outcome.COMPLETED, request.context.id
+        )
         try:
-            await connection.send_response(head, result.data, result.whole)
-            if result.connection is not None:
+            await self._send(connection, head, result.data, result.whole)
+            if not result.whole:
                 await self._stream(connection, served)
         finally:
-            await self._engine.finish_stream(served)
+            await self._engine.finish(request, served)
 
     async def _stream(
         self, connection: CallerConnection, served: Served
@@ -205,9 +260,8 @@
                     data, result.whole = await source.read_data()
                 await connection.send_data(data, result.whole)
         except (BackendClosedError, BackendProtocolError, curio.TaskTimeout):
-            # The caller sees the cut: its connection ends within the answer.
             metrics.CUT_ANSWERS.inc()
             result.attempt = dataclasses.replace(
                 result.attempt, result=AttemptResult.CUT
             )
-            raise CallerGoneError("the answer was cut") from None
+            raise CutAnswerError from None
--- a/egretlever/node/_requests.py
+++ b/egretlever/node/_requests.py
@@ -7,7 +7,11 @@
 from egretlever.node._bodies import RequestBody
 from egretlever.node._context import RequestContext
 from egretlever.orders import Claim
-from egretlever.retry import classify_attempt, combine_outcomes
+from egretlever.retry import (
+    RunningAttempt,
+    classify_attempt,
+    combine_outcomes,
+)
 from egretlever.transport import RequestHead
 
 
@@ -31,6 +35,10 @@
         Servers to avoid in the next attempt.
     claim : Claim or None
         Claim of an order.
+    running : list of RunningAttempt
+        Dispatched attempts that have not ended.
+    upload_error : Exception or None
+        Why the rest of a long body could not be read from the caller.
     """
 
     context: RequestContext
@@ -40,8 +48,17 @@
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     exclude: frozenset[ServerId] = frozenset()
     claim: Claim | None = None
+    running: list[RunningAttempt] = dataclasses.field(default_factory=list)
+    upload_error: Exception | None = None
+
+    def is_repeatable(self) -> bool:
+        """Whether the request may be sent while it may run elsewhere."""
+        return self.context.idempotent and self.body.whole
 
     def combine(self) -> Outcome:
-        """Tell what the ended attempts prove together."""
+        """Tell what the attempts prove, when no answer is passed on."""
         outcomes = [classify_attempt(attempt) for attempt in self.attempts]
-        return combine_outcomes(outcomes, running=False)
+        outcome = combine_outcomes(outcomes, running=bool(self.running))
+        if outcome is Outcome.COMPLETED:
+            return Outcome.UNKNOWN
+        return outcome
--- /dev/null
+++ b/egretlever/node/tests/test_bodies.py
@@ -0,0 +1,187 @@
+"""Guards request and answer bodies: uploads, back-pressure, half-closes."""
+
+import tracemalloc
+
+import curio
+import pytest
+
+from egretlever.core import Seconds
+from egretlever.testing import answer, run_world
+from egretlever.transport import read_clock
+
+CHUNKED = b"transfer-encoding: chunked\r\n"
+BLOCK = b"x" * 65536
+
+
+async def echo_while_reading(exchange):
+    """Answer with each part of the body as it comes."""
+    await exchange.send(b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"\r\n")
+    while data := await exchange.connection.read_body():
+        await exchange.send(b"%x\r\n%s\r\n" % (len(data), data))
+    await exchange.send(b"0\r\n\r\n")
+    return True
+
+
+async def refuse_early(exchange):
+    """Answer without reading the body, then read nothing more."""
+    await exchange.send(b"HTTP/1.1 413 X\r\ncontent-length: 3\r\n\r\nbig")
+    await exchange.work(10.0)
+    return False
+
+
+async def upload(caller, count, lines=b""):
+    head = b"PUT /fabrics HTTP/1.1\r\nhost: x\r\n" + lines + CHUNKED
+    await caller.sock.sendall(head + b"\r\n")
+    for _ in range(count):
+        await caller.sock.sendall(b"%x\r\n%s\r\n" % (len(BLOCK), BLOCK))
+    await caller.sock.sendall(b"0\r\n\r\n")
+
+
+def test_bodies_flow_both_ways_at_once():
+    # A server that answers while it reads must go on getting the body.
+    async def body(world):
+        await world.add_server(echo_while_reading)
+        caller = await world.connect()
+        task = await curio.spawn(upload, caller, 64)
+        received = await read_chunks(caller)
+        await task.join()
+        return received
+
+    assert len(run_world(body)) == 64 * len(BLOCK)
+
+
+async def read_chunks(caller):
+    """Read a chunked body behind a head."""
+    data = bytearray()
+    while not data.endswith(b"\r\n0\r\n\r\n"):
+        data += await caller.sock.recv(65536)
+    rest = bytes(data).partition(b"\r\n\r\n")[2]
+    parts = []
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        parts.append(rest[: int(size, 16)])
+        rest = rest[int(size, 16) + 2 :]
+    return b"".join(parts)
+
+
+def test_an_early_answer_reaches_an_uploading_caller():
+    async def body(world):
+        server = await world.add_server(refuse_early, answer(b"next"))
+        caller = await world.connect()
+        task = await curio.spawn(upload, caller, 512, daemon=True)
+        reply = b""
+        while b"big" not in reply:
+            reply += await caller.sock.recv(65536)
+        await task.cancel()
+        second = await world.call("GET", "/fabrics")
+        return reply, second.body, server.connections
+
+    reply, second, connections = run_world(body)
+    assert reply.startswith(b"HTTP/1.1 413") and second == b"next"
+    # The first connection still carries the unfinished upload.
+    assert connections == 2
+
+
+def test_a_large_body_to_a_slow_server_stays_out_of_memory():
+    async def read_slowly(exchange):
+        while await exchange.connection.read_body():
+            await curio.sleep(0.01)
+        return await answer(b"done")(exchange)
+
+    async def body(world):
+        await world.add_server(read_slowly)
+        caller = await world.connect()
+        tracemalloc.start()
+        await upload(caller, 512, b"egretlever-deadline-ms: 90000\r\n")
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        return peak, (await caller.sock.recv(65536))[:12]
+
+    peak, start = run_world(body)
+    assert start == b"HTTP/1.1 200"
+    assert peak < 8 << 20
+
+
+def test_a_large_answer_to_a_slow_caller_stays_out_of_memory():
+    async def body(world):
+        large = answer(BLOCK * 512)
+        await world.add_server(large)
+        caller = await world.connect()
+        tracemalloc.start()
+        await caller.sock.sendall(b"GET /fabrics HTTP/1.1\r\nhost: x\r\n\r\n")
+        size = 0
+        while size < 512 * len(BLOCK):
+            await curio.sleep(0.001)
+            size += len(await caller.sock.recv(1 << 20))
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        return peak
+
+    # The scripted server copies its own answer of 32 MiB twice.
+    assert run_world(body) < (64 << 20) + (8 << 20)
+
+
+@pytest.mark.parametrize(
+    ("path", "status"), [("/fabrics", 200), ("/nothing", 404)]
+)
+def test_a_body_is_asked_for_only_when_it_is_used(path, status):
+    async def body(world):
+        server = await world.add_server(answer(b"done"))
+        caller = await world.connect()
+        sock = caller.sock
+        await sock.sendall(
+            b"PUT " + path.encode() + b" HTTP/1.1\r\nhost: x\r\n"
+            b"expect: 100-continue\r\ncontent-length: 2\r\n\r\n"
+        )
+        first = await sock.recv(65536)
+        if first.startswith(b"HTTP/1.1 100"):
+            await sock.sendall(b"ab")
+            first = await sock.recv(65536)
+        return first, [head.find(b"expect") for head in server.heads]
+
+    first, expected = run_world(body)
+    assert first.startswith(b"HTTP/1.1 %d" % status)
+    assert expected == ([None] if status == 200 else [])
+
+
+@pytest.mark.parametrize("after", [0.0, 3.0])
+def test_a_half_closed_caller_gets_its_answer(after):
+    async def body(world):
+        await world.add_server(answer(b"whole", after=after))
+        caller = await world.connect()
+        await caller.sock.sendall(b"GET /fabrics HTTP/1.1\r\nhost: x\r\n\r\n")
+        await caller.sock.shutdown(1)
+        return await caller.read_raw()
+
+    assert run_world(body).endswith(b"\r\n\r\nwhole")
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"), [(b"zz\r\n", b"400"), (None, None), (b"", b"408")]
+)
+def test_a_broken_upload_ends_the_attempt_as_unknown(sent, status):
+    # The server got a part of the body, so it may have run the request.
+    async def body(world):
+        server = await world.add_server()
+        caller = await world.connect()
+        await caller.sock.sendall(
+            b"PUT /fabrics HTTP/1.1\r\nhost: x\r\n"
+            b"egretlever-deadline-ms: 90000\r\n" + CHUNKED + b"\r\n"
+            b"%x\r\n%s\r\n" % (2 * len(BLOCK), 2 * BLOCK)
+        )
+        await curio.sleep(1.0)
+        begun = read_clock()
+        if sent is None:
+            await caller.sock.close()
+            await curio.sleep(1.0)
+            return b"", Seconds(0.0), len(server.heads), world.proxy.in_flight
+        await caller.sock.sendall(sent)
+        reply = await caller.read_raw()
+        waited = Seconds(read_clock() - begun)
+        return reply, waited, len(server.heads), world.proxy.in_flight
+
+    reply, waited, runs, in_flight = run_world(body)
+    assert (runs, in_flight) == (1, 0)
+    if status is not None:
+        assert reply.startswith(b"HTTP/1.1 " + status)
+        assert b"egretlever-outcome: unknown" in reply and waited < 35
--- /dev/null
+++ b/egretlever/node/tests/test_outcomes.py
@@ -0,0 +1,189 @@
+"""Guards what callers are told of their requests (design, section 5.4)."""
+
+import curio
+import pytest
+
+from egretlever.testing import answer, run_world, send_raw, stay_silent
+
+OK = b"HTTP/1.1 200 OK\r\n"
+SHED = answer(b"", 503, b"egretlever-shed: 1")
+CROSSED = answer(b"ok", 200, b"egretlever-request-id: another")
+CUT_HELD = send_raw(OK + b"content-length: 9\r\n\r\nab")
+CUT_CHUNKED = send_raw(OK + b"transfer-encoding: chunked\r\n\r\n2\r\nab\r\n")
+DEADLINE = {"egretlever-deadline-ms": 400}
+
+
+def call(*steps, method="GET", target="/fabrics", changes=None, **fields):
+    """Call through the node; give the reply and the number of requests run."""
+
+    async def body(world):
+        server = await world.add_server(*steps) if steps else None
+        reply = await world.call(method, target, b"", **fields)
+        return reply, len(server.heads) if server else 0
+
+    return run_world(body, **(changes or {}))
+
+
+@pytest.mark.parametrize(
+    ("steps", "fields", "status", "outcome", "reason"),
+    [
+        ([answer()], {}, 200, "completed", None),
+        ([answer(status=404)], {}, 404, "completed", None),
+        ([answer(status=500)], {}, 500, "completed", None),
+        ([SHED], {}, 503, "not-run", "shed, budget-empty"),
+        ([CUT_HELD], {}, 502, "unknown", "cut, budget-empty"),
+        ([send_raw(b"")], {}, 502, "unknown", "cut, budget-empty"),
+        ([send_raw(b"junk\r\n\r\n")], {}, 502, "unknown", "cut, budget-empty"),
+        ([CROSSED], {}, 502, "unknown", "cut, budget-empty"),
+        ([stay_silent], DEADLINE, 504, "unknown", "timeout, deadline"),
+        ([answer()], {"egretlever-deadline-ms": 0}, 504, "not-run", "deadline"),
+        ([], {}, 503, "not-run", "no"),
+        ([answer()], {"egretlever-attempt": "x"}, 400, "not-run", "attempt"),
+        ([answer()], {"egretlever-rank": "none"}, 400, "not-run", "rank"),
+    ],
+)
+def test_each_outcome_has_its_status_and_headers(
+    steps, fields, status, outcome, reason
+):
+    changes = {"retry_budget": 0.0}
+    reply, runs = call(*steps, changes=changes, **fields)
+    assert (reply.status, reply.outcome) == (status, outcome)
+    found = reply.head.find(b"egretlever-reason")
+    assert found is None if reason is None else reason in found
+    assert reply.head.find(b"egretlever-request-id")
+    if outcome == "not-run" and steps != [SHED]:
+        assert runs == 0
+
+
+def test_an_unknown_route_is_not_run_and_keeps_the_connection():
+    async def body(world):
+        await world.add_server()
+        caller = await world.connect()
+        first = await caller.call("GET", "/nothing")
+        return first, await caller.call("GET", "/fabrics")
+
+    first, second = run_world(body)
+    assert (first.status, first.outcome, second.status) == (404, "not-run", 200)
+
+
+@pytest.mark.parametrize(
+    ("method", "raw", "status", "body"),
+    [
+        ("HEAD", OK + b"content-length: 900000\r\n\r\n", 200, b""),
+        ("HEAD", OK + b"transfer-encoding: chunked\r\n\r\n", 200, b""),
+        ("GET", b"HTTP/1.1 204 No Content\r\n\r\n", 204, b""),
+        ("GET", b"HTTP/1.1 304 X\r\ncontent-length: 5\r\n\r\n", 304, b""),
+        (
+            "GET",
+            OK + b"transfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+            200,
+            b"ab",
+        ),
+        # The chunks decide; the length must not be passed on beside them.
+        (
+            "GET",
+            OK + b"content-length: 9\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"2\r\nab\r\n0\r\n\r\n",
+            200,
+            b"ab",
+        ),
+    ],
+)
+def test_answers_of_each_framing_pass(method, raw, status, body):
+    reply, runs = call(send_raw(raw, keep=True), method=method)
+    assert (reply.status, reply.outcome) == (status, "completed")
+    assert (reply.body, runs) == (body, 1)
+
+
+def test_a_refused_head_request_gets_no_body():
+    # A body behind the head would be taken for the next answer.
+    reply, _ = call(answer(), method="HEAD", **{"egretlever-attempt": "x"})
+    assert (reply.status, reply.body) == (400, b"")
+
+
+@pytest.mark.parametrize("step", [CUT_HELD, CROSSED, SHED, answer(status=500)])
+def test_idempotent_requests_are_tried_again(step):
+    reply, runs = call(step, answer(b"second"))
+    assert (reply.status, reply.body, runs) == (200, b"second", 2)
+
+
+def test_a_whole_error_answer_outlives_a_failed_retry():
+    # The caller was told "completed" without the answer that completed.
+    reply, runs = call(answer(b"mine", 500), CUT_HELD)
+    assert (reply.status, reply.outcome) == (500, "completed")
+    assert (reply.body, runs) == (b"mine", 3)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"retry-after: " + b"9" * 400,
+        b"egretlever-load: " + b"9" * 5000 + b"/4",
+        b"egretlever-load: 1/0",
+        b"egretlever-draining: 1",
+    ],
+)
+def test_odd_headers_of_a_server_do_no_harm(line):
+    reply, _ = call(answer(b"", 503, line, b"egretlever-shed: 1"))
+    assert (reply.status, reply.outcome) == (503, "not-run")
+
+
+@pytest.mark.parametrize(
+    ("version", "complete"), [(b"1.1", b"0\r\n\r\n"), (b"1.0", None)]
+)
+def test_a_cut_after_the_head_is_seen_by_the_caller(version, complete):
+    async def body(world):
+        await world.add_server(CUT_CHUNKED)
+        caller = await world.connect()
+        await caller.sock.sendall(
+            b"GET /fabrics HTTP/" + version + b"\r\nhost: x\r\n\r\n"
+        )
+        return await caller.read_raw()
+
+    try:
+        received = run_world(body)
+    except ConnectionResetError:
+        return
+    # Without chunks only a reset tells a cut answer from a whole one.
+    assert complete is not None and complete not in received
+
+
+def test_a_http_1_0_caller_without_host_is_served():
+    async def body(world):
+        await world.add_server(answer(b"whole"))
+        caller = await world.connect()
+        await caller.sock.sendall(b"GET /fabrics HTTP/1.0\r\n\r\n")
+        return await caller.read_raw()
+
+    assert run_world(body).endswith(b"\r\n\r\nwhole")
+
+
+def test_bytes_on_an_idle_server_connection_forbid_its_reuse():
+    # They would be taken for the answer to the next request.
+    async def late(exchange):
+        await answer(b"first")(exchange)
+        await curio.sleep(0.2)
+        await exchange.send(OK + b"content-length: 5\r\n\r\nother")
+        return True
+
+    async def body(world):
+        server = await world.add_server(late, answer(b"second"))
+        await world.call("GET", "/fabrics")
+        await curio.sleep(0.5)
+        reply = await world.call("GET", "/fabrics")
+        return reply.body, server.connections
+
+    assert run_world(body) == (b"second", 2)
+
+
+def test_a_draining_server_gets_no_further_request():
+    async def body(world):
+        leaving = answer(b"a", 200, b"egretlever-draining: 1")
+        servers = [await world.add_server(leaving) for _ in range(2)]
+        for _ in range(2):
+            await world.call("GET", "/fabrics")
+        servers.append(await world.add_server(answer(b"b")))
+        bodies = {(await world.call("GET", "/fabrics")).body for _ in range(9)}
+        return bodies, [len(server.heads) for server in servers]
+
+    assert run_world(body) == ({b"b"}, [1, 1, 9])
--- /dev/null
+++ b/egretlever/node/tests/test_stop.py
@@ -0,0 +1,52 @@
+"""Guards the planned stop of a node: no request is cut."""
+
+import curio
+
+from egretlever.testing import answer, run_world
+
+GET = b"GET /fabrics HTTP/1.1\r\nhost: x\r\n\r\n"
+
+
+def test_a_stop_cuts_no_request_and_closes_idle_connections():
+    async def body(world):
+        await world.add_server(answer(b"a"), answer(b"busy", after=2.0))
+        idle = await world.connect()
+        await idle.call("GET", "/fabrics")
+        busy = await world.connect()
+        await busy.sock.sendall(GET)
+        await curio.sleep(0.1)
+        await world.proxy.stop()
+        ended = await idle.read_raw()
+        reply = await busy.read()
+        rest = await busy.read_raw()
+        await busy.sock.close()
+        await idle.sock.close()
+        await curio.sleep(2.0)
+        return ended, reply, rest, world.proxy.connections
+
+    ended, reply, rest, connections = run_world(body)
+    assert (ended, reply.body, rest, connections) == (b"", b"busy", b"", 0)
+    # Without this header a caller sends its next request into the close.
+    assert reply.head.find(b"connection") == "close"
+
+
+def test_a_request_that_has_arrived_at_the_stop_is_served():
+    async def body(world):
+        await world.add_server(answer(b"a"))
+        caller = await world.connect()
+        await caller.call("GET", "/fabrics")
+        await caller.sock.sendall(GET)
+        await world.proxy.stop()
+        return await caller.read()
+
+    assert run_world(body).body == b"a"
+
+
+def test_a_leaving_node_asks_callers_to_close():
+    async def body(world):
+        await world.add_server(answer(b"a"))
+        caller = await world.connect()
+        world.proxy.leave()
+        return await caller.call("GET", "/fabrics")
+
+    assert run_world(body).head.find(b"connection") == "close"
--- /dev/null
+++ b/egretlever/node/tests/test_waiting.py
@@ -0,0 +1,194 @@
+"""Guards requests that wait: queues, deadlines, silence, gone callers."""
+
+import curio
+import pytest
+
+from egretlever.core import AttemptResult, Seconds
+from egretlever.testing import answer, run_world, stay_silent
+from egretlever.transport import read_clock
+
+GET = b"GET /fabrics HTTP/1.1\r\nhost: x\r\n\r\n"
+LONG_GET = GET[:-2] + b"egretlever-deadline-ms: 60000\r\n\r\n"
+RETRIES = {"retry_budget": 1.0}
+
+
+def record_attempts(world):
+    """Collect what the detector is told."""
+    observed, original = [], world.parts.detector.observe
+
+    def observe(attempt, now):
+        observed.append(attempt)
+        original(attempt, now)
+
+    world.parts.detector.observe = observe
+    return observed
+
+
+ENOUGH = 48  # answers after which the policy knows when to hedge
+
+
+async def fill_latencies(world):
+    for _ in range(ENOUGH):
+        await world.call("GET", "/fabrics")
+
+
+def test_a_caller_that_leaves_while_a_server_works_cancels_it():
+    async def body(world):
+        server = await world.add_server(answer(after=60.0))
+        caller = await world.connect()
+        await caller.sock.sendall(LONG_GET)
+        await curio.sleep(0.3)
+        await caller.sock.close()
+        await curio.sleep(1.0)
+        return server.cancelled, world.proxy.in_flight, world.parts.gate.entered
+
+    assert run_world(body) == (1, 0, 0)
+
+
+def test_a_caller_that_leaves_the_queue_is_never_run():
+    async def body(world):
+        server = await world.add_server(answer(after=3.0), slots=1)
+        first = await world.connect()
+        await first.sock.sendall(GET)
+        await curio.sleep(0.1)
+        second = await world.connect()
+        await second.sock.sendall(LONG_GET)
+        await curio.sleep(0.1)
+        waiting = world.parts.gate.waiting
+        await second.sock.close()
+        await curio.sleep(4.0)
+        return waiting, world.parts.gate.waiting, len(server.heads)
+
+    assert run_world(body) == (1, 0, 1)
+
+
+def test_a_request_that_expires_in_the_queue_is_not_run():
+    async def body(world):
+        server = await world.add_server(answer(after=3.0), slots=1)
+        first = await world.connect()
+        await first.sock.sendall(GET)
+        await curio.sleep(0.1)
+        begun = read_clock()
+        reply = await world.call(
+            "GET", "/fabrics", **{"egretlever-deadline-ms": 500}
+        )
+        waited = read_clock() - begun
+        return reply.status, reply.outcome, waited < 0.6, len(server.heads)
+
+    assert run_world(body) == (504, "not-run", True, 1)
+
+
+def test_the_deadline_left_is_passed_on():
+    async def body(world):
+        server = await world.add_server()
+        await world.call("GET", "/fabrics", **{"egretlever-deadline-ms": 700})
+        return int(server.heads[0].find(b"egretlever-deadline-ms"))
+
+    assert 600 <= run_world(body) <= 700
+
+
+def test_a_silent_kept_connection_is_replaced_beside():
+    async def body(world):
+        observed = record_attempts(world)
+        server = await world.add_server(answer(), stay_silent, answer(b"b"))
+        await world.call("GET", "/fabrics")
+        reply = await world.call("GET", "/fabrics")
+        await curio.sleep(0.1)
+        return reply.body, server.cancelled, [item.result for item in observed]
+
+    assert run_world(body, **RETRIES) == (
+        b"b",
+        1,
+        [
+            AttemptResult.OK,
+            AttemptResult.OVERDUE,
+            AttemptResult.OK,
+            AttemptResult.STALE_CONNECTION,
+        ],
+    )
+
+
+def test_a_late_answer_on_a_kept_connection_is_measured():
+    # The new connection is no faster, so the server is slow.
+    async def body(world):
+        observed = record_attempts(world)
+        slow = answer(b"slow", after=4.3)
+        await world.add_server(answer(), slow, answer(after=4.9))
+        await world.call("GET", "/fabrics")
+        reply = await world.call("GET", "/fabrics")
+        return reply.body, [(item.result, item.latency) for item in observed]
+
+    body, observed = run_world(body, **RETRIES)
+    assert body == b"slow"
+    ended = dict(observed)
+    assert ended[AttemptResult.OK] == pytest.approx(4.3, abs=0.1)
+    assert AttemptResult.OVERDUE in ended
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_slow_requests_are_hedged_only_when_idempotent(method):
+    async def body(world):
+        quick = [answer(after=0.01)] * ENOUGH
+        first = await world.add_server(*quick, answer(b"a", after=2.0))
+        await fill_latencies(world)
+        await world.add_server(answer(b"b", after=0.01))
+        observed = record_attempts(world)
+        for _ in range(20):
+            begun = read_clock()
+            reply = await world.call(method, "/fabrics")
+            if len(first.heads) > ENOUGH:
+                break
+        taken = read_clock() - begun
+        # The lost attempt may take four times the wait until it is overdue.
+        await curio.sleep(1.0)
+        results = [item.result for item in observed]
+        entered = world.parts.gate.entered
+        return reply.body, taken, results, first.cancelled, entered
+
+    reply, taken, results, cancelled, entered = run_world(
+        body, hedge=True, **RETRIES
+    )
+    assert entered == 0
+    if method == "GET":
+        assert reply == b"b" and taken < Seconds(0.5) and cancelled == 1
+        assert results[-1] is AttemptResult.CANCELLED
+    else:
+        assert reply == b"a" and AttemptResult.CANCELLED not in results
+
+
+@pytest.mark.parametrize("duration", [0.02, 5.0])
+def test_a_hedge_does_not_hide_a_slow_server_from_the_detector(duration):
+    async def body(world):
+        quick = [answer(after=0.01)] * ENOUGH
+        slow = await world.add_server(*quick, answer(b"a", after=duration))
+        await fill_latencies(world)
+        await world.add_server(answer(b"b", after=0.0001))
+        observed = record_attempts(world)
+        while len(slow.heads) <= ENOUGH:
+            await world.call("GET", "/fabrics")
+        await curio.sleep(1.0)
+        found = [item for item in observed if item.server == "server-1"]
+        return [(item.result, item.latency) for item in found], slow.cancelled
+
+    found, cancelled = run_world(body, hedge=True, **RETRIES)
+    results = [result for result, _ in found]
+    if duration < 1.0:
+        assert results == [AttemptResult.OK] and cancelled == 0
+        assert found[0][1] == pytest.approx(duration, abs=0.011)
+    else:
+        assert results == [AttemptResult.OVERDUE, AttemptResult.CANCELLED]
+        assert cancelled == 1
+
+
+def test_a_failed_hedge_leaves_the_first_attempt_running():
+    async def body(world):
+        steps = [answer(after=0.01)] * ENOUGH
+        await world.add_server(*steps, answer(b"a", after=1.0))
+        await fill_latencies(world)
+        observed = record_attempts(world)
+        reply = await world.call("GET", "/fabrics")
+        return reply.body, [item.result for item in observed]
+
+    body, results = run_world(body, hedge=True, **RETRIES)
+    assert body == b"a"
+    assert results == [AttemptResult.OVERDUE, AttemptResult.OK]
--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -18,11 +18,19 @@
 )
 from egretlever.testing._gossip import FakeCatalogueCopy, GossipNetwork
 from egretlever.testing._order_world import OrderWorld
+from egretlever.testing._proxy_world import Caller, ProxyWorld, run_world
+from egretlever.testing._scripted_server import (
+    ServerExchange,
+    answer,
+    send_raw,
+    stay_silent,
+)
 from egretlever.testing._small_fleet import SmallFleet
 from egretlever.testing._stepped_store import FlakyTableStore, pause
 from egretlever.testing._verdicts import Verdict, judge_run
 
 __all__ = [
+    "Caller",
     "FakeCatalogueCopy",
     "FakeObjectStore",
     "FakeTableStore",
@@ -31,13 +39,16 @@
     "Fleet",
     "GossipNetwork",
     "OrderWorld",
+    "ProxyWorld",
     "RunningProgram",
+    "ServerExchange",
     "SmallFleet",
     "SteppedObjectStore",
     "SteppedTableStore",
     "Stepper",
     "Verdict",
     "VirtualClock",
+    "answer",
     "builders",
     "judge_run",
     "pause",
@@ -45,5 +56,8 @@
     "reserve_addresses",
     "run_steps",
     "run_virtual",
+    "run_world",
+    "send_raw",
+    "stay_silent",
     "wait_until",
 ]
--- /dev/null
+++ b/egretlever/testing/_proxy_world.py
@@ -0,0 +1,266 @@
+"""A node's request path over loopback with scripted backend servers."""
+
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Self, TypeVar
+
+import curio
+
+from egretlever.catalogue import make_snapshot
+from egretlever.core import Address, Seconds, Server, ServerId, ServiceName
+from egretlever.node._frontend import accept_callers, make_pool, make_proxy
+from egretlever.node._parts import make_parts
+from egretlever.schema import settings_pb2
+from egretlever.testing import builders
+from egretlever.testing._clock import run_virtual
+from egretlever.testing._fakes import FakeTableStore
+from egretlever.testing._scripted_server import ScriptedServer, Step
+from egretlever.transport import (
+    BackendConnection,
+    RequestHead,
+    ResponseHead,
+    open_connection,
+    open_listener,
+    read_clock,
+)
+
+_Value = TypeVar("_Value")
+_TICK = 0.05  # seconds between turns of the parts, as in the node
+_REQUEST_TIMEOUT = Seconds(5.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerReply:
+    """What a caller got.
+
+    Parameters
+    ----------
+    head : ResponseHead
+        Status and headers.
+    body : bytes
+        Whole body.
+    """
+
+    head: ResponseHead
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self.head.status
+
+    @property
+    def outcome(self) -> str | None:
+        """What the node says of the request."""
+        return self.head.find(b"egretlever-outcome")
+
+
+class Caller:
+    """A caller's kept connection.
+
+    Parameters
+    ----------
+    sock : curio.io.Socket
+        Connection to the node, also for raw bytes.
+    """
+
+    def __init__(self, sock: Any) -> None:
+        self.sock = sock
+        self._connection = BackendConnection(sock)
+
+    async def call(
+        self, method: str, target: str, body: bytes = b"", **fields: object
+    ) -> CallerReply:
+        """Send a request and read the whole answer.
+
+        Headers are given as keywords, with underscores for dashes.
+        """
+        named = [
+            (name.replace("_", "-").encode(), str(value).encode())
+            for name, value in fields.items()
+        ]
+        head = RequestHead(
+            method,
+            target,
+            [(b"host", b"x"), (b"content-length", b"%d" % len(body)), *named],
+        )
+        await self._connection.send_request(head, body)
+        return await self.read()
+
+    async def read(self) -> CallerReply:
+        """Read one whole answer."""
+        response = await self._connection.read_response()
+        data, ended = self._connection.take_data()
+        while not ended:
+            more, ended = await self._connection.read_data()
+            data += more
+        self._connection.prepare_next()
+        return CallerReply(response, data)
+
+    async def read_raw(self) -> bytes:
+        """Read raw bytes until the connection ends."""
+        data = bytearray()
+        while more := await self.sock.recv(65536):
+            data += more
+        return bytes(data)
+
+
+class ProxyWorld:
+    """The request path of one node; use it as an asynchronous context.
+
+    Parameters
+    ----------
+    **changes : object
+        Changed fields of each service of the catalogue.
+
+    Attributes
+    ----------
+    parts : NodeParts
+        Decision parts.
+    proxy : Proxy
+        The proxy under test.
+    table : FakeTableStore
+        Rows of claims.
+    address : Address
+        Address for callers.
+    """
+
+    def __init__(self, **changes: Any) -> None:
+        self._settings = _build_settings()
+        self.table = FakeTableStore()
+        randomness = random.Random(1)
+        self.parts = make_parts(self._settings, self.table, randomness)
+        self.parts.randomness = randomness
+        catalogue = builders.build_catalogue()
+        for service in catalogue.services:
+            for name, value in changes.items():
+                setattr(service, name, value)
+        self._catalogue = make_snapshot(catalogue)
+        self.pool = make_pool(self._settings.traffic)
+        self.proxy = make_proxy(self.parts, self.pool, randomness)
+        self._tasks: list[curio.Task] = []
+        self._servers = 0
+        self._sockets: list[Any] = []
+
+    async def __aenter__(self) -> Self:
+        now = read_clock()
+        self.parts.catalogue.offer(self._catalogue, now)
+        self.parts.take_catalogue(now)
+        self._listener = open_listener(Address("127.0.0.1", 0))
+        self.address = Address(*self._listener.getsockname()[:2])
+        await self._spawn(
+            accept_callers(self._listener, self.proxy, self._settings.traffic)
+        )
+        await self._spawn(self._tick_forever())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for sock in self._sockets:
+            await sock.close()
+        for task in self._tasks:
+            await task.cancel()
+        await self.pool.close()
+        await self._listener.close()
+
+    async def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(await curio.spawn(work, daemon=True))
+
+    async def _tick_forever(self) -> None:
+        parts = self.parts
+        while True:
+            await curio.sleep(_TICK)
+            now = read_clock()
+            parts.detector.advance(now)
+            parts.router.advance(now)
+            await parts.gate.advance()
+            await parts.ledger.flush()
+
+    async def add_server(
+        self, *steps: Step, service: str = "catalogue", slots: int = 4
+    ) -> ScriptedServer:
+        """Start a scripted server and tell the parts of it."""
+        scripted = ScriptedServer(*steps)
+        await self._spawn(scripted.run())
+        self.add_address(scripted.address, service, slots)
+        return scripted
+
+    def add_address(
+        self, address: Address, service: str = "catalogue", slots: int = 4
+    ) -> Server:
+        """Tell the parts of a server at an address."""
+        self._servers += 1
+        server = builders.build_server(
+            4 * self._servers,
+            id=ServerId(f"server-{self._servers}"),
+            service=ServiceName(service),
+            address=address,
+            slots=slots,
+        )
+        now = read_clock()
+        self.parts.selections.update(server)
+        self.parts.router.update([server], now)
+        self.parts.detector.update_servers([server], now)
+        return server
+
+    async def connect(self) -> Caller:
+        """Open a caller's connection; it is closed at the end."""
+        sock = await open_connection(self.address, _REQUEST_TIMEOUT)
+        self._sockets.append(sock)
+        return Caller(sock)
+
+    async def call(
+        self, method: str, target: str, body: bytes = b"", **fields: object
+    ) -> CallerReply:
+        """Send a request on a connection of its own."""
+        caller = await self.connect()
+        return await caller.call(method, target, body, **fields)
+
+
+def _build_settings() -> settings_pb2.NodeSettings:
+    return settings_pb2.NodeSettings(
+        identity=settings_pb2.IdentitySection(
+            node="node-0",
+            host="host-0",
+            failure_domain="domain-0",
+            region="punjab",
+        ),
+        platform=settings_pb2.PlatformSection(poll_interval_s=0.5),
+        traffic=settings_pb2.TrafficSection(
+            max_connections=2000,
+            max_header_bytes=16384,
+            header_timeout_s=10,
+            body_timeout_s=30,
+            idle_timeout_s=60,
+            connect_timeout_s=0.25,
+            server_idle_timeout_s=20,
+            server_connections=16,
+            drain_timeout_s=30,
+            region_link_bits_per_s=15e6,
+        ),
+    )
+
+
+def run_world(
+    body: Callable[[ProxyWorld], Awaitable[_Value]], **changes: Any
+) -> _Value:
+    """Run a coroutine function with a `ProxyWorld` in virtual time.
+
+    Parameters
+    ----------
+    body : callable
+        Coroutine function that takes the world.
+    **changes : object
+        Changed fields of each service of the catalogue.
+
+    Returns
+    -------
+    object
+        The result of the body.
+    """
+
+    async def run() -> _Value:
+        async with ProxyWorld(**changes) as world:
+            return await body(world)
+
+    return run_virtual(run())
--- a/egretlever/transport/_backends.py
+++ b/egretlever/transport/_backends.py
@@ -3,12 +3,18 @@
 from typing import Any
 
 import h11
+from curio import socket
 
-from egretlever.transport._heads import RequestHead, ResponseHead
-from egretlever.transport._sockets import is_closed_by_peer, read_clock
+from egretlever.transport._heads import (
+    RequestHead,
+    ResponseHead,
+    is_chunked,
+)
+from egretlever.transport._sockets import is_quiet, read_clock
 
 _READ_SIZE = 65536
 _MAX_HEAD_BYTES = 65536
+_LENGTH = b"content-length"
 
 
 class BackendClosedError(Exception):
@@ -106,7 +112,11 @@
         while True:
             event = await self._read_event()
             if isinstance(event, h11.Response):
-                return ResponseHead(event.status_code, list(event.headers))
+                fields = list(event.headers)
+                if is_chunked(fields):
+                    # The chunks decide over a length (RFC 9112, 6.3).
+                    fields = [field for field in fields if field[0] != _LENGTH]
+                return ResponseHead(event.status_code, fields)
             if isinstance(event, h11.InformationalResponse):
                 continue
             raise BackendClosedError("the connection ended before a response")
@@ -179,9 +189,19 @@
         """Whether the whole response has been read."""
         return self._ended
 
-    def is_gone(self) -> bool:
-        """Tell without waiting whether the backend server closed."""
-        return is_closed_by_peer(self._sock)
+    def is_usable(self) -> bool:
+        """Tell whether an idle connection is open and nothing was received.
+
+        What arrives between exchanges would be taken for the next answer.
+        """
+        return is_quiet(self._sock)
+
+    async def shut_down(self) -> None:
+        """End the connection under a task that waits for its response."""
+        try:
+            await self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
 
     def prepare_next(self) -> bool:
         """Prepare for the next request.
--- a/egretlever/transport/_callers.py
+++ b/egretlever/transport/_callers.py
@@ -14,7 +14,13 @@
     check_raw_head,
     check_request,
 )
-from egretlever.transport._sockets import is_closed_by_peer
+from egretlever.transport._sockets import (
+    has_unread_data,
+    is_closed_by_peer,
+    is_reset_by_peer,
+    reset_on_close,
+    send_now,
+)
 
 _READ_SIZE = 65536
 _HEAD_END = b"\r\n\r\n"
@@ -41,6 +47,11 @@
         Longest silence while a body is received or an answer is sent.
     idle_timeout : Seconds, default=60
         Longest wait for the next request.
+
+    Attributes
+    ----------
+    method : str
+        Method of the present request, empty until its head is read.
     """
 
     def __init__(
@@ -60,6 +71,8 @@
         self._http = self._make_parser()
         self._body_ended = False
         self._answer_ended = False
+        self._half_closed: bool | None = None
+        self.method = ""
 
     def _make_parser(self) -> h11.Connection:
         return h11.Connection(
@@ -81,8 +94,9 @@
         CallerGoneError
             When the connection ended within a head.
         """
-        if not self._pending and not await self._wait_for_first_byte():
+        if not await self.wait_for_request():
             return None
+        self.method = ""
         try:
             async with curio.timeout_after(self._head_timeout):
                 await self._read_raw_head()
@@ -103,10 +117,14 @@
             event.target.decode("latin-1"),
             list(event.headers),
         )
+        self.method = head.method
         check_request(head)
         return head
 
-    async def _wait_for_first_byte(self) -> bool:
+    async def wait_for_request(self) -> bool:
+        """Wait for the first byte of a request; false when there is none."""
+        if self._pending:
+            return True
         try:
             async with curio.timeout_after(self._idle_timeout):
                 data = await self._sock.recv(_READ_SIZE)
@@ -262,8 +280,29 @@
         return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
 
     def is_gone(self) -> bool:
-        """Tell without waiting whether the caller closed its connection."""
-        return is_closed_by_peer(self._sock)
+        """Tell without waiting whether the caller closed its connection.
+
+        A caller that only ended its sending side still gets its answer. Both
+        look the same until something is written: a closed connection answers
+        it with a reset, which the next call sees.
+        """
+        if not is_closed_by_peer(self._sock):
+            return False
+        if self._half_closed is None:
+            self._half_closed = self._probe_half_closed()
+            return not self._half_closed
+        return not self._half_closed or is_reset_by_peer(self._sock)
+
+    def _probe_half_closed(self) -> bool:
+        """Write an interim response; false when the connection is reset."""
+        if self.answer_begun or self._http.their_http_version != b"1.1":
+            return not is_reset_by_peer(self._sock)
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        return send_now(self._sock, self._http.send(interim) or b"")
+
+    def has_input(self) -> bool:
+        """Tell without waiting whether a request has begun to arrive."""
+        return bool(self._pending) or has_unread_data(self._sock)
 
     def prepare_next(self) -> bool:
         """Prepare for the next request on this connection.
@@ -273,7 +312,7 @@
         bool
             False when the connection can't carry another request.
         """
-        if not (self._body_ended and self._answer_ended):
+        if not (self._answer_ended and self._skip_received_body()):
             return False
         if self._http.states != {
             h11.CLIENT: h11.DONE,
@@ -291,6 +330,18 @@
         self._http.start_next_cycle()
         return True
 
+    def _skip_received_body(self) -> bool:
+        """Drop the rest of a body that was received and never read."""
+        while not self._body_ended:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError:
+                return False
+            self._body_ended = isinstance(event, h11.EndOfMessage)
+            if not self._body_ended and not isinstance(event, h11.Data):
+                return False
+        return True
+
     async def close_gracefully(self) -> None:
         """Close after the caller has had time to read what was sent.
 
@@ -309,3 +360,12 @@
     async def close(self) -> None:
         """Close the socket, cutting an answer that is not complete."""
         await self._sock.close()
+
+    async def abort(self) -> None:
+        """Reset the connection.
+
+        An answer to an HTTP/1.0 caller may be delimited by the end of the
+        connection, so only a reset shows that it was cut.
+        """
+        reset_on_close(self._sock)
+        await self._sock.close()
--- a/egretlever/transport/_pool.py
+++ b/egretlever/transport/_pool.py
@@ -46,7 +46,7 @@
         while not fresh and (idle := self._idle.get(address)):
             connection = idle.pop()
             age = read_clock() - connection.idle_since
-            if age < self._idle_timeout and not connection.is_gone():
+            if age < self._idle_timeout and connection.is_usable():
                 return connection
             await connection.close()
         sock = await open_connection(address, self._connect_timeout)
--- a/egretlever/transport/_services.py
+++ b/egretlever/transport/_services.py
@@ -1,6 +1,7 @@
 """Accept loops, and small services that answer whole requests."""
 
 import dataclasses
+import traceback
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -41,10 +42,15 @@
 Handler = Callable[[RequestHead, bytes], Awaitable[Answer]]
 
 
+def _ignore(status: int) -> None:
+    """Count nothing."""
+
+
 async def accept_connections(
     listener: Any,
     handle: Callable[[Any], Awaitable[None]],
     limit: int,
+    count: Callable[[int], None] = _ignore,
 ) -> None:
     """Accept connections for ever and handle each in a task of its own.
 
@@ -56,6 +62,8 @@
         Coroutine function that takes the accepted socket and owns it.
     limit : int
         Connections handled at once; further ones are closed at once.
+    count : callable, optional
+        Called with 0 for a connection that ended by an unexpected exception.
     """
     active = 0
 
@@ -66,6 +74,10 @@
             await handle(sock)
         except OSError as error:
             _LOG.debug("Connection failed: %s.", error)
+        except Exception:
+            # One connection must not end the others with its fault.
+            count(0)
+            _LOG.error("A connection ended by\n%s", traceback.format_exc())
         finally:
             active -= 1
             await sock.close()
@@ -107,7 +119,10 @@
 
 
 async def answer_requests(
-    connection: CallerConnection, handle: Handler, max_body: int = 1 << 20
+    connection: CallerConnection,
+    handle: Handler,
+    max_body: int = 1 << 20,
+    count: Callable[[int], None] = _ignore,
 ) -> None:
     """Answer the requests of one connection with whole answers.
 
@@ -119,6 +134,8 @@
         Coroutine function from a request to its `Answer`.
     max_body : int, default=1048576
         Largest accepted body, in bytes.
+    count : callable, optional
+        Called with the status of each refused request.
     """
     try:
         while head := await connection.read_request():
@@ -129,6 +146,7 @@
             if not connection.prepare_next():
                 return
     except RequestError as error:
+        count(error.status)
         await _refuse(connection, error)
     except CallerGoneError:
         return
@@ -147,7 +165,10 @@
 
 
 async def serve_requests(
-    listener: Any, handle: Handler, limit: int = 256
+    listener: Any,
+    handle: Handler,
+    limit: int = 256,
+    count: Callable[[int], None] = _ignore,
 ) -> None:
     """Serve whole answers on a listening socket for ever.
 
@@ -159,9 +180,11 @@
         Coroutine function from a request and its body to an `Answer`.
     limit : int, default=256
         Connections handled at once.
+    count : callable, optional
+        Called with the status of each refused request, 0 for an exception.
     """
 
     async def serve(sock: Any) -> None:
-        await answer_requests(CallerConnection(sock), handle)
+        await answer_requests(CallerConnection(sock), handle, count=count)
 
-    await accept_connections(listener, serve, limit)
+    await accept_connections(listener, serve, limit, count)
--- a/egretlever/transport/_sockets.py
+++ b/egretlever/transport/_sockets.py
@@ -1,6 +1,8 @@
 """TCP sockets on curio, and the clock of its loop."""
 
+import select
 import socket as plain_socket
+import struct
 from typing import Any
 
 import curio
@@ -108,6 +110,18 @@
     sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
 
 
+def _peek(sock: Any) -> bytes | None:
+    """Look at the next unread byte; None when nothing has arrived."""
+    with sock.blocking() as plain:
+        try:
+            found: bytes = plain.recv(
+                1, plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
+            )
+            return found
+        except (BlockingIOError, InterruptedError):
+            return None
+
+
 def is_closed_by_peer(sock: Any) -> bool:
     """Tell without waiting whether the peer has closed or reset a connection.
 
@@ -121,13 +135,58 @@
     bool
         False also when data waits to be read.
     """
+    try:
+        return _peek(sock) == b""
+    except OSError:
+        return True
+
+
+def is_quiet(sock: Any) -> bool:
+    """Tell without waiting whether a connection is open with nothing to read.
+
+    Data that arrives on an idle connection belongs to no request.
+    """
+    try:
+        return _peek(sock) is None
+    except OSError:
+        return False
+
+
+def has_unread_data(sock: Any) -> bool:
+    """Tell without waiting whether received data waits to be read."""
+    try:
+        return bool(_peek(sock))
+    except OSError:
+        return False
+
+
+def is_reset_by_peer(sock: Any) -> bool:
+    """Tell without waiting whether the peer has reset a connection."""
+    try:
+        with sock.blocking() as plain:
+            poller = select.poll()
+            poller.register(plain, 0)
+            return any(
+                event & (select.POLLERR | select.POLLHUP)
+                for _, event in poller.poll(0)
+            )
+    except OSError:
+        return True
+
+
+def send_now(sock: Any, data: bytes) -> bool:
+    """Send a few bytes without waiting; false when the connection is reset."""
     with sock.blocking() as plain:
         try:
-            return (
-                plain.recv(1, plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT)
-                == b""
-            )
+            plain.send(data, plain_socket.MSG_DONTWAIT)
         except (BlockingIOError, InterruptedError):
-            return False
-        except OSError:
             return True
+        except OSError:
+            return False
+    return True
+
+
+def reset_on_close(sock: Any) -> None:
+    """Make the coming close reset the connection."""
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
