--- a/egretlever/node/_admin.py
+++ b/egretlever/node/_admin.py
@@ -5,8 +5,8 @@
 from google.protobuf import json_format
 from google.protobuf.message import DecodeError, Message
 
+from egretlever.node import _metrics as metrics
 from egretlever.node._fault_page import answer_faults
-from egretlever.node._metrics import render_metrics
 from egretlever.schema import admin_pb2, catalogue_pb2, gossip_pb2
 from egretlever.transport import (
     NO_FAULTS,
@@ -67,9 +67,13 @@
 
     async def serve(sock: Any) -> None:
         connection = CallerConnection(sock)
-        await answer_requests(connection, handle, _MAX_BODY_BYTES)
+        await answer_requests(
+            connection, handle, _MAX_BODY_BYTES, metrics.count_bad_request
+        )
 
-    await accept_connections(listener, serve, _MAX_CONNECTIONS)
+    await accept_connections(
+        listener, serve, _MAX_CONNECTIONS, metrics.count_bad_request
+    )
 
 
 def make_admin(
@@ -106,7 +110,7 @@
             return Answer(body=b"ready\n")
         return Answer(503, b"not ready\n")
     if path == "/metrics":
-        return Answer(200, render_metrics(), _METRICS_TYPE)
+        return Answer(200, metrics.render_metrics(), _METRICS_TYPE)
     if path == "/fleet":
         return _answer_json(node.describe())
     if path == "/catalogue":
--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -18,26 +18,20 @@
 from egretlever.membership import CatalogueUpdate, DatagramPort, Send
 from egretlever.node import _metrics as metrics
 from egretlever.node._admin import serve_admin
-from egretlever.node._attempts import AttemptRunner
 from egretlever.node._catalogue import CatalogueCopy, CatalogueSync
 from egretlever.node._chores import StoreChores
-from egretlever.node._engine import Engine, Parts
 from egretlever.node._evidence import EvidenceLink
+from egretlever.node._frontend import accept_callers, make_pool, make_proxy
 from egretlever.node._offers import OfferDesk
 from egretlever.node._operations import Operations
-from egretlever.node._orders import OrderDesk
 from egretlever.node._parts import make_member, make_parts
-from egretlever.node._proxy import Proxy
 from egretlever.node._status import describe_fleet
 from egretlever.orders import make_claim_sweep
 from egretlever.platform import make_object_store, make_table_store
 from egretlever.schema import admin_pb2, catalogue_pb2, settings_pb2
 from egretlever.settings import parse_address
 from egretlever.transport import (
-    CallerConnection,
-    ConnectionPool,
     DatagramEndpoint,
-    accept_connections,
     make_fault_injector,
     open_listener,
     read_clock,
@@ -124,34 +118,9 @@
         self._outgoing: list[tuple[Address, bytes]] = []
         self._stop = curio.Event()
         self._leaving = False
-        self._make_proxy(randomness)
-
-    def _make_proxy(self, randomness: random.Random) -> None:
-        traffic = self._settings.traffic
-        parts = self._parts
-        self._pool = ConnectionPool(
-            Seconds(traffic.connect_timeout_s),
-            Seconds(traffic.server_idle_timeout_s),
-            traffic.server_connections,
-            self._faults,
-        )
-        runner = AttemptRunner(
-            self._pool,
-            lambda attempt: parts.detector.observe(attempt, read_clock()),
-        )
-        engine = Engine(
-            Parts(
-                parts.catalogue,
-                parts.gate,
-                parts.selections,
-                parts.router,
-                parts.detector,
-                parts.retry,
-            ),
-            runner,
-            OrderDesk(parts.ledger),
-        )
-        self._proxy = Proxy(parts.catalogue, engine, randomness)
+        self._acceptor: curio.Task | None = None
+        self._pool = make_pool(settings.traffic, self._faults)
+        self._proxy = make_proxy(self._parts, self._pool, randomness)
 
     @property
     def ready(self) -> bool:
@@ -202,7 +171,14 @@
             "%s serves callers on %s.", self._parts.sender.node, listen.traffic
         )
         async with curio.TaskGroup(wait=any) as tasks:
-            await tasks.spawn(self._accept, traffic)
+            self._acceptor = await curio.spawn(
+                accept_callers,
+                traffic,
+                self._proxy,
+                self._settings.traffic,
+                self._faults,
+                daemon=True,
+            )
             await tasks.spawn(
                 serve_admin, admin, self, self._operations, self._faults
             )
@@ -220,22 +196,6 @@
         if tasks.exception:
             raise tasks.exception
 
-    async def _accept(self, listener: Any) -> None:
-        traffic = self._settings.traffic
-
-        async def serve(sock: Any) -> None:
-            peer = sock.getpeername()
-            connection = CallerConnection(
-                self._faults.wrap(sock, Address(peer[0], peer[1])),
-                traffic.max_header_bytes,
-                Seconds(traffic.header_timeout_s),
-                Seconds(traffic.body_timeout_s),
-                Seconds(traffic.idle_timeout_s),
-            )
-            await self._proxy.serve(connection, peer[0])
-
-        await accept_connections(listener, serve, traffic.max_connections)
-
     async def _receive_gossip(self, gossip: DatagramEndpoint) -> None:
         while True:
             data, sender = await gossip.receive()
@@ -328,11 +288,16 @@
         self._leaving = True
         _LOG.info("%s leaves.", self._parts.sender.node)
         self._queue(self._port.encode(self._member.leave(read_clock())))
+        self._proxy.leave()
         # Callers that have not heard yet are still served in this time.
         await curio.sleep(_LEAVE_LINGER)
-        self._proxy.stop()
+        if self._acceptor is not None:
+            await self._acceptor.cancel()
+        await self._proxy.stop()
         until = read_clock() + self._settings.traffic.drain_timeout_s
-        while self._proxy.in_flight and read_clock() < until:
+        # An answer is complete only when its connection has ended: bytes that
+        # were sent are lost when the process ends with unread input.
+        while self._proxy.connections and read_clock() < until:
             await curio.sleep(_TICK)
         while await self._parts.ledger.flush():
             pass
