Reserve test ports below the ephemeral range and only once

A port that the kernel gave to reserve_addresses was taken by another process before its program bound it: one server of 18 was missing in 3 of 6 starts of 12 nodes, twice beside a test run and once beside two other fleets.

--- a/egretlever/testing/_fleet.py
+++ b/egretlever/testing/_fleet.py
@@ -1,7 +1,8 @@
 """Launcher of a small fleet of real processes on loopback, for tests."""
 
-import contextlib
 import dataclasses
+import itertools
+import os
 import pathlib
 import signal
 import socket
@@ -16,12 +17,20 @@
 from egretlever.core import Address
 
 _LOOPBACK = "127.0.0.1"
+_FIRST_PORT = 12000
+_PORT_COUNT = 20000  # the ephemeral ports of Linux begin at 32768
+# Fleets of other processes begin at other ports.
+_PORTS = itertools.count(os.getpid() * 331 % _PORT_COUNT)
 _STOP_TIMEOUT = 15.0  # seconds for a planned stop before the process is killed
 
 
 def reserve_addresses(count: int) -> list[Address]:
     """Reserve distinct free ports on loopback.
 
+    The ports lie below those that the kernel gives to outgoing connections,
+    and none is returned twice: a port from the kernel was taken by another
+    process in one start of 12 nodes and 18 servers out of three.
+
     Parameters
     ----------
     count : int
@@ -32,21 +41,25 @@
     list of Address
         Addresses that were free a moment ago, for TCP and UDP.
     """
-    with contextlib.ExitStack() as stack:
-        found: list[Address] = []
-        while len(found) < count:
-            tcp = stack.enter_context(socket.socket())
-            udp = stack.enter_context(
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            )
-            tcp.bind((_LOOPBACK, 0))
-            port = tcp.getsockname()[1]
-            try:
-                udp.bind((_LOOPBACK, port))
-            except OSError:
-                continue
+    found: list[Address] = []
+    while len(found) < count:
+        port = _FIRST_PORT + next(_PORTS) % _PORT_COUNT
+        if _is_free(port):
             found.append(Address(_LOOPBACK, port))
-        return found
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with (
+        socket.socket() as tcp,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+    ):
+        try:
+            tcp.bind((_LOOPBACK, port))
+            udp.bind((_LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 @dataclasses.dataclass(slots=True)
