Tell callers when a leaving node closes their connection

Cause: a node that stops closed each connection behind the answer without saying so, so a caller that sent its next request met the close and had no outcome. It also went on accepting until nothing was in flight, which under a flood took up to 22 s. A refusal before the request's body was read closed the connection in the same silent way.

Ruled out: closing idle connections at the announcement, which loses requests on their way.

--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -123,6 +123,7 @@
         )
         self._outgoing: list[tuple[Address, bytes]] = []
         self._stop = curio.Event()
+        self._closing = curio.Event()
         self._leaving = False
         self._make_proxy(randomness)
 
@@ -215,7 +216,7 @@
             await tasks.spawn(_repeat, _SLOW_INTERVAL, self._chores.run)
             await tasks.spawn(_repeat, _ROLE_INTERVAL, self._choose_roles)
             await tasks.spawn(self._stop.wait)
-        for sock in (traffic, admin, gossip):
+        for sock in (admin, gossip):
             await sock.close()
         if tasks.exception:
             raise tasks.exception
@@ -234,7 +235,15 @@
             )
             await self._proxy.serve(connection, peer[0])
 
-        await accept_connections(listener, serve, traffic.max_connections)
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(
+                accept_connections, listener, serve, traffic.max_connections
+            )
+            await tasks.spawn(self._closing.wait)
+        await listener.close()
+        if tasks.exception:
+            raise tasks.exception
+        await self._stop.wait()
 
     async def _receive_gossip(self, gossip: DatagramEndpoint) -> None:
         while True:
@@ -328,9 +337,11 @@
         self._leaving = True
         _LOG.info("%s leaves.", self._parts.sender.node)
         self._queue(self._port.encode(self._member.leave(read_clock())))
-        # Callers that have not heard yet are still served in this time.
-        await curio.sleep(_LEAVE_LINGER)
+        # Callers that have not heard yet are still served in this time, and
+        # the answer tells them to use another node.
         self._proxy.stop()
+        await curio.sleep(_LEAVE_LINGER)
+        await self._closing.set()
         until = read_clock() + self._settings.traffic.drain_timeout_s
         while self._proxy.in_flight and read_clock() < until:
             await curio.sleep(_TICK)
--- a/egretlever/node/_proxy.py
+++ b/egretlever/node/_proxy.py
@@ -63,6 +63,7 @@
         self._number = 0
         self._in_flight = 0
         self._stopping = False
+        self._connections: set[CallerConnection] = set()
 
     @property
     def in_flight(self) -> int:
@@ -70,11 +71,16 @@
         return self._in_flight
 
     def stop(self) -> None:
-        """Close each connection after the request that it carries."""
+        """Close each connection after its next answer, which says so."""
         self._stopping = True
+        for connection in self._connections:
+            connection.announce_close()
 
     async def serve(self, connection: CallerConnection, peer: str) -> None:
         """Serve a caller's connection until it ends."""
+        if self._stopping:
+            connection.announce_close()
+        self._connections.add(connection)
         try:
             while head := await connection.read_request():
                 self._in_flight += 1
@@ -82,7 +88,7 @@
                     await self._serve_request(connection, head, peer)
                 finally:
                     self._in_flight -= 1
-                if self._stopping or not connection.prepare_next():
+                if not connection.prepare_next():
                     break
             await connection.close_gracefully()
         except RequestError as error:
@@ -90,6 +96,8 @@
             await self._refuse_bad_request(connection, error)
         except CallerGoneError:
             metrics.LOST_CALLERS.inc()
+        finally:
+            self._connections.discard(connection)
 
     def _make_id(self) -> RequestId:
         self._number += 1
@@ -173,6 +181,7 @@
         if answer.outcome is Outcome.NOT_RUN:
             metrics.REFUSALS.labels(answer.reason).inc()
         head, body = encode_own_answer(answer, request_id)
+        connection.skip_body()
         if request.method == "HEAD":
             body = b""
         await connection.send_response(head, body)
--- /dev/null
+++ b/egretlever/node/tests/test_leaving.py
@@ -0,0 +1,97 @@
+"""Guards callers of a node that leaves: none sends into a closed connection."""
+
+import random
+
+import curio
+
+from egretlever.catalogue import make_catalogue_state
+from egretlever.core import Address, Seconds
+from egretlever.node._proxy import Proxy
+from egretlever.testing import run_virtual
+from egretlever.transport import (
+    BackendConnection,
+    CallerConnection,
+    RequestHead,
+    accept_connections,
+    open_connection,
+    open_listener,
+)
+
+REQUEST = RequestHead("GET", "/", [(b"host", b"x")])
+
+
+async def exchange(connection):
+    await connection.send_request(REQUEST)
+    head = await connection.read_response()
+    while not connection.ended:
+        await connection.read_data()
+    return head.find(b"connection"), connection.prepare_next()
+
+
+async def run_proxy(body):
+    """Run a body with a proxy and a function that connects to it."""
+    proxy = Proxy(make_catalogue_state(), None, random.Random(1))
+    listener = open_listener(Address("127.0.0.1", 0))
+    address = Address("127.0.0.1", listener.getsockname()[1])
+
+    async def serve(sock):
+        await proxy.serve(CallerConnection(sock), "127.0.0.1")
+
+    async def connect():
+        return BackendConnection(await open_connection(address, Seconds(1.0)))
+
+    task = await curio.spawn(accept_connections, listener, serve, 10)
+    try:
+        return await body(proxy, connect)
+    finally:
+        await task.cancel()
+        await listener.close()
+
+
+def test_a_leaving_node_says_that_it_closes_the_connection():
+    # Without it a caller's next request met the close and had no outcome.
+    async def body(proxy, connect):
+        connection = await connect()
+        before = await exchange(connection)
+        proxy.stop()
+        after = await exchange(connection)
+        await connection.close()
+        return before, after
+
+    assert run_virtual(run_proxy(body)) == ((None, True), ("close", False))
+
+
+def test_an_early_refusal_of_a_bodyless_request_keeps_the_connection():
+    # The connection was closed behind the refusal, which did not say so.
+    async def body(proxy, connect):
+        connection = await connect()
+        answers = [await exchange(connection) for _ in range(3)]
+        await connection.close()
+        return answers
+
+    assert run_virtual(run_proxy(body)) == [(None, True)] * 3
+
+
+def test_a_refusal_before_the_whole_body_says_that_it_closes():
+    async def body(proxy, connect):
+        connection = await connect()
+        head = RequestHead(
+            "POST", "/", [(b"host", b"x"), (b"content-length", b"5")]
+        )
+        await connection.send_request(head, b"ab", False)
+        answer = await connection.read_response()
+        await connection.close()
+        return answer.find(b"connection")
+
+    assert run_virtual(run_proxy(body)) == "close"
+
+
+def test_a_new_connection_to_a_leaving_node_gets_one_answer():
+    async def body(proxy, connect):
+        proxy.stop()
+        connection = await connect()
+        answer = await exchange(connection)
+        await connection.close()
+        return answer
+
+    assert run_virtual(run_proxy(body)) == ("close", False)
--- a/egretlever/transport/_callers.py
+++ b/egretlever/transport/_callers.py
@@ -60,6 +60,15 @@
         self._http = self._make_parser()
         self._body_ended = False
         self._answer_ended = False
+        self._last = False
+
+    def announce_close(self) -> None:
+        """Say in the next answer that the connection ends behind it.
+
+        A caller that isn't told may send its next request just when the
+        connection is closed, and can't know whether that request has run.
+        """
+        self._last = True
 
     def _make_parser(self) -> h11.Connection:
         return h11.Connection(
@@ -181,6 +190,23 @@
                 raise CallerGoneError("the connection ended within a body")
         return b""
 
+    def skip_body(self) -> None:
+        """Drop the received body before an answer that does not need it.
+
+        When the rest of the body is still to come, the connection ends behind
+        the answer, and the answer says so.
+        """
+        while not self._body_ended:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError:
+                event = h11.NEED_DATA
+            if isinstance(event, h11.EndOfMessage):
+                self._body_ended = True
+            elif not isinstance(event, h11.Data):
+                self._last = True
+                return
+
     async def _receive_body(self) -> None:
         if self.expects_continue:
             await self._send(
@@ -223,8 +249,11 @@
         CallerGoneError
             When the caller does not take the answer.
         """
+        fields = head.headers
+        if self._last:
+            fields = [*fields, (b"connection", b"close")]
         parts = self._http.send(
-            h11.Response(status_code=head.status, headers=head.headers)
+            h11.Response(status_code=head.status, headers=fields)
         )
         await self._send(parts + self._encode_body(data, ended))
 
