Give each randomised run addresses of its own

Two fleets could choose the same ports, and a server's port could be taken by an outgoing connection before it was bound. The failure now prints what each node knows and which programs ended.

--- a/benchmarks/_soak.py
+++ b/benchmarks/_soak.py
@@ -79,11 +79,13 @@
 
     def start(self) -> list[Event]:
         """Start the fleet and return the schedule."""
-        self._fleet.start_all(_NODES, random.Random())
+        self._fleet.start_all(_NODES)
         self._fleet.apply_catalogue(_CATALOGUE)
         servers = list(self._fleet.homes)
         if not self._fleet.wait_ready(len(servers), _READY_TIMEOUT):
-            raise RuntimeError("the fleet did not become ready")
+            raise RuntimeError(
+                f"the fleet is not ready\n{self._fleet.describe_start()}"
+            )
         return make_schedule(
             self._randomness, self._duration, servers, list(self._fleet.nodes)
         )
--- a/benchmarks/_soak_fleet.py
+++ b/benchmarks/_soak_fleet.py
@@ -1,9 +1,9 @@
 """Fleet of the randomised run, steered from one curio loop."""
 
+import itertools
+import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import time
 
@@ -18,27 +18,21 @@
 
 # Below the range of ports that the system gives to outgoing connections, so
 # that a node can take its ports again after a restart.
-_PORTS = range(14000, 32000)
+_FIRST_PORT = 14000
 _START_PAUSE = 0.15  # seconds between starts, which cost processor time
 _DRAIN_LINGER = 5.0  # seconds; a late request is recorded, not refused
-_LOOPBACK = "127.0.0.1"
-
-
-def reserve_stable_addresses(
-    randomness: random.Random, count: int
-) -> list[Address]:
-    """Choose ports that the system gives to no outgoing connection."""
-    found: list[Address] = []
-    for port in randomness.sample(_PORTS, len(_PORTS)):
-        if len(found) == count:
-            break
-        with socket.socket() as tcp:
-            try:
-                tcp.bind((_LOOPBACK, port))
-            except OSError:
-                continue
-        found.append(Address(_LOOPBACK, port))
-    return found
+
+
+def choose_loopback() -> str:
+    """Choose a loopback address that no other run uses at this time.
+
+    Examples
+    --------
+    >>> choose_loopback().startswith("127.")
+    True
+    """
+    number = os.getpid()
+    return f"127.{number >> 16 & 127 | 1}.{number >> 8 & 255}.{number & 255}"
 
 
 class SoakFleet(SmallFleet):
@@ -51,14 +45,20 @@
     """
 
     def __init__(self) -> None:
+        self._ip = choose_loopback()
+        self._ports = itertools.count(_FIRST_PORT)
         super().__init__(fault_injection=True)
         self.homes: dict[str, str] = {}
         self._edits = 0
 
-    def start_all(self, nodes: int, randomness: random.Random) -> None:
+    def reserve(self, count: int) -> list[Address]:
+        """Reserve addresses that this run has not used yet."""
+        return [Address(self._ip, next(self._ports)) for _ in range(count)]
+
+    def start_all(self, nodes: int) -> None:
         """Start the platform, nodes and servers."""
         self.start_platform()
-        addresses = reserve_stable_addresses(randomness, 3 * nodes)
+        addresses = self.reserve(3 * nodes)
         for number in range(nodes):
             self.nodes[f"node-{number}"] = NodeAddresses(
                 *addresses[3 * number : 3 * number + 3]
@@ -86,6 +86,25 @@
             seed=len(self.programs),
         )
 
+    def describe_start(self) -> str:
+        """Describe what keeps the fleet from being ready."""
+        lines = []
+        for name in self.nodes:
+            status = self.read_status(name)
+            if status is None:
+                lines.append(f"{name} does not answer")
+            else:
+                lines.append(
+                    f"{name} ready {status.ready}, version"
+                    f" {status.catalogue_version}, {len(status.nodes)} nodes,"
+                    f" {len(status.servers)} servers"
+                )
+        for name, running in self.programs.items():
+            if not self.is_running(name):
+                text = running.log.read_text(errors="replace")
+                lines.append(f"{name} ended: {text[-500:]}")
+        return "\n".join(lines)
+
     def is_running(self, name: str) -> bool:
         """Tell whether a process has not ended."""
         return self.programs[name].process.poll() is None
--- a/egretlever/testing/_small_fleet.py
+++ b/egretlever/testing/_small_fleet.py
@@ -60,13 +60,17 @@
         self._fault_injection = fault_injection
         self.nodes: dict[str, NodeAddresses] = {}
         self.servers: dict[str, ServerAddresses] = {}
-        self._platform = reserve_addresses(1)[0]
+        self._platform = self.reserve(1)[0]
 
     @property
     def platform(self) -> Address:
         """Address of both stores."""
         return self._platform
 
+    def reserve(self, count: int) -> list[Address]:
+        """Reserve addresses for nodes and servers."""
+        return reserve_addresses(count)
+
     def start_platform(self) -> None:
         """Start the stand-in of the table service and the object store."""
         path = self.write_settings(
@@ -76,7 +80,7 @@
 
     def start_nodes(self, count: int) -> None:
         """Start nodes ``node-0`` and so on, spread over failure domains."""
-        addresses = reserve_addresses(3 * count)
+        addresses = self.reserve(3 * count)
         for number in range(count):
             self.nodes[f"node-{number}"] = NodeAddresses(
                 *addresses[3 * number : 3 * number + 3]
@@ -118,7 +122,7 @@
         self, name: str, service: str, node: str, **settings: object
     ) -> None:
         """Start a backend server stand-in beside a node."""
-        traffic, control = reserve_addresses(2)
+        traffic, control = self.reserve(2)
         self.servers[name] = ServerAddresses(traffic, control)
         section = {
             "server": name,
