--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -191,7 +191,7 @@
             await tasks.spawn(_repeat, _SLOW_INTERVAL, self._chores.run)
             await tasks.spawn(_repeat, _ROLE_INTERVAL, self._choose_roles)
             await tasks.spawn(self._stop.wait)
-        for sock in (traffic, admin, gossip):
+        for sock in (admin, gossip):
             await sock.close()
         if tasks.exception:
             raise tasks.exception
--- a/egretlever/node/_proxy.py
+++ b/egretlever/node/_proxy.py
@@ -218,6 +218,7 @@
         if answer.outcome is Outcome.NOT_RUN:
             metrics.REFUSALS.labels(answer.reason).inc()
         head, body = encode_own_answer(answer, request_id)
+        connection.skip_body()
         if request.method == "HEAD":
             body = b""
         await self._send(connection, head, body)
@@ -230,7 +231,7 @@
         ended: bool = True,
     ) -> None:
         if self._leaving:
-            head.headers.append((b"connection", b"close"))
+            connection.announce_close()
         await connection.send_response(head, data, ended)
 
     async def _forward(
