Send and look at sockets without timeouts and mode changes

Cause: each request set five timeouts, and each look at a socket switched it to blocking mode and back by two system calls. A timeout is set now only when the socket's buffer is full or a head has not arrived whole.

--- a/egretlever/node/_exchange.py
+++ b/egretlever/node/_exchange.py
@@ -215,10 +215,9 @@
         forwarded = _make_forwarded_head(
             self._request, self._server, self._limits
         )
-        async with curio.timeout_after(self._time_left()):
-            await self._connection.send_request(
-                forwarded, body.start, body.whole
-            )
+        await self._connection.send_request(
+            forwarded, body.start, body.whole, self._time_left()
+        )
         if not body.whole:
             self._uploader = await curio.spawn(self._upload, body, daemon=True)
 
--- a/egretlever/node/_proxy.py
+++ b/egretlever/node/_proxy.py
@@ -96,8 +96,9 @@
     async def serve(self, connection: CallerConnection, peer: str) -> None:
         """Serve a caller's connection until it ends."""
         self._connections += 1
+        task = await curio.current_task()
         try:
-            while head := await self._read_next(connection):
+            while head := await self._read_next(connection, task):
                 self._in_flight += 1
                 try:
                     await self._serve_request(connection, head, peer)
@@ -117,11 +118,10 @@
             self._connections -= 1
 
     async def _read_next(
-        self, connection: CallerConnection
+        self, connection: CallerConnection, task: curio.Task
     ) -> RequestHead | None:
         if self._stopping and not connection.has_input():
             return None
-        task = await curio.current_task()
         self._idle.add(task)
         try:
             await connection.wait_for_request()
--- a/egretlever/transport/_backends.py
+++ b/egretlever/transport/_backends.py
@@ -10,11 +10,12 @@
     ResponseHead,
     is_chunked,
 )
-from egretlever.transport._sockets import is_quiet, read_clock
+from egretlever.transport._sockets import is_quiet, read_clock, send_all
 
 _READ_SIZE = 65536
 _MAX_HEAD_BYTES = 65536
 _LENGTH = b"content-length"
+_SEND_TIMEOUT = 3600.0  # seconds; the largest timeout of a request
 
 
 class BackendClosedError(Exception):
@@ -57,10 +58,25 @@
         self.idle_since = read_clock()
 
     async def send_request(
-        self, head: RequestHead, data: bytes = b"", ended: bool = True
+        self,
+        head: RequestHead,
+        data: bytes = b"",
+        ended: bool = True,
+        timeout: float = _SEND_TIMEOUT,
     ) -> None:
         """Send the head of a request with the first part of its body.
 
+        Parameters
+        ----------
+        head : RequestHead
+            Head of the request.
+        data : bytes, optional
+            First part of the body.
+        ended : bool, default=True
+            Whether the body is complete.
+        timeout : float, default=3600
+            Time allowed for sending, in seconds.
+
         Raises
         ------
         BackendClosedError
@@ -72,7 +88,8 @@
                 method=head.method, target=head.target, headers=head.headers
             )
         )
-        await self._send((encoded or b"") + self._encode_body(data, ended))
+        encoded = (encoded or b"") + self._encode_body(data, ended)
+        await self._send(encoded, timeout)
 
     async def send_data(self, data: bytes, ended: bool) -> None:
         """Send a further part of the body.
@@ -92,10 +109,10 @@
             )
         return encoded or b""
 
-    async def _send(self, data: bytes) -> None:
+    async def _send(self, data: bytes, timeout: float = _SEND_TIMEOUT) -> None:
         self.sent = True
         try:
-            await self._sock.sendall(data)
+            await send_all(self._sock, data, timeout)
         except OSError as error:
             raise BackendClosedError(str(error)) from None
 
--- a/egretlever/transport/_callers.py
+++ b/egretlever/transport/_callers.py
@@ -19,6 +19,7 @@
     is_closed_by_peer,
     is_reset_by_peer,
     reset_on_close,
+    send_all,
     send_now,
 )
 
@@ -97,13 +98,10 @@
         if not await self.wait_for_request():
             return None
         self.method = ""
-        try:
-            async with curio.timeout_after(self._head_timeout):
-                await self._read_raw_head()
-        except curio.TaskTimeout:
-            raise RequestError(
-                408, "the request head came too slowly"
-            ) from None
+        if _HEAD_END in self._pending:
+            await self._read_raw_head()
+        else:
+            await self._read_slow_head()
         self._http.receive_data(bytes(self._pending))
         self._pending.clear()
         try:
@@ -121,6 +119,15 @@
         check_request(head)
         return head
 
+    async def _read_slow_head(self) -> None:
+        try:
+            async with curio.timeout_after(self._head_timeout):
+                await self._read_raw_head()
+        except curio.TaskTimeout:
+            raise RequestError(
+                408, "the request head came too slowly"
+            ) from None
+
     async def wait_for_request(self) -> bool:
         """Wait for the first byte of a request; false when there is none."""
         if self._pending:
@@ -267,8 +274,7 @@
 
     async def _send(self, data: bytes) -> None:
         try:
-            async with curio.timeout_after(self._body_timeout):
-                await self._sock.sendall(data)
+            await send_all(self._sock, data, self._body_timeout)
         except curio.TaskTimeout:
             raise CallerGoneError("the caller does not read") from None
         except OSError as error:
--- a/egretlever/transport/_sockets.py
+++ b/egretlever/transport/_sockets.py
@@ -110,16 +110,22 @@
     sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
 
 
+def _unwrap(sock: Any) -> plain_socket.socket:
+    """Return the non-blocking socket inside of curio's.
+
+    ``Socket.blocking`` would change the mode by two system calls each time.
+    """
+    plain: plain_socket.socket = sock._socket
+    return plain
+
+
 def _peek(sock: Any) -> bytes | None:
     """Look at the next unread byte; None when nothing has arrived."""
-    with sock.blocking() as plain:
-        try:
-            found: bytes = plain.recv(
-                1, plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
-            )
-            return found
-        except (BlockingIOError, InterruptedError):
-            return None
+    try:
+        found: bytes = _unwrap(sock).recv(1, plain_socket.MSG_PEEK)
+        return found
+    except (BlockingIOError, InterruptedError):
+        return None
 
 
 def is_closed_by_peer(sock: Any) -> bool:
@@ -163,29 +169,55 @@
 def is_reset_by_peer(sock: Any) -> bool:
     """Tell without waiting whether the peer has reset a connection."""
     try:
-        with sock.blocking() as plain:
-            poller = select.poll()
-            poller.register(plain, 0)
-            return any(
-                event & (select.POLLERR | select.POLLHUP)
-                for _, event in poller.poll(0)
-            )
+        poller = select.poll()
+        poller.register(sock.fileno(), 0)
+        return any(
+            event & (select.POLLERR | select.POLLHUP)
+            for _, event in poller.poll(0)
+        )
     except OSError:
         return True
 
 
 def send_now(sock: Any, data: bytes) -> bool:
     """Send a few bytes without waiting; false when the connection is reset."""
-    with sock.blocking() as plain:
-        try:
-            plain.send(data, plain_socket.MSG_DONTWAIT)
-        except (BlockingIOError, InterruptedError):
-            return True
-        except OSError:
-            return False
+    try:
+        _unwrap(sock).send(data)
+    except (BlockingIOError, InterruptedError):
+        return True
+    except OSError:
+        return False
     return True
 
 
+async def send_all(sock: Any, data: bytes, timeout: float) -> None:
+    """Send all bytes, with a timeout only if the socket's buffer is full.
+
+    Parameters
+    ----------
+    sock : curio.io.Socket
+        Connected socket.
+    data : bytes
+        What to send.
+    timeout : float
+        Time allowed for all of it, in seconds.
+
+    Raises
+    ------
+    OSError
+        When the connection is closed.
+    curio.TaskTimeout
+        When the peer does not read in time.
+    """
+    try:
+        sent = _unwrap(sock).send(data)
+    except (BlockingIOError, InterruptedError):
+        sent = 0
+    if sent < len(data):
+        async with curio.timeout_after(timeout):
+            await sock.sendall(memoryview(data)[sent:])
+
+
 def reset_on_close(sock: Any) -> None:
     """Make the coming close reset the connection."""
     linger = struct.pack("ii", 1, 0)
