Write log lines in batches, and keep the children of metrics

Cause: each placement line took a write of its own and looked up its thread and process, and each request looked up three metric children by their labels.

A rank that the catalogue does not have is refused with 400 before it is counted: such requests would have added a time series for each name.

--- a/egretlever/node/_dispatch.py
+++ b/egretlever/node/_dispatch.py
@@ -377,7 +377,9 @@
         self._observe_load(served, now)
         parts.detector.observe(attempt, now)
         parts.retry.observe(attempt, now)
-        metrics.ATTEMPTS.labels(attempt.service, attempt.result.value).inc()
+        metrics.find_child(
+            metrics.ATTEMPTS, attempt.service, attempt.result.value
+        ).inc()
         await parts.gate.leave(served.ticket, attempt.result, attempt.latency)
 
     async def abandon(self, served: Served) -> None:
--- a/egretlever/node/_engine.py
+++ b/egretlever/node/_engine.py
@@ -358,11 +358,8 @@
         RefusalReason.WAIT_EXCEEDS_DEADLINE,
         RefusalReason.INFEASIBLE,
     )
-    status = 504 if expired else 503
-    if refused.reason is RefusalReason.UNKNOWN_RANK:
-        status = 400
     return OwnAnswer(
-        status,
+        504 if expired else 503,
         request.combine(),
         refused.reason.value,
         refused.retry_after,
--- a/egretlever/node/_metrics.py
+++ b/egretlever/node/_metrics.py
@@ -1,5 +1,7 @@
 """Metrics of the node, rendered on its own loop."""
 
+from typing import Any
+
 import prometheus_client
 from prometheus_client import Counter, Gauge, Histogram
 
@@ -72,6 +74,21 @@
 )
 
 
+_children: dict[tuple[object, ...], Any] = {}
+
+
+def find_child(metric: Counter | Histogram, *labels: str) -> Any:
+    """Find the child of a metric, which `labels` looks up more slowly.
+
+    Labels have to come from a bounded set of values.
+    """
+    key = (metric, *labels)
+    child = _children.get(key)
+    if child is None:
+        child = _children[key] = metric.labels(*labels)
+    return child
+
+
 def count_bad_request(status: int) -> None:
     """Count a refused request, or an exception as status 0."""
     BAD_REQUESTS.labels(status).inc()
--- a/egretlever/node/_proxy.py
+++ b/egretlever/node/_proxy.py
@@ -164,6 +164,9 @@
             await self._send_own(connection, head, choice, request_id)
             return
         context = make_context(head, choice, request_id, peer, now)
+        if self._catalogue.rank(context.rank) is None:
+            # Counted by rank, such requests would fill the metrics.
+            raise RequestError(400, "egretlever-rank names no known rank")
         body = RequestBody(connection)
         if not connection.expects_continue:
             await body.fill()
@@ -182,8 +185,10 @@
 
     def _count(self, context: RequestContext, outcome: Outcome) -> None:
         service = context.choice.service
-        metrics.REQUESTS.labels(service, context.rank, outcome.value).inc()
-        metrics.REQUEST_SECONDS.labels(service).observe(
+        metrics.find_child(
+            metrics.REQUESTS, service, context.rank, outcome.value
+        ).inc()
+        metrics.find_child(metrics.REQUEST_SECONDS, service).observe(
             read_clock() - context.received_at
         )
 
--- a/egretlever/programs/_common.py
+++ b/egretlever/programs/_common.py
@@ -16,6 +16,7 @@
 from returns.pipeline import is_successful
 
 import egretlever
+from egretlever.programs._log_buffer import buffer_log
 from egretlever.settings import read_settings
 
 EXIT_FINDINGS = 2
@@ -107,6 +108,10 @@
     logging.get_absl_handler().setFormatter(
         plain_logging.Formatter("%(asctime)s %(levelname).1s %(message)s")
     )
+    # The lines don't show them, and finding them takes time for each line.
+    plain_logging.logThreads = False
+    plain_logging.logProcesses = False
+    plain_logging.logMultiprocessing = False
     logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
 
 
@@ -130,6 +135,7 @@
 
     async def run() -> None:
         watcher = await curio.spawn(watch, daemon=True)
+        await curio.spawn(buffer_log().drain_forever, daemon=True)
         await main()
         await watcher.cancel()
 
