--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -1,5 +1,6 @@
 """The node: decision parts, sockets and loops put together."""
 
+import math
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -48,6 +49,7 @@
 _LEAVE_LINGER = 3.0  # seconds in which others learn of the departure
 _DATAGRAM_SIZE = 65536
 _ADMIN_CONNECTIONS = 256
+_MAX_NAME = 200  # characters; longer records do not fit into a datagram
 
 Datagrams = Sequence[tuple[Address, bytes]]
 
@@ -297,6 +299,11 @@
     """Return what is wrong with an announcement, empty for a valid one."""
     if not announcement.server or not announcement.service:
         return "the announcement names no server or no service"
+    for name in (announcement.server, announcement.service):
+        if len(name) > _MAX_NAME or not name.isprintable():
+            return f"a name is longer than {_MAX_NAME} or not printable"
+    if not 0 <= announcement.uptime_s < math.inf:
+        return "the uptime is not a number of seconds"
     try:
         parse_address(
             f"[{announcement.address.ip}]:{announcement.address.port}"
--- a/egretlever/transport/_services.py
+++ b/egretlever/transport/_services.py
@@ -17,6 +17,7 @@
 from egretlever.transport._sockets import set_no_delay
 
 _LOG = make_log("transport")
+_GONE = 499  # status counted for a caller that went away
 _ACCEPT_PAUSE = 0.05  # seconds without accepting when descriptors run out
 
 
@@ -135,7 +136,8 @@
     max_body : int, default=1048576
         Largest accepted body, in bytes.
     count : callable, optional
-        Called with the status of each refused request.
+        Called with the status of each refused request, and with 499 when
+        the caller went away.
     """
     try:
         while head := await connection.read_request():
@@ -149,7 +151,7 @@
         count(error.status)
         await _refuse(connection, error)
     except CallerGoneError:
-        return
+        count(_GONE)
 
 
 async def _refuse(connection: CallerConnection, error: RequestError) -> None:
