--- a/egretlever/node/_operations.py
+++ b/egretlever/node/_operations.py
@@ -1,5 +1,6 @@
 """What servers and operators tell a node through its admin pages."""
 
+import math
 import time
 from collections.abc import Callable, Sequence
 
@@ -19,6 +20,8 @@
 from egretlever.settings import parse_address
 from egretlever.transport import read_clock
 
+_MAX_NAME = 200  # characters; longer records do not fit into a datagram
+
 
 class Operations:
     """Takes announcements, planned stops and starts, and catalogue offers.
@@ -112,6 +115,11 @@
     """Return what is wrong with an announcement, empty for a valid one."""
     if not announcement.server or not announcement.service:
         return "the announcement names no server or no service"
+    for name in (announcement.server, announcement.service):
+        if len(name) > _MAX_NAME or not name.isprintable():
+            return f"a name is longer than {_MAX_NAME} or not printable"
+    if not 0 <= announcement.uptime_s < math.inf:
+        return "the uptime is not a number of seconds"
     try:
         parse_address(
             f"[{announcement.address.ip}]:{announcement.address.port}"
--- a/egretlever/node/_proxy.py
+++ b/egretlever/node/_proxy.py
@@ -96,8 +96,9 @@
     async def serve(self, connection: CallerConnection, peer: str) -> None:
         """Serve a caller's connection until it ends."""
         self._connections += 1
+        task = await curio.current_task()
         try:
-            while head := await self._read_next(connection):
+            while head := await self._read_next(connection, task):
                 self._in_flight += 1
                 try:
                     await self._serve_request(connection, head, peer)
@@ -117,11 +118,10 @@
             self._connections -= 1
 
     async def _read_next(
-        self, connection: CallerConnection
+        self, connection: CallerConnection, task: curio.Task
     ) -> RequestHead | None:
         if self._stopping and not connection.has_input():
             return None
-        task = await curio.current_task()
         self._idle.add(task)
         try:
             await connection.wait_for_request()
@@ -164,6 +164,9 @@
             await self._send_own(connection, head, choice, request_id)
             return
         context = make_context(head, choice, request_id, peer, now)
+        if self._catalogue.rank(context.rank) is None:
+            # Counted by rank, such requests would fill the metrics.
+            raise RequestError(400, "egretlever-rank names no known rank")
         body = RequestBody(connection)
         if not connection.expects_continue:
             await body.fill()
@@ -182,8 +185,10 @@
 
     def _count(self, context: RequestContext, outcome: Outcome) -> None:
         service = context.choice.service
-        metrics.REQUESTS.labels(service, context.rank, outcome.value).inc()
-        metrics.REQUEST_SECONDS.labels(service).observe(
+        metrics.find_child(
+            metrics.REQUESTS, service, context.rank, outcome.value
+        ).inc()
+        metrics.find_child(metrics.REQUEST_SECONDS, service).observe(
             read_clock() - context.received_at
         )
 
