--- a/egretlever/node/tests/test_garbage.py
+++ b/egretlever/node/tests/test_garbage.py
@@ -9,7 +9,7 @@
 from egretlever.node import make_node
 from egretlever.node._admin import make_admin
 from egretlever.node._metrics import count_bad_request
-from egretlever.node._node import check_announcement
+from egretlever.node._operations import check_announcement
 from egretlever.schema import gossip_pb2, settings_pb2
 from egretlever.testing import Caller, answer, run_virtual, run_world
 from egretlever.transport import open_connection, open_listener, serve_requests
