Judge slow servers by a sequential test, and pool more in small regions

A sequential test now adds up slow answers, very slow ones more, and takes off what the peers showed since the first of them. The discount looks at 10 s. A reporter weighs up to 12 divided by the live nodes of the region.

--- a/egretlever/detection/_comparison.py
+++ b/egretlever/detection/_comparison.py
@@ -19,8 +19,12 @@
 # outcomes of one node are not independent, and a single node with a broken
 # path must not convict a server.
 _CONFIRMED = 1.5
+# A region of few nodes has few reporters, and each counts for more: with two
+# nodes some five bad outcomes are needed that both of them saw.
+_WEIGHT_OF_ALL = 12.0
 # Unreachability that the peers show as well, as in a flood, varies more than
-# chance alone explains, and its score counts less.
+# chance alone explains, and its score counts less. The longest window tells:
+# in the shortest one most peers have none while 11 of 17 had some in 10 s.
 _TROUBLED = 0.25
 _TROUBLED_FACTOR = 0.7
 _EVENTS_PER_SERVER = 64
@@ -51,8 +55,20 @@
         self.crossed = math.inf
         self.hinted_until = -math.inf
 
-    def count(self, now: float, ignored: Collection[NodeId]) -> Counts:
-        """Return weight and number of reporters for each kind and window."""
+    def count(
+        self, now: float, ignored: Collection[NodeId], most: float = _CONFIRMED
+    ) -> Counts:
+        """Return weight and number of reporters for each kind and window.
+
+        Parameters
+        ----------
+        now : float
+            Reading of the clock.
+        ignored : collection of NodeId
+            Reporters whose outcomes do not count.
+        most : float, default=1.5
+            Largest weight of one reporter.
+        """
         if not self.events:
             return _NOTHING
         by_reporter: list[dict[NodeId, int]] = [
@@ -67,7 +83,7 @@
                     counts[reporter] = counts.get(reporter, 0) + number
         return tuple(
             (
-                sum(1.0 if n == 1 else _CONFIRMED for n in counts.values()),
+                sum(min(float(n), most) for n in counts.values()),
                 len(counts),
             )
             for counts in by_reporter
@@ -95,11 +111,16 @@
     evidence: Mapping[ServerId, ServerEvents],
     servers: Sequence[ServerId],
     now: float,
+    nodes: int = 1000,
 ) -> dict[ServerId, Counts]:
-    """Count the evidence on each server, without doubtful reporters."""
+    """Count the evidence on each server, without doubtful reporters.
+
+    The fewer nodes the region has, the more a reporter weighs.
+    """
+    most = max(_CONFIRMED, _WEIGHT_OF_ALL / max(nodes, 1))
     ignored = find_doubtful(evidence, servers, now)
     return {
-        server: evidence[server].count(now, ignored)
+        server: evidence[server].count(now, ignored, most)
         if server in evidence
         else _NOTHING
         for server in servers
@@ -141,7 +162,8 @@
         rate = max(rate, lasting / LIFETIME)
         expected = max(typical, rate * WINDOWS[window])
         score = score_excess(bad, expected)
-        if typical > _TROUBLED and KINDS[kind] is EvidenceKind.UNREACHABLE:
+        troubled = max(typical, lasting) > _TROUBLED
+        if troubled and KINDS[kind] is EvidenceKind.UNREACHABLE:
             score *= _TROUBLED_FACTOR
         if bad >= min_ratio * expected and score > best[0]:
             best = (score, reporters, KINDS[kind])
--- a/egretlever/detection/_directory.py
+++ b/egretlever/detection/_directory.py
@@ -31,6 +31,8 @@
         self.region = region
         self.servers: dict[ServerId, Server] = {}
         self.members: dict[NodeId, Member] = {}
+        # Live nodes of the own region, which are the possible reporters.
+        self.nodes = 0
         self._by_service: dict[ServiceName, dict[ServerId, Server]] = {}
         self._evidence_nodes: dict[ServiceName, tuple[NodeId, ...]] = {}
 
@@ -60,6 +62,8 @@
     def update_members(self, members: Iterable[Member]) -> None:
         """Replace the live nodes."""
         self.members = {member.id: member for member in members}
+        own = [m for m in self.members.values() if m.region == self.region]
+        self.nodes = len(own)
         self._evidence_nodes.clear()
 
     def find_servers(self, service: ServiceName) -> dict[ServerId, Server]:
--- a/egretlever/detection/_judging.py
+++ b/egretlever/detection/_judging.py
@@ -14,6 +14,12 @@
 # Errors and slow answers occur on healthy servers far more often than
 # unreachability does, and need a score higher by this factor.
 _FREQUENT = 1.5
+# Errors count against a server over a longer time, in which its peers have to
+# do well.
+_CONTRAST = 1.5
+# Largest share of bad outcomes of the peers while one server is slow. A flood
+# makes more of them bad until the latency thresholds have followed it.
+_MOST_BAD = 0.25
 
 
 class PairJudge:
@@ -81,6 +87,13 @@
             score, kind = pair.score(now)
             if score < self._find_threshold(server_id, kind, now):
                 del self._pending[server_id]
-            elif pair.group.has_good_peers(server_id, since):
+                continue
+            if kind is EvidenceKind.FAILED:
+                since = Seconds(min(since, pair.last_bad - _CONTRAST))
+            elif kind is EvidenceKind.SLOW and pair.slow_sum:
+                if pair.estimate_bad_share(0.0) > _MOST_BAD:
+                    continue
+                since = Seconds(pair.slow_since)
+            if pair.group.has_good_peers(server_id, since):
                 del self._pending[server_id]
                 self._ejections.condemn(server, Cause.PAIR, kind, score, 1, now)
--- a/egretlever/detection/_own_evidence.py
+++ b/egretlever/detection/_own_evidence.py
@@ -128,7 +128,8 @@
             self.dropped["attempt-on-other-incarnation"] += 1
             return None
         result = attempt.result
-        if result in _IGNORED:
+        # The common result first: the hash of an enum member is slow.
+        if result is not AttemptResult.OK and result in _IGNORED:
             return None
         pair = self.find_pair(server)
         self._reporter.use(server.service, now)
@@ -140,8 +141,11 @@
                 pair.add_good(now)
                 return None
             kind = EvidenceKind.SLOW
-            if attempt.latency > latency.overdue_after:
+            very = attempt.latency > latency.overdue_after
+            if very:
                 pair.retract_unreachable()
+            if not self.causes.is_own_pause(now - attempt.latency):
+                pair.add_slow(very, now)
         elif result in _UNREACHABLE:
             kind = EvidenceKind.UNREACHABLE
         else:
--- a/egretlever/detection/_pairs.py
+++ b/egretlever/detection/_pairs.py
@@ -24,8 +24,20 @@
 _KINDS = tuple(EvidenceKind)
 _RECENT = 32
 # Routing soon avoids a slow server, so that its earlier good outcomes outweigh
-# the few slow ones for long. This many slow outcomes in a row are judged alone.
-_SLOW_RUN = 4
+# the few slow ones for long. A sequential test judges the latest ones alone:
+# these are the shares of slow and of very slow outcomes on a faulty server,
+# and on a healthy one while its peers have fewer.
+_FAULTY_SLOW = 0.6
+_FAULTY_VERY_SLOW = 0.3
+_USUAL_SLOW = 0.03
+_USUAL_VERY_SLOW = 0.005
+# Score that a good outcome takes back: ln((1 - 0.9) / (1 - 0.035)), halved
+# since a fifth of the outcomes of a server that is 5x slow look good.
+_GOOD_STEP = -1.1
+# Slow outcomes closer than this may share one short stall of the server.
+_STALL = 0.05
+# Outcomes that the usual shares weigh as much as in the contrast with peers.
+_CONTRAST_WEIGHT = 4.0
 
 
 class Pair:
@@ -45,6 +57,7 @@
         "at",
         "attempts_",
         "bad_",
+        "bad_outcomes",
         "group",
         "incarnation",
         "last_bad",
@@ -54,7 +67,12 @@
         "run",
         "server_id",
         "since_report",
-        "slow_run",
+        "outcomes",
+        "slow_at",
+        "slow_counts",
+        "slow_since",
+        "slow_start",
+        "slow_sum",
         "suspected_until",
     )
 
@@ -67,6 +85,8 @@
         self.suspected_until = -math.inf
         self.since_report = [0, 0, 0, 0]
         self.reported_at = 0.0
+        self.outcomes = 0
+        self.bad_outcomes = 0
         self.clear()
 
     def clear(self) -> None:
@@ -75,7 +95,11 @@
         self.attempts_ = 0.0
         self.bad_: list[float] | None = None
         self.run = 0
-        self.slow_run = 0
+        self.slow_sum = 0.0
+        self.slow_at = -math.inf
+        self.slow_since = -math.inf
+        self.slow_counts = (0, 0)
+        self.slow_start = (0, 0)
         self.provisional = -math.inf
         self.last_bad = -math.inf
         self.last_good = -math.inf
@@ -92,20 +116,30 @@
         if self.bad_ is not None:
             self.bad_ = [value * factor for value in self.bad_]
 
+    def _count(self, is_good: bool, now: float) -> None:
+        group = self.group
+        group.recent.append((now, self.server_id, is_good))
+        group.outcomes += 1
+        self.outcomes += 1
+        if not is_good:
+            group.bad_outcomes += 1
+            self.bad_outcomes += 1
+
     def add_good(self, now: float) -> None:
         """Count an attempt that ended well."""
-        self.group.recent.append((now, self.server_id, True))
+        self._count(True, now)
         self._decay(now)
         self.attempts_ += 1
         self.run = 0
-        self.slow_run = 0
+        if self.slow_sum:
+            self.slow_sum = max(0.0, self.slow_sum + _GOOD_STEP)
         self.last_good = now
         self.provisional = -math.inf
         self.since_report[3] += 1
 
     def add_bad(self, kind: EvidenceKind, now: float) -> None:
         """Count an attempt that ended badly."""
-        self.group.recent.append((now, self.server_id, False))
+        self._count(False, now)
         self._decay(now)
         self.attempts_ += 1
         if self.bad_ is None:
@@ -114,11 +148,69 @@
         self.bad_[index] += 1
         recent = self.run if now - self.last_bad < LIFETIME else 0
         self.run = recent + 1 if kind is EvidenceKind.UNREACHABLE else 0
-        slow = self.slow_run if now - self.last_bad < LIFETIME else 0
-        self.slow_run = slow + 1 if kind is EvidenceKind.SLOW else 0
         self.last_bad = now
         self.since_report[index] += 1
 
+    def add_slow(self, very: bool, now: float) -> None:
+        """Count a slow answer, before ``add_bad``, in the sequential test.
+
+        Parameters
+        ----------
+        very : bool
+            Whether the answer came after it was overdue.
+        now : float
+            Reading of the clock.
+        """
+        if now - self.slow_at < _STALL:
+            return
+        if self.slow_sum <= 0 or now - self.slow_since >= LIFETIME:
+            self.slow_sum = 0.0
+            self.slow_since = now
+            self.slow_counts = (0, 0)
+            self.slow_start = self._count_peers()
+        slow, very_slow = self.slow_counts
+        self.slow_counts = (slow + (not very), very_slow + very)
+        usual = _USUAL_VERY_SLOW if very else _USUAL_SLOW
+        faulty = _FAULTY_VERY_SLOW if very else _FAULTY_SLOW
+        self.slow_sum += math.log(faulty / usual)
+        self.slow_at = now
+
+    def score_slowness(self, now: float) -> float:
+        """Score the sequential test, less what the peers show as well.
+
+        Peers count from the first slow answer on: at the onset of a flood the
+        good outcomes before it say nothing.
+        """
+        if now - self.slow_since >= LIFETIME:
+            return 0.0
+        score = self.slow_sum
+        usual = (_USUAL_SLOW, _USUAL_VERY_SLOW)
+        for count, share in zip(self.slow_counts, usual, strict=True):
+            if count:
+                raised = self.estimate_bad_share(share)
+                score -= count * math.log(raised / share)
+        return max(0.0, score)
+
+    def _count_peers(self) -> tuple[int, int]:
+        """Return all outcomes of the peers so far, and the bad ones."""
+        group = self.group
+        bad = group.bad_outcomes - self.bad_outcomes
+        return group.outcomes - self.outcomes, bad
+
+    def estimate_bad_share(self, usual: float) -> float:
+        """Return the share of bad outcomes of the peers in the slow run.
+
+        Parameters
+        ----------
+        usual : float
+            Share without outcomes of peers, and least result.
+        """
+        total, total_bad = self._count_peers()
+        outcomes = total - self.slow_start[0]
+        bad = total_bad - self.slow_start[1]
+        weight = _CONTRAST_WEIGHT
+        return max(usual, (bad + usual * weight) / (outcomes + weight))
+
     def retract_unreachable(self) -> None:
         """Take back one overdue attempt whose answer came after all."""
         if self.bad_ is not None:
@@ -165,9 +257,8 @@
             lasting = self.run and now - self.last_bad < LIFETIME
             if kind is EvidenceKind.UNREACHABLE and lasting:
                 value = max(value, score_excess(self.run, self.run * share))
-            if kind is EvidenceKind.SLOW and self.slow_run >= _SLOW_RUN:
-                run = self.slow_run
-                value = max(value, score_excess(run, run * share))
+            if kind is EvidenceKind.SLOW and self.slow_sum:
+                value = max(value, self.score_slowness(now))
             best = max(best, (value, kind), key=lambda item: item[0])
         return best
 
@@ -184,11 +275,20 @@
         Region of the servers.
     """
 
-    __slots__ = ("latency", "pairs", "recent", "region")
+    __slots__ = (
+        "bad_outcomes",
+        "latency",
+        "outcomes",
+        "pairs",
+        "recent",
+        "region",
+    )
 
     def __init__(self, region: RegionName) -> None:
         self.region = region
         self.latency = LatencyDistribution()
+        self.outcomes = 0
+        self.bad_outcomes = 0
         self.pairs: dict[ServerId, Pair] = {}
         self.recent: collections.deque[tuple[float, ServerId, bool]] = (
             collections.deque(maxlen=_RECENT)
--- a/egretlever/detection/_pool.py
+++ b/egretlever/detection/_pool.py
@@ -220,7 +220,9 @@
         smoothing = max(_BASE_SMOOTHING, 1.0 / state.updates)
         for region, servers in self._find_groups(service).items():
             base = state.base_.setdefault(region, list(PRIOR_RATE))
-            counts = count_all(state.evidence, servers, now)
+            counts = count_all(
+                state.evidence, servers, now, self._directory.nodes
+            )
             for kind in range(len(KINDS)):
                 column = kind * len(WINDOWS) + len(WINDOWS) - 1
                 values = [row[column][0] for row in counts.values()]
@@ -249,9 +251,10 @@
         for region, servers in groups.items():
             if named.isdisjoint(servers):
                 continue
-            # A region with two servers or fewer has too few peers of its own.
+            # One peer with the same callers tells more than servers of another
+            # region, which get no requests and look well in a flood.
             peers = servers
-            if len(servers) < 3:
+            if len(servers) < 2:
                 peers = [item for group in groups.values() for item in group]
             judged = sorted(named.intersection(servers))
             verdicts += self._compare(state, judged, peers, region, now)
@@ -267,7 +270,7 @@
         now: Seconds,
     ) -> list[PooledServerEvidence]:
         base = state.base_.get(region, PRIOR_RATE)
-        counts = count_all(state.evidence, peers, now)
+        counts = count_all(state.evidence, peers, now, self._directory.nodes)
         lost = self._is_link_lost(counts)
         settle = _SETTLE if region == self._directory.region else _SETTLE_REMOTE
         verdicts = []
