--- a/benchmarks/_detection_cases.py
+++ b/benchmarks/_detection_cases.py
@@ -56,3 +56,5 @@
 KAPRA = Size("Kapra", 10, 6, 5, 4, 40.0)
 SABLAT = Size("Sablat", 11, 7, 7, 3, 30.0)
 SIZES = (DESIGN, KAPRA, SABLAT)
+# The demonstration: two nodes and two servers of a service in each region.
+TWO_NODES = Size("two nodes", 2, 2, 2, 4, 10.0)
--- a/benchmarks/_detection_traces.py
+++ b/benchmarks/_detection_traces.py
@@ -1,14 +1,16 @@
 """Records the traces that are replayed by the tests of detection.
 
 Run ``python -m benchmarks._detection_traces DIRECTORY`` after a change of the
-trace messages.
+trace messages, with the directory emptied, or to add the traces that it lacks.
 """
 
+import dataclasses
 import pathlib
 import sys
 
-from benchmarks._detection_cases import Fault, Size
-from benchmarks._detection_model import OWN, Model
+from benchmarks._detection_cases import TWO_NODES, Fault, Size
+from benchmarks._detection_model import OWN, FakeNode, Model
+from benchmarks._detection_routed import RoutedModel
 from egretlever.core import Attempt, NodeId, RegionName, Seconds, ServerId
 from egretlever.detection import (
     EvidenceReport,
@@ -73,24 +75,75 @@
         super().receive_report(report, sender, now)
 
 
-def record_trace(fault: Fault, seed: int) -> list[traces_pb2.TraceLine]:
-    """Record one node for 4 s of a fault after 3 s without.
+@dataclasses.dataclass(frozen=True, slots=True)
+class TraceCase:
+    """What a trace is recorded of.
+
+    Parameters
+    ----------
+    name : str
+        Name of the file, without its suffix.
+    fault : Fault
+        Fault that begins after the warm-up.
+    size : Size
+        Size of the service.
+    routed : bool, default=False
+        Whether the nodes choose servers with the router.
+    warm_up : float, default=3.0
+        Seconds before the fault.
+    watch : float, default=1.5
+        Longest time after the fault, in seconds. A recording of a faulty
+        server ends sooner, 0.5 s after the ejection.
+    """
+
+    name: str
+    fault: Fault
+    size: Size = _SIZE
+    routed: bool = False
+    warm_up: float = 3.0
+    watch: float = 1.5
+
+
+# The 99th percentile of the target for partial faults bounds their recording.
+CASES = (
+    TraceCase("black_hole", Fault.BLACK_HOLE),
+    TraceCase("refused", Fault.REFUSED),
+    TraceCase("5x_slow", Fault.SLOW),
+    TraceCase("flood", Fault.FLOOD),
+    TraceCase("paused_node", Fault.PAUSED_NODE),
+    TraceCase("lost_link", Fault.LOST_LINK),
+    TraceCase("one_way", Fault.ONE_WAY_PART, watch=3.0),
+    TraceCase("lying_health", Fault.LYING, watch=10.0),
+    TraceCase("flapping", Fault.FLAPPING),
+    TraceCase("two_nodes_10x_slow", Fault.VERY_SLOW, TWO_NODES, True, 3.0, 10),
+    TraceCase("two_nodes_errors", Fault.ERRORS, TWO_NODES, True, 3.0, 10),
+    TraceCase("two_nodes_flood", Fault.FLOOD, TWO_NODES, True, 3.0, 6.0),
+)
+
+
+def record_trace(case: TraceCase, seed: int) -> list[traces_pb2.TraceLine]:
+    """Record one node through a fault.
 
     The stated outcome follows from the fault, not from the detector.
     """
-    share = 0.3 if fault is Fault.LOST_LINK else 0.0
-    model = Model(_SIZE, seed, RecordingDetector, 0.005, share)
-    model.run_until(3.0)
+    fault = case.fault
+    if case.routed:
+        model: Model = RoutedModel(case.size, seed, RecordingDetector)
+    else:
+        share = 0.3 if fault is Fault.LOST_LINK else 0.0
+        model = Model(case.size, seed, RecordingDetector, 0.005, share)
+    model.run_until(case.warm_up)
     model.fault = fault
     model.fault_at = model.now
     if fault is Fault.PAUSED_NODE:
         model.pause(model.nodes[0], 1.0)
-    model.run_until(4.5)
-    faulty = fault in (Fault.BLACK_HOLE, Fault.REFUSED, Fault.SLOW)
-    detector = model.nodes[0].detector
+    faulty = fault not in (Fault.FLOOD, Fault.PAUSED_NODE, Fault.LOST_LINK)
+    node = model.nodes[0]
+    _run(model, node, model.now + case.watch)
+    detector = node.detector
     assert isinstance(detector, RecordingDetector)
     start = traces_pb2.TraceStart(
-        node=model.nodes[0].id,
+        node=node.id,
         region=OWN,
         members=[node.id for node in model.nodes],
         floor_slots=model.floor,
@@ -113,18 +166,22 @@
     ]
 
 
+def _run(model: Model, node: FakeNode, end: float) -> None:
+    """Run to the end, or until shortly after the node ejects a server."""
+    while model.now < end:
+        model.run_until(min(end, model.now + 0.1))
+        now = Seconds(model.now)
+        if node.detector.select(model.servers, model.floor, now).ejected:
+            model.run_until(min(end, model.now + 0.5))
+            return
+
+
 def main(directory: pathlib.Path) -> None:
-    """Record one trace for each kind of fault."""
-    for fault in (
-        Fault.BLACK_HOLE,
-        Fault.REFUSED,
-        Fault.SLOW,
-        Fault.FLOOD,
-        Fault.PAUSED_NODE,
-        Fault.LOST_LINK,
-    ):
-        name = fault.value.replace(" ", "_")
-        write_trace(directory / f"{name}.jsonl", record_trace(fault, 1))
+    """Record the traces that the directory does not have yet."""
+    for case in CASES:
+        path = directory / f"{case.name}.jsonl"
+        if not path.exists():
+            write_trace(path, record_trace(case, 1))
 
 
 if __name__ == "__main__":
--- a/egretlever/detection/tests/test_traces.py
+++ b/egretlever/detection/tests/test_traces.py
@@ -11,7 +11,7 @@
 
 def test_traces_exist():
     # Guards against a moved directory that leaves nothing to replay.
-    assert len(TRACES) >= 6
+    assert len(TRACES) >= 12
 
 
 @pytest.mark.parametrize("path", TRACES, ids=lambda path: path.stem)
