Hand over only the servers and nodes that a change names

Each change made the view compute all servers and nodes again and clear the detector's choice of evidence nodes.

Membership looks up single servers and nodes by id, with an index of the nodes that list a server. The view keeps what a notification names and looks up only that. A doubt that a newer record ends is now notified; before, the servers of that node stayed orphaned until another change.

--- /dev/null
+++ b/benchmarks/view.py
@@ -0,0 +1,107 @@
+"""Processor time of a node's view for one change of a server or a node.
+
+One member knows 1,000 nodes and 14,000 servers. A complete look at all of
+them, as it was taken at each change before, is the comparison.
+"""
+
+import dataclasses
+import random
+import time
+
+from benchmarks._report import Measure, run_benchmark
+from egretlever.catalogue import make_catalogue_state
+from egretlever.core import Incarnation, NodeId, RegionName, Seconds
+from egretlever.detection import make_detector
+from egretlever.membership import (
+    Change,
+    ChangeKind,
+    GossipMembership,
+    make_membership,
+)
+from egretlever.node import FleetView, Selections
+from egretlever.routing import make_router
+from egretlever.testing.builders import (
+    build_announcement,
+    build_header,
+    build_location,
+)
+
+NODES = 1000
+SERVERS = 14  # per node
+CHANGES = 200
+FULL_LOOKS = 10
+_NOW = Seconds(0.0)
+
+
+def make_member(seed: int) -> GossipMembership:
+    """Make a member that knows the records of all nodes."""
+    member = make_membership(
+        build_header(0), Incarnation(1), rng=random.Random(seed)
+    )
+    for number in range(1, NODES):
+        other = make_membership(build_header(number), Incarnation(1))
+        for server in range(SERVERS):
+            other.announce(build_announcement(server, number), _NOW)
+        member.restore([other.own_delta(_NOW)], _NOW)
+    for server in range(SERVERS):
+        member.announce(build_announcement(server, 0), _NOW)
+    return member
+
+
+def make_view(seed: int) -> FleetView:
+    """Make the view of the member's node."""
+    region = RegionName("punjab")
+    detector = make_detector(NodeId("node-0"), region)
+    selections = Selections(make_catalogue_state(), detector)
+    router = make_router(build_location(0), random.Random(seed))
+    return FleetView(region, selections, router, detector)
+
+
+def change_server(member: GossipMembership, number: int) -> Change:
+    """Let a server of the member's node say something new."""
+    said = build_announcement(number % SERVERS, 0)
+    said = dataclasses.replace(said, slots=4 + number // SERVERS % 2)
+    member.announce(said, _NOW)
+    return Change(ChangeKind.SERVERS_CHANGED, NodeId("node-0"), (said.id,))
+
+
+def measure_refresh(
+    view: FleetView, member: GossipMembership, changes: list[Change]
+) -> float:
+    """Return the processor time of one refresh after some changes, in ms."""
+    for change in changes:
+        view.observe(change, _NOW)
+    began = time.process_time()
+    view.refresh(member, _NOW)
+    return (time.process_time() - began) * 1000
+
+
+def run(seed: int) -> list[Measure]:
+    """Measure single changes and complete looks."""
+    member, view = make_member(seed), make_view(seed)
+    first = measure_refresh(view, member, [])
+    complete = 0.0
+    for number in range(FULL_LOOKS):
+        view.invalidate()
+        change = change_server(member, number)
+        complete += measure_refresh(view, member, [change]) / FULL_LOOKS
+    servers = nodes = idle = 0.0
+    for number in range(CHANGES):
+        change = change_server(member, number)
+        servers += measure_refresh(view, member, [change]) / CHANGES
+        name = NodeId(f"node-{number}")
+        change = Change(ChangeKind.NODE_SUSPECTED, name)
+        nodes += measure_refresh(view, member, [change]) / CHANGES
+        idle += measure_refresh(view, member, []) / CHANGES
+    return [
+        Measure("servers known", len(view.servers), ""),
+        Measure("first look at everything", first, "ms"),
+        Measure("complete look with one change", complete, "ms"),
+        Measure("change of one server", servers, "ms"),
+        Measure("change of one node with 14 servers", nodes, "ms"),
+        Measure("refresh without a change", idle, "ms"),
+    ]
+
+
+if __name__ == "__main__":
+    run_benchmark("view", run)
--- a/egretlever/membership/_gossip.py
+++ b/egretlever/membership/_gossip.py
@@ -92,6 +92,7 @@
                 )
             return
         held = view.records.get(delta.node)
+        doubted = delta.node in view.doubts
         record = view.apply(delta, now)
         if record is None:
             if held is not None and stamp <= held.stamp:
@@ -101,6 +102,8 @@
             return
         self._pulls.note_arrival(delta.node, record.stamp)
         self._announce_change(delta, held, record, origin, now)
+        if doubted and delta.node not in view.doubts:
+            self._state.notify(ChangeKind.NODE_CLEARED, delta.node, now)
 
     def _announce_change(
         self,
--- a/egretlever/membership/_membership.py
+++ b/egretlever/membership/_membership.py
@@ -14,6 +14,7 @@
     RegionName,
     Seconds,
     Server,
+    ServerId,
     Version,
     check_parameters,
     make_log,
@@ -257,6 +258,14 @@
         """Return all known nodes, this one included."""
         return self._snapshots.nodes()
 
+    def server(self, server: ServerId) -> Server | None:
+        """Return a server, None when it is stopped or not known."""
+        return self._snapshots.server(server)
+
+    def node(self, node: NodeId) -> NodeSnapshot | None:
+        """Return a node, None when it is not known."""
+        return self._snapshots.node(node)
+
     def readers(self, region: RegionName) -> tuple[NodeId, ...]:
         """Return the three catalogue reader nodes of a region."""
         live = [
--- a/egretlever/membership/_snapshots.py
+++ b/egretlever/membership/_snapshots.py
@@ -12,6 +12,7 @@
     RegionName,
     Seconds,
     Server,
+    ServerId,
     ServerState,
     Version,
 )
@@ -66,30 +67,33 @@
 
     def nodes(self) -> list[NodeSnapshot]:
         """Return all known nodes."""
-        view = self._state.view
-        found = []
-        for node, record in view.records.items():
-            header = record.header
-            count = sum(
+        return [
+            self._node(record) for record in self._state.view.records.values()
+        ]
+
+    def node(self, node: NodeId) -> NodeSnapshot | None:
+        """Return a node, None when it is not known."""
+        record = self._state.view.records.get(node)
+        return self._node(record) if record is not None else None
+
+    def _node(self, record: NodeRecord) -> NodeSnapshot:
+        header = record.header
+        return NodeSnapshot(
+            header.node,
+            record.incarnation,
+            record.version,
+            self._state.view.state(header.node),
+            header.traffic,
+            header.gossip,
+            header.admin,
+            header.host,
+            header.failure_domain,
+            header.region,
+            sum(
                 entry.state is not ServerState.STOPPED
                 for entry in record.entries.values()
-            )
-            found.append(
-                NodeSnapshot(
-                    node,
-                    record.incarnation,
-                    record.version,
-                    view.state(node),
-                    header.traffic,
-                    header.gossip,
-                    header.admin,
-                    header.host,
-                    header.failure_domain,
-                    header.region,
-                    count,
-                )
-            )
-        return found
+            ),
+        )
 
     def servers(self) -> list[Server]:
         """Return all known servers but stopped ones.
@@ -98,20 +102,29 @@
         that stopped announcing itself, is orphaned.
         """
         view = self._state.view
-        found = {}
-        for node, record in view.records.items():
-            state = view.state(node)
-            for entry in record.entries.values():
-                orphaned = entry.silent or state is NodeState.DEAD
-                server = self._server(record, entry, orphaned)
-                if server is not None:
-                    found[entry.id] = server
-        for server_id, orphan in view.orphans.items():
-            if server_id not in found:
-                server = self._server(orphan.record, orphan.entry, True)
-                if server is not None:
-                    found[server_id] = server
-        return list(found.values())
+        names = {**view.homes, **view.orphans}
+        found = [self.server(name) for name in names]
+        return [server for server in found if server is not None]
+
+    def server(self, server: ServerId) -> Server | None:
+        """Return a server, None when it is stopped or not known.
+
+        Of several nodes that list it, the one with its highest incarnation
+        counts, then one that hears it, then the last to list it.
+        """
+        view = self._state.view
+        found = None
+        for node in view.homes.get(server, ()):
+            record = view.records[node]
+            entry = record.entries[server]
+            orphaned = entry.silent or view.state(node) is NodeState.DEAD
+            other = self._server(record, entry, orphaned)
+            if other and (found is None or _rank(other) >= _rank(found)):
+                found = other
+        orphan = view.orphans.get(server)
+        if found is None and orphan is not None:
+            found = self._server(orphan.record, orphan.entry, True)
+        return found
 
     def _server(
         self, record: NodeRecord, entry: ServerEntry, orphaned: bool
@@ -147,3 +160,7 @@
         if self._warmup is not None:
             ramp = self._warmup.duration(entry.service)
         return Seconds(known[1] + ramp)
+
+
+def _rank(server: Server) -> tuple[Incarnation, bool]:
+    return server.incarnation, not server.orphaned
--- a/egretlever/membership/_view.py
+++ b/egretlever/membership/_view.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from egretlever.core import (
     Address,
@@ -73,6 +73,8 @@
         self.records: dict[NodeId, NodeRecord] = {}
         self.doubts: dict[NodeId, Doubt] = {}
         self.orphans: dict[ServerId, Orphan] = {}
+        # Nodes whose records list a server, for look-ups of single servers.
+        self.homes: dict[ServerId, dict[NodeId, None]] = {}
         self.started: dict[ServerId, tuple[Incarnation, Seconds]] = {}
         self.regions: dict[Address, RegionName] = {}
         self.digest = [0] * BUCKETS
@@ -157,6 +159,7 @@
         node = record.header.node
         old = self.records.get(node)
         self.records[node] = record
+        self._index_servers(node, old.entries if old else {}, record.entries)
         self.regions[record.header.gossip] = record.header.region
         if old is None:
             self._bucket_of[node] = hash_text(node) % BUCKETS
@@ -169,6 +172,21 @@
             self._left.pop(node, None)
         self._rehash(node)
 
+    def _index_servers(
+        self,
+        node: NodeId,
+        before: Mapping[ServerId, ServerEntry],
+        after: Mapping[ServerId, ServerEntry],
+    ) -> None:
+        for server in before.keys() - after.keys():
+            homes = self.homes[server]
+            del homes[node]
+            if not homes:
+                del self.homes[server]
+        for server in after:
+            if server not in before:
+                self.homes.setdefault(server, {})[node] = None
+
     def _keep_orphans(self, held: NodeRecord, now: Seconds) -> None:
         for entry in held.entries.values():
             if not entry.departing and held.state is not NodeState.LEFT:
@@ -242,6 +260,7 @@
     def drop(self, node: NodeId) -> None:
         """Drop a record and keep a tombstone against its return."""
         record = self.records.pop(node)
+        self._index_servers(node, record.entries, {})
         bucket = self._bucket_of.pop(node)
         self._members[bucket].discard(node)
         self.digest[bucket] ^= self._hashes.pop(node)
--- a/egretlever/node/_parts.py
+++ b/egretlever/node/_parts.py
@@ -66,6 +66,9 @@
     ledger: OrderLedger
     gate: Gate
     chores: ChoreSchedule
+    warmups: dict[ServiceName, Seconds] = dataclasses.field(
+        default_factory=dict
+    )
 
     def take_catalogue(self, now: Seconds) -> None:
         """Give the limits of a new catalogue version to the parts."""
@@ -84,6 +87,10 @@
             for rank in (entry.value for entry in snapshot.ranks.values())
         )
         self.gate.configure(policies, ranks, now)
+        warmups = {service.name: service.warmup for service in services}
+        if warmups != self.warmups:
+            self.warmups = warmups
+            self.view.invalidate()
         for service in services:
             limits = RetryLimits(
                 service.max_attempts, service.retry_budget, service.hedge
--- /dev/null
+++ b/egretlever/node/tests/test_view.py
@@ -0,0 +1,121 @@
+"""Guards the view of one node against missed changes of the members."""
+
+import random
+
+import pytest
+
+from egretlever.catalogue import make_catalogue_state
+from egretlever.core import Incarnation, NodeId, RegionName, ServerState
+from egretlever.detection import make_detector
+from egretlever.membership import Collaborators, Parameters, make_membership
+from egretlever.node._selections import Selections
+from egretlever.node._view import FleetView
+from egretlever.routing import make_router
+from egretlever.testing import GossipNetwork
+from egretlever.testing.builders import (
+    build_announcement,
+    build_header,
+    build_location,
+)
+
+REGION = RegionName("punjab")
+SIZE = 5
+FAST = Parameters(suspicion_time=2.0, orphan_time=20.0)
+
+
+class Watched:
+    """Members of which the first one has a view that is kept up to date."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.network = GossipNetwork(seed)
+        detector = make_detector(NodeId("node-0"), REGION)
+        selections = Selections(make_catalogue_state(), detector)
+        router = make_router(build_location(0), random.Random(seed))
+        self.view = FleetView(REGION, selections, router, detector)
+        self.headers = [build_header(n, region=REGION) for n in range(SIZE)]
+        self.incarnations = dict.fromkeys(range(SIZE), 1)
+        for number in range(SIZE):
+            self.start(number)
+        self.run(10)
+
+    def start(self, number):
+        header = self.headers[number]
+        member = make_membership(
+            header,
+            Incarnation(self.incarnations[number]),
+            [self.headers[0].gossip, self.headers[1].gossip],
+            FAST,
+            Collaborators(listener=None if number else self.view),
+            random.Random(number),
+        )
+        self.incarnations[number] += 1
+        self.network.add(header, member)
+
+    @property
+    def member(self):
+        return self.network.members[self.headers[0].gossip]
+
+    def announce(self, number, server, **changes):
+        address = self.headers[number].gossip
+        member = self.network.members.get(address)
+        if member is None:
+            return
+        said = build_announcement(server, number, **changes)
+        sends = member.announce(said, self.network.now)
+        self.network.carry(address, sends)
+        self.network.poke(address)
+
+    def run(self, seconds):
+        for _ in range(int(seconds * 2)):
+            self.network.run(0.5)
+            self.view.refresh(self.member, self.network.now)
+
+    def act(self):
+        number = self.random.randrange(1, SIZE)
+        action = self.random.choice(["say", "say", "drain", "kill", "start"])
+        address = self.headers[number].gossip
+        if action == "say":
+            self.announce(number, self.random.randrange(4))
+        elif action == "drain":
+            self.announce(
+                number, self.random.randrange(4), state=ServerState.DRAINING
+            )
+        elif action == "kill":
+            self.network.remove(address)
+        elif address not in self.network.members:
+            self.start(number)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_the_view_equals_all_that_membership_knows(seed):
+    watched = Watched(seed)
+    for _ in range(40):
+        watched.act()
+        watched.run(watched.random.choice([0.5, 3, 10]))
+        # Silence and expiry are found by the turns of the view.
+        watched.run(5)
+        known = {server.id: server for server in watched.member.servers()}
+        assert watched.view.servers == known
+
+
+def test_a_change_is_taken_in_without_a_look_at_all_servers():
+    watched = Watched(1)
+    for number in range(SIZE):
+        watched.announce(number, 1)
+    watched.run(5)
+
+    class Counting:
+        """Membership that refuses the lists of everything."""
+
+        def server(self, server):
+            return watched.member.server(server)
+
+        def node(self, node):
+            return watched.member.node(node)
+
+    watched.announce(2, 1, state=ServerState.DRAINING)
+    watched.network.run(2)
+    watched.view.refresh(Counting(), watched.network.now)
+    name = build_announcement(1, 2).id
+    assert watched.view.servers[name].state is ServerState.DRAINING
