--- a/egretlever/programs/_common.py
+++ b/egretlever/programs/_common.py
@@ -2,20 +2,18 @@
 
 import logging as plain_logging
 import pathlib
-import signal
-import socket
-import sys
-from collections.abc import Awaitable, Callable
-from typing import Any, TypeVar
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Annotated, Any, NoReturn, TypeVar
 
 import curio
-import curio.io
 import typer
 from absl import flags, logging
 from google.protobuf import message
 from returns.pipeline import is_successful
 
 import egretlever
+from egretlever.core import Finding
+from egretlever.programs._signals import catch_stop_signals
 from egretlever.settings import read_settings
 
 EXIT_FINDINGS = 2
@@ -44,24 +42,30 @@
         pretty_exceptions_enable=False,
     )
 
+    @app.callback()
+    def _options(version: make_version_option(name) = False) -> None:  # type: ignore[valid-type]
+        del version
+
+    return app
+
+
+def make_version_option(name: str) -> Any:
+    """Make the type of the option that prints a program's version."""
+
     def print_version(wanted: bool) -> None:
         if wanted:
-            print(f"{name} {egretlever.__version__}")
+            typer.echo(f"{name} {egretlever.__version__}")
             raise typer.Exit
 
-    @app.callback()
-    def _options(
-        version: bool = typer.Option(
-            False,
+    return Annotated[
+        bool,
+        typer.Option(
             "--version",
             callback=print_version,
             is_eager=True,
             help="Print the version and exit.",
         ),
-    ) -> None:
-        del version
-
-    return app
+    ]
 
 
 def load_settings(path: pathlib.Path, kind: type[_Settings]) -> _Settings:
@@ -85,17 +89,22 @@
         With code 2 when there are findings.
     """
     result = read_settings(path, kind)
-    if is_successful(result):
-        return result.unwrap()
-    for finding in result.failure():
-        print(finding, file=sys.stderr)
+    if not is_successful(result):
+        exit_with_findings(result.failure())
+    return result.unwrap()
+
+
+def exit_with_findings(findings: Iterable[Finding]) -> NoReturn:
+    """Print every finding on standard error and end with exit code 2."""
+    for finding in findings:
+        typer.echo(str(finding), err=True)
     raise typer.Exit(EXIT_FINDINGS)
 
 
 def check_settings(path: pathlib.Path, kind: type[_Settings]) -> None:
     """Check settings and say so; exits with code 2 on findings."""
     load_settings(path, kind)
-    print(f"{path}: no findings")
+    typer.echo(f"{path}: no findings")
 
 
 def start_logging(verbose: bool) -> None:
@@ -124,36 +133,15 @@
         Coroutine function that begins the planned stop. It is called once.
     """
 
-    async def watch() -> None:
-        await wait_for_signal(signal.SIGTERM, signal.SIGINT)
-        await stop()
-
     async def run() -> None:
-        watcher = await curio.spawn(watch, daemon=True)
-        await main()
-        await watcher.cancel()
-
-    curio.run(run)
+        async with catch_stop_signals() as wait_for_stop:
 
+            async def watch() -> None:
+                await wait_for_stop()
+                await stop()
 
-async def wait_for_signal(*signals: signal.Signals) -> None:
-    """Wait on the loop until the process receives one of some signals.
+            watcher = await curio.spawn(watch, daemon=True)
+            await main()
+            await watcher.cancel()
 
-    The interpreter writes the signal's number to a socket that the loop
-    watches, so no code runs inside a signal handler.
-
-    Parameters
-    ----------
-    *signals : signal.Signals
-        Signals to wait for; their default actions are replaced.
-    """
-    receiver, sender = socket.socketpair()
-    sender.setblocking(False)
-    signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
-    for number in signals:
-        signal.signal(number, lambda *_: None)
-    wakeup = curio.io.Socket(receiver)
-    await wakeup.recv(1)
-    signal.set_wakeup_fd(-1)
-    await wakeup.close()
-    sender.close()
+    curio.run(run)
--- a/egretlever/programs/_ctl_catalogue.py
+++ b/egretlever/programs/_ctl_catalogue.py
@@ -30,11 +30,11 @@
 )
 from egretlever.core import EditId, Finding, Version
 from egretlever.programs import _ctl_common, _ctl_notify
+from egretlever.programs._common import exit_with_findings
 from egretlever.programs._ctl_common import (
     CtlContext,
     ExitCode,
     exit_with,
-    exit_with_findings,
     render_table,
     run_on_loop,
 )
--- a/egretlever/programs/_ctl_common.py
+++ b/egretlever/programs/_ctl_common.py
@@ -8,12 +8,12 @@
 
 import curio
 import typer
-from returns.result import Failure
 
-from egretlever.core import Finding, Seconds
+from egretlever.core import Seconds
 from egretlever.platform import ObjectStore, TableStore
+from egretlever.programs._common import EXIT_FINDINGS, load_settings
 from egretlever.schema import settings_pb2
-from egretlever.settings import parse_address, read_settings
+from egretlever.settings import parse_address
 
 _Value = TypeVar("_Value")
 
@@ -27,7 +27,7 @@
 
     DONE = 0
     REFUSED = 1
-    FINDINGS = 2
+    FINDINGS = EXIT_FINDINGS
     STORE_AWAY = 3
     EFFECT_UNKNOWN = 4
     NODES_AWAY = 5
@@ -55,10 +55,7 @@
 
     def load(self) -> settings_pb2.CtlSettings:
         """Read the settings, or end the program with their findings."""
-        result = read_settings(self.settings_path, settings_pb2.CtlSettings)
-        if isinstance(result, Failure):
-            exit_with_findings(result.failure())
-        return result.unwrap()
+        return load_settings(self.settings_path, settings_pb2.CtlSettings)
 
 
 def make_stores(section: settings_pb2.PlatformSection) -> Stores:
@@ -91,11 +88,6 @@
     raise typer.Exit(code)
 
 
-def exit_with_findings(findings: Iterable[Finding]) -> NoReturn:
-    """Print every finding on standard error and end with exit code 2."""
-    exit_with(ExitCode.FINDINGS, "\n".join(str(one) for one in findings))
-
-
 def render_table(
     header: Sequence[str], rows: Iterable[Sequence[object]]
 ) -> str:
--- a/egretlever/programs/ctl.py
+++ b/egretlever/programs/ctl.py
@@ -5,9 +5,11 @@
 
 import typer
 
-import egretlever
-from egretlever.programs import _ctl_catalogue, _ctl_servers
+from egretlever.programs import _common, _ctl_catalogue, _ctl_servers
 from egretlever.programs._ctl_common import CtlContext
+from egretlever.schema import settings_pb2
+
+_Version = _common.make_version_option("egretlever-ctl")
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -21,12 +23,6 @@
 app.command("servers")(_ctl_servers.show_servers)
 
 
-def _print_version(wanted: bool) -> None:
-    if wanted:
-        typer.echo(f"egretlever-ctl {egretlever.__version__}")
-        raise typer.Exit
-
-
 @app.callback()
 def read_options(
     context: typer.Context,
@@ -34,15 +30,7 @@
         pathlib.Path,
         typer.Option(envvar="EGRETLEVER_CTL_SETTINGS", help="Settings file."),
     ] = pathlib.Path("ctl.ini"),
-    version: Annotated[
-        bool,
-        typer.Option(
-            "--version",
-            help="Print the version.",
-            is_eager=True,
-            callback=_print_version,
-        ),
-    ] = False,
+    version: _Version = False,  # type: ignore[valid-type]
 ) -> None:
     """Keep the options that stand before the command."""
     context.obj = CtlContext(settings)
@@ -51,8 +39,7 @@
 @app.command()
 def check(context: typer.Context) -> None:
     """Check the settings file and print every finding."""
-    context.obj.load()
-    typer.echo(f"{context.obj.settings_path}: no findings")
+    _common.check_settings(context.obj.settings_path, settings_pb2.CtlSettings)
 
 
 def main() -> None:
--- a/egretlever/programs/load.py
+++ b/egretlever/programs/load.py
@@ -3,10 +3,10 @@
 import pathlib
 from typing import Annotated
 
-import curio
 import typer
 from google.protobuf import json_format
 
+from egretlever.core import Finding
 from egretlever.programs import _common
 from egretlever.schema import settings_pb2
 from egretlever.settings import parse_address
@@ -35,18 +35,21 @@
         typer.Option(help="File for the result of each attempt, JSON lines."),
     ] = None,
 ) -> None:
-    """Play recorded requests; exits with 1 when an answer was not whole."""
+    """Play recorded requests; exits with 1 when an answer was not whole.
+
+    After SIGTERM or SIGINT no further request is sent, and those in flight
+    end.
+    """
     settings = _common.load_settings(file, settings_pb2.LoadSettings).load
     nodes = [parse_address(text) for text in settings.nodes]
     try:
         requests = read_mix(mix)
     except (OSError, json_format.ParseError) as error:
-        print(f"{mix}: {error}")
-        raise typer.Exit(_common.EXIT_FINDINGS) from None
+        _common.exit_with_findings([Finding(str(mix), str(error))])
     load = make_load(
         nodes, settings.seed, settings.order_attempts, settings.max_in_flight
     )
-    curio.run(load.play(requests))
+    _common.run_until_signal(lambda: load.play(requests), load.stop)
     if results is not None:
         lines = (
             json_format.MessageToJson(
--- /dev/null
+++ b/egretlever/programs/tests/test_programs.py
@@ -0,0 +1,130 @@
+"""Guards what all programs share: help, version, findings and clean stops."""
+
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+from typer.testing import CliRunner
+
+from egretlever.programs import backend, ctl, load, node, platform
+from egretlever.schema import standins_pb2
+from egretlever.standins import make_mix, write_mix
+from egretlever.testing import SmallFleet, wait_until
+
+# Bounds a wait for a process; far above what a loaded machine needs.
+LIMIT = 60
+PROGRAMS = {
+    "node": node,
+    "backend": backend,
+    "load": load,
+    "platform": platform,
+    "ctl": ctl,
+}
+BAD_SETTINGS = {
+    "node": "[listen]\ntraffic = here\n[members]\ngossip_interval_s = 0\n",
+    "backend": "[backend]\nserver = a\nlisten = here\nslots = 0\n",
+    "load": "[load]\nnodes = here\nmax_in_flight = 0\n",
+    "platform": "[platform]\nlisten = here\nlatency_s = -1\n",
+    "ctl": "[platform]\ntable = here\n[ctl]\nnodes = there\n",
+}
+COMMANDS = {"node": "run", "backend": "run", "load": "play", "platform": "run"}
+every_program = pytest.mark.parametrize("name", PROGRAMS)
+
+
+def invoke(name, *words):
+    return CliRunner().invoke(PROGRAMS[name].app, [*map(str, words)])
+
+
+def check(name, path):
+    if name == "ctl":
+        return invoke(name, "--settings", path, "check")
+    return invoke(name, "check", path)
+
+
+@every_program
+def test_help_and_version_need_no_settings(name):
+    shown = invoke(name, "--help")
+    assert shown.exit_code == 0
+    assert "check" in shown.output
+    assert "--version" in shown.output
+    shown = invoke(name, "--version")
+    assert shown.exit_code == 0
+    assert shown.output.startswith(f"egretlever-{name} ")
+
+
+@every_program
+def test_all_findings_are_printed_and_end_with_2(name, tmp_path):
+    path = tmp_path / "settings.ini"
+    path.write_text(BAD_SETTINGS[name] + "colour = red\n", encoding="utf-8")
+    shown = check(name, path)
+    assert shown.exit_code == 2
+    assert "colour: is unknown" in shown.output
+    assert len(shown.output.splitlines()) >= 3
+    if name in COMMANDS:
+        words = [path, path] if name == "load" else [path]
+        again = invoke(name, COMMANDS[name], *words)
+        assert again.exit_code == 2
+        assert again.output == shown.output
+
+
+@every_program
+def test_a_missing_file_is_a_finding(name, tmp_path):
+    shown = check(name, tmp_path / "absent.ini")
+    assert shown.exit_code == 2
+    assert "absent.ini" in shown.output
+
+
+def test_a_mix_that_can_not_be_read_is_a_finding(tmp_path):
+    settings = tmp_path / "load.ini"
+    settings.write_text("[load]\nnodes = 127.0.0.1:1\n", encoding="utf-8")
+    shown = invoke("load", "play", settings, tmp_path / "absent.jsonl")
+    assert shown.exit_code == 2
+    assert "absent.jsonl" in shown.output
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_node_and_backend_stop_cleanly_on_a_signal(number):
+    with SmallFleet() as fleet:
+        fleet.start_platform()
+        fleet.start_nodes(2)
+        fleet.start_server("a-0", "a", "node-0", drain_linger_s=0)
+        assert wait_until(lambda: knows_server(fleet), LIMIT)
+        for name in ("a-0", "node-0"):
+            running = fleet.programs[name]
+            running.signal(number)
+            assert running.process.wait(LIMIT) == 0
+            assert "Traceback" not in running.log.read_text()
+
+
+def knows_server(fleet):
+    status = fleet.read_status("node-0")
+    return status is not None and len(status.servers) == 1
+
+
+def test_the_load_generator_writes_its_results_when_it_is_stopped(tmp_path):
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.settimeout(LIMIT)
+    settings = tmp_path / "load.ini"
+    port = listener.getsockname()[1]
+    settings.write_text(f"[load]\nnodes = 127.0.0.1:{port}\n", "utf-8")
+    mix, results = tmp_path / "mix.jsonl", tmp_path / "results.jsonl"
+    request = standins_pb2.LoadRequest(method="GET", path="/", rank="browse")
+    write_mix(mix, make_mix([(request, 20.0)], 600.0, 1))
+    command = [sys.executable, "-m", "egretlever.programs.load", "play"]
+    command += [str(settings), str(mix), "--results", str(results)]
+    process = subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+    )
+    try:
+        with listener:
+            listener.accept()[0].close()
+        process.send_signal(signal.SIGTERM)
+        output, _ = process.communicate(timeout=LIMIT)
+        assert process.returncode == 0, output
+        assert "Traceback" not in output
+        assert results.read_text(encoding="utf-8").strip()
+    finally:
+        process.kill()
+        process.wait()
--- a/egretlever/standins/_load.py
+++ b/egretlever/standins/_load.py
@@ -68,6 +68,7 @@
         self._pool = ConnectionPool(
             _CONNECT_TIMEOUT, _IDLE_TIMEOUT, _KEPT_CONNECTIONS
         )
+        self._stopped = curio.Event()
         self._avoided: dict[Address, float] = {}
         self._run_id = f"{randomness.getrandbits(64):016x}"
         self.results: list[standins_pb2.LoadResult] = []
@@ -79,10 +80,16 @@
             for number, request in enumerate(requests):
                 wait = start + request.at_s - read_clock()
                 if wait > 0:
-                    await curio.sleep(wait)
+                    await curio.ignore_after(wait, self._stopped.wait)
+                if self._stopped.is_set():
+                    break
                 await tasks.spawn(self._play_request, number, request)
         await self._pool.close()
 
+    async def stop(self) -> None:
+        """Send no further request; `play` ends after those in flight."""
+        await self._stopped.set()
+
     async def _play_request(
         self, number: int, request: standins_pb2.LoadRequest
     ) -> None:
