Pack records in compressed pages, and fetch the view from several peers

Cause: a joining node learned which records exist from lists of about 28 versions, two lists a second, then pulled every record in two messages because a record of 14 servers (1,130 bytes by the bound) exceeds the room of one delta. One joiner among 1,000 nodes held 169 records after 30 s.

The records of 1,000 nodes take 760 KB encoded and 110 KB in deflated pages of 16. A short node now asks peers of its own region for buckets of the digest, and peers serve them as their byte budget admits. Pulled records use the same pages. Greetings carry no digest, which was unused.

--- a/egretlever/membership/_codec.py
+++ b/egretlever/membership/_codec.py
@@ -57,11 +57,15 @@
     envelope = gossip_pb2.Envelope(
         sender=message.sender,
         sender_incarnation=message.incarnation,
-        deltas=[_encode_delta(delta) for delta in message.deltas],
+        deltas=[encode_delta(delta) for delta in message.deltas],
         suspicions=[_encode_suspicion(item) for item in message.suspicions],
         digest=message.digest,
         population=message.population,
         buckets=message.buckets,
+        page=message.page,
+        fetch=message.fetch,
+        served=message.served,
+        declined=message.declined,
         versions=[_encode_version(item) for item in message.versions],
         wanted=[_encode_version(item) for item in message.wanted],
         acknowledged=message.acknowledged,
@@ -114,7 +118,8 @@
         raise ValueError("the envelope has no sender")
     if len(envelope.digest) not in (0, BUCKETS):
         raise ValueError(f"the digest has {len(envelope.digest)} buckets")
-    if any(bucket >= BUCKETS for bucket in envelope.buckets):
+    named = (*envelope.buckets, *envelope.fetch, *envelope.served)
+    if any(bucket >= BUCKETS for bucket in (*named, *envelope.declined)):
         raise ValueError("a bucket is out of range")
     head = None
     if envelope.catalogue_version:
@@ -123,7 +128,7 @@
     return Message(
         NodeId(envelope.sender),
         Incarnation(envelope.sender_incarnation),
-        tuple(_decode_delta(item) for item in envelope.deltas),
+        tuple(decode_delta(item) for item in envelope.deltas),
         tuple(_decode_suspicion(item) for item in envelope.suspicions),
         tuple(envelope.digest),
         envelope.population,
@@ -140,6 +145,10 @@
         _decode_chunk(envelope),
         _decode_evidence(envelope),
         envelope.evidence_received,
+        envelope.page,
+        tuple(envelope.fetch),
+        tuple(envelope.served),
+        tuple(envelope.declined),
     )
 
 
@@ -221,7 +230,8 @@
     )
 
 
-def _encode_delta(delta: RecordDelta) -> gossip_pb2.RecordDelta:
+def encode_delta(delta: RecordDelta) -> gossip_pb2.RecordDelta:
+    """Encode a delta."""
     services: dict[str, int] = {}
     ips: dict[str, int] = {}
     entries = [
@@ -253,7 +263,8 @@
     )
 
 
-def _decode_delta(delta: gossip_pb2.RecordDelta) -> RecordDelta:
+def decode_delta(delta: gossip_pb2.RecordDelta) -> RecordDelta:
+    """Decode a delta; raise ValueError when it is not plausible."""
     state = _NODE_STATES[delta.state]
     if state not in (NodeState.ALIVE, NodeState.LEFT):
         raise ValueError("a record is neither alive nor left")
--- a/egretlever/membership/_gossip.py
+++ b/egretlever/membership/_gossip.py
@@ -1,6 +1,8 @@
 """Gossip rounds and the comparison of records by digests."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+
+from returns.result import Success
 
 from egretlever.core import (
     Address,
@@ -16,19 +18,23 @@
 from egretlever.membership._messages import (
     Drop,
     Message,
+    MessageFields,
     Priority,
     RecordVersion,
     Suspicion,
     measure_version,
 )
 from egretlever.membership._pulls import Pulls
-from egretlever.membership._records import RecordDelta
-from egretlever.membership._state import DELTA_ROOM, State
+from egretlever.membership._records import NodeRecord, RecordDelta
+from egretlever.membership._state import State
 
 VERSIONS_ROOM = 800
 MAX_VERSION_MESSAGES = 1
 MAX_PUSHED = 2
 PULL_PEERS = 4
+# Largest size of a record before packing, and of a page in a datagram.
+PACKED_ROOM = 4000
+PAGE_ROOM = 1080
 
 
 class Gossip:
@@ -56,7 +62,28 @@
         self, message: Message, sender: Address, now: Seconds
     ) -> None:
         """Apply the records in a message and pass the changes on."""
-        for delta in message.deltas:
+        self._take_all(message.deltas, message, sender, now)
+
+    def take_page(
+        self, message: Message, sender: Address, now: Seconds
+    ) -> None:
+        """Apply the records in the page of a message."""
+        if not message.page:
+            return
+        unpacked = self._state.packer.unpack(message.page)
+        if isinstance(unpacked, Success):
+            self._take_all(unpacked.unwrap(), message, sender, now)
+        else:
+            self._state.count(unpacked.failure())
+
+    def _take_all(
+        self,
+        deltas: Sequence[RecordDelta],
+        message: Message,
+        sender: Address,
+        now: Seconds,
+    ) -> None:
+        for delta in deltas:
             if delta.node == self._state.node:
                 self._take_own(delta, now)
             else:
@@ -100,27 +127,30 @@
                 self._want_now(RecordVersion(delta.node, *stamp), origin, now)
             return
         self._pulls.note_arrival(delta.node, record.stamp)
-        self._announce_change(delta, held, record, origin, now)
+        self._announce_change(delta, held, origin, now)
 
     def _announce_change(
         self,
         delta: RecordDelta,
-        held: object,
-        record: object,
+        held: NodeRecord | None,
         origin: NodeId,
         now: Seconds,
     ) -> None:
-        old = held.entries if held else {}  # type: ignore[attr-defined]
+        old = held.entries if held else {}
         left = delta.state is NodeState.LEFT
         departures = held is not None and any(
             entry.departing
             and not (entry.id in old and old[entry.id].departing)
             for entry in delta.entries
         )
-        fresh = held is None or held.incarnation < delta.incarnation  # type: ignore[attr-defined]
-        base = Version(0) if fresh else held.version  # type: ignore[attr-defined]
+        base = Version(0)
+        if held is not None and held.incarnation == delta.incarnation:
+            base = held.version
+        fresh = not base
         urgent = departures or (left and held is not None)
-        self._state.spread_record(delta.node, base, urgent, now, origin)
+        # Those that a starting node learns from know the records already.
+        if urgent or not self._state.is_short():
+            self._state.spread_record(delta.node, base, urgent, now, origin)
         if fresh:
             self._state.notify(ChangeKind.NODE_JOINED, delta.node, now)
         if left:
@@ -154,7 +184,7 @@
 
     def answer_digest(
         self, digest: Sequence[int], address: Address
-    ) -> dict[str, object]:
+    ) -> MessageFields:
         """List the versions in differing buckets.
 
         Returns
@@ -165,14 +195,14 @@
         """
         differing = self.compare_digest(digest)
         messages = 1 if len(differing) <= 8 else MAX_VERSION_MESSAGES
-        pages: list[dict[str, object]] = []
+        pages: list[MessageFields] = []
         while differing and len(pages) < messages:
             pages.append(self._list_page(differing))
         for page in pages[1:]:
             self._state.send_address(address, Priority.ORDINARY, **page)
         return pages[0] if pages else {}
 
-    def _list_page(self, differing: list[int]) -> dict[str, object]:
+    def _list_page(self, differing: list[int]) -> MessageFields:
         buckets: list[int] = []
         versions: list[RecordVersion] = []
         room = VERSIONS_ROOM
@@ -268,43 +298,83 @@
         self, versions: Sequence[RecordVersion], address: Address, now: Seconds
     ) -> None:
         """Send the records that follow the given versions, packed."""
-        batch: list[RecordDelta] = []
-        doubts: list[Suspicion] = []
-        size = 0
-        for version in versions:
-            delta = self._state.delta_after(
-                version.node, version.incarnation, version.version, now
+        deltas = [
+            self._state.delta_after(
+                version.node,
+                version.incarnation,
+                version.version,
+                now,
+                PACKED_ROOM,
             )
-            if delta is None:
-                continue
-            if batch and size + delta.size > DELTA_ROOM:
-                self._send_batch(batch, doubts, address)
-                batch, doubts, size = [], [], 0
-            batch.append(delta)
-            size += delta.size + 4
-            if self._state.view.version_of(version.node).dead:
-                doubts.append(self._liveness.suspicion_of(version.node, now))
-        if batch:
-            self._send_batch(batch, doubts, address)
+            for version in versions
+        ]
+        self._send_packed(
+            [d for d in deltas if d is not None], (), address, now
+        )
+
+    def send_bucket(self, bucket: int, address: Address, now: Seconds) -> None:
+        """Send all records of a bucket and say that they are all."""
+        deltas = [
+            self._state.delta_after(
+                version.node, Incarnation(0), Version(0), now, PACKED_ROOM
+            )
+            for version in self._state.view.versions(bucket)
+        ]
+        found = [delta for delta in deltas if delta is not None]
+        self._send_packed(found, (bucket,), address, now)
 
-    def _send_batch(
+    def _send_packed(
         self,
-        batch: list[RecordDelta],
-        doubts: list[Suspicion],
+        deltas: Sequence[RecordDelta],
+        served: tuple[int, ...],
         address: Address,
+        now: Seconds,
     ) -> None:
         departing = any(
             entry.state is ServerState.DRAINING
-            for delta in batch
+            for delta in deltas
             for entry in delta.entries
         )
-        priority = Priority.URGENT if departing else Priority.ORDINARY
-        self._state.send_address(address, priority, deltas=tuple(batch))
-        if doubts:
+        urgent = departing and not served
+        priority = Priority.URGENT if urgent else Priority.ORDINARY
+        for fields in self._make_pages(deltas, now):
+            self._state.send_address(address, priority, **fields)
+        doubts = self._doubts_of(deltas, now)
+        if doubts or served:
             self._state.send_address(
-                address, Priority.ORDINARY, suspicions=tuple(doubts)
+                address,
+                Priority.ORDINARY,
+                suspicions=doubts,
+                served=served,
             )
 
+    def _make_pages(
+        self, deltas: Sequence[RecordDelta], now: Seconds
+    ) -> Iterator[MessageFields]:
+        rest = list(deltas)
+        while rest:
+            page, count = self._state.packer.pack(rest, PAGE_ROOM)
+            if count:
+                yield {"page": page}
+            else:
+                # The record does not compress enough: send its first part.
+                first = rest[0]
+                part = self._state.delta_after(
+                    first.node, first.incarnation, first.base, now
+                )
+                if part is not None:
+                    yield {"deltas": (part,)}
+            del rest[: max(1, count)]
+
+    def _doubts_of(
+        self, deltas: Sequence[RecordDelta], now: Seconds
+    ) -> tuple[Suspicion, ...]:
+        return tuple(
+            self._liveness.suspicion_of(delta.node, now)
+            for delta in deltas
+            if self._state.view.version_of(delta.node).dead
+        )[:16]
+
     def pull(self, now: Seconds) -> None:
         """Ask for missing records, first the peers that told of them."""
         pulls = self._pulls.choose(now)
--- a/egretlever/membership/_interfaces.py
+++ b/egretlever/membership/_interfaces.py
@@ -2,15 +2,23 @@
 
 import dataclasses
 import enum
+from collections.abc import Sequence
 from typing import Protocol
 
+from returns.result import Result
+
 from egretlever.core import (
     NodeId,
     Seconds,
     ServerId,
     ServiceName,
 )
-from egretlever.membership._messages import CatalogueHead, CatalogueUpdate
+from egretlever.membership._messages import (
+    CatalogueHead,
+    CatalogueUpdate,
+    Drop,
+)
+from egretlever.membership._records import RecordDelta
 
 
 class ChangeKind(enum.Enum):
@@ -90,6 +98,24 @@
         """Return the length of the service's ramp in seconds."""
 
 
+class RecordPacker(Protocol):
+    """Packs records into pages, whose content stays opaque here."""
+
+    def pack(
+        self, deltas: Sequence[RecordDelta], limit: int
+    ) -> tuple[bytes, int]:
+        """Pack as many of the first deltas as fit a size.
+
+        Returns
+        -------
+        tuple of bytes and int
+            The page, and the number of deltas in it.
+        """
+
+    def unpack(self, page: bytes) -> Result[tuple[RecordDelta, ...], Drop]:
+        """Unpack a page; a failure tells why it is dropped."""
+
+
 class AddressSample(Protocol):
     """A rolling sample of live addresses that is kept elsewhere."""
 
--- a/egretlever/membership/_membership.py
+++ b/egretlever/membership/_membership.py
@@ -29,6 +29,7 @@
     EvidenceSink,
     Listener,
     OrphanJudge,
+    RecordPacker,
     Warmup,
 )
 from egretlever.membership._joining import Joining
@@ -42,11 +43,13 @@
     Send,
 )
 from egretlever.membership._own import ServerAnnouncement
+from egretlever.membership._packing import ZlibPacker
 from egretlever.membership._receiving import Receiving
 from egretlever.membership._records import NodeHeader, RecordDelta
 from egretlever.membership._rounds import Rounds
 from egretlever.membership._snapshots import NodeSnapshot, Snapshots
 from egretlever.membership._state import Parameters, State
+from egretlever.membership._transfer import Transfer
 
 _LOG = make_log("membership")
 
@@ -61,6 +64,7 @@
     judge: OrphanJudge | None = None
     warmup: Warmup | None = None
     sample: AddressSample | None = None
+    packer: RecordPacker | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,15 +142,18 @@
             rng,
             catalogue,
             collaborators.listener,
+            collaborators.packer or ZlibPacker(),
         )
         self._liveness = Liveness(self._state, collaborators.judge)
         self._gossip = Gossip(self._state, self._liveness)
+        self._transfer = Transfer(self._state, self._gossip)
         self._joining = Joining(header.gossip, seeds, collaborators.sample, rng)
         self._post = EvidencePost(header.node, incarnation, rng)
         self._receiving = Receiving(
             self._state,
             self._liveness,
             self._gossip,
+            self._transfer,
             self._joining,
             self._post,
             collaborators.evidence,
@@ -155,6 +162,7 @@
             self._state,
             self._liveness,
             self._gossip,
+            self._transfer,
             self._joining,
             self._post,
         )
--- a/egretlever/membership/_messages.py
+++ b/egretlever/membership/_messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from typing import TypedDict
 
 from egretlever.core import (
     Address,
@@ -160,6 +161,34 @@
     chunk: ContentChunk | None = None
     evidence: Evidence | None = None
     evidence_received: int = 0
+    page: bytes = b""
+    fetch: tuple[int, ...] = ()
+    served: tuple[int, ...] = ()
+    declined: tuple[int, ...] = ()
+
+
+class MessageFields(TypedDict, total=False):
+    """Fields of a message besides its sender; see `Message`."""
+
+    deltas: tuple[RecordDelta, ...]
+    suspicions: tuple[Suspicion, ...]
+    digest: tuple[int, ...]
+    population: int
+    buckets: tuple[int, ...]
+    versions: tuple[RecordVersion, ...]
+    wanted: tuple[RecordVersion, ...]
+    probe: Probe | None
+    acknowledged: int
+    head: CatalogueHead | None
+    update: CatalogueUpdate | None
+    requests: tuple[ContentRequest, ...]
+    chunk: ContentChunk | None
+    evidence: Evidence | None
+    evidence_received: int
+    page: bytes
+    fetch: tuple[int, ...]
+    served: tuple[int, ...]
+    declined: tuple[int, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,6 +218,10 @@
     size += 4 * len(message.digest) + len(message.buckets)
     size += sum(measure_version(item) for item in message.versions)
     size += sum(measure_version(item) for item in message.wanted)
+    if message.page:
+        size += 4 + len(message.page)
+    for buckets in (message.fetch, message.served, message.declined):
+        size += 4 + len(buckets) if buckets else 0
     if message.update:
         size += 40 + len(message.update.delta)
         size += len(message.update.head.digest)
--- a/egretlever/membership/_receiving.py
+++ b/egretlever/membership/_receiving.py
@@ -11,14 +11,16 @@
     Drop,
     Evidence,
     Message,
+    MessageFields,
     Priority,
 )
-from egretlever.membership._records import RecordDelta
 from egretlever.membership._state import RIDE_ROOM, State
+from egretlever.membership._transfer import Transfer
 
 MAX_REQUESTS = 8
 MAX_WANTED = 16
-INTRODUCTIONS = 3
+INTRODUCTIONS = 8
+INTRODUCTION_ROOM = 500
 INTRODUCTION_BYTES = 100
 
 
@@ -30,6 +32,7 @@
         state: State,
         liveness: Liveness,
         gossip: Gossip,
+        transfer: Transfer,
         joining: Joining,
         post: EvidencePost,
         sink: EvidenceSink | None,
@@ -37,6 +40,7 @@
         self._state = state
         self._liveness = liveness
         self._gossip = gossip
+        self._transfer = transfer
         self._joining = joining
         self._post = post
         self._sink = sink
@@ -51,6 +55,7 @@
         if known and not self._check_sender(message, sender, now):
             return
         self._gossip.take_deltas(message, sender, now)
+        self._gossip.take_page(message, sender, now)
         if message.acknowledged:
             self._liveness.acknowledge(message.acknowledged, now)
         for suspicion in message.suspicions:
@@ -71,6 +76,7 @@
             self._gossip.take_versions(message, sender, now)
         if message.wanted:
             self._gossip.push(message.wanted[:MAX_WANTED], sender, now)
+        self._transfer.take(message, sender)
         if message.probe:
             self._answer(message, sender, now)
         self._take_catalogue(message, sender, now)
@@ -139,17 +145,18 @@
         sequence = self._liveness.answer_probe(message.probe, sender, now)
         if not sequence:
             return
-        if not message.digest:
+        if not message.population and not message.deltas:
             state.send_address(sender, Priority.PROBE, acknowledged=sequence)
             return
-        fields: dict[str, object] = {"acknowledged": sequence}
+        fields: MessageFields = {"acknowledged": sequence}
         if message.population:
-            listed = {}
-            if state.outbox.has_room(now):
+            listed: MessageFields = {}
+            if state.outbox.has_room(now) and not state.is_short():
                 # Lists of versions must not starve the records themselves.
                 listed = self._gossip.answer_digest(message.digest, sender)
             room = 0 if listed else RIDE_ROOM
-            fields.update(state.ride_along(now, room), **listed)
+            fields.update(state.ride_along(now, room))
+            fields.update(listed)
             doubt = state.view.doubts.get(message.sender)
             if doubt is not None:
                 told = self._liveness.suspicion_of(message.sender, now)
@@ -157,15 +164,14 @@
         else:
             # A greeting comes from a node that may know nobody.
             fields["population"] = len(state.view.records)
-            fields["deltas"] = self._introduce(message.sender, now)
+            fields["page"] = self._introduce(message.sender, now)
         state.send_address(sender, Priority.PROBE, **fields)
 
-    def _introduce(
-        self, stranger: NodeId, now: Seconds
-    ) -> tuple[RecordDelta, ...]:
+    def _introduce(self, stranger: NodeId, now: Seconds) -> bytes:
+        """Pack this node's record and those of some peers."""
         state = self._state
-        peers = state.contacts.pick_local(INTRODUCTIONS, (stranger,))
-        peers += state.contacts.pick_remote()[:1]
+        peers = state.contacts.pick_remote()[:1]
+        peers += state.contacts.pick_local(INTRODUCTIONS, (stranger,))
         found = [
             state.delta_after(
                 node, Incarnation(0), Version(0), now, INTRODUCTION_BYTES
@@ -173,7 +179,8 @@
             for node in dict.fromkeys([state.node, *peers])
             if node != stranger
         ]
-        return tuple(delta for delta in found if delta is not None)
+        deltas = [delta for delta in found if delta is not None]
+        return state.packer.pack(deltas, INTRODUCTION_ROOM)[0]
 
     def _take_catalogue(
         self, message: Message, sender: Address, now: Seconds
--- a/egretlever/membership/_rounds.py
+++ b/egretlever/membership/_rounds.py
@@ -8,6 +8,7 @@
 from egretlever.membership._liveness import Liveness
 from egretlever.membership._messages import CatalogueUpdate, Priority
 from egretlever.membership._state import GREETING_BYTES, URGENT_TIME, State
+from egretlever.membership._transfer import Transfer
 
 TICK = 0.1
 # Departures of one host arrive together; one message carries them all.
@@ -32,12 +33,14 @@
         state: State,
         liveness: Liveness,
         gossip: Gossip,
+        transfer: Transfer,
         joining: Joining,
         post: EvidencePost,
     ) -> None:
         self._state = state
         self._liveness = liveness
         self._gossip = gossip
+        self._transfer = transfer
         self._joining = joining
         self._post = post
         self._last: Seconds | None = None
@@ -70,6 +73,7 @@
             or len(self._state.outbox)
             or len(self._post)
             or self._state.catalogue.fetching
+            or self._transfer.serving
         )
         return min(due, Seconds(now + TICK)) if busy else due
 
@@ -84,6 +88,7 @@
         self._liveness.advance(now)
         self._repeat_evidence(now)
         self._fetch_catalogue(now)
+        self._transfer.serve(now)
         if now >= self._round_at:
             self._round(now)
         if now >= self._housekeeping_at:
@@ -135,6 +140,7 @@
         interval = self._state.parameters.gossip_interval
         self._round_at = Seconds(now + interval * rng.uniform(0.9, 1.1))
         self._state.refresh_contacts(now)
+        self._transfer.request(now)
         self._gossip.pull(now)
         for address in self._joining.contacts(now):
             self._greet(address, now)
@@ -173,10 +179,12 @@
         if doubt is not None:
             # The suspected node has to hear of it to refute it.
             fields["suspicions"] = (self._liveness.suspicion_of(node, now),)
-        if self._gossip.missing <= MAX_MISSING_FOR_DIGEST:
+        if not state.is_short() and (
+            self._gossip.missing <= MAX_MISSING_FOR_DIGEST
+        ):
             fields["digest"] = tuple(state.view.digest)
         fields["deltas"] = (
-            *fields.get("deltas", ()),  # type: ignore[misc]
+            *fields.get("deltas", ()),
             *state.introduction(now),
         )
         fields["probe"] = self._liveness.probe(node, now)
@@ -189,7 +197,6 @@
             Priority.PROBE,
             deltas=(state.own_delta(now, GREETING_BYTES),),
             probe=self._liveness.greeting(now),
-            digest=tuple(state.view.digest),
         )
 
     def _heal(self, now: Seconds) -> None:
--- a/egretlever/membership/_state.py
+++ b/egretlever/membership/_state.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 from collections.abc import Iterable
+from typing import Unpack
 
 from egretlever.core import (
     Address,
@@ -11,6 +12,7 @@
     NodeId,
     NodeState,
     Seconds,
+    ServerId,
     Version,
 )
 from egretlever.membership._catalogue import CatalogueSpread
@@ -20,12 +22,14 @@
     Change,
     ChangeKind,
     Listener,
+    RecordPacker,
 )
 from egretlever.membership._messages import (
     MESSAGE_FRAME_BYTES,
     CatalogueHead,
     Drop,
     Message,
+    MessageFields,
     Priority,
     RecordVersion,
     Suspicion,
@@ -36,6 +40,7 @@
 from egretlever.membership._records import (
     NodeHeader,
     RecordDelta,
+    ServerEntry,
     make_delta,
 )
 from egretlever.membership._rumors import Rumors
@@ -54,6 +59,9 @@
 INTRODUCTION_TIME = 40.0
 CONTACTS_INTERVAL = 0.5
 SETTLED_SHARE = 0.8
+# Gossip rounds repair a smaller gap; see `State.is_short`.
+SHORT_RECORDS = 16
+SHORT_SHARE = 0.1
 # Five percent of a link of 30 Mbit/s, in bytes per second.
 LINK_CONTROL_RATE = 30e6 / 8 * 0.05
 
@@ -100,6 +108,7 @@
         rng: random.Random,
         catalogue: CatalogueCopy,
         listener: Listener | None,
+        packer: RecordPacker,
     ) -> None:
         self.header = header
         self.node = header.node
@@ -107,6 +116,7 @@
         self.parameters = parameters
         self.rng = rng
         self.listener = listener
+        self.packer = packer
         self.counts: collections.Counter[Drop] = collections.Counter()
         self.view = View(parameters.orphan_time)
         self.own = OwnRecord(
@@ -137,18 +147,20 @@
         kind: ChangeKind,
         node: NodeId,
         now: Seconds,
-        servers: Iterable[object] = (),
+        servers: Iterable[ServerId] = (),
     ) -> None:
         """Tell the listener of a change."""
         if self.listener is not None:
-            change = Change(kind, node, tuple(servers))  # type: ignore[arg-type]
+            change = Change(kind, node, tuple(servers))
             self.listener.observe(change, now)
 
-    def message(self, **fields: object) -> Message:
+    def message(self, **fields: Unpack[MessageFields]) -> Message:
         """Make a message of this node."""
-        return Message(self.node, self.incarnation, **fields)  # type: ignore[arg-type]
+        return Message(self.node, self.incarnation, **fields)
 
-    def send(self, node: NodeId, priority: Priority, **fields: object) -> None:
+    def send(
+        self, node: NodeId, priority: Priority, **fields: Unpack[MessageFields]
+    ) -> None:
         """Queue a message to a known node."""
         record = self.view.records.get(node)
         if record is None:
@@ -158,7 +170,10 @@
         self.outbox.add(record.header.gossip, message, priority, far)
 
     def send_address(
-        self, address: Address, priority: Priority, **fields: object
+        self,
+        address: Address,
+        priority: Priority,
+        **fields: Unpack[MessageFields],
     ) -> None:
         """Queue a message to an address whose node may be unknown."""
         message = self.message(**fields)
@@ -191,8 +206,8 @@
         )
         return dataclasses.replace(delta, entries=entries)
 
-    def _uptime(self, entry: object, now: Seconds) -> float | None:
-        start = self.view.started.get(entry.id)  # type: ignore[attr-defined]
+    def _uptime(self, entry: ServerEntry, now: Seconds) -> float | None:
+        start = self.view.started.get(entry.id)
         return None if start is None else max(0.0, now - start[1])
 
     def own_delta(self, now: Seconds, room: int) -> RecordDelta:
@@ -241,7 +256,9 @@
             if delta is not None:
                 self.broadcast(sender, deltas=(delta,))
 
-    def broadcast(self, sender: NodeId | None, **fields: object) -> None:
+    def broadcast(
+        self, sender: NodeId | None, **fields: Unpack[MessageFields]
+    ) -> None:
         """Forward an urgent message to random peers and over the link."""
         exclude = () if sender is None else (sender,)
         targets = self.contacts.pick_local(FANOUT, exclude)
@@ -256,12 +273,10 @@
                     record.header.gossip, message, Priority.URGENT, far
                 )
 
-    def ride_along(
-        self, now: Seconds, room: int = RIDE_ROOM
-    ) -> dict[str, object]:
+    def ride_along(self, now: Seconds, room: int = RIDE_ROOM) -> MessageFields:
         """Return rumors, the catalogue head and population for a message."""
         head = self.catalogue.copy.head()
-        fields: dict[str, object] = {
+        fields: MessageFields = {
             "population": len(self.view.records),
             "head": CatalogueHead(head.version, type(head.digest)("")),
         }
@@ -322,6 +337,12 @@
         )
         self.outbox.limit_link(share)
 
+    def is_short(self) -> bool:
+        """Return whether peers hold many more records than this node."""
+        return self.fleet - len(self.view.records) > max(
+            SHORT_RECORDS, SHORT_SHARE * self.fleet
+        )
+
     def is_live(self, node: NodeId) -> bool:
         """Return whether a node is known and not dead or left."""
         return node in self.view.records and self.view.state(node) in (
