Greet absent seeds only, and let new records ride while views are served

Cause of the peak: every node greeted a random seed in one round of 32 to heal a split, which at 1,000 nodes is 16 greetings a second at each of four seeds. Greetings now go only to seeds that are not live in the view.

New records were not spread while a node's budget was in use, so nodes that started together learned of one another slowly. Small rumors now ride along in that time, and larger changes ride as versions. A settled node no longer fetches a whole view when the fleet grows. Joiners that get no answer from a seed pause between greetings.

--- a/egretlever/membership/_gossip.py
+++ b/egretlever/membership/_gossip.py
@@ -308,9 +308,9 @@
             )
             for version in versions
         ]
-        self._send_packed(
-            [d for d in deltas if d is not None], (), address, now
-        )
+        found = [delta for delta in deltas if delta is not None]
+        if found:
+            self._send_packed(found, (), address, now)
 
     def send_bucket(self, bucket: int, address: Address, now: Seconds) -> None:
         """Send all records of a bucket and say that they are all."""
@@ -337,15 +337,14 @@
         )
         urgent = departing and not served
         priority = Priority.URGENT if urgent else Priority.ORDINARY
-        for fields in self._make_pages(deltas, now):
+        pages = list(self._make_pages(deltas, now)) or [MessageFields()]
+        pages[-1]["served"] = served
+        for fields in pages:
             self._state.send_address(address, priority, **fields)
         doubts = self._doubts_of(deltas, now)
-        if doubts or served:
+        if doubts:
             self._state.send_address(
-                address,
-                Priority.ORDINARY,
-                suspicions=doubts,
-                served=served,
+                address, Priority.ORDINARY, suspicions=doubts
             )
 
     def _make_pages(
--- a/egretlever/membership/_joining.py
+++ b/egretlever/membership/_joining.py
@@ -7,6 +7,8 @@
 from egretlever.membership._interfaces import AddressSample
 
 SEEDS_PER_ROUND = 2
+FIRST_GREETING_PAUSE = 0.4
+MAX_GREETING_PAUSE = 3.0
 # Seeds get this long to answer before the sample kept elsewhere is read.
 SEED_PATIENCE = 2.0
 SAMPLE_JITTER = 3.0
@@ -45,6 +47,8 @@
         self._offered: list[Address] = []
         self._started: Seconds | None = None
         self._ask_at = 0.0
+        self._greet_at = 0.0
+        self._pause = FIRST_GREETING_PAUSE
         self._population = 0
         self.answered = False
 
@@ -65,6 +69,11 @@
             jitter = self._rng.uniform(0, SAMPLE_JITTER)
             self._ask_at = now + SAMPLE_INTERVAL + jitter
             self._sample.request(now)
+        if now < self._greet_at:
+            return []
+        # Seeds that many nodes greet together answer them in some seconds.
+        self._greet_at = now + self._pause * self._rng.uniform(0.8, 1.2)
+        self._pause = min(MAX_GREETING_PAUSE, 2 * self._pause)
         chosen = [*self.seeds, *self._offered]
         self._rng.shuffle(chosen)
         return chosen[:SEEDS_PER_ROUND]
--- a/egretlever/membership/_receiving.py
+++ b/egretlever/membership/_receiving.py
@@ -20,7 +20,7 @@
 MAX_REQUESTS = 8
 MAX_WANTED = 16
 INTRODUCTIONS = 8
-INTRODUCTION_ROOM = 500
+INTRODUCTION_ROOM = 300
 INTRODUCTION_BYTES = 100
 
 
--- a/egretlever/membership/_rounds.py
+++ b/egretlever/membership/_rounds.py
@@ -214,8 +214,12 @@
                 deltas=(state.own_delta(now, GREETING_BYTES),),
                 suspicions=(self._liveness.suspicion_of(node, now),),
             )
-        elif self._joining.seeds:
-            self._greet(state.rng.choice(self._joining.seeds), now)
+            return
+        # Greetings of all nodes to live seeds would add up at the seeds.
+        live = {record.header.gossip for record in state.view.live()}
+        absent = [seed for seed in self._joining.seeds if seed not in live]
+        if absent:
+            self._greet(state.rng.choice(absent), now)
 
     def _housekeep(self, now: Seconds) -> None:
         state = self._state
--- a/egretlever/membership/_state.py
+++ b/egretlever/membership/_state.py
@@ -53,6 +53,9 @@
 ORDINARY_TIME = 20.0
 DELTA_ROOM = 1000
 RIDE_ROOM = 500
+BUSY_RIDE_ROOM = 200
+# A larger change rides along as its version only and is pulled in a page.
+LARGE_DELTA = 160
 # One entry besides the header; the rest is pulled.
 GREETING_BYTES = 100
 # A new node's record reaches every peer in this time even at a mass start.
@@ -304,11 +307,15 @@
                 return measure_version(self.view.version_of(node))
             delta = self.delta_after(node, item[0], item[1], now)
             assert delta is not None
+            if delta.size > LARGE_DELTA:
+                return measure_version(self.view.version_of(node))
             made[node] = delta
             return delta.size + 4
 
-        urgent_only = not self.outbox.has_room(now)
-        chosen = self.record_rumors.choose(room, measure, now, urgent_only)
+        if not self.outbox.has_room(now):
+            # Without any, new records stay unknown while views are served.
+            room = min(room, BUSY_RIDE_ROOM)
+        chosen = self.record_rumors.choose(room, measure, now)
         deltas = tuple(made[node] for node, _ in chosen if node in made)
         # New records are large: the receiver pulls those that it misses.
         versions = tuple(
--- a/egretlever/membership/_transfer.py
+++ b/egretlever/membership/_transfer.py
@@ -52,7 +52,7 @@
     def request(self, now: Seconds) -> None:
         """Ask random peers of the own region for parts that are due."""
         if not self._begun:
-            if not self._state.is_short():
+            if not self._is_fresh():
                 return
             self._begun = True
             self._due = list(range(BUCKETS))
@@ -68,6 +68,11 @@
             del self._due[:BUCKETS_PER_PEER]
             self._ask(peer, chosen, now)
 
+    def _is_fresh(self) -> bool:
+        # A node that misses fewer pulls them, which costs less than a view.
+        records = len(self._state.view.records)
+        return self._state.is_short() and 2 * records < self._state.fleet
+
     def _ask(self, peer: NodeId, buckets: list[int], now: Seconds) -> None:
         self._asked.update(dict.fromkeys(buckets, now))
         self._state.send(
