--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -16,7 +16,11 @@
     reserve_addresses,
     wait_until,
 )
-from egretlever.testing._gossip import FakeCatalogueCopy, GossipNetwork
+from egretlever.testing._gossip import (
+    FakeCatalogueCopy,
+    GossipNetwork,
+    SharedPacker,
+)
 from egretlever.testing._order_world import OrderWorld
 from egretlever.testing._proxy_world import Caller, ProxyWorld, run_world
 from egretlever.testing._scripted_server import (
@@ -43,6 +47,7 @@
     "ProxyWorld",
     "RunningProgram",
     "ServerExchange",
+    "SharedPacker",
     "SmallFleet",
     "SteppedObjectStore",
     "SteppedTableStore",
