Close the callers' socket when a leaving node stops accepting

Cause: the accept loop was cancelled and its socket stayed open, so the system went on accepting connections that nobody served. A test runs a whole node through its stop with a slow caller in flight, an idle kept connection and a new caller.

--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -148,11 +148,7 @@
         _LOG.info("%s serves callers on %s.", self._parts.sender.node, traffic)
         async with curio.TaskGroup(wait=any) as tasks:
             self._acceptor = await curio.spawn(
-                accept_callers,
-                traffic,
-                self._proxy,
-                self._settings.traffic,
-                daemon=True,
+                self._accept, traffic, daemon=True
             )
             await tasks.spawn(
                 serve_requests,
@@ -168,11 +164,19 @@
             )
             await tasks.spawn(_repeat, _SLOW_INTERVAL, self._maintain)
             await tasks.spawn(self._stop.wait)
-        for sock in (traffic, admin, gossip):
+        for sock in (admin, gossip):
             await sock.close()
         if tasks.exception:
             raise tasks.exception
 
+    async def _accept(self, listener: Any) -> None:
+        try:
+            await accept_callers(listener, self._proxy, self._settings.traffic)
+        finally:
+            # An open socket would let the system accept connections that
+            # nobody serves.
+            await listener.close()
+
     async def _receive_gossip(self, sock: Any) -> None:
         while True:
             data, peer = await sock.recvfrom(_DATAGRAM_SIZE)
--- a/egretlever/node/tests/test_garbage.py
+++ b/egretlever/node/tests/test_garbage.py
@@ -10,8 +10,14 @@
 from egretlever.node._admin import make_admin
 from egretlever.node._metrics import count_bad_request
 from egretlever.node._node import check_announcement
-from egretlever.schema import gossip_pb2, settings_pb2
-from egretlever.testing import Caller, answer, run_virtual, run_world
+from egretlever.schema import gossip_pb2
+from egretlever.testing import (
+    Caller,
+    answer,
+    build_node_settings,
+    run_virtual,
+    run_world,
+)
 from egretlever.transport import open_connection, open_listener, serve_requests
 
 FUZZ = settings(max_examples=60, deadline=None, derandomize=True, database=None)
@@ -113,42 +119,13 @@
     assert run_world(body) == (b"fine", 0, 0)
 
 
-def make_admin_node():
-    listen = settings_pb2.ListenSection(
-        traffic="127.0.0.1:1", admin="127.0.0.1:2", gossip="127.0.0.1:3"
-    )
-    return make_node(
-        settings_pb2.NodeSettings(
-            identity=settings_pb2.IdentitySection(
-                node="n", host="h", failure_domain="d", region="r"
-            ),
-            listen=listen,
-            members=settings_pb2.MembersSection(
-                gossip_interval_s=0.5,
-                bandwidth_bytes_per_s=15000,
-                announcement_timeout_s=3,
-            ),
-            platform=settings_pb2.PlatformSection(
-                table="127.0.0.1:4",
-                objects="127.0.0.1:4",
-                timeout_s=1,
-                poll_interval_s=0.5,
-            ),
-            traffic=settings_pb2.TrafficSection(
-                connect_timeout_s=0.25, server_connections=1
-            ),
-        ),
-        seed=1,
-    )
-
-
 async def with_admin(body):
     listener = open_listener(Address("127.0.0.1", 0))
     address = Address(*listener.getsockname()[:2])
+    admin = make_admin(make_node(build_node_settings(), seed=1))
     task = await curio.spawn(
-        serve_requests, listener, make_admin(make_admin_node()), 9,
-        count_bad_request,
-    )  # fmt: skip
+        serve_requests, listener, admin, 9, count_bad_request
+    )
     try:
         return await body(address)
     finally:
--- a/egretlever/node/tests/test_stop.py
+++ b/egretlever/node/tests/test_stop.py
@@ -2,8 +2,12 @@
 
 import curio
 
-from egretlever.testing import answer, run_world
+from egretlever.node import make_node
+from egretlever.settings import parse_address
+from egretlever.testing import answer, build_node_settings, run_world
+from egretlever.transport import ConnectError, read_clock
 
+LARGE = b"x" * 8_000_000
 GET = b"GET /fabrics HTTP/1.1\r\nhost: x\r\n\r\n"
 
 
@@ -50,3 +54,40 @@
         return await caller.call("GET", "/fabrics")
 
     assert run_world(body).head.find(b"connection") == "close"
+
+
+def test_a_node_ends_only_after_its_requests():
+    # Its run ended while answers were on their way to slow callers.
+    async def body(world):
+        await world.add_server(answer(LARGE, after=6.0))
+        settings = build_node_settings()
+        address = parse_address(settings.listen.traffic)
+        node = make_node(settings, seed=1)
+        parts = node._parts
+        parts.catalogue.offer(world.catalogue, read_clock())
+        parts.take_catalogue(read_clock())
+        await node.take_announcement(world.build_announcement(1))
+        running = await curio.spawn(node.run)
+        await curio.sleep(0.5)
+        caller = await world.connect(address)
+        idle = await world.connect(address)
+        await caller.sock.sendall(
+            GET[:-2] + b"egretlever-deadline-ms: 60000\r\n\r\n"
+        )
+        await curio.sleep(0.5)
+        stopping = await curio.spawn(node.stop)
+        await curio.sleep(8.0)
+        refused = False
+        try:
+            await world.connect(address)
+        except ConnectError:
+            refused = True
+        reply = await caller.read()
+        await caller.sock.close()
+        ended = await idle.read_raw()
+        await idle.sock.close()
+        await stopping.join()
+        await running.join()
+        return len(reply.body), ended, refused
+
+    assert run_world(body) == (len(LARGE), b"", True)
--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -18,7 +18,12 @@
 )
 from egretlever.testing._gossip import FakeCatalogueCopy, GossipNetwork
 from egretlever.testing._order_world import OrderWorld
-from egretlever.testing._proxy_world import Caller, ProxyWorld, run_world
+from egretlever.testing._proxy_world import (
+    Caller,
+    ProxyWorld,
+    build_node_settings,
+    run_world,
+)
 from egretlever.testing._scripted_server import (
     ServerExchange,
     answer,
@@ -49,6 +54,7 @@
     "Verdict",
     "VirtualClock",
     "answer",
+    "build_node_settings",
     "builders",
     "judge_run",
     "pause",
--- a/egretlever/testing/_proxy_world.py
+++ b/egretlever/testing/_proxy_world.py
@@ -11,10 +11,11 @@
 from egretlever.core import Address, Seconds, Server, ServerId, ServiceName
 from egretlever.node._frontend import accept_callers, make_pool, make_proxy
 from egretlever.node._parts import make_parts
-from egretlever.schema import settings_pb2
+from egretlever.schema import gossip_pb2, settings_pb2
 from egretlever.testing import builders
 from egretlever.testing._clock import run_virtual
 from egretlever.testing._fakes import FakeTableStore
+from egretlever.testing._fleet import reserve_addresses
 from egretlever.testing._scripted_server import ScriptedServer, Step
 from egretlever.transport import (
     BackendConnection,
@@ -116,6 +117,8 @@
 
     Attributes
     ----------
+    catalogue : Snapshot
+        Catalogue in force.
     parts : NodeParts
         Decision parts.
     proxy : Proxy
@@ -127,7 +130,7 @@
     """
 
     def __init__(self, **changes: Any) -> None:
-        self._settings = _build_settings()
+        self._settings = build_node_settings()
         self.table = FakeTableStore()
         randomness = random.Random(1)
         self.parts = make_parts(self._settings, self.table, randomness)
@@ -136,16 +139,17 @@
         for service in catalogue.services:
             for name, value in changes.items():
                 setattr(service, name, value)
-        self._catalogue = make_snapshot(catalogue)
+        self.catalogue = make_snapshot(catalogue)
         self.pool = make_pool(self._settings.traffic)
         self.proxy = make_proxy(self.parts, self.pool, randomness)
         self._tasks: list[curio.Task] = []
         self._servers = 0
+        self._addresses: list[Address] = []
         self._sockets: list[Any] = []
 
     async def __aenter__(self) -> Self:
         now = read_clock()
-        self.parts.catalogue.offer(self._catalogue, now)
+        self.parts.catalogue.offer(self.catalogue, now)
         self.parts.take_catalogue(now)
         self._listener = open_listener(Address("127.0.0.1", 0))
         self.address = Address(*self._listener.getsockname()[:2])
@@ -190,6 +194,7 @@
     ) -> Server:
         """Tell the parts of a server at an address."""
         self._servers += 1
+        self._addresses.append(address)
         server = builders.build_server(
             4 * self._servers,
             id=ServerId(f"server-{self._servers}"),
@@ -203,9 +208,23 @@
         self.parts.detector.update_servers([server], now)
         return server
 
-    async def connect(self) -> Caller:
+    def build_announcement(self, number: int) -> gossip_pb2.Announcement:
+        """Build the announcement of a numbered server of this world."""
+        address = self._addresses[number - 1]
+        return gossip_pb2.Announcement(
+            server=f"server-{number}",
+            service="catalogue",
+            address=gossip_pb2.Endpoint(ip=address.ip, port=address.port),
+            state=gossip_pb2.SERVING,
+            incarnation=1,
+            slots=4,
+            connections=330,
+            uptime_s=60.0,
+        )
+
+    async def connect(self, address: Address | None = None) -> Caller:
         """Open a caller's connection; it is closed at the end."""
-        sock = await open_connection(self.address, _REQUEST_TIMEOUT)
+        sock = await open_connection(address or self.address, _REQUEST_TIMEOUT)
         self._sockets.append(sock)
         return Caller(sock)
 
@@ -217,7 +236,9 @@
         return await caller.call(method, target, body, **fields)
 
 
-def _build_settings() -> settings_pb2.NodeSettings:
+def build_node_settings() -> settings_pb2.NodeSettings:
+    """Build the settings of a node on free ports, without a platform."""
+    traffic, admin, gossip, platform = map(str, reserve_addresses(4))
     return settings_pb2.NodeSettings(
         identity=settings_pb2.IdentitySection(
             node="node-0",
@@ -225,7 +246,20 @@
             failure_domain="domain-0",
             region="punjab",
         ),
-        platform=settings_pb2.PlatformSection(poll_interval_s=0.5),
+        listen=settings_pb2.ListenSection(
+            traffic=traffic, admin=admin, gossip=gossip
+        ),
+        members=settings_pb2.MembersSection(
+            gossip_interval_s=0.5,
+            bandwidth_bytes_per_s=15000,
+            announcement_timeout_s=3,
+        ),
+        platform=settings_pb2.PlatformSection(
+            table=platform,
+            objects=platform,
+            timeout_s=1,
+            poll_interval_s=0.5,
+        ),
         traffic=settings_pb2.TrafficSection(
             max_connections=2000,
             max_header_bytes=16384,
