--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -122,6 +122,11 @@
         self._pool = make_pool(settings.traffic, self._faults)
         self._proxy = make_proxy(self._parts, self._pool, randomness)
 
+    @property
+    def operations(self) -> Operations:
+        """What servers and operators may tell the node."""
+        return self._operations
+
     @property
     def ready(self) -> bool:
         """Whether the node may get requests."""
@@ -172,12 +177,7 @@
         )
         async with curio.TaskGroup(wait=any) as tasks:
             self._acceptor = await curio.spawn(
-                accept_callers,
-                traffic,
-                self._proxy,
-                self._settings.traffic,
-                self._faults,
-                daemon=True,
+                self._accept, traffic, daemon=True
             )
             await tasks.spawn(
                 serve_admin, admin, self, self._operations, self._faults
@@ -196,6 +196,16 @@
         if tasks.exception:
             raise tasks.exception
 
+    async def _accept(self, listener: Any) -> None:
+        try:
+            await accept_callers(
+                listener, self._proxy, self._settings.traffic, self._faults
+            )
+        finally:
+            # An open socket would let the system accept connections that
+            # nobody serves.
+            await listener.close()
+
     async def _receive_gossip(self, gossip: DatagramEndpoint) -> None:
         while True:
             data, sender = await gossip.receive()
--- a/egretlever/programs/_log_buffer.py
+++ b/egretlever/programs/_log_buffer.py
@@ -56,6 +56,10 @@
             await curio.sleep(_INTERVAL)
             self.drain()
 
+    def close(self) -> None:
+        """Drain what is buffered, when logging shuts down."""
+        self.drain()
+
 
 def buffer_log() -> LogBuffer:
     """Buffer the lines of absl's handler, which are drained at exit too.
