Take no retry token after an attempt that reached no server

Cause: refused connections to a killed server emptied the retry budget, and requests that other servers could have run were told that they were not run. An unsent attempt costs no server anything, and max_attempts still bounds it.

--- a/egretlever/retry/_policy.py
+++ b/egretlever/retry/_policy.py
@@ -202,7 +202,9 @@
         useful = state.latency_.quantile(0.5) or 0.0
         if now + after + useful >= history.deadline:
             return Stop(outcome, StopReason.DEADLINE)
-        if not state.budget.take():
+        # An attempt without a byte sent costs no server anything, so trying
+        # another server can't amplify an overload and needs no token.
+        if last.sent and not state.budget.take():
             return Stop(outcome, StopReason.BUDGET_EMPTY)
         return Retry(after, _list_failed(history))
 
--- a/egretlever/retry/tests/test_retry.py
+++ b/egretlever/retry/tests/test_retry.py
@@ -112,6 +112,16 @@
         assert retries == 0
 
 
+@pytest.mark.parametrize("result", [R.REFUSED, R.CONNECT_TIMEOUT])
+def test_an_attempt_that_reached_no_server_needs_no_token(result):
+    # A dead server used up the budget, and requests that other servers could
+    # have run were told that they were not run.
+    policy = make_policy(budget=0.1)
+    unsent = build_attempt(result=result, sent=False)
+    for _ in range(20):
+        assert isinstance(policy.decide(build_history(unsent), NOW), Retry)
+
+
 def test_a_retry_after_beyond_the_deadline_ends_the_request():
     shed = build_attempt(result=R.SHED, retry_after=Seconds(6.0))
     decision = make_policy().decide(build_history(shed), NOW)
