--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -12,6 +12,7 @@
     ExchangeError,
     ExchangeFailure,
     Reply,
+    read_body,
     send_request,
 )
 from egretlever.transport._faults import (
@@ -75,6 +76,7 @@
     "make_fault_injector",
     "open_connection",
     "open_listener",
+    "read_body",
     "read_clock",
     "remove_hop_by_hop",
     "send_request",
--- a/egretlever/transport/_exchanges.py
+++ b/egretlever/transport/_exchanges.py
@@ -109,7 +109,7 @@
         async with curio.timeout_after(timeout):
             await connection.send_request(head, body)
             response = await connection.read_response()
-            return Success(Reply(response, await _read_body(connection)))
+            return Success(Reply(response, await read_body(connection)))
     except curio.TaskTimeout:
         message = f"{address} did not answer in {timeout:g} s"
         return Failure(ExchangeError(ExchangeFailure.NO_ANSWER, message))
@@ -121,12 +121,30 @@
         await connection.close()
 
 
-async def _read_body(connection: BackendConnection) -> bytes:
+async def read_body(
+    connection: BackendConnection, max_body: int = _MAX_BODY_BYTES
+) -> bytes:
+    """Read the whole body of a response.
+
+    Parameters
+    ----------
+    connection : BackendConnection
+        Connection whose response head was read.
+    max_body : int, default=64 MiB
+        Largest accepted body, in bytes.
+
+    Raises
+    ------
+    BackendClosedError
+        When the connection ends within the body.
+    BackendProtocolError
+        When the body is badly framed or too large.
+    """
     body = bytearray()
     ended = False
     while not ended:
         data, ended = await connection.read_data()
         body += data
-        if len(body) > _MAX_BODY_BYTES:
-            raise BackendProtocolError("the body is too large")
+        if len(body) > max_body:
+            raise BackendProtocolError(f"the body exceeds {max_body} bytes")
     return bytes(body)
