--- a/egretlever/node/_metrics.py
+++ b/egretlever/node/_metrics.py
@@ -52,6 +52,10 @@
 KNOWN_NODES = Gauge(
     "egretlever_nodes_known", "Known nodes by state.", ["state"]
 )
+DUPLICATE_NODES = Counter(
+    "egretlever_duplicate_nodes",
+    "Node ids that two processes were seen to use at once.",
+)
 CATALOGUE_VERSION = Gauge(
     "egretlever_catalogue_version", "Version of the catalogue in force."
 )
--- a/egretlever/node/_view.py
+++ b/egretlever/node/_view.py
@@ -12,6 +12,7 @@
     Seconds,
     Server,
     ServerId,
+    make_log,
 )
 from egretlever.detection import Detector, Member
 from egretlever.membership import Change, ChangeKind, NodeSnapshot
@@ -19,6 +20,7 @@
 from egretlever.node._selections import Selections
 from egretlever.routing import LiveNodes, Router
 
+_LOG = make_log("view")
 _LIVE = frozenset({NodeState.ALIVE, NodeState.SUSPECT})
 # Changes that say nothing of the node's record or liveness.
 _OTHER_KINDS = frozenset(
@@ -109,6 +111,9 @@
     def observe(self, change: Change, now: Seconds) -> None:
         """Note what has changed; `refresh` does the work."""
         self._due_servers.update(dict.fromkeys(change.servers))
+        if change.kind is ChangeKind.NODE_DUPLICATE:
+            metrics.DUPLICATE_NODES.inc()
+            _LOG.error("two processes use the node id %s", change.node)
         if change.kind not in _OTHER_KINDS:
             self._due_nodes[change.node] = None
 
--- a/egretlever/node/tests/test_view.py
+++ b/egretlever/node/tests/test_view.py
@@ -7,7 +7,14 @@
 from egretlever.catalogue import make_catalogue_state
 from egretlever.core import Incarnation, NodeId, RegionName, ServerState
 from egretlever.detection import make_detector
-from egretlever.membership import Collaborators, Parameters, make_membership
+from egretlever.membership import (
+    Change,
+    ChangeKind,
+    Collaborators,
+    Parameters,
+    make_membership,
+)
+from egretlever.node import _metrics as metrics
 from egretlever.node._selections import Selections
 from egretlever.node._view import FleetView
 from egretlever.routing import make_router
@@ -119,3 +126,11 @@
     watched.view.refresh(Counting(), watched.network.now)
     name = build_announcement(1, 2).id
     assert watched.view.servers[name].state is ServerState.DRAINING
+
+
+def test_a_node_id_used_twice_is_counted():
+    watched = Watched(1)
+    before = metrics.DUPLICATE_NODES._value.get()
+    change = Change(ChangeKind.NODE_DUPLICATE, NodeId("node-2"))
+    watched.view.observe(change, watched.network.now)
+    assert metrics.DUPLICATE_NODES._value.get() == before + 1
--- a/egretlever/programs/_ctl_servers.py
+++ b/egretlever/programs/_ctl_servers.py
@@ -141,7 +141,7 @@
     if isinstance(result, Failure):
         error = result.failure()
         text = f"home node {node} at {address}: {error.message}"
-        if error.kind is ExchangeFailure.NOT_CONNECTED:
+        if error.failure is ExchangeFailure.NOT_CONNECTED:
             exit_with(ExitCode.NODES_AWAY, f"{text}; nothing was changed")
         exit_with(
             ExitCode.EFFECT_UNKNOWN,
--- a/egretlever/programs/tests/test_ctl_servers.py
+++ b/egretlever/programs/tests/test_ctl_servers.py
@@ -94,3 +94,16 @@
     finally:
         for node in nodes:
             node.signal(signal.SIGCONT)
+
+
+def test_a_home_node_that_does_not_answer_is_told_apart_from_a_dead_one(fleet):
+    home = fleet.programs["node-1"]
+    home.signal(signal.SIGSTOP)
+    error = run(fleet, 4, "server", "stop", "ordering-1").stderr
+    assert "home node node-1" in error
+    assert "repeat the command" in error
+    home.signal(signal.SIGKILL)
+    home.process.wait()
+    error = run(fleet, 5, "server", "stop", "ordering-1").stderr
+    assert "home node node-1" in error
+    assert "nothing was changed" in error
