--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -17,6 +17,7 @@
     ExchangeError,
     ExchangeFailure,
     Reply,
+    read_body,
     send_request,
 )
 from egretlever.transport._faults import (
@@ -84,6 +85,7 @@
     "make_fault_injector",
     "open_connection",
     "open_listener",
+    "read_body",
     "read_clock",
     "remove_hop_by_hop",
     "send_request",
