--- a/egretlever/node/tests/test_stop.py
+++ b/egretlever/node/tests/test_stop.py
@@ -66,7 +66,7 @@
         parts = node._parts
         parts.catalogue.offer(world.catalogue, read_clock())
         parts.take_catalogue(read_clock())
-        await node.take_announcement(world.build_announcement(1))
+        node.operations.take_announcement(world.build_announcement(1))
         running = await curio.spawn(node.run)
         await curio.sleep(0.5)
         caller = await world.connect(address)
