--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -77,7 +77,22 @@
         """Wait until every node has the version in force."""
         done = curio.run(self._watch, self.version, _RECOVERY)
         if done is None:
-            raise RuntimeError(f"version {self.version} did not spread")
+            raise RuntimeError(
+                f"version {self.version} did not spread: {self._describe()}"
+            )
+
+    def _describe(self) -> str:
+        """Describe each process that ended and each node that is behind."""
+        found = [
+            f"{name} ended with {running.process.returncode}"
+            for name, running in self._fleet.programs.items()
+            if running.process.poll() is not None
+        ]
+        for name, node in self._fleet.nodes.items():
+            version = curio.run(read_head, node.admin).version
+            if version != self.version:
+                found.append(f"{name} has version {version}")
+        return ", ".join(found)
 
     async def _measure(self, stop_store: bool, tell: bool) -> float:
         address, timeout = self._fleet.platform, Seconds(5.0)
