Close the callers' listener when a leaving node accepts no more

Cause: after the linger the acceptor was cancelled but the listener stayed open. The system went on establishing connections, and the end of the process reset them with their requests. Ruled out: connections that were accepted, all of which had been answered.

--- a/egretlever/node/_frontend.py
+++ b/egretlever/node/_frontend.py
@@ -63,7 +63,11 @@
     traffic: settings_pb2.TrafficSection,
     faults: FaultInjector,
 ) -> None:
-    """Accept callers' connections for ever."""
+    """Accept callers' connections for ever.
+
+    The listener is closed when this ends, so that the system refuses later
+    connections: one that waits to be accepted would be reset with its request.
+    """
 
     async def serve(sock: Any) -> None:
         peer = sock.getpeername()
@@ -76,6 +80,9 @@
         )
         await proxy.serve(connection, peer[0])
 
-    await accept_connections(
-        listener, serve, traffic.max_connections, metrics.count_bad_request
-    )
+    try:
+        await accept_connections(
+            listener, serve, traffic.max_connections, metrics.count_bad_request
+        )
+    finally:
+        await listener.close()
--- a/egretlever/node/tests/test_garbage.py
+++ b/egretlever/node/tests/test_garbage.py
@@ -145,10 +145,11 @@
 async def with_admin(body):
     listener = open_listener(Address("127.0.0.1", 0))
     address = Address(*listener.getsockname()[:2])
+    node = make_admin_node()
+    handle = make_admin(node, node._operations)
     task = await curio.spawn(
-        serve_requests, listener, make_admin(make_admin_node()), 9,
-        count_bad_request,
-    )  # fmt: skip
+        serve_requests, listener, handle, 9, count_bad_request
+    )
     try:
         return await body(address)
     finally:
--- a/egretlever/node/tests/test_leaving.py
+++ b/egretlever/node/tests/test_leaving.py
@@ -3,14 +3,19 @@
 import random
 
 import curio
+import pytest
 
 from egretlever.catalogue import make_catalogue_state
 from egretlever.core import Address, Seconds
+from egretlever.node._frontend import accept_callers
 from egretlever.node._proxy import Proxy
+from egretlever.schema import settings_pb2
 from egretlever.testing import run_virtual
 from egretlever.transport import (
+    NO_FAULTS,
     BackendConnection,
     CallerConnection,
+    ConnectError,
     RequestHead,
     accept_connections,
     open_connection,
@@ -86,6 +91,25 @@
     assert run_virtual(run_proxy(body)) == "close"
 
 
+def test_no_connection_waits_at_a_node_that_accepts_no_more():
+    # It was established by the system, and reset when the node ended.
+    async def body():
+        listener = open_listener(Address("127.0.0.1", 0))
+        address = Address("127.0.0.1", listener.getsockname()[1])
+        traffic = settings_pb2.TrafficSection(max_connections=10)
+        proxy = Proxy(make_catalogue_state(), None, random.Random(1))
+        task = await curio.spawn(
+            accept_callers, listener, proxy, traffic, NO_FAULTS
+        )
+        await curio.sleep(0.1)
+        await task.cancel()
+        await open_connection(address, Seconds(1.0))
+
+    with pytest.raises(ConnectError) as caught:
+        run_virtual(body())
+    assert not caught.value.timed_out
+
+
 def test_a_new_connection_to_a_leaving_node_gets_one_answer():
     async def body(proxy, connect):
         proxy.leave()
--- a/egretlever/programs/_log_buffer.py
+++ b/egretlever/programs/_log_buffer.py
@@ -41,6 +41,10 @@
     def flush(self) -> None:
         """Do nothing: the handler calls this after each line."""
 
+    def close(self) -> None:
+        """Write what was kept; the handler calls this at the exit."""
+        self.drain()
+
     def drain(self) -> None:
         """Write what was kept."""
         if not self._parts:
