Count a departure from the end of its home node's pause

The trace shows its home node-6 paused from 0.15 s before the departure until 6.15 s after it, so the fleet had not been told. The limit of 3 s now counts from the end of a pause that held up the announcement, and nothing is required while the home node is down; a pause that begins after the announcement, or of another node, excuses nothing.

--- a/benchmarks/_soak.py
+++ b/benchmarks/_soak.py
@@ -131,7 +131,7 @@
             for name, addresses in self._fleet.nodes.items()
         }
         checks.check_outcomes(results, runs, self.history)
-        checks.check_departures(results, runs, self.history)
+        checks.check_departures(results, runs, self.history, self._fleet.homes)
         checks.check_node_leaves(results, nodes, self.history)
         checks.check_catalogue(self.history)
         logs = {
--- a/benchmarks/_soak_checks.py
+++ b/benchmarks/_soak_checks.py
@@ -66,23 +66,28 @@
     return told + ran
 
 
-def check_departures(results: Results, runs: Runs, history: History) -> None:
+def check_departures(
+    results: Results,
+    runs: Runs,
+    history: History,
+    homes: Mapping[str, str],
+) -> None:
     """Check the planned stops of servers.
 
-    A departure is announced by the node beside the server, so nothing is
-    required while that node is down or paused.
+    A departure is announced by the node beside the server. The limit counts
+    from the end of a pause of that node, and while it is down it can't
+    announce anything.
     """
     told = {result.request_id: result for result in results}
     for span in _find(history, Kind.SERVER_DRAIN):
-        if math.isinf(span.announced):
-            continue
+        announced = _find_announcement(span, homes[span.target], history)
         present = [
             run
             for run in runs[span.target]
             if span.began - _LONGEST_REQUEST <= run.at_unix_s <= span.ended
         ]
         for run in present:
-            late = run.at_unix_s - span.announced
+            late = run.at_unix_s - announced
             if late > _DRAIN_LIMIT:
                 history.report(
                     "a leaving server gets no request after 3 s",
@@ -100,6 +105,18 @@
                 )
 
 
+def _find_announcement(span: Span, home: str, history: History) -> float:
+    """Find when the node beside a leaving server could announce it."""
+    announced = span.announced
+    if math.isinf(announced):
+        return announced
+    until = announced + _DRAIN_LIMIT
+    if history.find(home, span.began, until, Kind.NODE_KILL, Kind.NODE_LEAVE):
+        return math.inf
+    pauses = history.find(home, announced, announced, Kind.NODE_PAUSE)
+    return max([announced, *(pause.ended for pause in pauses)])
+
+
 def _list_faults(history: History, span: Span) -> list[str]:
     """List the stops of nodes around the announcement of a departure."""
     return [
--- a/benchmarks/tests/test_soak_checks.py
+++ b/benchmarks/tests/test_soak_checks.py
@@ -20,11 +20,12 @@
     return [violation.promise for violation in history.violations]
 
 
-def check_departure(run_at, **result):
-    history = make_history([make_span()])
+def check_departure(run_at, *spans, **result):
+    history = make_history([make_span(), *spans])
     results = [make_result(run_at, **result)] if result else []
     runs = {"server-0": [make_run(run_at)]}
-    checks.check_departures(results, runs, history)
+    homes = {"server-0": "node-0"}
+    checks.check_departures(results, runs, history, homes)
     return find_promises(history)
 
 
@@ -35,6 +36,18 @@
     ]
 
 
+def test_a_departure_counts_from_the_end_of_its_nodes_pause():
+    # Seed 22: the node beside the server was paused when it was told.
+    late = ["a leaving server gets no request after 3 s"]
+    pause = make_span(Kind.NODE_PAUSE, "node-0", 99.0, ended=102.0)
+    other = make_span(Kind.NODE_PAUSE, "node-1", 99.0, ended=102.0)
+    assert check_departure(104.9, pause) == []
+    assert check_departure(105.1, pause) == late
+    assert check_departure(104.9, other) == late
+    later = make_span(Kind.NODE_PAUSE, "node-0", 101.0, ended=102.0)
+    assert check_departure(104.9, later) == late
+
+
 def test_a_request_cut_by_a_leaving_server_is_seen():
     assert check_departure(101.0, outcome="completed") == []
     assert check_departure(101.0, outcome="unknown") == [
