--- a/egretlever/programs/_log_buffer.py
+++ b/egretlever/programs/_log_buffer.py
@@ -41,10 +41,6 @@
     def flush(self) -> None:
         """Do nothing: the handler calls this after each line."""
 
-    def close(self) -> None:
-        """Write what was kept; the handler calls this at the exit."""
-        self.drain()
-
     def drain(self) -> None:
         """Write what was kept."""
         if not self._parts:
@@ -60,6 +56,10 @@
             await curio.sleep(_INTERVAL)
             self.drain()
 
+    def close(self) -> None:
+        """Drain what is buffered, when logging shuts down."""
+        self.drain()
+
 
 def buffer_log() -> LogBuffer:
     """Buffer the lines of absl's handler, which are drained at exit too.
