End a transfer after 30 s or without peers in the region

Cause: a transfer that could not end left the digests out of a node's messages for good. A node whose region has no other node asked nobody and never became ready; nodes of a region that all start could decline to serve one another.

--- a/egretlever/membership/_transfer.py
+++ b/egretlever/membership/_transfer.py
@@ -13,6 +13,9 @@
 # Requests that a peer holds; at the design size they take it about 2.5 s.
 MAX_HELD = 16
 PATIENCE = 5.0
+# Nodes of a region that all start can't serve one another; digests repair
+# what is missing by then, from the other region as well.
+TIME_LIMIT = 30.0
 
 
 class Transfer:
@@ -33,7 +36,7 @@
         self._state = state
         self._pages = pages
         self._due: list[int] = []
-        self._begun = False
+        self._begun: Seconds | None = None
         self._asked: dict[int, Seconds] = {}
         self._held: collections.OrderedDict[tuple[Address, int], None] = (
             collections.OrderedDict()
@@ -51,17 +54,21 @@
 
     def request(self, now: Seconds) -> None:
         """Ask random peers of the own region for parts that are due."""
-        if not self._begun:
-            if not self._is_fresh():
+        peers = self._state.contacts.pick_local(REQUESTS_PER_ROUND)
+        if self._begun is None:
+            if not peers or not self._is_fresh():
                 return
-            self._begun = True
+            self._begun = now
             self._due = list(range(BUCKETS))
             self._state.rng.shuffle(self._due)
+        if not peers or now - self._begun > TIME_LIMIT:
+            self._due.clear()
+            self._asked.clear()
         for bucket, asked in list(self._asked.items()):
             if now - asked >= PATIENCE:
                 del self._asked[bucket]
                 self._due.append(bucket)
-        for peer in self._state.contacts.pick_local(REQUESTS_PER_ROUND):
+        for peer in peers:
             chosen = self._due[:BUCKETS_PER_PEER]
             if not chosen:
                 return
--- a/egretlever/membership/tests/test_joining.py
+++ b/egretlever/membership/tests/test_joining.py
@@ -18,20 +18,21 @@
 class StartingFleet:
     """A settled fleet in two regions, to which nodes are added."""
 
-    def __init__(self, size, **changes):
+    def __init__(self, size, region=None, **changes):
         self.network = GossipNetwork(1)
         self.parameters = Parameters(announcement_timeout=1e6, **changes)
         self.headers = []
         for _ in range(size):
-            self.start(len(self.headers))
+            self.start(len(self.headers), region=region)
         deltas = [m.own_delta(NOW) for m in self.network.members.values()]
         for member in self.network.members.values():
             member.restore(deltas, NOW)
         self.network.run(2)
 
-    def start(self, number, incarnation=1):
+    def start(self, number, incarnation=1, region=None):
         if number == len(self.headers):
-            self.headers.append(builders.build_header(number))
+            fields = {"region": region} if region else {}
+            self.headers.append(builders.build_header(number, **fields))
         header = self.headers[number]
         member = make_membership(
             header,
@@ -73,11 +74,30 @@
     # Guards against a node that waits for pages that nobody sends again.
     fleet = StartingFleet(200)
     member = fleet.start(200)
-    member._transfer._begun = True
+    member._transfer._begun = fleet.network.now
     fleet.run_until_ready([member], 60)
     assert member.is_ready(fleet.network.now)
 
 
+def test_node_without_peers_in_its_region_becomes_ready():
+    # Guards against a transfer that waits for peers that don't exist.
+    fleet = StartingFleet(40, region="sindh")
+    member = fleet.start(40, region="punjab")
+    fleet.run_until_ready([member], 60)
+    assert member.is_ready(fleet.network.now)
+
+
+def test_region_that_restarts_becomes_ready():
+    # Guards against nodes that all decline to serve one another.
+    fleet = StartingFleet(80)
+    region = [n for n in range(80) if fleet.headers[n].region == "sindh"]
+    for number in region:
+        fleet.network.remove(fleet.headers[number].gossip)
+    members = [fleet.start(number, incarnation=2) for number in region]
+    fleet.run_until_ready(members, 120)
+    assert all(m.is_ready(fleet.network.now) for m in members)
+
+
 def test_nodes_that_start_together_stay_within_the_budgets():
     # Guards against joiners that no peer serves without the store, and
     # against peers or a region link that serve them beyond the bounds.
