--- a/egretlever/membership/_receiving.py
+++ b/egretlever/membership/_receiving.py
@@ -79,7 +79,7 @@
             self._gossip.take_versions(message, sender, now)
         if message.wanted:
             self._pages.push(message.wanted[:MAX_WANTED], sender, now)
-        self._transfer.take(message, sender)
+        self._transfer.take(message, sender, now)
         if message.probe:
             self._answer(message, sender, now)
         self._take_catalogue(message, sender, now)
--- a/egretlever/membership/_transfer.py
+++ b/egretlever/membership/_transfer.py
@@ -15,7 +15,7 @@
 PATIENCE = 5.0
 # Nodes of a region that all start can't serve one another; digests repair
 # what is missing by then, from the other region as well.
-TIME_LIMIT = 30.0
+IDLE_LIMIT = 15.0
 
 
 class Transfer:
@@ -36,7 +36,7 @@
         self._state = state
         self._pages = pages
         self._due: list[int] = []
-        self._begun: Seconds | None = None
+        self._served_at: Seconds | None = None
         self._asked: dict[int, Seconds] = {}
         self._held: collections.OrderedDict[tuple[Address, int], None] = (
             collections.OrderedDict()
@@ -55,13 +55,13 @@
     def request(self, now: Seconds) -> None:
         """Ask random peers of the own region for parts that are due."""
         peers = self._state.contacts.pick_local(REQUESTS_PER_ROUND)
-        if self._begun is None:
+        if self._served_at is None:
             if not peers or not self._is_fresh():
                 return
-            self._begun = now
+            self._served_at = now
             self._due = list(range(BUCKETS))
             self._state.rng.shuffle(self._due)
-        if not peers or now - self._begun > TIME_LIMIT:
+        if not peers or now - self._served_at > IDLE_LIMIT:
             self._due.clear()
             self._asked.clear()
         for bucket, asked in list(self._asked.items()):
@@ -89,7 +89,7 @@
             deltas=self._state.introduction(now),
         )
 
-    def take(self, message: Message, sender: Address) -> None:
+    def take(self, message: Message, sender: Address, now: Seconds) -> None:
         """Take requests, and news of requests that a peer served or declined.
 
         A node that is short of records itself declines.
@@ -105,7 +105,8 @@
                 sender, Priority.PROBE, declined=tuple(declined)
             )
         for bucket in message.served:
-            self._asked.pop(bucket, None)
+            if self._asked.pop(bucket, None) is not None:
+                self._served_at = now
         for bucket in message.declined:
             if self._asked.pop(bucket, None) is not None:
                 self._due.append(bucket)
--- a/egretlever/membership/tests/test_joining.py
+++ b/egretlever/membership/tests/test_joining.py
@@ -74,7 +74,7 @@
     # Guards against a node that waits for pages that nobody sends again.
     fleet = StartingFleet(200)
     member = fleet.start(200)
-    member._transfer._begun = fleet.network.now
+    member._transfer._served_at = fleet.network.now
     fleet.run_until_ready([member], 60)
     assert member.is_ready(fleet.network.now)
 
