End programs with a message when an address is taken

Cause: a node or a backend stand-in whose port was taken ended with a traceback. Before: traceback and exit code 1; after: one line and exit code 1, tested with a second node at the same addresses.

--- a/egretlever/programs/_common.py
+++ b/egretlever/programs/_common.py
@@ -138,7 +138,7 @@
         Coroutine function that begins the planned stop. It is called once.
     """
 
-    async def run() -> None:
+    async def run() -> OSError | None:
         async with catch_stop_signals() as wait_for_stop:
 
             async def watch() -> None:
@@ -147,7 +147,16 @@
 
             watcher = await curio.spawn(watch, daemon=True)
             await curio.spawn(buffer_log().drain_forever, daemon=True)
-            await main()
-            await watcher.cancel()
-
-    curio.run(run)
+            try:
+                await main()
+            except OSError as error:
+                # Such as an address that another process has taken.
+                return error
+            finally:
+                await watcher.cancel()
+        return None
+
+    failure = curio.run(run)
+    if failure is not None:
+        typer.echo(f"the program ended: {failure}", err=True)
+        raise typer.Exit(1)
--- a/egretlever/programs/tests/test_programs.py
+++ b/egretlever/programs/tests/test_programs.py
@@ -98,6 +98,20 @@
             assert "Traceback" not in running.log.read_text()
 
 
+def test_a_taken_address_ends_the_program_with_a_message():
+    # An operator who starts a node twice needs a reason, not a traceback.
+    with SmallFleet() as fleet:
+        fleet.start_nodes(1)
+        address = fleet.nodes["node-0"].traffic
+        assert wait_until(lambda: fleet.read_status("node-0"), LIMIT)
+        path = fleet.path / "node-0.ini"
+        second = fleet.start("second", "node", "run", path)
+        assert second.process.wait(LIMIT) == 1
+        shown = second.log.read_text()
+        assert "the program ended" in shown, address
+        assert "Traceback" not in shown
+
+
 def knows_server(fleet):
     status = fleet.read_status("node-0")
     return status is not None and len(status.servers) == 1
