--- a/egretlever/detection/_pairs.py
+++ b/egretlever/detection/_pairs.py
@@ -31,7 +31,7 @@
 _FAULTY_VERY_SLOW = 0.3
 _USUAL_SLOW = 0.03
 _USUAL_VERY_SLOW = 0.0015
-# Sums of 12.8 to 17 came up by chance four times in 400 server-hours at
+# Sums of 12.8 to 17 came up by chance three times in 400 server-hours at
 # Kapra's size. With this factor a sum of 20 is needed where others need 12.
 _SLOW_SCALE = 0.6
 # Score that a good outcome takes back: ln((1 - 0.9) / (1 - 0.035)), halved
