--- a/egretlever/node/_dispatch.py
+++ b/egretlever/node/_dispatch.py
@@ -22,6 +22,7 @@
 from egretlever.node._gate import AbandonedError, Gate
 from egretlever.node._requests import Request
 from egretlever.node._selections import Selections
+from egretlever.node._served import Served
 from egretlever.retry import FirstAttempt, RetryPolicy, RunningAttempt
 from egretlever.routing import (
     LoadHint,
@@ -36,7 +37,6 @@
 _ANSWER_BYTES = 2048  # expected size of an answer, for the region link
 _PLACEMENT_PAUSE = 0.005  # seconds between tries while all servers are busy
 _LOAD = re.compile("([0-9]{1,6})/([0-9]{1,6})")  # busy slots of all slots
-_ANSWERS = frozenset({AttemptResult.OK, AttemptResult.ERROR})
 _WAITING_REASONS = frozenset(
     {NoPlacementReason.SATURATED, NoPlacementReason.LINK_BUDGET_SPENT}
 )
@@ -70,38 +70,6 @@
     retry: RetryPolicy
 
 
-@dataclasses.dataclass(slots=True)
-class Served:
-    """An ended attempt of a request.
-
-    Parameters
-    ----------
-    outcome : AttemptOutcome
-        How it ended; its connection holds the rest of a long answer.
-    placement : Placement
-        Slot that the attempt occupies until it is finished.
-    ticket : Ticket
-        Admission of the attempt.
-    finished : bool
-        Whether the slot was given back.
-    """
-
-    outcome: AttemptOutcome
-    placement: Placement
-    ticket: Ticket
-    finished: bool = False
-
-    @property
-    def is_good(self) -> bool:
-        """Whether a server answered without an error."""
-        return self.outcome.attempt.result is AttemptResult.OK
-
-    @property
-    def is_answer(self) -> bool:
-        """Whether there is an answer to pass on, an error included."""
-        return self.outcome.attempt.result in _ANSWERS
-
-
 def _never() -> bool:
     return False
 
--- a/egretlever/node/_engine.py
+++ b/egretlever/node/_engine.py
@@ -8,10 +8,11 @@
 from egretlever.catalogue import CatalogueState
 from egretlever.core import AttemptResult, Outcome, ServerId, make_log
 from egretlever.node._answers import OwnAnswer
-from egretlever.node._dispatch import Dispatcher, Leg, Served
+from egretlever.node._dispatch import Dispatcher, Leg
 from egretlever.node._gate import AbandonedError, RefusedError
 from egretlever.node._orders import OrderDesk, Replay
 from egretlever.node._requests import Request
+from egretlever.node._served import Served
 from egretlever.orders import Claim
 from egretlever.retry import (
     Hedge,
--- a/egretlever/node/_proxy.py
+++ b/egretlever/node/_proxy.py
@@ -21,10 +21,10 @@
 )
 from egretlever.node._bodies import RequestBody
 from egretlever.node._context import RequestContext, RouteChoice, make_context
-from egretlever.node._dispatch import Served
 from egretlever.node._engine import Engine
 from egretlever.node._orders import Replay
 from egretlever.node._requests import Request
+from egretlever.node._served import Served
 from egretlever.transport import (
     BackendClosedError,
     BackendProtocolError,
