--- a/benchmarks/_pages.py
+++ b/benchmarks/_pages.py
@@ -27,8 +27,9 @@
         target = f"{measure['bound']} {measure['target']:g}"
     if measure["met"] is not None:
         verdict = "met" if measure["met"] else "**missed**"
+    value = "never" if measure["value"] is None else f"{measure['value']:.4g}"
     return (
-        f"| {measure['name']} | {measure['value']:.4g} | {measure['unit']} "
+        f"| {measure['name']} | {value} | {measure['unit']} "
         f"| {target} | {verdict} |"
     )
 
--- a/benchmarks/_plots.py
+++ b/benchmarks/_plots.py
@@ -6,7 +6,7 @@
 
 import json
 import pathlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Annotated, Any
 
 import matplotlib as mpl
@@ -77,7 +77,81 @@
     return figure
 
 
-PLOTS: dict[str, Plot] = {"detection": plot_detection}
+def draw_bars(
+    names: Sequence[str],
+    series: Mapping[str, Sequence[float]],
+    label: str,
+) -> Figure:
+    """Draw groups of horizontal bars.
+
+    Parameters
+    ----------
+    names : sequence of str
+        Name of each group.
+    series : mapping of str to sequence of float
+        Values of each series, one for each group.
+    label : str
+        Label of the axis of values.
+
+    Returns
+    -------
+    Figure
+        The drawn figure.
+    """
+    height = 0.8 / len(series)
+    figure = Figure(
+        figsize=(7.0, 0.14 * len(names) * len(series) + 1.0),
+        layout="constrained",
+    )
+    axes = figure.subplots()
+    for number, (name, values) in enumerate(series.items()):
+        rows = [row + number * height for row in range(len(names))]
+        axes.barh(rows, values, height, label=name)
+    axes.set_yticks([row + 0.4 for row in range(len(names))], names)
+    axes.invert_yaxis()
+    axes.grid(axis="x", linewidth=0.3)
+    axes.set_xlabel(label)
+    figure.legend(loc="outside upper center", ncols=4, fontsize=7)
+    return figure
+
+
+def plot_floods(results: Mapping[str, Measures]) -> Figure:
+    """Draw the on-time share of each rank with and without floods."""
+    values = {item["name"]: item["value"] for item in results["floods"]}
+    cases = [
+        f"{fleet}, {flood}"
+        for fleet in ("kapra", "sablat")
+        for flood in ("no flood", "lowest", "highest")
+    ]
+    ranks = ("urgent", "normal", "background")
+    names = [f"{case}, {rank}" for case in cases for rank in ranks]
+    series = {
+        policy: [
+            values[f"{case}, {policy}: {rank} on time"]
+            for case in cases
+            for rank in ranks
+        ]
+        for policy in ("egretlever", "(a) round robin", "(b) least outstanding")
+    }
+    return draw_bars(names, series, "share of requests on time")
+
+
+def plot_latency(results: Mapping[str, Measures]) -> Figure:
+    """Draw direct and proxied latency, and their paired difference."""
+    values = {item["name"]: item["value"] for item in results["latency"]}
+    names = ("direct", "through the node", "paired difference")
+    series = {
+        quantile: [values[f"GET of 1 KB, {name}, {quantile}"] for name in names]
+        for quantile in ("median", "p99")
+    }
+    return draw_bars(names, series, "milliseconds of a GET of 1 KB")
+
+
+PLOTS: dict[str, Plot] = {
+    "detection": plot_detection,
+    "floods": plot_floods,
+    "latency": plot_latency,
+}
 
 
 def write_plot(figure: Figure, path: pathlib.Path) -> None:
--- a/benchmarks/_report.py
+++ b/benchmarks/_report.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import json
+import math
 import pathlib
 from collections.abc import Callable, Sequence
 from typing import Annotated
@@ -77,7 +78,10 @@
         "measures": [
             {
                 "name": measure.name,
-                "value": measure.value,
+                # JSON has no infinity; null stands for "never".
+                "value": measure.value
+                if math.isfinite(measure.value)
+                else None,
                 "unit": measure.unit,
                 "target": measure.target,
                 "bound": measure.bound.value,
