--- a/benchmarks/chores.py
+++ b/benchmarks/maintenance.py
@@ -12,7 +12,7 @@
 from benchmarks._report import Measure, run_benchmark
 from egretlever.core import Address, Incarnation, Seconds
 from egretlever.membership import Collaborators, make_membership
-from egretlever.node import Chore, ChoreSchedule
+from egretlever.node import MaintenanceTask, TaskSchedule
 from egretlever.orders import SweepReport
 from egretlever.testing.builders import build_header
 
@@ -22,8 +22,16 @@
 _HOUR = 3600
 _START_TIME = 60.0  # seconds without a seed
 _STEP = 0.5  # seconds, the gossip interval
-_READS = {Chore.READ_SAMPLE: 1, Chore.SWEEP: 2, Chore.WRITE_SAMPLE: 0}
-_WRITES = {Chore.READ_SAMPLE: 0, Chore.SWEEP: 1, Chore.WRITE_SAMPLE: 1}
+_READS = {
+    MaintenanceTask.READ_SAMPLE: 1,
+    MaintenanceTask.SWEEP: 2,
+    MaintenanceTask.WRITE_SAMPLE: 0,
+}
+_WRITES = {
+    MaintenanceTask.READ_SAMPLE: 0,
+    MaintenanceTask.SWEEP: 1,
+    MaintenanceTask.WRITE_SAMPLE: 1,
+}
 _FULL_PAGE = SweepReport(100, 1, False)
 
 
@@ -31,22 +39,22 @@
     """Count the operations of an hour with all nodes joined."""
     schedules = []
     for number in range(NODES):
-        schedule = ChoreSchedule(random.Random(f"{seed}/{number}"))
+        schedule = TaskSchedule(random.Random(f"{seed}/{number}"))
         schedule.set_roles(number < WRITERS, number == 0, Seconds(0.0))
         schedules.append(schedule)
-    counts: collections.Counter[Chore] = collections.Counter()
+    counts: collections.Counter[MaintenanceTask] = collections.Counter()
     for second in range(_HOUR):
         now = Seconds(float(second))
         for schedule in schedules:
             due = schedule.advance(now)
             counts.update(due)
-            if Chore.SWEEP in due:
+            if MaintenanceTask.SWEEP in due:
                 schedule.observe_sweep(_FULL_PAGE, now)
     measures = []
-    for chore in (Chore.WRITE_SAMPLE, Chore.SWEEP):
-        name = f"{NODES} nodes, {chore.value}"
-        reads = counts[chore] * _READS[chore] / _HOUR
-        writes = counts[chore] * _WRITES[chore] / _HOUR
+    for task in (MaintenanceTask.WRITE_SAMPLE, MaintenanceTask.SWEEP):
+        name = f"{NODES} nodes, {task.value}"
+        reads = counts[task] * _READS[task] / _HOUR
+        writes = counts[task] * _WRITES[task] / _HOUR
         measures.append(Measure(f"{name}: reads", reads, "1/s"))
         measures.append(Measure(f"{name}: writes", writes, "1/s"))
     return measures
@@ -57,7 +65,7 @@
     reads: collections.Counter[int] = collections.Counter()
     for number in range(STARTING):
         generator = random.Random(f"{seed}/start/{number}")
-        schedule = ChoreSchedule(generator)
+        schedule = TaskSchedule(generator)
         member = make_membership(
             build_header(number),
             Incarnation(1),
@@ -68,7 +76,9 @@
         for tick in range(int(_START_TIME / _STEP)):
             now = Seconds(tick * _STEP)
             member.advance(now)
-            reads[int(now)] += Chore.READ_SAMPLE in schedule.advance(now)
+            reads[int(now)] += MaintenanceTask.READ_SAMPLE in schedule.advance(
+                now
+            )
     name = f"start of {STARTING} nodes without a seed"
     mean = reads.total() / _START_TIME
     return [
@@ -78,9 +88,9 @@
 
 
 def run(seed: int) -> list[Measure]:
-    """Count the store operations of all chores."""
+    """Count the store operations of all maintenance."""
     return [*measure_hour(seed), *measure_start(seed)]
 
 
 if __name__ == "__main__":
-    run_benchmark("chores", run)
+    run_benchmark("maintenance", run)
--- a/egretlever/detection/_detector.py
+++ b/egretlever/detection/_detector.py
@@ -268,7 +268,7 @@
         if self._is_contradicted(item, seen_at):
             self.observe_hint(server.id, now)
             return
-        standing = self._ejections.condemn(
+        standing = self._ejections.mark_bad(
             server, Cause.SERVER, item.kind, item.badness, item.reporters, now
         )
         standing.until = max(standing.until, now + _EXTENSION)
--- a/egretlever/detection/_ejections.py
+++ b/egretlever/detection/_ejections.py
@@ -65,7 +65,7 @@
         standing = self.standings.get(server_id)
         return standing is not None and standing.stage is Stage.RAMPING
 
-    def condemn(
+    def mark_bad(
         self,
         server: Server,
         cause: Cause,
@@ -82,7 +82,7 @@
         elif standing.is_bad and standing.cause is Cause.SERVER:
             cause = Cause.SERVER
             reporters = max(reporters, standing.reporters)
-        standing.condemn(cause, kind, badness, reporters, now)
+        standing.mark_bad(cause, kind, badness, reporters, now)
         return standing
 
     def readmit(self, standing: Standing, now: Seconds) -> None:
--- a/egretlever/detection/_judging.py
+++ b/egretlever/detection/_judging.py
@@ -96,4 +96,6 @@
                 since = Seconds(pair.slow_since)
             if pair.group.has_good_peers(server_id, since):
                 del self._pending[server_id]
-                self._ejections.condemn(server, Cause.PAIR, kind, score, 1, now)
+                self._ejections.mark_bad(
+                    server, Cause.PAIR, kind, score, 1, now
+                )
--- a/egretlever/detection/_standings.py
+++ b/egretlever/detection/_standings.py
@@ -58,7 +58,7 @@
     held: bool = False
     probing: bool = False
 
-    def condemn(
+    def mark_bad(
         self,
         cause: Cause,
         kind: EvidenceKind,
--- a/egretlever/detection/tests/test_readmission.py
+++ b/egretlever/detection/tests/test_readmission.py
@@ -27,7 +27,7 @@
     return detector
 
 
-def condemn(detector, server, now, badness=20.0):
+def mark_bad(detector, server, now, badness=20.0):
     sender = Sender(CHOSEN[1], Incarnation(1))
     pooled = build_pooled(server, badness=badness)
     detector.receive(pooled, sender, Seconds(now))
@@ -53,7 +53,7 @@
     now = 1.0
     stays = []
     for _ in range(7):
-        condemn(detector, SERVERS[0], now)
+        mark_bad(detector, SERVERS[0], now)
         detector.select(SERVERS, 12, Seconds(now))
         standing = detector.describe().standings[0]
         stays.append(standing.until - now)
@@ -67,7 +67,7 @@
 def test_failing_probes_keep_a_server_out():
     # Guards against readmitting a dead server when its stay ends.
     detector = build_detector()
-    condemn(detector, SERVERS[0], 1.0)
+    mark_bad(detector, SERVERS[0], 1.0)
     actions = run(detector, 1.0, 120.0, False)
     probes = [at for at, action in actions if isinstance(action, ProbeServer)]
     assert detector.health(SERVERS[0].id) is Health.PROBING
@@ -78,7 +78,7 @@
     # Guards against 1,000 nodes that probe one server.
     other = next(m.id for m in MEMBERS if m.id not in CHOSEN)
     detector = build_detector(other)
-    condemn(detector, SERVERS[0], 1.0)
+    mark_bad(detector, SERVERS[0], 1.0)
     actions = run(detector, 1.0, 30.0, True)
     assert not any(isinstance(a, ProbeServer) for _, a in actions)
     assert detector.health(SERVERS[0].id) is Health.HEALTHY
@@ -87,7 +87,7 @@
 def test_ramp_grows_from_a_small_weight():
     # Guards against full load on a server that was just readmitted.
     detector = build_detector()
-    condemn(detector, SERVERS[0], 1.0)
+    mark_bad(detector, SERVERS[0], 1.0)
     weights = []
     for step in range(120):
         run(detector, 1.0 + step * 0.1, 1.1 + step * 0.1, True)
@@ -103,8 +103,8 @@
 def test_worst_server_is_ejected_first_and_the_rest_is_held():
     # Guards against ejecting the less bad server when the floor allows one.
     detector = build_detector()
-    condemn(detector, SERVERS[0], 1.0, badness=15.0)
-    condemn(detector, SERVERS[1], 1.0, badness=50.0)
+    mark_bad(detector, SERVERS[0], 1.0, badness=15.0)
+    mark_bad(detector, SERVERS[1], 1.0, badness=50.0)
     chosen = detector.select(SERVERS, 20, Seconds(1.0))
     assert chosen.ejected == (SERVERS[1].id,)
     assert chosen.held_by_floor == (SERVERS[0].id,)
@@ -116,7 +116,7 @@
 def test_drain_of_a_peer_readmits_an_ejected_server():
     # Guards against a floor that is checked only at the time of ejection.
     detector = build_detector()
-    condemn(detector, SERVERS[0], 1.0)
+    mark_bad(detector, SERVERS[0], 1.0)
     assert detector.select(SERVERS, 20, Seconds(1.0)).ejected
     draining = build_server(2, region="punjab", state=ServerState.DRAINING)
     servers = [SERVERS[0], draining, *SERVERS[2:]]
--- a/egretlever/membership/_evidence.py
+++ b/egretlever/membership/_evidence.py
@@ -20,7 +20,7 @@
     due: Seconds
 
 
-class EvidencePost:
+class EvidenceOutbox:
     """Evidence on its way, and the sequence numbers already received.
 
     Parameters
--- a/egretlever/membership/_gossip.py
+++ b/egretlever/membership/_gossip.py
@@ -110,10 +110,10 @@
     ) -> None:
         view = self._state.view
         stamp = (delta.incarnation, delta.version)
-        if view.is_buried(delta.node, stamp):
+        if view.has_tombstone(delta.node, stamp):
             self._state.count(Drop.STALE_RECORD)
             if delta.node == origin:
-                doubt = view.bury_suspicion(delta.node)
+                doubt = view.make_tombstone_suspicion(delta.node)
                 self._state.send_address(
                     address, Priority.PROBE, suspicions=(doubt,)
                 )
@@ -234,8 +234,8 @@
             listed.add(version.node)
             stamp = (version.incarnation, version.version)
             held = view.version_of(version.node)
-            if view.is_buried(version.node, stamp):
-                doubts.append(view.bury_suspicion(version.node))
+            if view.has_tombstone(version.node, stamp):
+                doubts.append(view.make_tombstone_suspicion(version.node))
             elif (held.incarnation, held.version) < stamp:
                 if version.node != self._state.node:
                     self._pulls.add(version, message.sender)
@@ -320,7 +320,7 @@
         for version in self._pulls.versions():
             stamp = (version.incarnation, version.version)
             held = view.records.get(version.node)
-            if (held and held.stamp >= stamp) or view.is_buried(
+            if (held and held.stamp >= stamp) or view.has_tombstone(
                 version.node, stamp
             ):
                 self._pulls.discard(version.node)
--- a/egretlever/membership/_membership.py
+++ b/egretlever/membership/_membership.py
@@ -21,7 +21,7 @@
 )
 from egretlever.membership._catalogue import NoCatalogue
 from egretlever.membership._contacts import choose_representatives
-from egretlever.membership._evidence import EvidencePost
+from egretlever.membership._evidence import EvidenceOutbox
 from egretlever.membership._gossip import Gossip
 from egretlever.membership._interfaces import (
     AddressSample,
@@ -151,7 +151,7 @@
         self._gossip = Gossip(self._state, self._liveness, pages)
         self._transfer = Transfer(self._state, pages)
         self._joining = Joining(header.gossip, seeds, collaborators.sample, rng)
-        self._post = EvidencePost(header.node, incarnation, rng)
+        self._post = EvidenceOutbox(header.node, incarnation, rng)
         self._receiving = Receiving(
             self._state,
             self._liveness,
--- a/egretlever/membership/_receiving.py
+++ b/egretlever/membership/_receiving.py
@@ -1,7 +1,7 @@
 """Handling of one received message."""
 
 from egretlever.core import Address, Incarnation, NodeId, Seconds, Version
-from egretlever.membership._evidence import EvidencePost
+from egretlever.membership._evidence import EvidenceOutbox
 from egretlever.membership._gossip import Gossip
 from egretlever.membership._interfaces import ChangeKind, EvidenceSink
 from egretlever.membership._joining import Joining
@@ -36,7 +36,7 @@
         pages: Pages,
         transfer: Transfer,
         joining: Joining,
-        post: EvidencePost,
+        post: EvidenceOutbox,
         sink: EvidenceSink | None,
     ) -> None:
         self._state = state
--- a/egretlever/membership/_rounds.py
+++ b/egretlever/membership/_rounds.py
@@ -1,7 +1,7 @@
 """What a member does on its own as time passes."""
 
 from egretlever.core import Address, NodeId, NodeState, Seconds, Version
-from egretlever.membership._evidence import EvidencePost
+from egretlever.membership._evidence import EvidenceOutbox
 from egretlever.membership._gossip import Gossip
 from egretlever.membership._interfaces import ChangeKind
 from egretlever.membership._joining import Joining
@@ -35,7 +35,7 @@
         gossip: Gossip,
         transfer: Transfer,
         joining: Joining,
-        post: EvidencePost,
+        post: EvidenceOutbox,
     ) -> None:
         self._state = state
         self._liveness = liveness
--- a/egretlever/membership/_view.py
+++ b/egretlever/membership/_view.py
@@ -122,12 +122,12 @@
         dead = doubt is not None and doubt.state is NodeState.DEAD
         return RecordVersion(node, record.incarnation, record.version, dead)
 
-    def is_buried(self, node: NodeId, stamp: Stamp) -> bool:
+    def has_tombstone(self, node: NodeId, stamp: Stamp) -> bool:
         """Whether a record was dropped at this or a newer version."""
         buried = self._tombstones.get(node)
         return buried is not None and stamp <= buried
 
-    def bury_suspicion(self, node: NodeId) -> Suspicion:
+    def make_tombstone_suspicion(self, node: NodeId) -> Suspicion:
         """Return the suspicion that tells others of a dropped record."""
         incarnation, version = self._tombstones[node]
         return Suspicion(
@@ -137,7 +137,7 @@
     def apply(self, delta: RecordDelta, now: Seconds) -> NodeRecord | None:
         """Apply a delta; return the newer record, None when it is refused."""
         node = delta.node
-        if self.is_buried(node, (delta.incarnation, delta.version)):
+        if self.has_tombstone(node, (delta.incarnation, delta.version)):
             return None
         held = self.records.get(node)
         record = apply_delta(held, delta)
--- a/egretlever/node/_dispatch.py
+++ b/egretlever/node/_dispatch.py
@@ -74,7 +74,7 @@
     return False
 
 
-class Leg:
+class DispatchedAttempt:
     """A dispatched attempt, alone or beside another of the same request.
 
     Parameters
@@ -312,12 +312,12 @@
         ticket: Ticket,
         placement: Placement,
         fresh: bool,
-    ) -> Leg:
-        """Begin an attempt; `Leg.wait` runs it."""
+    ) -> DispatchedAttempt:
+        """Begin an attempt; `DispatchedAttempt.wait` runs it."""
         if not request.attempts and not request.running:
             event = FirstAttempt(request.context.choice.service)
             self._parts.retry.observe(event, read_clock())
-        return Leg(self, request, placement, ticket, fresh)
+        return DispatchedAttempt(self, request, placement, ticket, fresh)
 
     async def start(
         self, request: Request, placement: Placement, fresh: bool
--- a/egretlever/node/_engine.py
+++ b/egretlever/node/_engine.py
@@ -8,9 +8,9 @@
 from egretlever.catalogue import CatalogueState
 from egretlever.core import AttemptResult, Outcome, ServerId, make_log
 from egretlever.node._answers import OwnAnswer
-from egretlever.node._dispatch import Dispatcher, Leg
+from egretlever.node._dispatch import DispatchedAttempt, Dispatcher
 from egretlever.node._gate import AbandonedError, RefusedError
-from egretlever.node._orders import OrderDesk, Replay
+from egretlever.node._orders import OrderHandler, Replay
 from egretlever.node._requests import Request
 from egretlever.node._served import Served
 from egretlever.orders import Claim
@@ -48,7 +48,7 @@
         What follows an attempt.
     dispatcher : Dispatcher
         Runs single attempts.
-    desk : OrderDesk
+    handler : OrderHandler
         Claims orders before their dispatch.
     """
 
@@ -57,12 +57,12 @@
         catalogue: CatalogueState,
         retry: RetryPolicy,
         dispatcher: Dispatcher,
-        desk: OrderDesk,
+        handler: OrderHandler,
     ) -> None:
         self._catalogue = catalogue
         self._retry = retry
         self._dispatcher = dispatcher
-        self._desk = desk
+        self._handler = handler
 
     async def run(self, request: Request) -> Served | OwnAnswer | Replay:
         """Run a request.
@@ -82,12 +82,12 @@
             result = await self._run_attempts(request)
         except BaseException:
             if request.claim is not None:
-                await self._desk.close(request.claim, request.combine())
+                await self._handler.close(request.claim, request.combine())
             raise
         if request.claim is None:
             return result
         if isinstance(result, OwnAnswer):
-            await self._desk.close(request.claim, result.outcome)
+            await self._handler.close(request.claim, result.outcome)
         elif isinstance(result, Served) and result.outcome.whole:
             await self._close_served(request.claim, result)
         return result
@@ -102,9 +102,9 @@
 
     async def _close_served(self, claim: Claim, served: Served) -> None:
         if served.outcome.whole:
-            await self._desk.close(claim, Outcome.COMPLETED, served.outcome)
+            await self._handler.close(claim, Outcome.COMPLETED, served.outcome)
         else:
-            await self._desk.close(claim, Outcome.UNKNOWN)
+            await self._handler.close(claim, Outcome.UNKNOWN)
 
     async def _run_attempts(
         self, request: Request
@@ -177,8 +177,8 @@
         fresh = bool(request.attempts) and (
             request.attempts[-1].result is AttemptResult.STALE_CONNECTION
         )
-        leg = self._dispatcher.dispatch(request, ticket, placement, fresh)
-        return await self._await_leg(request, leg)
+        attempt = self._dispatcher.dispatch(request, ticket, placement, fresh)
+        return await self._await_attempt(request, attempt)
 
     async def _prepare(
         self, request: Request
@@ -209,7 +209,7 @@
             await request.body.fill()
         if request.context.order_key is None:
             return None
-        claim = await self._desk.open(request.context, request.head)
+        claim = await self._handler.open(request.context, request.head)
         if not isinstance(claim, Claim):
             return claim
         request.claim = claim
@@ -219,13 +219,15 @@
         if read_clock() >= request.context.deadline:
             return OwnAnswer(504, request.combine(), "deadline-passed")
         claim = request.claim
-        if claim is not None and not self._desk.may_dispatch(claim):
+        if claim is not None and not self._handler.may_dispatch(claim):
             return OwnAnswer(503, request.combine(), "claim-outdated")
         return None
 
-    async def _await_leg(self, request: Request, leg: Leg) -> Served:
+    async def _await_attempt(
+        self, request: Request, attempt: DispatchedAttempt
+    ) -> Served:
         if not request.is_repeatable():
-            served = await leg.wait()
+            served = await attempt.wait()
             assert served is not None
             return served
         entry = self._catalogue.service(request.context.choice.service)
@@ -233,8 +235,8 @@
         while True:
             until = float("inf")
             second: _Second | None = None
-            if leg.is_silent:
-                second = self._replace_silent(request, leg)
+            if attempt.is_silent:
+                second = self._replace_silent(request, attempt)
             elif hedged:
                 decision = self._retry.decide(
                     self._make_history(request), read_clock()
@@ -246,16 +248,18 @@
                 else:
                     second = _Second(decision.exclude, fresh=False)
             if second is not None:
-                return await self._race(request, leg, second)
-            served = await leg.wait(until)
+                return await self._race(request, attempt, second)
+            served = await attempt.wait(until)
             if served is not None:
                 return served
 
-    def _replace_silent(self, request: Request, leg: Leg) -> _Second | None:
-        leg.keep_waiting()
+    def _replace_silent(
+        self, request: Request, attempt: DispatchedAttempt
+    ) -> _Second | None:
+        attempt.keep_waiting()
         history = dataclasses.replace(
             self._make_history(request),
-            attempts=(*request.attempts, leg.preview()),
+            attempts=(*request.attempts, attempt.preview()),
             running=(),
         )
         if isinstance(self._retry.decide(history, read_clock()), Retry):
@@ -263,26 +267,26 @@
         return None
 
     async def _race(
-        self, request: Request, leg: Leg, second: _Second
+        self, request: Request, attempt: DispatchedAttempt, second: _Second
     ) -> Served:
         """Run an attempt beside the first; the first good answer wins."""
         _LOG.info(
             "Request %s is tried beside %s: %s.",
             request.context.id,
-            leg.server,
+            attempt.server,
             "its connection is silent" if second.fresh else "it is slow",
         )
-        leg.keep_waiting()
+        attempt.keep_waiting()
         best: Served | None = None
         async with curio.TaskGroup() as group:
             tasks = [
-                await group.spawn(leg.wait),
+                await group.spawn(attempt.wait),
                 await group.spawn(self._run_second, request, second),
             ]
             while (task := await group.next_done()) is not None:
                 best = await self._choose_better(best, task.result)
                 if best is not None and best.is_good:
-                    leg.lose()
+                    attempt.lose()
                     await group.cancel_remaining()
                     await self._abandon_others(tasks, best)
                     break
@@ -317,10 +321,10 @@
         if not isinstance(placement, Placement):
             await self._dispatcher.leave_unused(ticket)
             return None
-        leg = self._dispatcher.dispatch(
+        attempt = self._dispatcher.dispatch(
             request, ticket, placement, second.fresh
         )
-        return await leg.wait()
+        return await attempt.wait()
 
     async def _end(
         self,
--- a/egretlever/node/_frontend.py
+++ b/egretlever/node/_frontend.py
@@ -8,7 +8,7 @@
 from egretlever.node._attempts import AttemptRunner
 from egretlever.node._dispatch import Dispatcher, Parts
 from egretlever.node._engine import Engine
-from egretlever.node._orders import OrderDesk
+from egretlever.node._orders import OrderHandler
 from egretlever.node._parts import NodeParts
 from egretlever.node._proxy import Proxy
 from egretlever.schema import settings_pb2
@@ -52,7 +52,7 @@
         runner,
     )
     engine = Engine(
-        parts.catalogue, parts.retry, dispatcher, OrderDesk(parts.ledger)
+        parts.catalogue, parts.retry, dispatcher, OrderHandler(parts.ledger)
     )
     return Proxy(parts.catalogue, engine, randomness)
 
--- a/egretlever/node/_chores.py
+++ b/egretlever/node/_maintenance.py
@@ -26,7 +26,7 @@
 from egretlever.schema import gossip_pb2
 from egretlever.transport import read_clock
 
-_LOG = make_log("chores")
+_LOG = make_log("maintenance")
 SAMPLE_PREFIX = "members/sample/"
 SAMPLE_SIZE = 16  # addresses of a region; a starting node tries two a round
 _MAX_REGIONS = 8
@@ -41,7 +41,7 @@
 _NEVER = Seconds(math.inf)
 
 
-class Chore(enum.Enum):
+class MaintenanceTask(enum.Enum):
     """Store operation that is due."""
 
     READ_SAMPLE = "read-sample"
@@ -49,7 +49,7 @@
     SWEEP = "sweep"
 
 
-class ChoreSchedule:
+class TaskSchedule:
     """Decides when a node reads or writes the sample and sweeps claims.
 
     Parameters
@@ -59,16 +59,19 @@
 
     Examples
     --------
-    >>> schedule = ChoreSchedule(random.Random(1))
+    >>> schedule = TaskSchedule(random.Random(1))
     >>> schedule.set_roles(writes_sample=True, sweeps=False, now=Seconds(0.0))
     >>> schedule.advance(Seconds(0.0)), schedule.advance(Seconds(36.0))
-    ([], [<Chore.WRITE_SAMPLE: 'write-sample'>])
+    ([], [<MaintenanceTask.WRITE_SAMPLE: 'write-sample'>])
     """
 
     def __init__(self, generator: random.Random) -> None:
         self._generator = generator
         self._asked = False
-        self._due = {Chore.WRITE_SAMPLE: _NEVER, Chore.SWEEP: _NEVER}
+        self._due = {
+            MaintenanceTask.WRITE_SAMPLE: _NEVER,
+            MaintenanceTask.SWEEP: _NEVER,
+        }
 
     def request(self, now: Seconds) -> None:
         """Ask for the sample; membership calls it while no seed answers."""
@@ -77,27 +80,29 @@
     def set_roles(
         self, writes_sample: bool, sweeps: bool, now: Seconds
     ) -> None:
-        """Tell which chores this node is chosen for."""
-        self._set_role(Chore.WRITE_SAMPLE, writes_sample, now)
-        self._set_role(Chore.SWEEP, sweeps, now)
+        """Tell which maintenance this node is chosen for."""
+        self._set_role(MaintenanceTask.WRITE_SAMPLE, writes_sample, now)
+        self._set_role(MaintenanceTask.SWEEP, sweeps, now)
 
-    def _set_role(self, chore: Chore, chosen: bool, now: Seconds) -> None:
+    def _set_role(
+        self, task: MaintenanceTask, chosen: bool, now: Seconds
+    ) -> None:
         if not chosen:
-            self._due[chore] = _NEVER
-        elif self._due[chore] == _NEVER:
+            self._due[task] = _NEVER
+        elif self._due[task] == _NEVER:
             # A choice that changes back and forth, as at a start, costs
             # nothing before it has held for a while.
             wait = self._generator.uniform(0, _SAMPLE_INTERVAL)
-            self._due[chore] = Seconds(now + wait)
+            self._due[task] = Seconds(now + wait)
 
-    def advance(self, now: Seconds) -> list[Chore]:
-        """Return the chores that are due."""
-        found = [chore for chore, due in self._due.items() if now >= due]
-        for chore in found:
-            self._plan(chore, _SAMPLE_INTERVAL, now)
+    def advance(self, now: Seconds) -> list[MaintenanceTask]:
+        """Return the maintenance that are due."""
+        found = [task for task, due in self._due.items() if now >= due]
+        for task in found:
+            self._plan(task, _SAMPLE_INTERVAL, now)
         if self._asked:
             self._asked = False
-            found.append(Chore.READ_SAMPLE)
+            found.append(MaintenanceTask.READ_SAMPLE)
         return found
 
     def observe_sweep(self, report: SweepReport | None, now: Seconds) -> None:
@@ -106,16 +111,16 @@
             wait = _BACKOFF
         else:
             wait = _PASS_INTERVAL if report.finished else _PAGE_INTERVAL
-        self._plan(Chore.SWEEP, wait, now)
+        self._plan(MaintenanceTask.SWEEP, wait, now)
 
-    def _plan(self, chore: Chore, wait: float, now: Seconds) -> None:
-        if self._due[chore] != _NEVER:
+    def _plan(self, task: MaintenanceTask, wait: float, now: Seconds) -> None:
+        if self._due[task] != _NEVER:
             spread = self._generator.uniform(1 - _JITTER, 1 + _JITTER)
-            self._due[chore] = Seconds(now + wait * spread)
+            self._due[task] = Seconds(now + wait * spread)
 
 
 class Members(Protocol):
-    """What the chores need of the gossip overlay."""
+    """What the maintenance need of the gossip overlay."""
 
     def offer_addresses(self, addresses: Sequence[Address]) -> None:
         """Take the sample of live addresses asked for."""
@@ -129,8 +134,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class StoreChores:
-    """Runs the chores that are due.
+class StoreMaintenance:
+    """Runs the maintenance that are due.
 
     Parameters
     ----------
@@ -138,7 +143,7 @@
         This node.
     region : RegionName
         Its region, whose sample it may write.
-    schedule : ChoreSchedule
+    schedule : TaskSchedule
         Decides what is due.
     table : TableStore
         Table service.
@@ -154,7 +159,7 @@
 
     node: NodeId
     region: RegionName
-    schedule: ChoreSchedule
+    schedule: TaskSchedule
     table: TableStore
     sweep: Sweep
     members: Members
@@ -179,10 +184,10 @@
 
     async def run(self) -> None:
         """Run what is due; store failures are counted and tried again."""
-        for chore in self.schedule.advance(read_clock()):
-            if chore is Chore.READ_SAMPLE:
+        for task in self.schedule.advance(read_clock()):
+            if task is MaintenanceTask.READ_SAMPLE:
                 await self._read_sample()
-            elif chore is Chore.WRITE_SAMPLE:
+            elif task is MaintenanceTask.WRITE_SAMPLE:
                 await self._write_sample()
             else:
                 await self._sweep_page()
--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -19,10 +19,10 @@
 from egretlever.node import _metrics as metrics
 from egretlever.node._admin import serve_admin
 from egretlever.node._catalogue import CatalogueCopy, CatalogueSync
-from egretlever.node._chores import StoreChores
 from egretlever.node._evidence import EvidenceLink
 from egretlever.node._frontend import accept_callers, make_pool, make_proxy
-from egretlever.node._offers import OfferDesk
+from egretlever.node._maintenance import StoreMaintenance
+from egretlever.node._offers import OfferHandler
 from egretlever.node._operations import Operations
 from egretlever.node._parts import make_member, make_parts
 from egretlever.node._status import describe_fleet
@@ -98,7 +98,7 @@
             self._parts.sender.node,
             self._member,
             self._parts,
-            OfferDesk(
+            OfferHandler(
                 self._parts.catalogue,
                 self._parts.reader,
                 self._table,
@@ -106,10 +106,10 @@
             ),
             self._queue_sends,
         )
-        self._chores = StoreChores(
+        self._maintenance = StoreMaintenance(
             self._parts.sender.node,
             RegionName(settings.identity.region),
-            self._parts.chores,
+            self._parts.maintenance,
             self._table,
             make_claim_sweep(self._table, self._parts.sender.node),
             self._member,
@@ -188,7 +188,7 @@
                 _repeat, _FLUSH_INTERVAL, self._parts.ledger.flush
             )
             await tasks.spawn(_repeat, _SLOW_INTERVAL, self._maintain)
-            await tasks.spawn(_repeat, _SLOW_INTERVAL, self._chores.run)
+            await tasks.spawn(_repeat, _SLOW_INTERVAL, self._maintenance.run)
             await tasks.spawn(_repeat, _ROLE_INTERVAL, self._choose_roles)
             await tasks.spawn(self._stop.wait)
         for sock in (admin, gossip):
@@ -251,7 +251,9 @@
     async def _choose_roles(self) -> None:
         region = RegionName(self._settings.identity.region)
         readers = self._member.readers(region)
-        self._chores.choose_roles(readers, self._member.nodes(), read_clock())
+        self._maintenance.choose_roles(
+            readers, self._member.nodes(), read_clock()
+        )
 
     async def _maintain(self) -> None:
         now = read_clock()
--- a/egretlever/node/_offers.py
+++ b/egretlever/node/_offers.py
@@ -115,7 +115,7 @@
     return Verdict.TAKEN
 
 
-class OfferDesk:
+class OfferHandler:
     """Takes offered versions after a look at the store.
 
     Parameters
--- a/egretlever/node/_operations.py
+++ b/egretlever/node/_operations.py
@@ -13,7 +13,7 @@
     ServiceName,
 )
 from egretlever.membership import GossipMembership, Send, ServerAnnouncement
-from egretlever.node._offers import OfferDesk
+from egretlever.node._offers import OfferHandler
 from egretlever.node._parts import NodeParts
 from egretlever.node._stops import PlannedStops
 from egretlever.schema import admin_pb2, gossip_pb2
@@ -34,7 +34,7 @@
         Spreads what is announced.
     parts : NodeParts
         Decision parts of the node.
-    offers : OfferDesk
+    offers : OfferHandler
         Takes versions of the catalogue.
     queue : callable
         Sends messages to other nodes.
@@ -45,7 +45,7 @@
         node: NodeId,
         member: GossipMembership,
         parts: NodeParts,
-        offers: OfferDesk,
+        offers: OfferHandler,
         queue: Callable[[Sequence[Send]], None],
     ) -> None:
         self._node = node
--- a/egretlever/node/_orders.py
+++ b/egretlever/node/_orders.py
@@ -37,7 +37,7 @@
     body: bytes
 
 
-class OrderDesk:
+class OrderHandler:
     """Claims orders before their dispatch and records how they ended.
 
     Parameters
--- a/egretlever/node/_parts.py
+++ b/egretlever/node/_parts.py
@@ -34,9 +34,9 @@
     make_membership,
 )
 from egretlever.node._catalogue import CatalogueCopy
-from egretlever.node._chores import ChoreSchedule
 from egretlever.node._evidence import EvidenceLink
 from egretlever.node._gate import Gate
+from egretlever.node._maintenance import TaskSchedule
 from egretlever.node._orders import find_mode
 from egretlever.node._selections import Selections
 from egretlever.node._view import FleetView
@@ -65,7 +65,7 @@
     retry: RetryPolicy
     ledger: OrderLedger
     gate: Gate
-    chores: ChoreSchedule
+    maintenance: TaskSchedule
     warmups: dict[ServiceName, Seconds] = dataclasses.field(
         default_factory=dict
     )
@@ -162,7 +162,7 @@
             randomness,
         ),
         Gate(make_admission([], [_FIRST_RANK], randomness)),
-        ChoreSchedule(randomness),
+        TaskSchedule(randomness),
     )
 
 
@@ -199,7 +199,7 @@
             evidence=evidence,
             listener=parts.view,
             warmup=_CatalogueWarmup(parts.catalogue),
-            sample=parts.chores,
+            sample=parts.maintenance,
         ),
         randomness,
     )
--- a/egretlever/node/tests/test_bodies.py
+++ b/egretlever/node/tests/test_bodies.py
@@ -6,7 +6,7 @@
 import pytest
 
 from egretlever.core import Seconds
-from egretlever.testing import answer, run_world
+from egretlever.testing import answer, run_with_proxy
 from egretlever.transport import read_clock
 
 CHUNKED = b"transfer-encoding: chunked\r\n"
@@ -47,7 +47,7 @@
         await task.join()
         return received
 
-    assert len(run_world(body)) == 64 * len(BLOCK)
+    assert len(run_with_proxy(body)) == 64 * len(BLOCK)
 
 
 async def read_chunks(caller):
@@ -76,7 +76,7 @@
         second = await world.call("GET", "/fabrics")
         return reply, second.body, server.connections
 
-    reply, second, connections = run_world(body)
+    reply, second, connections = run_with_proxy(body)
     assert reply.startswith(b"HTTP/1.1 413") and second == b"next"
     # The first connection still carries the unfinished upload.
     assert connections == 2
@@ -97,7 +97,7 @@
         tracemalloc.stop()
         return peak, (await caller.sock.recv(65536))[:12]
 
-    peak, start = run_world(body)
+    peak, start = run_with_proxy(body)
     assert start == b"HTTP/1.1 200"
     assert peak < 8 << 20
 
@@ -118,7 +118,7 @@
         return peak
 
     # The scripted server copies its own answer of 32 MiB twice.
-    assert run_world(body) < (64 << 20) + (8 << 20)
+    assert run_with_proxy(body) < (64 << 20) + (8 << 20)
 
 
 @pytest.mark.parametrize(
@@ -139,7 +139,7 @@
             first = await sock.recv(65536)
         return first, [head.find(b"expect") for head in server.heads]
 
-    first, expected = run_world(body)
+    first, expected = run_with_proxy(body)
     assert first.startswith(b"HTTP/1.1 %d" % status)
     assert expected == ([None] if status == 200 else [])
 
@@ -153,7 +153,7 @@
         await caller.sock.shutdown(1)
         return await caller.read_raw()
 
-    assert run_world(body).endswith(b"\r\n\r\nwhole")
+    assert run_with_proxy(body).endswith(b"\r\n\r\nwhole")
 
 
 @pytest.mark.parametrize(
@@ -180,7 +180,7 @@
         waited = Seconds(read_clock() - begun)
         return reply, waited, len(server.heads), world.proxy.in_flight
 
-    reply, waited, runs, in_flight = run_world(body)
+    reply, waited, runs, in_flight = run_with_proxy(body)
     assert (runs, in_flight) == (1, 0)
     if status is not None:
         assert reply.startswith(b"HTTP/1.1 " + status)
--- a/egretlever/node/tests/test_garbage.py
+++ b/egretlever/node/tests/test_garbage.py
@@ -15,7 +15,7 @@
     answer,
     build_node_settings,
     run_virtual,
-    run_world,
+    run_with_proxy,
 )
 from egretlever.transport import open_connection, open_listener
 
@@ -115,7 +115,7 @@
         reply = await world.call("GET", "/fabrics")
         return reply.body, world.proxy.in_flight, world.parts.gate.entered
 
-    assert run_world(body) == (b"fine", 0, 0)
+    assert run_with_proxy(body) == (b"fine", 0, 0)
 
 
 async def with_admin(body):
--- a/egretlever/node/tests/test_chores.py
+++ b/egretlever/node/tests/test_maintenance.py
@@ -4,7 +4,11 @@
 
 from egretlever.core import Address, NodeId, RegionName, Seconds, Version
 from egretlever.membership import Collaborators, make_membership
-from egretlever.node._chores import Chore, ChoreSchedule, StoreChores
+from egretlever.node._maintenance import (
+    MaintenanceTask,
+    StoreMaintenance,
+    TaskSchedule,
+)
 from egretlever.orders import SweepReport, choose_sweeper, make_claim_sweep
 from egretlever.testing import FakeTableStore, run_virtual
 from egretlever.testing.builders import build_header, build_node_snapshots
@@ -22,10 +26,10 @@
         self.offered = list(addresses)
 
 
-def make_chores(store, node="node-1", region=REGION, seed=1):
-    schedule = ChoreSchedule(random.Random(seed))
+def make_maintenance(store, node="node-1", region=REGION, seed=1):
+    schedule = TaskSchedule(random.Random(seed))
     sweep = make_claim_sweep(store, NodeId(node))
-    return StoreChores(
+    return StoreMaintenance(
         NodeId(node),
         region,
         schedule,
@@ -44,23 +48,23 @@
 
 
 def test_a_writer_writes_about_every_30_s_and_others_never():
-    schedule = ChoreSchedule(random.Random(1))
-    assert count_due(schedule, Chore.WRITE_SAMPLE, 3600) == 0
+    schedule = TaskSchedule(random.Random(1))
+    assert count_due(schedule, MaintenanceTask.WRITE_SAMPLE, 3600) == 0
     schedule.set_roles(True, False, Seconds(0.0))
-    assert 96 <= count_due(schedule, Chore.WRITE_SAMPLE, 3600) <= 152
+    assert 96 <= count_due(schedule, MaintenanceTask.WRITE_SAMPLE, 3600) <= 152
     schedule.set_roles(False, False, Seconds(3600.0))
-    assert count_due(schedule, Chore.WRITE_SAMPLE, 9000) == 0
+    assert count_due(schedule, MaintenanceTask.WRITE_SAMPLE, 9000) == 0
 
 
 def test_the_sample_is_read_only_when_asked_for():
-    schedule = ChoreSchedule(random.Random(1))
+    schedule = TaskSchedule(random.Random(1))
     schedule.request(Seconds(0.0))
-    assert schedule.advance(Seconds(0.0)) == [Chore.READ_SAMPLE]
+    assert schedule.advance(Seconds(0.0)) == [MaintenanceTask.READ_SAMPLE]
     assert schedule.advance(Seconds(1.0)) == []
 
 
 def test_the_sweep_rests_after_a_pass_and_after_a_failure():
-    schedule = ChoreSchedule(random.Random(1))
+    schedule = TaskSchedule(random.Random(1))
     schedule.set_roles(False, True, Seconds(0.0))
     for report, shortest, longest in (
         (SweepReport(100, 0, False), 0.64, 1.0),
@@ -70,7 +74,7 @@
         schedule.observe_sweep(report, Seconds(100.0))
         assert schedule.advance(Seconds(100.0 + shortest - 0.01)) == []
         due = schedule.advance(Seconds(100.0 + longest + 0.01))
-        assert due == [Chore.SWEEP]
+        assert due == [MaintenanceTask.SWEEP]
 
 
 def test_one_node_of_a_region_writes_and_one_of_all_sweeps():
@@ -78,12 +82,12 @@
     readers = [node.id for node in nodes if node.region == REGION][:3]
     writers, sweepers = [], []
     for node in nodes:
-        chores = make_chores(FakeTableStore(), node.id, node.region)
+        maintenance = make_maintenance(FakeTableStore(), node.id, node.region)
         mine = readers if node.region == REGION else ()
-        chores.choose_roles(mine, nodes, Seconds(0.0))
-        due = chores.schedule.advance(Seconds(100.0))
-        writers += [node.id] * (Chore.WRITE_SAMPLE in due)
-        sweepers += [node.id] * (Chore.SWEEP in due)
+        maintenance.choose_roles(mine, nodes, Seconds(0.0))
+        due = maintenance.schedule.advance(Seconds(100.0))
+        writers += [node.id] * (MaintenanceTask.WRITE_SAMPLE in due)
+        sweepers += [node.id] * (MaintenanceTask.SWEEP in due)
     assert writers == readers[:1]
     chosen = choose_sweeper(node.id for node in nodes)
     assert sweepers == [one.id for one in nodes if one.id == chosen]
@@ -92,7 +96,10 @@
 def test_a_starting_node_gets_the_addresses_that_a_writer_wrote():
     store = FakeTableStore()
     nodes = build_node_snapshots(40)
-    writer, starter = make_chores(store), make_chores(store, "node-99")
+    writer, starter = (
+        make_maintenance(store),
+        make_maintenance(store, "node-99"),
+    )
     writer.choose_roles([NodeId("node-1")], nodes, Seconds(0.0))
 
     async def run():
@@ -108,23 +115,23 @@
 
 def test_a_store_that_is_away_and_a_bad_row_do_no_harm():
     store = FakeTableStore()
-    chores = make_chores(store)
+    maintenance = make_maintenance(store)
 
     async def run():
         await store.write({"members/sample/x": b"\xff"}, {})
-        chores.schedule.request(Seconds(0.0))
-        await chores.run()
+        maintenance.schedule.request(Seconds(0.0))
+        await maintenance.run()
         store.away = True
-        chores.schedule.request(Seconds(0.0))
-        chores.schedule.set_roles(True, True, Seconds(-100.0))
-        await chores.run()
+        maintenance.schedule.request(Seconds(0.0))
+        maintenance.schedule.set_roles(True, True, Seconds(-100.0))
+        await maintenance.run()
 
     run_virtual(run())
-    assert chores.members.offered == []
+    assert maintenance.members.offered == []
 
 
 def test_membership_asks_only_while_no_seed_answers():
-    schedule = ChoreSchedule(random.Random(1))
+    schedule = TaskSchedule(random.Random(1))
     member = make_membership(
         build_header(1),
         Version(1),
@@ -136,6 +143,8 @@
     for tick in range(120):
         now = Seconds(tick * 0.5)
         member.advance(now)
-        asked += [now] * (schedule.advance(now) == [Chore.READ_SAMPLE])
+        asked += [now] * (
+            schedule.advance(now) == [MaintenanceTask.READ_SAMPLE]
+        )
     assert asked[0] >= 2.0
     assert 4 <= len(asked) <= 6
--- a/egretlever/node/tests/test_offers.py
+++ b/egretlever/node/tests/test_offers.py
@@ -15,14 +15,14 @@
     make_snapshot,
 )
 from egretlever.core import Version
-from egretlever.node._offers import OfferDesk, Verdict
+from egretlever.node._offers import OfferHandler, Verdict
 from egretlever.schema import admin_pb2
 from egretlever.testing import FaultyTableStore, run_virtual
 from egretlever.testing.builders import build_catalogue, build_offer
 
 
-class Desk:
-    """A desk over a fake store, and the actions that the reader wanted run."""
+class HandlerFixture:
+    """A handler over a fake store, and the actions that were run."""
 
     def __init__(self, held, stored):
         self.store = FaultyTableStore()
@@ -45,8 +45,8 @@
                 {"catalogue/head": encode_head(head)},
                 {"catalogue/head": Version(0)},
             )
-        desk = OfferDesk(self.state, self.reader, self.store, self._run)
-        return await desk.take(offer)
+        handler = OfferHandler(self.state, self.reader, self.store, self._run)
+        return await handler.take(offer)
 
     async def _run(self, actions):
         self.ran.extend(actions)
@@ -72,16 +72,16 @@
 def test_a_claim_is_taken_only_as_far_as_it_is_trusted(
     held, stored, offered, verdict
 ):
-    desk = Desk(held, stored)
-    assert desk.take(build_offer(offered)) is verdict
+    handler = HandlerFixture(held, stored)
+    assert handler.take(build_offer(offered)) is verdict
     taken = verdict is Verdict.TAKEN
-    assert desk.state.version == (offered if taken else held)
+    assert handler.state.version == (offered if taken else held)
 
 
 def test_a_superseded_offer_makes_the_node_fetch_the_higher_version():
-    desk = Desk(4, 6)
-    desk.take(build_offer(5))
-    fetches = [one for one in desk.ran if isinstance(one, FetchFromStore)]
+    handler = HandlerFixture(4, 6)
+    handler.take(build_offer(5))
+    fetches = [one for one in handler.ran if isinstance(one, FetchFromStore)]
     assert [fetch.head.version for fetch in fetches] == [6]
 
 
@@ -96,30 +96,30 @@
         admin_pb2.CatalogueOffer(),
         admin_pb2.CatalogueOffer(snapshot=b"\xff"),
     ):
-        desk = Desk(4, None)
-        assert desk.take(offer) is Verdict.BAD_CONTENT
-        assert desk.state.version == 4
+        handler = HandlerFixture(4, None)
+        assert handler.take(offer) is Verdict.BAD_CONTENT
+        assert handler.state.version == 4
 
 
 def test_another_content_of_the_stored_version_is_refused():
     other = build_catalogue(5)
     other.services[0].owner = "somebody"
-    desk = Desk(4, 5)
+    handler = HandlerFixture(4, 5)
     offer = build_offer(5, other)
-    assert desk.take(offer) is Verdict.CONFLICTING_DIGEST
-    assert desk.state.version == 4
+    assert handler.take(offer) is Verdict.CONFLICTING_DIGEST
+    assert handler.state.version == 4
 
 
 def test_a_delta_is_taken_by_a_node_that_holds_its_base():
     base, target = (make_snapshot(build_catalogue(n)) for n in (4, 5))
     offer = build_offer(5)
     offer.delta = encode_delta(compare_snapshots(base, target))
-    assert Desk(4, None).take(offer) is Verdict.TAKEN
-    assert Desk(3, None).take(offer) is Verdict.OTHER_BASE
+    assert HandlerFixture(4, None).take(offer) is Verdict.TAKEN
+    assert HandlerFixture(3, None).take(offer) is Verdict.OTHER_BASE
     offer.delta = encode_delta(
         compare_snapshots(base, make_snapshot(build_catalogue(6)))
     )
-    assert Desk(4, None).take(offer) is Verdict.BAD_CONTENT
+    assert HandlerFixture(4, None).take(offer) is Verdict.BAD_CONTENT
 
 
 def test_a_delta_with_a_wrong_digest_does_not_take_effect():
@@ -129,6 +129,6 @@
     offer = build_offer(5)
     offer.head.digest = head.digest
     offer.delta = encode_delta(dataclasses.replace(delta, head=head))
-    desk = Desk(4, None)
-    assert desk.take(offer) is Verdict.BAD_CONTENT
-    assert desk.state.version == 4
+    handler = HandlerFixture(4, None)
+    assert handler.take(offer) is Verdict.BAD_CONTENT
+    assert handler.state.version == 4
--- a/egretlever/node/tests/test_order_path.py
+++ b/egretlever/node/tests/test_order_path.py
@@ -4,7 +4,7 @@
 import pytest
 
 from egretlever.schema import catalogue_pb2
-from egretlever.testing import answer, run_world, send_raw, stay_silent
+from egretlever.testing import answer, run_with_proxy, send_raw, stay_silent
 
 SHED = answer(b"", 503, b"egretlever-shed: 1")
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -46,7 +46,7 @@
         return results, len(server.heads)
 
     changes = {"max_attempts": 1, **mode}
-    assert run_world(body, **changes) == ([first, second], runs)
+    assert run_with_proxy(body, **changes) == ([first, second], runs)
 
 
 def test_a_cut_long_answer_is_recorded_as_unknown():
@@ -63,7 +63,7 @@
             await caller.read_raw()
         return await order(world, body=b"")
 
-    assert run_world(body) == (409, "unknown")
+    assert run_with_proxy(body) == (409, "unknown")
 
 
 def test_a_key_of_another_request_is_refused():
@@ -75,7 +75,7 @@
         )
         return changed.status, changed.outcome, len(server.heads)
 
-    status, outcome, runs = run_world(body)
+    status, outcome, runs = run_with_proxy(body)
     assert (status, runs) == (400, 1) and outcome == "not-run"
 
 
@@ -95,7 +95,7 @@
         result = await order(world, **{"egretlever-attempt": attempt})
         return result, len(server.heads)
 
-    assert run_world(body, **mode) == (expected, runs)
+    assert run_with_proxy(body, **mode) == (expected, runs)
 
 
 def test_an_order_shed_everywhere_is_not_run_and_may_run_later():
@@ -105,7 +105,7 @@
         runs = sum(len(server.heads) for server in servers)
         return first, runs, await order(world)
 
-    first, runs, second = run_world(body, retry_budget=1.0)
+    first, runs, second = run_with_proxy(body, retry_budget=1.0)
     assert first == (503, "not-run") and runs == 3
     assert second == (200, "completed")
 
@@ -117,7 +117,7 @@
             await order(world, f"k{number}")
         return server.connections
 
-    assert run_world(body) == 3
+    assert run_with_proxy(body) == 3
 
 
 def test_an_order_that_breaks_while_it_runs_stays_claimed():
@@ -147,4 +147,4 @@
         again = await order(world, **{"egretlever-attempt": 1})
         return again, len(server.heads)
 
-    assert run_world(body) == ((409, "unknown"), 1)
+    assert run_with_proxy(body) == ((409, "unknown"), 1)
--- a/egretlever/node/tests/test_outcomes.py
+++ b/egretlever/node/tests/test_outcomes.py
@@ -3,7 +3,7 @@
 import curio
 import pytest
 
-from egretlever.testing import answer, run_world, send_raw, stay_silent
+from egretlever.testing import answer, run_with_proxy, send_raw, stay_silent
 
 OK = b"HTTP/1.1 200 OK\r\n"
 SHED = answer(b"", 503, b"egretlever-shed: 1")
@@ -21,7 +21,7 @@
         reply = await world.call(method, target, b"", **fields)
         return reply, len(server.heads) if server else 0
 
-    return run_world(body, **(changes or {}))
+    return run_with_proxy(body, **(changes or {}))
 
 
 @pytest.mark.parametrize(
@@ -62,7 +62,7 @@
         first = await caller.call("GET", "/nothing")
         return first, await caller.call("GET", "/fabrics")
 
-    first, second = run_world(body)
+    first, second = run_with_proxy(body)
     assert (first.status, first.outcome, second.status) == (404, "not-run", 200)
 
 
@@ -141,7 +141,7 @@
         return await caller.read_raw()
 
     try:
-        received = run_world(body)
+        received = run_with_proxy(body)
     except ConnectionResetError:
         return
     # Without chunks only a reset tells a cut answer from a whole one.
@@ -155,7 +155,7 @@
         await caller.sock.sendall(b"GET /fabrics HTTP/1.0\r\n\r\n")
         return await caller.read_raw()
 
-    assert run_world(body).endswith(b"\r\n\r\nwhole")
+    assert run_with_proxy(body).endswith(b"\r\n\r\nwhole")
 
 
 def test_bytes_on_an_idle_server_connection_forbid_its_reuse():
@@ -173,7 +173,7 @@
         reply = await world.call("GET", "/fabrics")
         return reply.body, server.connections
 
-    assert run_world(body) == (b"second", 2)
+    assert run_with_proxy(body) == (b"second", 2)
 
 
 def test_a_draining_server_gets_no_further_request():
@@ -186,4 +186,4 @@
         bodies = {(await world.call("GET", "/fabrics")).body for _ in range(9)}
         return bodies, [len(server.heads) for server in servers]
 
-    assert run_world(body) == ({b"b"}, [1, 1, 9])
+    assert run_with_proxy(body) == ({b"b"}, [1, 1, 9])
--- a/egretlever/node/tests/test_stop.py
+++ b/egretlever/node/tests/test_stop.py
@@ -4,7 +4,7 @@
 
 from egretlever.node import make_node
 from egretlever.settings import parse_address
-from egretlever.testing import answer, build_node_settings, run_world
+from egretlever.testing import answer, build_node_settings, run_with_proxy
 from egretlever.transport import ConnectError, read_clock
 
 LARGE = b"x" * 8_000_000
@@ -28,7 +28,7 @@
         await curio.sleep(2.0)
         return ended, reply, rest, world.proxy.connections
 
-    ended, reply, rest, connections = run_world(body)
+    ended, reply, rest, connections = run_with_proxy(body)
     assert (ended, reply.body, rest, connections) == (b"", b"busy", b"", 0)
     # Without this header a caller sends its next request into the close.
     assert reply.head.find(b"connection") == "close"
@@ -43,7 +43,7 @@
         await world.proxy.stop()
         return await caller.read()
 
-    assert run_world(body).body == b"a"
+    assert run_with_proxy(body).body == b"a"
 
 
 def test_a_leaving_node_asks_callers_to_close():
@@ -53,7 +53,7 @@
         world.proxy.leave()
         return await caller.call("GET", "/fabrics")
 
-    assert run_world(body).head.find(b"connection") == "close"
+    assert run_with_proxy(body).head.find(b"connection") == "close"
 
 
 def test_a_node_ends_only_after_its_requests():
@@ -90,4 +90,4 @@
         await running.join()
         return len(reply.body), ended, refused
 
-    assert run_world(body) == (len(LARGE), b"", True)
+    assert run_with_proxy(body) == (len(LARGE), b"", True)
--- a/egretlever/node/tests/test_waiting.py
+++ b/egretlever/node/tests/test_waiting.py
@@ -4,7 +4,7 @@
 import pytest
 
 from egretlever.core import AttemptResult, Seconds
-from egretlever.testing import answer, run_world, stay_silent
+from egretlever.testing import answer, run_with_proxy, stay_silent
 from egretlever.transport import read_clock
 
 GET = b"GET /fabrics HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -42,7 +42,7 @@
         await curio.sleep(1.0)
         return server.cancelled, world.proxy.in_flight, world.parts.gate.entered
 
-    assert run_world(body) == (1, 0, 0)
+    assert run_with_proxy(body) == (1, 0, 0)
 
 
 def test_a_caller_that_leaves_the_queue_is_never_run():
@@ -59,7 +59,7 @@
         await curio.sleep(4.0)
         return waiting, world.parts.gate.waiting, len(server.heads)
 
-    assert run_world(body) == (1, 0, 1)
+    assert run_with_proxy(body) == (1, 0, 1)
 
 
 def test_a_request_that_expires_in_the_queue_is_not_run():
@@ -75,7 +75,7 @@
         waited = read_clock() - begun
         return reply.status, reply.outcome, waited < 0.6, len(server.heads)
 
-    assert run_world(body) == (504, "not-run", True, 1)
+    assert run_with_proxy(body) == (504, "not-run", True, 1)
 
 
 def test_the_deadline_left_is_passed_on():
@@ -84,7 +84,7 @@
         await world.call("GET", "/fabrics", **{"egretlever-deadline-ms": 700})
         return int(server.heads[0].find(b"egretlever-deadline-ms"))
 
-    assert 600 <= run_world(body) <= 700
+    assert 600 <= run_with_proxy(body) <= 700
 
 
 def test_a_silent_kept_connection_is_replaced_beside():
@@ -96,7 +96,7 @@
         await curio.sleep(0.1)
         return reply.body, server.cancelled, [item.result for item in observed]
 
-    assert run_world(body, **RETRIES) == (
+    assert run_with_proxy(body, **RETRIES) == (
         b"b",
         1,
         [
@@ -118,7 +118,7 @@
         reply = await world.call("GET", "/fabrics")
         return reply.body, [(item.result, item.latency) for item in observed]
 
-    body, observed = run_world(body, **RETRIES)
+    body, observed = run_with_proxy(body, **RETRIES)
     assert body == b"slow"
     ended = dict(observed)
     assert ended[AttemptResult.OK] == pytest.approx(4.3, abs=0.1)
@@ -145,7 +145,7 @@
         entered = world.parts.gate.entered
         return reply.body, taken, results, first.cancelled, entered
 
-    reply, taken, results, cancelled, entered = run_world(
+    reply, taken, results, cancelled, entered = run_with_proxy(
         body, hedge=True, **RETRIES
     )
     assert entered == 0
@@ -170,7 +170,7 @@
         found = [item for item in observed if item.server == "server-1"]
         return [(item.result, item.latency) for item in found], slow.cancelled
 
-    found, cancelled = run_world(body, hedge=True, **RETRIES)
+    found, cancelled = run_with_proxy(body, hedge=True, **RETRIES)
     results = [result for result, _ in found]
     if duration < 1.0:
         assert results == [AttemptResult.OK] and cancelled == 0
@@ -189,6 +189,6 @@
         reply = await world.call("GET", "/fabrics")
         return reply.body, [item.result for item in observed]
 
-    body, results = run_world(body, hedge=True, **RETRIES)
+    body, results = run_with_proxy(body, hedge=True, **RETRIES)
     assert body == b"a"
     assert results == [AttemptResult.OVERDUE, AttemptResult.OK]
--- a/egretlever/orders/tests/test_order_world.py
+++ b/egretlever/orders/tests/test_order_world.py
@@ -6,7 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from egretlever.core import OrderMode
-from egretlever.testing import OrderWorld, run_steps
+from egretlever.testing import OrderFixture, run_steps
 
 DAY = 86400.0
 
@@ -14,7 +14,7 @@
 class OrderMachine(RuleBasedStateMachine):
     @initialize(mode=st.sampled_from(OrderMode), seed=st.integers(0, 10**6))
     def start(self, mode, seed):
-        self.world = OrderWorld(mode, seed)
+        self.world = OrderFixture(mode, seed)
 
     @rule()
     def place(self):
@@ -78,7 +78,7 @@
 
 def run_long(mode, seed, steps):
     """Run random actions, most of them steps of coroutines."""
-    world = OrderWorld(mode, seed)
+    world = OrderFixture(mode, seed)
     choose = world.randomness
     actions = [
         (world.step, 60),
--- a/egretlever/testing/__init__.py
+++ b/egretlever/testing/__init__.py
@@ -21,12 +21,12 @@
     GossipNetwork,
     SharedPacker,
 )
-from egretlever.testing._order_world import OrderWorld
-from egretlever.testing._proxy_world import (
+from egretlever.testing._order_fixture import OrderFixture
+from egretlever.testing._proxy_fixture import (
     Caller,
-    ProxyWorld,
+    ProxyFixture,
     build_node_settings,
-    run_world,
+    run_with_proxy,
 )
 from egretlever.testing._scripted_server import (
     ServerExchange,
@@ -48,8 +48,8 @@
     "Fleet",
     "GossipNetwork",
     "NodeAddresses",
-    "OrderWorld",
-    "ProxyWorld",
+    "OrderFixture",
+    "ProxyFixture",
     "RunningProgram",
     "ServerExchange",
     "SharedPacker",
@@ -68,7 +68,7 @@
     "reserve_addresses",
     "run_steps",
     "run_virtual",
-    "run_world",
+    "run_with_proxy",
     "send_raw",
     "stay_silent",
     "wait_until",
--- a/egretlever/testing/_order_world.py
+++ b/egretlever/testing/_order_fixture.py
@@ -53,7 +53,7 @@
     coroutine: Coroutine[Any, Any, None]
 
 
-class OrderWorld:
+class OrderFixture:
     """Several ledgers over one store; every fault is chosen from outside.
 
     A dispatch is counted when it is sent and no longer when the attempt is
--- a/egretlever/testing/_proxy_world.py
+++ b/egretlever/testing/_proxy_fixture.py
@@ -108,7 +108,7 @@
         return bytes(data)
 
 
-class ProxyWorld:
+class ProxyFixture:
     """The request path of one node; use it as an asynchronous context.
 
     Parameters
@@ -277,10 +277,10 @@
     )
 
 
-def run_world(
-    body: Callable[[ProxyWorld], Awaitable[_Value]], **changes: Any
+def run_with_proxy(
+    body: Callable[[ProxyFixture], Awaitable[_Value]], **changes: Any
 ) -> _Value:
-    """Run a coroutine function with a `ProxyWorld` in virtual time.
+    """Run a coroutine function with a `ProxyFixture` in virtual time.
 
     Parameters
     ----------
@@ -296,7 +296,7 @@
     """
 
     async def run() -> _Value:
-        async with ProxyWorld(**changes) as world:
+        async with ProxyFixture(**changes) as world:
             return await body(world)
 
     return run_virtual(run())
