--- a/benchmarks/false_ejections.py
+++ b/benchmarks/false_ejections.py
@@ -151,9 +151,9 @@
 ) -> None:
     """Count false ejections, within a bounded time."""
     measures = measure_false(seed, hours, processes, limit)
-    print_table("false ejections", seed, measures)
+    print_table("false_ejections", seed, measures)
     if json_path is not None:
-        write_json(json_path, "false ejections", seed, measures)
+        write_json(json_path, "false_ejections", seed, measures)
 
 
 if __name__ == "__main__":
