Remove two functions that nothing calls

Fleet.mend_links of the membership benchmark and SmallFleet.set_platform_faults of the test launcher were left when their callers moved. A scan for names that stand only in their definition finds no others.

--- a/benchmarks/_membership_fleet.py
+++ b/benchmarks/_membership_fleet.py
@@ -139,11 +139,6 @@
                 if (receiver, sender) not in self.network.cuts:
                     self.network.cuts.add((sender, receiver))
 
-    def mend_links(self) -> None:
-        """End the faults."""
-        self.network.loss = 0.0
-        self.network.cuts.clear()
-
     def run_until(self, done: Callable[[], bool], limit: float) -> None:
         """Run until a condition holds, at most for a duration."""
         end = self.network.now + limit
--- a/egretlever/testing/_small_fleet.py
+++ b/egretlever/testing/_small_fleet.py
@@ -210,10 +210,6 @@
         body = json_format.MessageToJson(message).encode()
         _exchange(self.servers[server].control, "POST", "/faults", body)
 
-    def set_platform_faults(self, body: bytes, path: str) -> None:
-        """Send a request to the admin path of the platform stand-in."""
-        _exchange(self._platform, "POST", path, body)
-
     def drain(self, server: str) -> None:
         """Begin the planned stop of a server."""
         _exchange(self.servers[server].control, "POST", "/drain")
