--- /dev/null
+++ b/egretlever/home/__init__.py
@@ -0,0 +1,15 @@
+"""Decisions of a home node: its server's slots, trust and lifecycle."""
+
+from egretlever.home._lifecycle import Heartbeat, HeartbeatEffect, LocalServer
+from egretlever.home._slots import FIRST_ESTIMATE, SlotQueue, SlotTicket
+from egretlever.home._trust import ServerTrust
+
+__all__ = [
+    "FIRST_ESTIMATE",
+    "Heartbeat",
+    "HeartbeatEffect",
+    "LocalServer",
+    "ServerTrust",
+    "SlotQueue",
+    "SlotTicket",
+]
--- /dev/null
+++ b/egretlever/home/_slots.py
@@ -0,0 +1,209 @@
+"""Slots of one server, and the requests that wait for them."""
+
+import bisect
+import dataclasses
+
+from egretlever.core import (
+    Interval,
+    RequestId,
+    RouteId,
+    Seconds,
+    check_parameters,
+    require,
+)
+
+# Time of a request whose route has no answers yet; the next answers replace it.
+FIRST_ESTIMATE = Seconds(0.2)
+# Weight of a new answer in the mean time of its route. With 0.2 a server that
+# turns slow shows after five answers.
+_NEW_WEIGHT = 0.2
+# A request that has run for its mean time still needs a part of it: work times
+# have a long tail.
+_REST_SHARE = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotTicket:
+    """A request that wants a slot.
+
+    Parameters
+    ----------
+    request_id : RequestId
+        Id of the request.
+    route : RouteId
+        Route, whose mean time forecasts the request's.
+    rank : int
+        Priority, 0 for the most urgent.
+    deadline : Seconds
+        Reading of the clock after which the answer is useless.
+    max_wait : Seconds
+        Longest acceptable wait.
+    """
+
+    request_id: RequestId
+    route: RouteId
+    rank: int
+    deadline: Seconds
+    max_wait: Seconds
+
+
+class SlotQueue:
+    """Gives the slots of one server to requests by rank, then by arrival.
+
+    It answers the load pattern of a server that gets more work than it can
+    run: work waits here, where the count of busy slots is exact, and a request
+    that would wait too long is refused at once, so that its entry node can
+    place it elsewhere. Urgent requests overtake waiting ones of lower ranks.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the server runs at the same time.
+
+    Attributes
+    ----------
+    service_time_ : Seconds
+        Mean time of all recent requests at the server.
+
+    Examples
+    --------
+    >>> queue = SlotQueue(1)
+    >>> def ticket(name, rank):
+    ...     return SlotTicket(name, "r", rank, Seconds(9.0), Seconds(1.0))
+    >>> queue.offer(ticket("a", 1), Seconds(0.0))
+    True
+    >>> [found.request_id for found in queue.start_ready(Seconds(0.0))]
+    ['a']
+    >>> queue.offer(ticket("b", 1), Seconds(0.0))
+    True
+    >>> queue.offer(ticket("c", 0), Seconds(0.0))
+    True
+    >>> queue.finish("a", Seconds(0.1))
+    >>> [found.request_id for found in queue.start_ready(Seconds(0.1))]
+    ['c']
+    """
+
+    def __init__(self, slots: int) -> None:
+        check_parameters("SlotQueue", {"slots": slots}, {"slots": Interval(1)})
+        self._slots = slots
+        self._times: dict[RouteId, Seconds] = {}
+        self._running: dict[RequestId, tuple[SlotTicket, Seconds]] = {}
+        self._waiting: list[tuple[int, int, SlotTicket]] = []
+        self._arrivals = 0
+        self.service_time_ = FIRST_ESTIMATE
+
+    @property
+    def slots(self) -> int:
+        """Requests that the server runs at the same time."""
+        return self._slots
+
+    def resize(self, slots: int) -> None:
+        """Change the number of slots; running requests keep theirs."""
+        check_parameters("SlotQueue", {"slots": slots}, {"slots": Interval(1)})
+        self._slots = slots
+
+    def count_free(self) -> int:
+        """Count the slots that neither run nor are waited for."""
+        taken = len(self._running) + len(self._waiting)
+        return max(0, self._slots - taken)
+
+    def count_waiting(self) -> int:
+        """Count the requests that wait."""
+        return len(self._waiting)
+
+    def estimate(self, route: RouteId) -> Seconds:
+        """Estimate the time of a request of a route at the server."""
+        return self._times.get(route, self.service_time_)
+
+    def forecast_wait(self, rank: int, now: Seconds) -> Seconds:
+        """Forecast how long a request of a rank would wait for a slot."""
+        ends = sorted(self._forecast_ends(now))
+        while len(ends) < self._slots:
+            ends.insert(0, 0.0)
+        ends = ends[-self._slots :]
+        for other, _, ticket in self._waiting:
+            if other > rank:
+                break
+            first = ends.pop(0)
+            bisect.insort(ends, first + self.estimate(ticket.route))
+        return Seconds(ends[0])
+
+    def _forecast_ends(self, now: Seconds) -> list[float]:
+        ends = []
+        for ticket, started in self._running.values():
+            mean = self.estimate(ticket.route)
+            ends.append(max(mean - (now - started), _REST_SHARE * mean))
+        return ends
+
+    def offer(self, ticket: SlotTicket, now: Seconds) -> bool:
+        """Queue a request; false when it would wait too long.
+
+        A request is also refused when the forecast answer would come after
+        its deadline, since a slot spent on it would serve nobody.
+        """
+        wait = self.forecast_wait(ticket.rank, now)
+        late = now + wait + self.estimate(ticket.route) > ticket.deadline
+        if wait > 0 and (wait > ticket.max_wait or late):
+            return False
+        self._arrivals += 1
+        bisect.insort(self._waiting, (ticket.rank, self._arrivals, ticket))
+        return True
+
+    def start_ready(self, now: Seconds) -> list[SlotTicket]:
+        """Give free slots to waiting requests and return these."""
+        started = []
+        while self._waiting and len(self._running) < self._slots:
+            _, _, ticket = self._waiting.pop(0)
+            self._running[ticket.request_id] = (ticket, now)
+            started.append(ticket)
+        return started
+
+    def expire(self, now: Seconds) -> list[SlotTicket]:
+        """Drop and return the waiting requests that can't be answered in time.
+
+        A request is dropped when less than half of its mean time is left: few
+        answers take less than that.
+        """
+        expired = [
+            ticket
+            for _, _, ticket in self._waiting
+            if now + 0.5 * self.estimate(ticket.route) > ticket.deadline
+        ]
+        for ticket in expired:
+            self.withdraw(ticket.request_id)
+        return expired
+
+    def withdraw(self, request_id: RequestId) -> None:
+        """Forget a waiting request."""
+        self._waiting = [
+            entry
+            for entry in self._waiting
+            if entry[2].request_id != request_id
+        ]
+
+    def finish(
+        self, request_id: RequestId, now: Seconds, answered: bool = True
+    ) -> None:
+        """Free the slot of a running request.
+
+        Parameters
+        ----------
+        request_id : RequestId
+            Id of the request.
+        now : Seconds
+            Reading of the clock.
+        answered : bool, default=True
+            Whether its time speaks for the time of later requests.
+        """
+        found = self._running.pop(request_id, None)
+        require("finished-request-was-running", found is not None, request_id)
+        assert found is not None
+        ticket, started = found
+        if answered:
+            self._learn(ticket.route, Seconds(now - started))
+
+    def _learn(self, route: RouteId, time: Seconds) -> None:
+        old = self._times.get(route, time)
+        self._times[route] = Seconds(old + _NEW_WEIGHT * (time - old))
+        mean = self.service_time_
+        self.service_time_ = Seconds(mean + _NEW_WEIGHT * (time - mean))
--- /dev/null
+++ b/egretlever/home/_trust.py
@@ -0,0 +1,101 @@
+"""Judgement of a server by the outcomes of all callers at its home node."""
+
+from egretlever.core import Seconds
+from egretlever.placement import Trust
+
+# Each outcome counts half. One bad outcome after good ones is above the first
+# bound, two in a row are above the second; two good ones end either state.
+_NEW_WEIGHT = 0.5
+_DOUBT_ABOVE = 0.3
+_BROKEN_ABOVE = 0.6
+# A broken server gets a trial after this time, seconds, and later ones after
+# longer times: each costs a repeated attempt, and gray servers take seconds to
+# recover.
+_TRIAL_INTERVAL = 0.25
+_TRIAL_GROWTH = 1.5
+_MAX_TRIAL_INTERVAL = 1.0
+# A service may have no idempotent requests. After this time without any
+# outcome, seconds, one request that may not be repeated is the trial.
+_LONE_TRIAL_INTERVAL = 3.0
+
+
+class ServerTrust:
+    """Decides which requests a server may get after its recent outcomes.
+
+    It answers servers that fail most of their requests for some seconds while
+    their health endpoint says all is well. A request that may not be repeated
+    is lost there, so idempotent ones test the server first.
+
+    Attributes
+    ----------
+    failure_share_ : float
+        Exponentially weighted share of bad outcomes, 0 to 1.
+
+    Examples
+    --------
+    >>> trust = ServerTrust()
+    >>> trust.observe(False, Seconds(0.0))
+    >>> trust.decide(idempotent=False, now=Seconds(0.1))
+    False
+    >>> trust.decide(idempotent=True, now=Seconds(0.1))
+    True
+    """
+
+    def __init__(self) -> None:
+        self.failure_share_ = 0.0
+        self._trial_at: Seconds | None = None
+        self._interval = _TRIAL_INTERVAL
+        self._observed_at = Seconds(0.0)
+        self._overdue = 0
+
+    def describe(self) -> Trust:
+        """Return the present level of trust."""
+        if self.failure_share_ > _BROKEN_ABOVE:
+            return Trust.BROKEN
+        if self.failure_share_ > _DOUBT_ABOVE or self._overdue:
+            return Trust.DOUBTED
+        return Trust.TRUSTED
+
+    def decide(
+        self, idempotent: bool, now: Seconds, forced: bool = False
+    ) -> bool:
+        """Decide whether the server may get a request.
+
+        Parameters
+        ----------
+        idempotent : bool
+            Whether the request may run more than once.
+        now : Seconds
+            Reading of the clock.
+        forced : bool, default=False
+            No other server takes the request, so doubt does not keep it out.
+        """
+        level = self.describe()
+        if level is Trust.TRUSTED:
+            return True
+        if level is Trust.DOUBTED and (idempotent or forced):
+            return True
+        if now - self._observed_at > _LONE_TRIAL_INTERVAL:
+            return self._take_trial(now)
+        return idempotent and level is Trust.BROKEN and self._take_trial(now)
+
+    def _take_trial(self, now: Seconds) -> bool:
+        if self._trial_at is not None and now < self._trial_at:
+            return False
+        self._trial_at = Seconds(now + self._interval)
+        self._interval = min(
+            _MAX_TRIAL_INTERVAL, self._interval * _TRIAL_GROWTH
+        )
+        return True
+
+    def observe(self, good: bool, now: Seconds) -> None:
+        """Take the outcome of a request that the server began to run."""
+        bad = 0.0 if good else 1.0
+        self.failure_share_ += _NEW_WEIGHT * (bad - self.failure_share_)
+        self._observed_at = now
+        if good:
+            self._interval = _TRIAL_INTERVAL
+
+    def observe_overdue(self, change: int) -> None:
+        """Count the running requests that take far longer than usual."""
+        self._overdue = max(0, self._overdue + change)
--- /dev/null
+++ b/egretlever/placement/__init__.py
@@ -0,0 +1,55 @@
+"""Decisions of an entry node: routes, home nodes and repeated attempts."""
+
+from egretlever.placement._directory import Directory
+from egretlever.placement._records import (
+    Answer,
+    Backend,
+    ClientLimits,
+    Configuration,
+    Failure,
+    FailureReason,
+    HeaderFields,
+    HomeCondition,
+    HomeServer,
+    Offer,
+    Refusal,
+    RefusalReason,
+    Reply,
+    Route,
+    Trust,
+)
+from egretlever.placement._repeats import RepeatBudget
+from egretlever.placement._routes import RouteTable
+from egretlever.placement._selection import (
+    Distance,
+    HomeChoice,
+    HomeSelector,
+    Search,
+    Stage,
+)
+
+__all__ = [
+    "Answer",
+    "Backend",
+    "ClientLimits",
+    "Configuration",
+    "Directory",
+    "Distance",
+    "Failure",
+    "FailureReason",
+    "HeaderFields",
+    "HomeChoice",
+    "HomeCondition",
+    "HomeSelector",
+    "HomeServer",
+    "Offer",
+    "Refusal",
+    "RefusalReason",
+    "RepeatBudget",
+    "Reply",
+    "Route",
+    "RouteTable",
+    "Search",
+    "Stage",
+    "Trust",
+]
--- /dev/null
+++ b/egretlever/placement/_directory.py
@@ -0,0 +1,87 @@
+"""The servers of the fleet, as their rows in the platform's store say."""
+
+from collections.abc import Iterable
+
+from egretlever.core import Address, ServerId, ServiceName, Version
+from egretlever.placement._records import HomeServer
+
+
+class Directory:
+    """Servers by id and by service.
+
+    A row replaces an older one of its key only when its store version is
+    higher, so that answers of the store that arrive late change nothing.
+
+    Attributes
+    ----------
+    version : Version
+        Newest store version whose changes are all included.
+    """
+
+    def __init__(self) -> None:
+        self.version = Version(0)
+        self._servers: dict[ServerId, HomeServer] = {}
+        self._versions: dict[ServerId, Version] = {}
+        self._services: dict[ServiceName, dict[ServerId, HomeServer]] = {}
+
+    def replace(
+        self, rows: Iterable[tuple[HomeServer, Version]], version: Version
+    ) -> None:
+        """Take a whole reading of the table, as of one store version."""
+        found = {row[0].id: row for row in rows}
+        for server_id in list(self._servers):
+            if server_id not in found and self._versions[server_id] <= version:
+                self.remove(server_id, version)
+        for server, row_version in found.values():
+            self.update(server, row_version)
+        self.version = max(self.version, version)
+
+    def update(self, server: HomeServer, version: Version) -> bool:
+        """Take one row; false when a newer one is known."""
+        if self._versions.get(server.id, -1) >= version:
+            return False
+        old = self._servers.get(server.id)
+        if old is not None and old.service != server.service:
+            self._services[old.service].pop(server.id, None)
+        self._servers[server.id] = server
+        self._versions[server.id] = version
+        self._services.setdefault(server.service, {})[server.id] = server
+        return True
+
+    def remove(self, server_id: ServerId, version: Version) -> bool:
+        """Take the removal of a row; false when a newer row is known."""
+        if self._versions.get(server_id, -1) >= version:
+            return False
+        server = self._servers.pop(server_id, None)
+        self._versions[server_id] = version
+        if server is not None:
+            self._services[server.service].pop(server_id, None)
+        return server is not None
+
+    def find(self, server_id: ServerId) -> HomeServer | None:
+        """Find a server by its id."""
+        return self._servers.get(server_id)
+
+    def find_version(self, server_id: ServerId) -> Version:
+        """Find the store version of a server's row, 0 when there is none."""
+        if server_id not in self._servers:
+            return Version(0)
+        return self._versions[server_id]
+
+    def list_servers(self, service: ServiceName) -> list[HomeServer]:
+        """List the servers of a service that are not leaving."""
+        servers = self._services.get(service, {}).values()
+        return [server for server in servers if not server.draining]
+
+    def list_at(self, relay: Address) -> list[HomeServer]:
+        """List the servers behind the home node at an address."""
+        return [
+            server for server in self._servers.values() if server.relay == relay
+        ]
+
+    def list_relays(self) -> set[Address]:
+        """List the relay addresses of all home nodes."""
+        return {server.relay for server in self._servers.values()}
+
+    def __len__(self) -> int:
+        return len(self._servers)
--- /dev/null
+++ b/egretlever/placement/_selection.py
@@ -0,0 +1,352 @@
+"""Choice of the home node that a request is offered to."""
+
+import dataclasses
+import enum
+import random
+import statistics
+from collections.abc import Mapping, Sequence
+
+from egretlever.core import (
+    Address,
+    FailureDomain,
+    RegionName,
+    Seconds,
+    ServerId,
+)
+from egretlever.placement._records import (
+    Answer,
+    FailureReason,
+    HomeServer,
+    RefusalReason,
+    Reply,
+    Trust,
+)
+from egretlever.placement._views import HomeView
+
+
+class Distance(enum.IntEnum):
+    """How far a home node is from the entry node."""
+
+    OWN_DOMAIN = 0
+    OWN_REGION = 1
+    OTHER_REGION = 2
+
+
+# Part of the time to spare that a request may wait for a slot before homes
+# further away are tried. Bytes between failure domains and regions are paid,
+# and the wait nearby is free as long as the answer is on time.
+_WAIT_SHARES = {
+    Distance.OWN_DOMAIN: 0.3,
+    Distance.OWN_REGION: 0.45,
+    Distance.OTHER_REGION: 0.6,
+}
+# One exchange of messages, in seconds, on top of the time at the home node.
+_ROUND_TRIPS = {
+    Distance.OWN_DOMAIN: 0.001,
+    Distance.OWN_REGION: 0.003,
+    Distance.OTHER_REGION: 0.018,
+}
+# Offers of one request before it is rejected. A refused offer costs a round
+# trip, and a request that nobody takes has to be rejected soon.
+_MAX_OFFERS = {"on-time": 6, "late": 4, "forced": 2}
+# Homes compared in one choice. Two are enough to avoid the longest queues,
+# and the nodes do not all choose the one that was last seen free.
+_COMPARED = 2
+_USUAL_TIME = Seconds(0.2)  # until a home has reported its own
+_UNUSABLE = frozenset(
+    {
+        RefusalReason.NO_SERVER,
+        RefusalReason.LEAVING,
+        RefusalReason.MISDIRECTED,
+        RefusalReason.DOWN,
+    }
+)
+
+
+class Stage(enum.Enum):
+    """How much is still asked of a home node for one request."""
+
+    ON_TIME = "on-time"
+    LATE = "late"
+    FORCED = "forced"
+
+
+@dataclasses.dataclass(slots=True)
+class Search:
+    """Progress of the search for a home node for one request.
+
+    Parameters
+    ----------
+    idempotent : bool
+        Whether the request may run more than once.
+    on_time_at : Seconds
+        Reading of the clock until which the answer has its full worth.
+    deadline : Seconds
+        Reading of the clock at which the client or the route gives up.
+    service_time : Seconds
+        Usual time of a request of this route at a server.
+    stage : Stage
+        What is asked at present.
+    asked : set of ServerId
+        Homes that were offered the request in this stage.
+    excluded : set of ServerId
+        Homes that the request must not be offered to again.
+    offers : int
+        Offers made in this stage.
+    """
+
+    idempotent: bool
+    on_time_at: Seconds
+    deadline: Seconds
+    service_time: Seconds
+    stage: Stage = Stage.ON_TIME
+    asked: set[ServerId] = dataclasses.field(default_factory=set)
+    excluded: set[ServerId] = dataclasses.field(default_factory=set)
+    offers: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HomeChoice:
+    """A home node to offer a request to.
+
+    Parameters
+    ----------
+    server : HomeServer
+        Server behind the home node.
+    max_wait : Seconds
+        Longest wait for a slot that the request can bear there.
+    forced : bool
+        Whether doubt about the server must not keep the request out.
+    reason : str
+        Why it was chosen, for the log.
+    """
+
+    server: HomeServer
+    max_wait: Seconds
+    forced: bool
+    reason: str
+
+
+class HomeSelector:
+    """Chooses home nodes by distance, reported waits and trust.
+
+    It answers three load patterns. Failure domains hold unequal numbers of
+    servers for equal traffic, so work spills to the region and then to the
+    other region before its wait makes it late. When all queues are long, the
+    shortest one is taken while an answer is still useful to the client. When
+    every server is doubted, one of them gets the request all the same.
+
+    Parameters
+    ----------
+    domain : FailureDomain
+        Failure domain of the entry node.
+    regions : mapping of FailureDomain to RegionName
+        Regions of all failure domains.
+    own_relay : Address
+        Relay address of the entry node; its own server needs no message.
+    rng : random.Random
+        Source of the compared homes.
+    """
+
+    def __init__(
+        self,
+        domain: FailureDomain,
+        regions: Mapping[FailureDomain, RegionName],
+        own_relay: Address,
+        rng: random.Random,
+    ) -> None:
+        self._domain = domain
+        self._regions = regions
+        self._own_relay = own_relay
+        self._rng = rng
+        self._views: dict[ServerId, HomeView] = {}
+
+    def measure_distance(self, server: HomeServer) -> Distance:
+        """Tell how far the home node of a server is."""
+        if server.failure_domain == self._domain:
+            return Distance.OWN_DOMAIN
+        own = self._regions.get(self._domain)
+        if own is not None and own == self._regions.get(server.failure_domain):
+            return Distance.OWN_REGION
+        return Distance.OTHER_REGION
+
+    def decide(
+        self, search: Search, servers: Sequence[HomeServer], now: Seconds
+    ) -> HomeChoice | None:
+        """Choose the next home node for a request.
+
+        Parameters
+        ----------
+        search : Search
+            Progress of the request's search; it is advanced.
+        servers : sequence of HomeServer
+            Servers of the service that are not leaving.
+        now : Seconds
+            Reading of the clock.
+
+        Returns
+        -------
+        HomeChoice or None
+            None when the request can't be served in time.
+        """
+        usual = self._estimate_usual_time(servers)
+        while True:
+            choice = self._choose(search, servers, usual, now)
+            if choice is not None:
+                search.asked.add(choice.server.id)
+                search.offers += 1
+                return choice
+            if search.stage is Stage.ON_TIME:
+                search.stage = Stage.LATE
+            elif search.stage is Stage.LATE and not search.idempotent:
+                search.stage = Stage.FORCED
+            else:
+                return None
+            search.asked.clear()
+            search.offers = 0
+
+    def _choose(
+        self,
+        search: Search,
+        servers: Sequence[HomeServer],
+        usual: Seconds,
+        now: Seconds,
+    ) -> HomeChoice | None:
+        if search.offers >= _MAX_OFFERS[search.stage.value]:
+            return None
+        open_servers = [
+            server
+            for server in servers
+            if server.id not in search.asked
+            and server.id not in search.excluded
+            and self._may_ask(search, server, now)
+        ]
+        if search.stage is Stage.ON_TIME:
+            return self._choose_on_time(search, open_servers, usual, now)
+        return self._choose_any(search, open_servers, usual, now)
+
+    def _may_ask(
+        self, search: Search, server: HomeServer, now: Seconds
+    ) -> bool:
+        view = self._view(server)
+        if view.is_absent(now):
+            return False
+        trust = view.describe_trust(now)
+        if search.stage is Stage.FORCED:
+            return trust is not Trust.BROKEN
+        if trust is Trust.BROKEN:
+            return search.stage is Stage.LATE and search.idempotent
+        return search.idempotent or trust is Trust.TRUSTED
+
+    def _choose_on_time(
+        self,
+        search: Search,
+        servers: list[HomeServer],
+        usual: Seconds,
+        now: Seconds,
+    ) -> HomeChoice | None:
+        for distance, share in _WAIT_SHARES.items():
+            spare = search.on_time_at - now - search.service_time
+            allowed = Seconds(share * (spare - _ROUND_TRIPS[distance]))
+            if allowed < 0:
+                continue
+            near = [
+                server
+                for server in servers
+                if self.measure_distance(server) is distance
+            ]
+            found = self._compare(near, usual, now)
+            if found is not None and found[1] <= allowed:
+                return HomeChoice(
+                    found[0], allowed, False, distance.name.lower()
+                )
+        return None
+
+    def _choose_any(
+        self,
+        search: Search,
+        servers: list[HomeServer],
+        usual: Seconds,
+        now: Seconds,
+    ) -> HomeChoice | None:
+        spare = Seconds(search.deadline - now - search.service_time)
+        if not servers or spare <= 0:
+            return None
+        server = min(
+            servers,
+            key=lambda server: (
+                self._estimate_cost(server, usual, now)
+                + _ROUND_TRIPS[self.measure_distance(server)]
+            ),
+        )
+        forced = search.stage is Stage.FORCED
+        return HomeChoice(server, spare, forced, search.stage.value)
+
+    def _compare(
+        self, servers: list[HomeServer], usual: Seconds, now: Seconds
+    ) -> tuple[HomeServer, Seconds] | None:
+        """Return the better of two servers, and its expected delay."""
+        if not servers:
+            return None
+        compared = self._rng.sample(servers, min(_COMPARED, len(servers)))
+        own = [server for server in servers if server.relay == self._own_relay]
+        costs = [
+            (self._estimate_cost(server, usual, now), server not in own, place)
+            for place, server in enumerate([*own, *compared])
+        ]
+        cost, _, place = min(costs)
+        return [*own, *compared][place], Seconds(cost)
+
+    def _estimate_cost(
+        self, server: HomeServer, usual: Seconds, now: Seconds
+    ) -> float:
+        view = self._view(server)
+        wait = view.estimate_wait(usual, now)
+        return wait + view.estimate_slowness(usual)
+
+    def _estimate_usual_time(self, servers: Sequence[HomeServer]) -> Seconds:
+        times = [
+            view.service_time
+            for server in servers
+            if (view := self._views.get(server.id)) is not None
+            and view.service_time
+        ]
+        return Seconds(statistics.median(times)) if times else _USUAL_TIME
+
+    def _view(self, server: HomeServer) -> HomeView:
+        view = self._views.get(server.id)
+        if view is None:
+            view = self._views[server.id] = HomeView(server.slots)
+        return view
+
+    def start(self, server: HomeServer) -> None:
+        """Count an offer that is on its way."""
+        view = self._view(server)
+        view.in_flight += 1
+        view.sent_since += 1
+
+    def finish(
+        self, server: HomeServer, reply: Reply | None, now: Seconds
+    ) -> None:
+        """Take the reply to an offer, or None when it was withdrawn."""
+        view = self._view(server)
+        view.in_flight -= 1
+        if reply is None:
+            return
+        if reply.condition is not None:
+            view.observe(reply.condition, now)
+        if isinstance(reply, Answer):
+            return
+        if reply.reason in _UNUSABLE:
+            view.observe_unusable(now)
+        elif reply.reason in (
+            RefusalReason.HOME_UNREACHABLE,
+            FailureReason.HOME_LOST,
+        ):
+            view.observe_absence(now)
+
+    def forget(self, server_id: ServerId) -> None:
+        """Forget a server that left the directory."""
+        view = self._views.get(server_id)
+        if view is not None and view.in_flight == 0:
+            del self._views[server_id]
--- /dev/null
+++ b/egretlever/placement/_views.py
@@ -0,0 +1,112 @@
+"""What an entry node believes of one home node."""
+
+from egretlever.core import Interval, Seconds, check_parameters
+from egretlever.placement._records import HomeCondition, Trust
+
+# A reported wait says little about a queue a second later.
+_REPORT_LIFETIME = Seconds(1.0)
+# An unreachable home node is left alone for this time, doubled with each
+# further failure, so that a cut costs few requests and ends unnoticed by none
+# for long.
+_FIRST_ABSENCE = Seconds(0.5)
+_MAX_ABSENCE = Seconds(4.0)
+# A home node without a usable server is asked again after this time: its
+# server may have restarted, which the directory shows only later.
+_UNUSABLE_PAUSE = Seconds(0.75)
+# Servers this much slower than the mean of their service are avoided.
+_SLOW_FACTOR = 1.5
+
+
+class HomeView:
+    """Latest report of a home node, and what was sent to it since.
+
+    Parameters
+    ----------
+    slots : int
+        Slots of the server.
+    """
+
+    __slots__ = (
+        "_absence",
+        "_at",
+        "_report",
+        "absent_until",
+        "in_flight",
+        "sent_since",
+        "slots",
+    )
+
+    def __init__(self, slots: int) -> None:
+        check_parameters("HomeView", {"slots": slots}, {"slots": Interval(1)})
+        self.slots = slots
+        self.in_flight = 0
+        self.sent_since = 0
+        self.absent_until = Seconds(0.0)
+        self._absence = _FIRST_ABSENCE
+        self._report: HomeCondition | None = None
+        self._at = Seconds(0.0)
+
+    def observe(self, report: HomeCondition, now: Seconds) -> None:
+        """Take the condition that came with a reply."""
+        self._report = report
+        self._at = now
+        self.sent_since = 0
+        self._absence = _FIRST_ABSENCE
+        self.absent_until = Seconds(0.0)
+
+    def observe_absence(self, now: Seconds) -> None:
+        """Leave a home node alone that could not be reached."""
+        self.absent_until = Seconds(now + self._absence)
+        self._absence = Seconds(min(_MAX_ABSENCE, 2 * self._absence))
+
+    def observe_unusable(self, now: Seconds) -> None:
+        """Leave a home node alone whose server takes no requests."""
+        self.absent_until = Seconds(now + _UNUSABLE_PAUSE)
+
+    def is_absent(self, now: Seconds) -> bool:
+        """Tell whether the home node is left alone for now."""
+        return now < self.absent_until
+
+    def _fresh(self, now: Seconds) -> HomeCondition | None:
+        if self._report is None or now - self._at > _REPORT_LIFETIME:
+            return None
+        return self._report
+
+    def describe_trust(self, now: Seconds) -> Trust:
+        """Return the trust of the last report, if it is recent."""
+        report = self._fresh(now)
+        return Trust.TRUSTED if report is None else report.trust
+
+    def estimate_wait(self, service_time: Seconds, now: Seconds) -> Seconds:
+        """Estimate the wait of a new request.
+
+        Parameters
+        ----------
+        service_time : Seconds
+            Usual time of a request of the service.
+        now : Seconds
+            Reading of the clock.
+        """
+        report = self._fresh(now)
+        if report is None:
+            taken, free, wait = self.in_flight, self.slots, 0.0
+        else:
+            taken, free = self.sent_since, report.free_slots
+            wait = max(0.0, report.wait - (now - self._at))
+        excess = max(0, taken + 1 - free)
+        if report is not None and report.free_slots == 0:
+            excess = taken
+        return Seconds(wait + excess * service_time / self.slots)
+
+    def estimate_slowness(self, service_time: Seconds) -> Seconds:
+        """Estimate how much longer than usual a request takes there."""
+        if self._report is None:
+            return Seconds(0.0)
+        if self._report.service_time < _SLOW_FACTOR * service_time:
+            return Seconds(0.0)
+        return Seconds(self._report.service_time - service_time)
+
+    @property
+    def service_time(self) -> Seconds | None:
+        """Mean time at the server by the last report."""
+        return None if self._report is None else self._report.service_time
--- a/egretlever/platform/__init__.py
+++ b/egretlever/platform/__init__.py
@@ -1,5 +1,17 @@
-"""Clients of the table service and the object store."""
+"""Everything that is spoken with the platform: names, formats and calls."""
 
+from egretlever.platform import _headers as headers
+from egretlever.platform._bounds import Bounds, decode_bounds
+from egretlever.platform._configuration import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    decode_configuration,
+)
+from egretlever.platform._heartbeats import (
+    decode_departure,
+    decode_heartbeat,
+    parse_server_path,
+)
 from egretlever.platform._interfaces import (
     ObjectStore,
     Row,
@@ -8,14 +20,33 @@
     TableStore,
 )
 from egretlever.platform._objects import make_object_store
+from egretlever.platform._rows import (
+    RowPage,
+    RowStore,
+    StoredRow,
+    make_row_store,
+)
 from egretlever.platform._table import make_table_store
 
 __all__ = [
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_TABLE",
+    "Bounds",
     "ObjectStore",
     "Row",
+    "RowPage",
+    "RowStore",
     "StoreError",
     "StoreErrorKind",
+    "StoredRow",
     "TableStore",
+    "decode_bounds",
+    "decode_configuration",
+    "decode_departure",
+    "decode_heartbeat",
+    "headers",
     "make_object_store",
+    "make_row_store",
     "make_table_store",
+    "parse_server_path",
 ]
--- /dev/null
+++ b/egretlever/platform/_bounds.py
@@ -0,0 +1,75 @@
+"""Decoding of the bounds that the platform's settings state."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from returns.result import Failure, Result, Success
+
+from egretlever.core import Finding, Seconds
+from egretlever.platform._decoding import FieldReader
+from egretlever.settings import Findings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the platform expects of the fleet.
+
+    Parameters
+    ----------
+    drain : Seconds
+        Time after which a leaving server gets no new work.
+    grace : Seconds
+        Time from SIGTERM to SIGKILL.
+    configuration : Seconds
+        Time after which a new configuration is in force.
+    retry_ratio : float
+        Repeated attempts of a service, as a share of its requests.
+    retry_slack : float
+        Repeated attempts allowed beyond that, in the whole fleet.
+    retry_window : Seconds
+        Window over which repeated attempts are counted.
+    """
+
+    drain: Seconds = Seconds(2.0)
+    grace: Seconds = Seconds(6.0)
+    configuration: Seconds = Seconds(2.0)
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    retry_window: Seconds = Seconds(10.0)
+
+
+def decode_bounds(lines: Iterable[str]) -> Result[Bounds, Findings]:
+    """Decode lines of the form ``NAME=VALUE``; unknown names are ignored.
+
+    Examples
+    --------
+    >>> decode_bounds(["grace=7s"]).unwrap().grace
+    7.0
+    """
+    findings: list[Finding] = []
+    fields: dict[str, str] = {}
+    for line in lines:
+        name, _, value = line.partition("=")
+        fields[name.strip()] = value.strip()
+    reader = FieldReader(fields, "bounds", findings)
+    usual = Bounds()
+
+    def read_duration(name: str, default: Seconds) -> Seconds:
+        return reader.read_duration(name) if name in fields else default
+
+    def read_number(name: str, default: float) -> float:
+        try:
+            return float(fields.get(name, default))
+        except ValueError:
+            reader.report(name, f"{fields[name]!r} is not a number")
+            return default
+
+    bounds = Bounds(
+        drain=read_duration("drain", usual.drain),
+        grace=read_duration("grace", usual.grace),
+        configuration=read_duration("configApply", usual.configuration),
+        retry_ratio=read_number("retryBudgetRatio", usual.retry_ratio),
+        retry_slack=read_number("budgetSlack", usual.retry_slack),
+        retry_window=read_duration("budgetWindow", usual.retry_window),
+    )
+    return Failure(tuple(findings)) if findings else Success(bounds)
--- /dev/null
+++ b/egretlever/platform/_configuration.py
@@ -0,0 +1,114 @@
+"""Decoding of the operator's configuration, ``op/config`` in the store."""
+
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from egretlever.core import Finding, RouteId, ServiceName, Version
+from egretlever.placement import Backend, ClientLimits, Configuration, Route
+from egretlever.platform._decoding import FieldReader, parse_json
+from egretlever.settings import Findings
+
+CONFIGURATION_TABLE = "op"
+CONFIGURATION_KEY = "config"
+
+_MAX_BYTES = 1 << 30  # bound of a size limit
+_MAX_RANK = 1000
+_MAX_ATTEMPTS = 100
+_MAX_WEIGHT = 1e9
+# The kind "safe" is the only one whose requests may run more than once.
+_IDEMPOTENT_KIND = "safe"
+
+
+def decode_configuration(body: bytes) -> Result[Configuration, Findings]:
+    """Decode a version of the configuration.
+
+    Parameters
+    ----------
+    body : bytes
+        Value of the row.
+
+    Returns
+    -------
+    Result of Configuration or tuple of Finding
+        The configuration, or every finding. A version with findings is taken
+        as a whole or not at all, since a route that is left out would answer
+        404.
+    """
+    parsed = parse_json(body, "configuration")
+    if isinstance(parsed, Failure):
+        return parsed
+    findings: list[Finding] = []
+    reader = FieldReader(parsed.unwrap(), "configuration", findings)
+    version = _decode_version(reader)
+    limits = ClientLimits()
+    routes: list[Route] = []
+    resources = reader.fields.get("resources")
+    if not isinstance(resources, list):
+        reader.report("resources", "is not a list")
+        resources = []
+    for place, resource in enumerate(resources):
+        entry = FieldReader(resource, f"resource {place}", findings)
+        kind = entry.fields.get("type")
+        if kind == "routes":
+            routes.append(_decode_route(entry))
+        elif kind == "limits":
+            limits = _decode_limits(entry.open("spec"))
+    if findings:
+        return Failure(tuple(findings))
+    return Success(Configuration(version, tuple(routes), limits))
+
+
+def _decode_version(reader: FieldReader) -> Version:
+    text = reader.read_text("version")
+    try:
+        return Version(int(text, 16))
+    except ValueError:
+        reader.report("version", f"{text!r} is not hexadecimal")
+        return Version(0)
+
+
+def _decode_route(entry: FieldReader) -> Route:
+    spec = entry.open("spec")
+    prefix = spec.read_text("prefix")
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        spec.report("prefix", f"{prefix!r} has no slash at both ends")
+    return Route(
+        id=RouteId(entry.open("metadata").read_text("name")),
+        host=spec.read_text("host").lower(),
+        prefix=prefix,
+        idempotent=spec.read_text("kind") == _IDEMPOTENT_KIND,
+        timeout=spec.read_duration("timeout"),
+        objective=spec.read_duration("targetLatency"),
+        rank=spec.read_integer("priority", 0, _MAX_RANK),
+        max_attempts=spec.read_integer("maxAttempts", 1, _MAX_ATTEMPTS),
+        backends=_decode_backends(spec),
+    )
+
+
+def _decode_backends(spec: FieldReader) -> tuple[Backend, ...]:
+    parts: Any = spec.fields.get("trafficSplit")
+    if parts is None:
+        return (Backend(ServiceName(spec.read_text("service")), 1.0),)
+    if not isinstance(parts, list):
+        spec.report("trafficSplit", "is not a list")
+        return ()
+    backends = []
+    for place, part in enumerate(parts):
+        fields = FieldReader(part, f"trafficSplit {place}", spec.findings)
+        weight = fields.read_number("weight", 0, _MAX_WEIGHT)
+        if weight > 0:
+            service = ServiceName(fields.read_text("service"))
+            backends.append(Backend(service, weight))
+    if not backends:
+        spec.report("trafficSplit", "has no service with a weight above 0")
+    return tuple(backends)
+
+
+def _decode_limits(spec: FieldReader) -> ClientLimits:
+    return ClientLimits(
+        max_head_bytes=spec.read_integer("maxHeaderBytes", 1, _MAX_BYTES),
+        max_body_bytes=spec.read_integer("maxBodyBytes", 0, _MAX_BYTES),
+        head_timeout=spec.read_duration("headerTimeout"),
+        idle_timeout=spec.read_duration("idleTimeout"),
+    )
--- a/egretlever/platform/_http.py
+++ b/egretlever/platform/_http.py
@@ -82,10 +82,16 @@
         self._timeout = timeout
         self._max_body = max_body
         self._permits = curio.Semaphore(max_connections)
-        self._pool = ConnectionPool(timeout, _IDLE_TIMEOUT, max_idle)
+        self._pool = ConnectionPool(
+            timeout, _IDLE_TIMEOUT, max_idle, keepalive=True
+        )
 
     async def request(
-        self, method: str, target: str, body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout: Seconds | None = None,
     ) -> Result[HttpReply, HttpError]:
         """Send one request.
 
@@ -97,6 +103,8 @@
             Request target, quoted.
         body : bytes, optional
             Request body.
+        timeout : Seconds, optional
+            Limit of this request, when it differs from the client's.
 
         Returns
         -------
@@ -111,11 +119,12 @@
                 )
             )
         held: list[BackendConnection] = []
+        limit = self._timeout if timeout is None else timeout
         try:
-            async with curio.timeout_after(self._timeout), self._permits:
+            async with curio.timeout_after(limit), self._permits:
                 return Success(await self._exchange(held, method, target, body))
         except curio.TaskTimeout:
-            message = f"no response within {self._timeout:g} s"
+            message = f"no response within {limit:g} s"
         except (
             BackendClosedError,
             BackendProtocolError,
--- a/egretlever/platform/_interfaces.py
+++ b/egretlever/platform/_interfaces.py
@@ -13,12 +13,14 @@
     """What is known after a store operation failed.
 
     ``UNAVAILABLE`` means that the operation had no effect. After
-    ``UNKNOWN_EFFECT`` a write may have taken effect.
+    ``UNKNOWN_EFFECT`` a write may have taken effect. ``HISTORY_LOST`` means
+    that changes can't be followed from the given version any more.
     """
 
     REFUSED_CONDITION = "refused-condition"
     UNAVAILABLE = "unavailable"
     UNKNOWN_EFFECT = "unknown-effect"
+    HISTORY_LOST = "history-lost"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/egretlever/relay/_acceptor.py
@@ -0,0 +1,96 @@
+"""Serving side of the connections between nodes."""
+
+from typing import Any
+
+import curio
+
+from egretlever.core import Incarnation, make_log
+from egretlever.relay._codec import decode_offer, encode_reply
+from egretlever.relay._frames import FrameError, FrameStream
+from egretlever.relay._home import HomeNode
+from egretlever.relay._jobs import Job
+from egretlever.schema import relay_pb2
+from egretlever.transport import accept_connections
+
+_LOG = make_log("relay")
+_MAX_CONNECTIONS = 3000  # one for each node of the fleet, and some to spare
+
+
+class RelayAcceptor:
+    """Takes offers of other nodes for the server on this host.
+
+    Parameters
+    ----------
+    home : HomeNode
+        Runs the offers.
+    incarnation : Incarnation
+        Tells peers whether the process that took an offer still runs.
+    """
+
+    def __init__(self, home: HomeNode, incarnation: Incarnation) -> None:
+        self._home = home
+        self._incarnation = incarnation
+
+    async def serve_forever(self, listener: Any) -> None:
+        """Accept connections of other nodes."""
+        await accept_connections(listener, self._serve, _MAX_CONNECTIONS)
+
+    async def _serve(self, sock: Any) -> None:
+        stream = FrameStream(sock)
+        writer = await curio.spawn(stream.write_forever, daemon=True)
+        jobs: dict[int, Job] = {}
+        hello = relay_pb2.Hello(incarnation=self._incarnation)
+        try:
+            await stream.post(relay_pb2.RelayFrame(hello=hello))
+            while (frame := await stream.read()) is not None:
+                await self._take(stream, jobs, frame)
+        except FrameError as error:
+            _LOG.warning("A node sent bytes that are no frame: %s.", error)
+        finally:
+            for job in jobs.values():
+                self._home.jobs.detach(job, stream)
+            await writer.cancel()
+            await stream.close()
+
+    async def _take(
+        self,
+        stream: FrameStream,
+        jobs: dict[int, Job],
+        frame: relay_pb2.RelayFrame,
+    ) -> None:
+        kind = frame.WhichOneof("kind")
+        if kind == "ping":
+            pong = relay_pb2.Pong(number=frame.ping.number)
+            await stream.post(relay_pb2.RelayFrame(pong=pong))
+        elif kind == "withdrawal":
+            job = jobs.pop(frame.withdrawal.sequence, None)
+            if job is not None:
+                await self._home.jobs.withdraw(job)
+        elif kind == "offer":
+            sequence = frame.offer.sequence
+            job = await self._home.jobs.submit(
+                decode_offer(frame.offer), stream
+            )
+            jobs[sequence] = job
+            await curio.spawn(
+                self._reply, stream, jobs, sequence, job, daemon=True
+            )
+        else:
+            _LOG.warning("A frame of kind %s is not expected here.", kind)
+
+    async def _reply(
+        self,
+        stream: FrameStream,
+        jobs: dict[int, Job],
+        sequence: int,
+        job: Job,
+    ) -> None:
+        # A refusal is known at once and needs no acknowledgement before it.
+        await curio.sleep(0)
+        if not job.done.is_set():
+            accepted = relay_pb2.Accepted(sequence=sequence)
+            await stream.post(relay_pb2.RelayFrame(accepted=accepted))
+            await job.done.wait()
+        if jobs.pop(sequence, None) is None or job.reply is None:
+            return
+        await stream.post(encode_reply(sequence, job.reply))
--- /dev/null
+++ b/egretlever/relay/_announcements.py
@@ -0,0 +1,84 @@
+"""Heartbeats and departures of the server on the host."""
+
+from collections.abc import Awaitable, Callable
+
+from returns.result import Failure
+
+from egretlever.core import make_log
+from egretlever.home import HeartbeatEffect
+from egretlever.platform import (
+    decode_departure,
+    decode_heartbeat,
+    parse_server_path,
+)
+from egretlever.relay import _metrics as metrics
+from egretlever.relay._home import HomeNode
+from egretlever.transport import Answer, RequestHead, read_clock
+
+_LOG = make_log("home")
+_JSON = "application/json"
+_ACKNOWLEDGED = Answer(200, b"{}", _JSON)
+_CHANGES = frozenset(
+    {
+        HeartbeatEffect.STARTED,
+        HeartbeatEffect.CHANGED,
+        HeartbeatEffect.DEPARTED,
+    }
+)
+
+
+class AnnouncementPage:
+    """Takes what the server says of itself.
+
+    A leaving server is fenced before its announcement is acknowledged, since
+    the acknowledgement binds: from then on it gets no new work.
+
+    Parameters
+    ----------
+    home : HomeNode
+        Home node of the server.
+    notify : callable
+        Coroutine function called when the server has changed.
+    """
+
+    def __init__(
+        self, home: HomeNode, notify: Callable[[], Awaitable[None]]
+    ) -> None:
+        self._home = home
+        self._notify = notify
+
+    async def handle(self, head: RequestHead, body: bytes) -> Answer:
+        """Answer a heartbeat (PUT) or a departure (DELETE)."""
+        server_id = parse_server_path(head.target)
+        if server_id is None:
+            return Answer(404, b"{}", _JSON)
+        if head.method == "DELETE":
+            effect = self._home.local.depart(
+                server_id, read_clock(), decode_departure(body)
+            )
+        elif head.method == "PUT":
+            result = decode_heartbeat(server_id, body)
+            if isinstance(result, Failure):
+                metrics.HEARTBEATS.labels("malformed").inc()
+                for finding in result.failure():
+                    _LOG.warning("%s: %s.", server_id, finding)
+                return Answer(400, b"{}", _JSON)
+            effect = self._home.local.observe(result.unwrap(), read_clock())
+        else:
+            return Answer(405, b"{}", _JSON)
+        metrics.HEARTBEATS.labels(effect.value).inc()
+        if effect in _CHANGES:
+            self._home.renew()
+            server = self._home.local.current
+            _LOG.info(
+                "Server %s: %s, %s.",
+                server_id,
+                effect.value,
+                "gone"
+                if server is None
+                else "draining"
+                if server.draining
+                else "serving",
+            )
+            await self._notify()
+        return _ACKNOWLEDGED
--- /dev/null
+++ b/egretlever/relay/_clients.py
@@ -0,0 +1,374 @@
+"""Clients' connections, on which requests may follow before answers."""
+
+import collections
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import h11
+from curio import socket
+
+from egretlever.core import Seconds, make_log
+from egretlever.placement import ClientLimits, HeaderFields
+from egretlever.transport import (
+    RequestError,
+    RequestHead,
+    check_raw_head,
+    check_request,
+    read_clock,
+)
+
+_LOG = make_log("client")
+_READ_SIZE = 65536
+_HEAD_END = b"\r\n\r\n"
+# Clients reuse connections up to the idle timeout, so they are kept longer.
+_IDLE_MARGIN = Seconds(1.5)
+# Longest silence within a body, and longest wait for a client to read.
+_BODY_TIMEOUT = Seconds(10.0)
+# Requests of one connection that are worked on at the same time. Further ones
+# stay unread until the first is answered.
+_MAX_PIPELINED = 16
+_LINGER = Seconds(1.0)  # time for a client to read the last answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientRequest:
+    """A whole request of a client.
+
+    Parameters
+    ----------
+    head : RequestHead
+        Method, target and headers.
+    body : bytes
+        Whole body.
+    received_at : Seconds
+        Reading of the clock when the whole request was there.
+    """
+
+    head: RequestHead
+    body: bytes
+    received_at: Seconds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientAnswer:
+    """A whole answer to a client.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of tuple of bytes
+        Headers, without the framing.
+    body : bytes
+        Whole body.
+    """
+
+    status: int
+    headers: HeaderFields = ()
+    body: bytes = b""
+
+
+ClientHandler = Callable[[ClientRequest], Awaitable[ClientAnswer]]
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """A request whose answer has not been sent."""
+
+    http: h11.Connection
+    method: str
+    last: bool
+    answer: ClientAnswer | None = None
+    task: Any = None
+    ready: curio.Event = dataclasses.field(default_factory=curio.Event)
+
+
+class ClientConnection:
+    """Reads requests ahead and sends their answers in order.
+
+    A client that closes its connection has its requests cancelled.
+
+    Parameters
+    ----------
+    sock : curio.io.Socket
+        Accepted socket.
+    handle : callable
+        Coroutine function from a request to its answer.
+    read_limits : callable
+        Returns the limits in force.
+    is_stopping : callable
+        Tells whether connections end behind their next answer.
+    """
+
+    def __init__(
+        self,
+        sock: Any,
+        handle: ClientHandler,
+        read_limits: Callable[[], ClientLimits],
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._sock = sock
+        self._handle = handle
+        self._read_limits = read_limits
+        self._is_stopping = is_stopping
+        self._received = bytearray()
+        self._pending: collections.deque[_Pending] = collections.deque()
+        self._arrived = curio.Event()
+        self._room = curio.Event()
+        self._input_ended = False
+        self._ending = False
+
+    async def run(self) -> None:
+        """Serve the connection until it ends."""
+        writer = await curio.spawn(self._write_forever, daemon=True)
+        try:
+            gone = await self._read_forever()
+            if not gone:
+                self._input_ended = True
+                await self._arrived.set()
+                watcher = await curio.spawn(
+                    self._watch_end, writer, daemon=True
+                )
+                await writer.wait()
+                await watcher.cancel()
+        except OSError as error:
+            _LOG.debug("A client's connection failed: %s.", error)
+        finally:
+            await writer.cancel()
+            for pending in self._pending:
+                if pending.task is not None:
+                    await pending.task.cancel(blocking=False)
+
+    async def _watch_end(self, writer: Any) -> None:
+        """Stop work when a client leaves that sends no further request."""
+        try:
+            while await self._sock.recv(_READ_SIZE):
+                continue
+        except OSError as error:
+            _LOG.debug("A client's connection failed: %s.", error)
+        await writer.cancel(blocking=False)
+
+    async def _read_forever(self) -> bool:
+        """Read requests; true when the client has gone."""
+        while True:
+            while len(self._pending) >= _MAX_PIPELINED:
+                self._room.clear()
+                await self._room.wait()
+            http = self._make_parser()
+            try:
+                request = await self._read_request(http)
+            except RequestError as error:
+                await self._add(_Pending(http, "", True), _explain(error))
+                return False
+            if request is None:
+                return self._input_ended
+            if self._ending:
+                # It came behind an answer that ends the connection.
+                return False
+            last = http.their_state is h11.MUST_CLOSE
+            pending = _Pending(http, request.head.method, last)
+            pending.task = await curio.spawn(
+                self._answer, pending, request, daemon=True
+            )
+            await self._add(pending, None)
+            if last:
+                return False
+            trailing, _ = http.trailing_data
+            self._received += trailing
+
+    def _make_parser(self) -> h11.Connection:
+        limit = self._read_limits().max_head_bytes + _READ_SIZE
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+
+    async def _add(
+        self, pending: _Pending, answer: ClientAnswer | None
+    ) -> None:
+        if answer is not None:
+            pending.answer = answer
+            await pending.ready.set()
+        self._pending.append(pending)
+        await self._arrived.set()
+
+    async def _answer(self, pending: _Pending, request: ClientRequest) -> None:
+        try:
+            pending.answer = await self._handle(request)
+        except curio.CancelledError:
+            return
+        except Exception as error:
+            # The fault of one request must not end the others.
+            _LOG.error("A request ended by %r.", error)
+            pending.answer = ClientAnswer(502, (), b"internal error\n")
+        await pending.ready.set()
+
+    async def _read_request(self, http: h11.Connection) -> ClientRequest | None:
+        """Read one request; None when there is no further one."""
+        limits = self._read_limits()
+        if not await self._await_first_byte(limits):
+            return None
+        try:
+            async with curio.timeout_after(limits.head_timeout):
+                if not await self._read_raw_head(limits):
+                    self._input_ended = True
+                    return None
+        except curio.TaskTimeout:
+            raise RequestError(
+                408, "the request head came too slowly"
+            ) from None
+        http.receive_data(bytes(self._received))
+        self._received.clear()
+        try:
+            event = http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise RequestError(error.error_status_hint, str(error)) from None
+        if not isinstance(event, h11.Request):
+            raise RequestError(400, "the request head can't be parsed")
+        head = RequestHead(
+            event.method.decode("ascii"),
+            event.target.decode("latin-1"),
+            list(event.headers),
+        )
+        check_request(head)
+        body = await self._read_body(http, limits)
+        if body is None:
+            self._input_ended = True
+            return None
+        return ClientRequest(head, body, read_clock())
+
+    async def _await_first_byte(self, limits: ClientLimits) -> bool:
+        """Wait for a request; false when the connection ends before one."""
+        while not self._received:
+            try:
+                async with curio.timeout_after(
+                    limits.idle_timeout + _IDLE_MARGIN
+                ):
+                    data = await self._sock.recv(_READ_SIZE)
+            except curio.TaskTimeout:
+                if self._pending:
+                    continue
+                return False
+            if not data:
+                self._input_ended = True
+                return False
+            self._received += data
+        return True
+
+    async def _read_raw_head(self, limits: ClientLimits) -> bool:
+        """Receive a whole head; false when the client leaves before."""
+        while True:
+            # Empty lines before a request line are allowed (RFC 9112, 2.2).
+            while self._received[:2] == b"\r\n":
+                del self._received[:2]
+            end = self._received.find(_HEAD_END)
+            if end > limits.max_head_bytes or (
+                end < 0 and len(self._received) > limits.max_head_bytes
+            ):
+                raise RequestError(431, "the request head is too large")
+            if end >= 0:
+                check_raw_head(bytes(self._received[: end + 2]))
+                return True
+            data = await self._sock.recv(_READ_SIZE)
+            if not data:
+                return False
+            self._received += data
+
+    async def _read_body(
+        self, http: h11.Connection, limits: ClientLimits
+    ) -> bytes | None:
+        """Receive a whole body; None when the client leaves before."""
+        body = bytearray()
+        while True:
+            try:
+                event = http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise RequestError(400, str(error)) from None
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limits.max_body_bytes:
+                    raise RequestError(413, "the request body is too large")
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            elif event is h11.NEED_DATA:
+                if http.they_are_waiting_for_100_continue:
+                    await self._send_continue(http)
+                data = await self._receive_body()
+                if not data:
+                    return None
+                http.receive_data(data)
+            else:
+                return None
+
+    async def _send_continue(self, http: h11.Connection) -> None:
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        await self._sock.sendall(http.send(interim) or b"")
+
+    async def _receive_body(self) -> bytes:
+        try:
+            async with curio.timeout_after(_BODY_TIMEOUT):
+                data: bytes = await self._sock.recv(_READ_SIZE)
+                return data
+        except curio.TaskTimeout:
+            raise RequestError(
+                408, "the request body came too slowly"
+            ) from None
+
+    async def _write_forever(self) -> None:
+        while True:
+            while not self._pending:
+                if self._input_ended:
+                    await self._sock.shutdown(socket.SHUT_WR)
+                    return
+                self._arrived.clear()
+                await self._arrived.wait()
+            pending = self._pending[0]
+            await pending.ready.wait()
+            # A connection ends only behind the answers of all requests that
+            # were read, or their clients could not know whether they ran.
+            alone = len(self._pending) == 1
+            ends = pending.last or (alone and self._is_stopping())
+            self._ending = self._ending or ends
+            assert pending.answer is not None  # set before it is ready
+            data = _encode(pending.http, pending.method, pending.answer, ends)
+            try:
+                async with curio.timeout_after(_BODY_TIMEOUT):
+                    await self._sock.sendall(data)
+            except (OSError, curio.TaskTimeout) as error:
+                _LOG.debug("A client does not take its answer: %r.", error)
+                await self._end()
+                return
+            self._pending.popleft()
+            await self._room.set()
+            if ends:
+                await self._end()
+                return
+
+    async def _end(self) -> None:
+        """End the connection after the client had time to read."""
+        self._ending = True
+        try:
+            await self._sock.shutdown(socket.SHUT_WR)
+            await curio.sleep(_LINGER)
+            await self._sock.shutdown(socket.SHUT_RD)
+        except OSError as error:
+            _LOG.debug("A client's connection had ended: %s.", error)
+
+
+def _explain(error: RequestError) -> ClientAnswer:
+    return ClientAnswer(error.status, (), f"{error}\n".encode())
+
+
+def _encode(
+    http: h11.Connection, method: str, answer: ClientAnswer, ends: bool
+) -> bytes:
+    fields = list(answer.headers)
+    empty = answer.status in (204, 304)
+    if not empty:
+        fields.append((b"content-length", b"%d" % len(answer.body)))
+    if ends:
+        fields.append((b"connection", b"close"))
+    response = h11.Response(status_code=answer.status, headers=fields)
+    encoded = http.send(response) or b""
+    if answer.body and method != "HEAD" and not empty:
+        encoded += http.send(h11.Data(data=answer.body)) or b""
+    return encoded + (http.send(h11.EndOfMessage()) or b"")
--- /dev/null
+++ b/egretlever/relay/_codec.py
@@ -0,0 +1,223 @@
+"""Conversion between records and the messages of relay connections."""
+
+from collections.abc import Iterable
+
+from google.protobuf import message
+from returns.result import Failure, Result, Success
+
+from egretlever.core import (
+    FailureDomain,
+    Incarnation,
+    RequestId,
+    RouteId,
+    Seconds,
+    ServerId,
+    ServiceName,
+)
+from egretlever.placement import (
+    Answer,
+    FailureReason,
+    HeaderFields,
+    HomeCondition,
+    HomeServer,
+    Offer,
+    Refusal,
+    RefusalReason,
+    Reply,
+    Trust,
+)
+from egretlever.placement import Failure as FailedAttempt
+from egretlever.schema import relay_pb2
+from egretlever.settings import parse_address
+
+_TRUST = {
+    Trust.TRUSTED: relay_pb2.TRUSTED,
+    Trust.DOUBTED: relay_pb2.DOUBTED,
+    Trust.BROKEN: relay_pb2.BROKEN,
+}
+_TRUST_OF = {code: trust for trust, code in _TRUST.items()}
+
+
+def _decode_refusal_reason(number: int) -> RefusalReason:
+    return RefusalReason[relay_pb2.RefusalReason.Name(number)]
+
+
+def _decode_failure_reason(number: int) -> FailureReason:
+    return FailureReason[relay_pb2.FailureReason.Name(number)]
+
+
+def _to_milliseconds(duration: float) -> int:
+    return max(0, min(int(duration * 1000), 0xFFFFFFFF))
+
+
+def _to_seconds(milliseconds: int) -> Seconds:
+    return Seconds(milliseconds / 1000)
+
+
+def _encode_headers(fields: HeaderFields) -> list[relay_pb2.HeaderField]:
+    return [
+        relay_pb2.HeaderField(name=name, value=value) for name, value in fields
+    ]
+
+
+def _decode_headers(fields: Iterable[relay_pb2.HeaderField]) -> HeaderFields:
+    return tuple((field.name, field.value) for field in fields)
+
+
+def encode_offer(sequence: int, offer: Offer) -> relay_pb2.RelayFrame:
+    """Encode an offer under the sequence number of its connection."""
+    return relay_pb2.RelayFrame(
+        offer=relay_pb2.Offer(
+            sequence=sequence,
+            request_id=offer.request_id,
+            service=offer.service,
+            route=offer.route,
+            method=offer.method,
+            target=offer.target,
+            headers=_encode_headers(offer.headers),
+            body=offer.body,
+            rank=offer.rank,
+            idempotent=offer.idempotent,
+            time_left_ms=_to_milliseconds(offer.time_left),
+            max_wait_ms=_to_milliseconds(offer.max_wait),
+            caller_service=offer.caller_service,
+            forced=offer.forced,
+            resumed=offer.resumed,
+        )
+    )
+
+
+def decode_offer(offer: relay_pb2.Offer) -> Offer:
+    """Decode an offer."""
+    return Offer(
+        request_id=RequestId(offer.request_id),
+        service=ServiceName(offer.service),
+        route=RouteId(offer.route),
+        method=offer.method,
+        target=offer.target,
+        headers=_decode_headers(offer.headers),
+        body=offer.body,
+        rank=offer.rank,
+        idempotent=offer.idempotent,
+        time_left=_to_seconds(offer.time_left_ms),
+        max_wait=_to_seconds(offer.max_wait_ms),
+        caller_service=ServiceName(offer.caller_service),
+        forced=offer.forced,
+        resumed=offer.resumed,
+    )
+
+
+def _encode_condition(
+    condition: HomeCondition | None,
+) -> relay_pb2.HomeCondition | None:
+    if condition is None:
+        return None
+    return relay_pb2.HomeCondition(
+        wait_ms=_to_milliseconds(condition.wait),
+        free_slots=condition.free_slots,
+        trust=_TRUST[condition.trust],
+        service_ms=_to_milliseconds(condition.service_time),
+        route_ms=_to_milliseconds(condition.route_time),
+    )
+
+
+def _decode_condition(condition: relay_pb2.HomeCondition) -> HomeCondition:
+    return HomeCondition(
+        wait=_to_seconds(condition.wait_ms),
+        free_slots=condition.free_slots,
+        trust=_TRUST_OF.get(condition.trust, Trust.DOUBTED),
+        service_time=_to_seconds(condition.service_ms),
+        route_time=_to_seconds(condition.route_ms),
+    )
+
+
+def encode_reply(sequence: int, reply: Reply) -> relay_pb2.RelayFrame:
+    """Encode the reply to an offer."""
+    condition = _encode_condition(reply.condition)
+    if isinstance(reply, Answer):
+        return relay_pb2.RelayFrame(
+            answer=relay_pb2.Answer(
+                sequence=sequence,
+                status=reply.status,
+                headers=_encode_headers(reply.headers),
+                body=reply.body,
+                condition=condition,
+            )
+        )
+    if isinstance(reply, Refusal):
+        return relay_pb2.RelayFrame(
+            refusal=relay_pb2.Refusal(
+                sequence=sequence,
+                reason=reply.reason.name,
+                condition=condition,
+            )
+        )
+    return relay_pb2.RelayFrame(
+        failure=relay_pb2.Failure(
+            sequence=sequence,
+            reason=reply.reason.name,
+            condition=condition,
+        )
+    )
+
+
+def decode_reply(
+    reply: relay_pb2.Answer | relay_pb2.Refusal | relay_pb2.Failure,
+) -> Reply:
+    """Decode the reply to an offer.
+
+    Raises
+    ------
+    KeyError
+        When the reason is not known.
+    """
+    condition = (
+        _decode_condition(reply.condition)
+        if reply.HasField("condition")
+        else None
+    )
+    if isinstance(reply, relay_pb2.Answer):
+        return Answer(
+            reply.status,
+            _decode_headers(reply.headers),
+            reply.body,
+            condition or HomeCondition(),
+        )
+    if isinstance(reply, relay_pb2.Refusal):
+        return Refusal(_decode_refusal_reason(reply.reason), condition)
+    return FailedAttempt(_decode_failure_reason(reply.reason), condition)
+
+
+def encode_row(server: HomeServer) -> bytes:
+    """Encode the store's row of a server."""
+    return relay_pb2.ServerRow(
+        server=server.id,
+        service=server.service,
+        failure_domain=server.failure_domain,
+        relay_address=str(server.relay),
+        slots=server.slots,
+        born_unix_ms=server.incarnation,
+        draining=server.draining,
+    ).SerializeToString()
+
+
+def decode_row(value: bytes) -> Result[HomeServer, str]:
+    """Decode the store's row of a server; a fault is told as text."""
+    try:
+        row = relay_pb2.ServerRow.FromString(value)
+        relay = parse_address(row.relay_address)
+    except (message.DecodeError, ValueError) as error:
+        return Failure(str(error))
+    if not row.server or not row.service or row.slots < 1:
+        return Failure("server, service or slots are missing")
+    return Success(
+        HomeServer(
+            id=ServerId(row.server),
+            service=ServiceName(row.service),
+            failure_domain=FailureDomain(row.failure_domain),
+            relay=relay,
+            slots=row.slots,
+            incarnation=Incarnation(row.born_unix_ms),
+            draining=row.draining,
+        )
+    )
--- /dev/null
+++ b/egretlever/relay/_entry.py
@@ -0,0 +1,348 @@
+"""Entry node: finds a home node for each request of the host's clients."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Mapping
+
+import curio
+
+from egretlever.core import (
+    Address,
+    FailureDomain,
+    RegionName,
+    RequestId,
+    RouteId,
+    Seconds,
+    ServerId,
+    ServiceName,
+    make_log,
+)
+from egretlever.placement import (
+    Answer,
+    ClientLimits,
+    Configuration,
+    Directory,
+    HomeChoice,
+    HomeSelector,
+    HomeServer,
+    Offer,
+    RepeatBudget,
+    Reply,
+    Route,
+    RouteTable,
+    Search,
+)
+from egretlever.platform import Bounds, headers
+from egretlever.relay import _metrics as metrics
+from egretlever.relay._clients import ClientAnswer, ClientRequest
+from egretlever.relay._home import HomeNode
+from egretlever.relay._links import LinkPool
+from egretlever.relay._outcomes import (
+    Ending,
+    History,
+    is_failed,
+    make_answer,
+    make_own_answer,
+    make_rejection,
+)
+from egretlever.transport import read_clock, remove_hop_by_hop
+
+_LOG = make_log("entry")
+# Time of a request at a server before its route has answers.
+_FIRST_ESTIMATE = Seconds(0.15)
+_NEW_WEIGHT = 0.1  # weight of a new answer in the mean time of its route
+# A server has to be given up this long before the client gives up, or its
+# answer comes too late on the way back.
+_RETURN_TIME = Seconds(0.02)
+
+
+@dataclasses.dataclass(slots=True)
+class _Task:
+    """One request of a client while it is served."""
+
+    request: ClientRequest
+    id: RequestId
+    route: Route
+    service: ServiceName
+    deadline: Seconds
+    search: Search
+    history: History
+
+
+class EntryNode:
+    """Serves the clients of one host.
+
+    Parameters
+    ----------
+    domain : FailureDomain
+        Failure domain of the host.
+    regions : mapping of FailureDomain to RegionName
+        Regions of all failure domains.
+    service : ServiceName
+        Service of the host, which its requests name as their caller.
+    relay : Address
+        Relay address of this node.
+    home : HomeNode
+        Home node in the same process.
+    links : LinkPool
+        Connections to the other home nodes.
+    bounds : Bounds
+        Bounds of repeated attempts.
+    rng : random.Random
+        Source of choices.
+
+    Attributes
+    ----------
+    directory : Directory
+        Servers of the fleet.
+    in_flight : int
+        Requests without an answer.
+    find_local : callable
+        Returns the server on this host, None while it takes no requests.
+    """
+
+    def __init__(
+        self,
+        domain: FailureDomain,
+        regions: Mapping[FailureDomain, RegionName],
+        service: ServiceName,
+        relay: Address,
+        home: HomeNode,
+        links: LinkPool,
+        bounds: Bounds,
+        rng: random.Random,
+    ) -> None:
+        self._service = service
+        self._relay = relay
+        self._home = home
+        self._links = links
+        self._bounds = bounds
+        self._rng = rng
+        self._selector = HomeSelector(domain, regions, relay, rng)
+        self._routes: RouteTable | None = None
+        self._times: dict[RouteId, Seconds] = {}
+        self._budgets: dict[ServiceName, RepeatBudget] = {}
+        self.directory = Directory()
+        self.in_flight = 0
+        self.find_local: Callable[[], HomeServer | None] = lambda: None
+
+    def configure(self, configuration: Configuration) -> bool:
+        """Put a configuration in force; false when a newer one is."""
+        held = self._routes
+        if (
+            held is not None
+            and configuration.version <= held.configuration.version
+        ):
+            return False
+        self._routes = RouteTable(configuration, self._rng)
+        return True
+
+    @property
+    def configured(self) -> bool:
+        """Whether a configuration is in force."""
+        return self._routes is not None
+
+    def read_limits(self) -> ClientLimits:
+        """Return the limits of clients in force."""
+        if self._routes is None:
+            return ClientLimits()
+        return self._routes.configuration.limits
+
+    def forget(self, server_id: ServerId) -> None:
+        """Forget a server that left the directory."""
+        self._selector.forget(server_id)
+
+    async def handle(self, request: ClientRequest) -> ClientAnswer:
+        """Serve one request of a client."""
+        self.in_flight += 1
+        try:
+            return await self._handle(request)
+        finally:
+            self.in_flight -= 1
+            metrics.REQUEST_SECONDS.observe(read_clock() - request.received_at)
+
+    async def _handle(self, request: ClientRequest) -> ClientAnswer:
+        found = request.head.find(headers.REQUEST_ID)
+        if self._routes is None:
+            return self._end(
+                Ending.NOT_READY,
+                found,
+                None,
+                make_rejection(found, "no configuration yet", Seconds(1.0)),
+            )
+        route = self._routes.match(
+            request.head.find(b"host") or "", request.head.path
+        )
+        if route is None:
+            answer = make_own_answer(404, found, "no route")
+            return self._end(Ending.NO_ROUTE, found, None, answer)
+        if not found:
+            answer = make_own_answer(400, None, "the request has no id")
+            return self._end(Ending.MALFORMED, found, route, answer)
+        task = self._make_task(request, RequestId(found), route)
+        try:
+            async with curio.timeout_after(task.deadline - read_clock()):
+                return await self._serve(task)
+        except curio.TaskTimeout:
+            return self._time_out(task)
+
+    def _make_task(
+        self, request: ClientRequest, request_id: RequestId, route: Route
+    ) -> _Task:
+        assert self._routes is not None  # checked by handle
+        begun = request.received_at
+        limit = route.timeout
+        text = request.head.find(headers.DEADLINE)
+        if text is not None and text.strip().isdecimal():
+            limit = Seconds(min(limit, int(text) / 1000))
+        deadline = Seconds(begun + limit)
+        service = self._routes.choose_service(route)
+        self._budget(service).observe(begun)
+        search = Search(
+            idempotent=route.idempotent,
+            on_time_at=Seconds(min(deadline, begun + route.objective)),
+            deadline=Seconds(deadline - _RETURN_TIME),
+            service_time=self._times.get(route.id, _FIRST_ESTIMATE),
+        )
+        return _Task(
+            request, request_id, route, service, deadline, search, History()
+        )
+
+    def _budget(self, service: ServiceName) -> RepeatBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RepeatBudget(
+                self._bounds.retry_ratio,
+                self._bounds.retry_slack,
+                self._bounds.retry_window,
+            )
+        return budget
+
+    async def _serve(self, task: _Task) -> ClientAnswer:
+        while True:
+            choice = self._selector.decide(
+                task.search, self._list_servers(task.service), read_clock()
+            )
+            if choice is None or not self._may_send(task):
+                return self._give_up(task)
+            started = read_clock()
+            reply = await self._offer(task, choice)
+            now = read_clock()
+            self._log_reply(task, choice, reply, Seconds(now - started))
+            if isinstance(reply, Answer) and not is_failed(reply):
+                self._learn(task.route.id, reply.condition.route_time)
+                return self._end(
+                    Ending.ANSWERED, task.id, task.route, make_answer(reply)
+                )
+            arrivals = task.history.arrivals
+            task.history.observe(reply)
+            if task.history.arrivals > arrivals:
+                task.search.excluded.add(choice.server.id)
+            if task.history.may_have_run and not task.route.idempotent:
+                return self._give_up(task)
+
+    def _list_servers(self, service: ServiceName) -> list[HomeServer]:
+        servers = self.directory.list_servers(service)
+        local = self.find_local()
+        if local is not None and local.service == service:
+            servers = [server for server in servers if server.id != local.id]
+            servers.append(local)
+        return servers
+
+    def _may_send(self, task: _Task) -> bool:
+        """Tell whether a further server may get the request."""
+        arrivals = task.history.arrivals
+        if arrivals == 0:
+            return True
+        if arrivals >= task.route.max_attempts:
+            return False
+        nodes = len(self.directory.list_relays())
+        return self._budget(task.service).take(read_clock(), nodes)
+
+    async def _offer(self, task: _Task, choice: HomeChoice) -> Reply:
+        head = task.request.head
+        offer = Offer(
+            request_id=task.id,
+            service=task.service,
+            route=task.route.id,
+            method=head.method,
+            target=head.target.encode("latin-1"),
+            headers=tuple(remove_hop_by_hop(head.headers)),
+            body=task.request.body,
+            rank=task.route.rank,
+            idempotent=task.route.idempotent,
+            time_left=Seconds(task.deadline - read_clock() - _RETURN_TIME),
+            max_wait=choice.max_wait,
+            caller_service=self._service,
+            forced=choice.forced,
+        )
+        self._selector.start(choice.server)
+        reply: Reply | None = None
+        try:
+            if choice.server.relay == self._relay:
+                reply = await self._home.run(offer)
+            else:
+                reply = await self._links.offer(choice.server.relay, offer)
+        finally:
+            self._selector.finish(choice.server, reply, read_clock())
+        metrics.OFFERS.labels(_name_reply(reply)).inc()
+        return reply
+
+    def _learn(self, route: RouteId, time: Seconds) -> None:
+        old = self._times.get(route, time)
+        self._times[route] = Seconds(old + _NEW_WEIGHT * (time - old))
+
+    def _log_reply(
+        self, task: _Task, choice: HomeChoice, reply: Reply, took: Seconds
+    ) -> None:
+        _LOG.info(
+            "%s offered to %s (%s, wait up to %.3f s): %s after %.3f s.",
+            task.id,
+            choice.server.id,
+            choice.reason,
+            choice.max_wait,
+            _name_reply(reply),
+            took,
+        )
+
+    def _give_up(self, task: _Task) -> ClientAnswer:
+        """Answer a request that no server will be sent any more."""
+        history = task.history
+        reason = history.reason.value if history.reason else "no-server"
+        if history.failed_answer is not None:
+            answer = make_answer(history.failed_answer)
+            return self._end(Ending.ANSWERED, task.id, task.route, answer)
+        if history.may_have_run:
+            answer = make_own_answer(502, task.id, f"outcome unknown: {reason}")
+            return self._end(Ending.UNKNOWN, task.id, task.route, answer)
+        answer = make_rejection(
+            task.id, f"not run: {reason}", task.search.service_time
+        )
+        return self._end(Ending.REJECTED, task.id, task.route, answer)
+
+    def _time_out(self, task: _Task) -> ClientAnswer:
+        answer = make_own_answer(504, task.id, "no answer in time")
+        return self._end(Ending.TIMED_OUT, task.id, task.route, answer)
+
+    def _end(
+        self,
+        ending: Ending,
+        request_id: str | None,
+        route: Route | None,
+        answer: ClientAnswer,
+    ) -> ClientAnswer:
+        metrics.REQUESTS.labels(ending.value, str(answer.status)).inc()
+        _LOG.info(
+            "%s ended %s with %d on route %s.",
+            request_id,
+            ending.value,
+            answer.status,
+            None if route is None else route.id,
+        )
+        return answer
+
+
+def _name_reply(reply: Reply) -> str:
+    if isinstance(reply, Answer):
+        return f"answer-{reply.status}"
+    return reply.reason.value
--- /dev/null
+++ b/egretlever/relay/_home.py
@@ -0,0 +1,230 @@
+"""Home node: the only way to the server on its host."""
+
+import dataclasses
+
+import curio
+
+from egretlever.core import RequestId, Seconds, make_log
+from egretlever.home import (
+    Heartbeat,
+    LocalServer,
+    ServerTrust,
+    SlotQueue,
+    SlotTicket,
+)
+from egretlever.placement import (
+    Failure,
+    FailureReason,
+    HomeCondition,
+    Offer,
+    Refusal,
+    RefusalReason,
+    Reply,
+    Trust,
+)
+from egretlever.relay._jobs import Job, JobTable
+from egretlever.relay._server_client import ServerClient, ServerResult
+from egretlever.transport import read_clock
+
+_LOG = make_log("home")
+# A request that has run for this many times the mean of its route is overdue.
+# One in some hundred healthy requests takes longer.
+_OVERDUE_FACTOR = 6.0
+_MIN_OVERDUE = Seconds(0.4)
+_CHECK_INTERVAL = 0.05  # seconds between looks for expired requests
+
+
+class HomeNode:
+    """Runs requests at the server of its host, each within a slot.
+
+    Attributes
+    ----------
+    local : LocalServer
+        The server as its heartbeats describe it.
+    jobs : JobTable
+        Requests by id.
+    stopping : bool
+        Whether the node takes no further requests for its server.
+    """
+
+    def __init__(self) -> None:
+        self.local = LocalServer()
+        self.jobs = JobTable(self._run)
+        self.stopping = False
+        self._queue = SlotQueue(1)
+        self._trust = ServerTrust()
+        self._client = ServerClient()
+        self._turns: dict[RequestId, curio.Event] = {}
+        self._expired: set[RequestId] = set()
+        self._key: tuple[str, int] | None = None
+
+    def renew(self) -> None:
+        """Take over the newest heartbeat of the server."""
+        server = self.local.current
+        if server is None:
+            return
+        key = (server.id, server.incarnation)
+        if key != self._key:
+            # Nothing learned of the server before speaks for this one.
+            self._key = key
+            self._trust = ServerTrust()
+        self._queue.resize(server.slots)
+
+    def describe(self, offer: Offer) -> HomeCondition:
+        """Return the condition that rides on the reply to an offer."""
+        now = read_clock()
+        return HomeCondition(
+            wait=self._queue.forecast_wait(offer.rank, now),
+            free_slots=self._queue.count_free(),
+            trust=self._trust.describe(),
+            service_time=self._queue.service_time_,
+            route_time=self._queue.estimate(offer.route),
+        )
+
+    def _refuse(self, reason: RefusalReason, offer: Offer) -> Refusal:
+        return Refusal(reason, self.describe(offer))
+
+    def _find_obstacle(self, offer: Offer) -> RefusalReason | None:
+        server = self.local.current
+        if server is None or server.service != offer.service:
+            return RefusalReason.NO_SERVER
+        if server.draining or self.stopping:
+            return RefusalReason.LEAVING
+        return None
+
+    async def _run(self, job: Job) -> Reply:
+        offer = job.offer
+        obstacle = self._find_obstacle(offer)
+        if obstacle is not None:
+            return self._refuse(obstacle, offer)
+        now = read_clock()
+        trial = self._trust.describe() is Trust.BROKEN
+        if not self._trust.decide(offer.idempotent, now, offer.forced):
+            return self._refuse(RefusalReason.UNTRUSTED, offer)
+        ticket = SlotTicket(
+            offer.request_id,
+            offer.route,
+            offer.rank,
+            job.deadline,
+            Seconds(offer.max_wait),
+        )
+        if not self._queue.offer(ticket, now):
+            return self._refuse(RefusalReason.BUSY, offer)
+        if not await self._await_turn(ticket):
+            return self._refuse(RefusalReason.EXPIRED, offer)
+        answered = False
+        try:
+            # The server may have left or turned bad while the request waited.
+            obstacle = self._find_obstacle(offer)
+            if obstacle is None and not (trial or self._is_trusted(offer)):
+                obstacle = RefusalReason.UNTRUSTED
+            if obstacle is not None:
+                return self._refuse(obstacle, offer)
+            result = await self._dispatch(job)
+            answered = result.good is True
+        finally:
+            self._queue.finish(offer.request_id, read_clock(), answered)
+            await self._start_ready()
+        return dataclasses.replace(result.reply, condition=self.describe(offer))
+
+    def _is_trusted(self, offer: Offer) -> bool:
+        level = self._trust.describe()
+        if level is Trust.DOUBTED:
+            return offer.idempotent or offer.forced
+        return level is Trust.TRUSTED
+
+    async def _await_turn(self, ticket: SlotTicket) -> bool:
+        """Wait for a slot; false when the request expired meanwhile."""
+        turn = self._turns[ticket.request_id] = curio.Event()
+        try:
+            await self._start_ready()
+            await turn.wait()
+        except curio.CancelledError:
+            if turn.is_set() and ticket.request_id not in self._expired:
+                self._queue.finish(ticket.request_id, read_clock(), False)
+                await self._start_ready()
+            else:
+                self._queue.withdraw(ticket.request_id)
+            raise
+        finally:
+            del self._turns[ticket.request_id]
+        expired = ticket.request_id in self._expired
+        self._expired.discard(ticket.request_id)
+        return not expired
+
+    async def _start_ready(self) -> None:
+        for ticket in self._queue.start_ready(read_clock()):
+            await self._turns[ticket.request_id].set()
+
+    async def expire_forever(self) -> None:
+        """Refuse waiting requests whose answers would come too late."""
+        while True:
+            await curio.sleep(_CHECK_INTERVAL)
+            for ticket in self._queue.expire(read_clock()):
+                self._expired.add(ticket.request_id)
+                await self._turns[ticket.request_id].set()
+
+    async def _dispatch(self, job: Job) -> ServerResult:
+        server = self.local.current
+        assert server is not None  # checked by _find_obstacle
+        offer = job.offer
+        now = read_clock()
+        left = Seconds(job.deadline - now)
+        if left <= 0:
+            return ServerResult(Refusal(RefusalReason.EXPIRED), None)
+        usual = self._queue.estimate(offer.route)
+        overdue = Seconds(max(_MIN_OVERDUE, _OVERDUE_FACTOR * usual))
+        job.dispatched = True
+        if offer.idempotent:
+            result = await self._client.exchange(
+                server, offer, Seconds(min(left, overdue))
+            )
+        else:
+            result = await self._watch(server, offer, left, overdue)
+        if result.good is not None and self._key == (
+            server.id,
+            server.incarnation,
+        ):
+            self._trust.observe(result.good, read_clock())
+        return result
+
+    async def _watch(
+        self, server: Heartbeat, offer: Offer, left: Seconds, overdue: Seconds
+    ) -> ServerResult:
+        """Run a request to its end, and doubt the server when it is overdue."""
+        trust = self._trust
+        doubted = False
+
+        async def doubt() -> None:
+            nonlocal doubted
+            await curio.sleep(overdue)
+            trust.observe_overdue(1)
+            doubted = True
+
+        watcher = await curio.spawn(doubt, daemon=True)
+        try:
+            return await self._client.exchange(server, offer, left)
+        finally:
+            await watcher.cancel()
+            if doubted:
+                trust.observe_overdue(-1)
+
+    async def run(self, offer: Offer) -> Reply:
+        """Run an offer of this node's own clients."""
+        job = await self.jobs.submit(offer)
+        try:
+            await job.done.wait()
+        except curio.CancelledError:
+            await self.jobs.withdraw(job)
+            raise
+        return job.reply or Failure(FailureReason.HOME_LOST)
+
+    async def maintain_forever(self) -> None:
+        """Close idle connections to the server."""
+        while True:
+            await curio.sleep(1.0)
+            await self._client.expire(read_clock())
+
+    async def close(self) -> None:
+        """Close the connections to the server."""
+        await self._client.close()
--- /dev/null
+++ b/egretlever/relay/_metrics.py
@@ -0,0 +1,40 @@
+"""Metrics of a relay node, rendered on its own loop."""
+
+import prometheus_client
+from prometheus_client import Counter, Gauge, Histogram
+
+REQUESTS = Counter(
+    "egretlever_relay_requests",
+    "Requests of clients by how they ended and by status.",
+    ["ending", "status"],
+)
+OFFERS = Counter(
+    "egretlever_relay_offers",
+    "Offers to home nodes by reply.",
+    ["reply"],
+)
+REQUEST_SECONDS = Histogram(
+    "egretlever_relay_request_seconds",
+    "Time from a whole request to its answer.",
+    buckets=(0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10),
+)
+STORE_CALLS = Counter(
+    "egretlever_relay_store_calls",
+    "Calls of the platform's store by kind and result.",
+    ["call", "result"],
+)
+HEARTBEATS = Counter(
+    "egretlever_relay_heartbeats",
+    "Heartbeats and departures by effect.",
+    ["effect"],
+)
+CONFIGURATION_VERSION = Gauge(
+    "egretlever_relay_configuration_version",
+    "Version of the configuration in force.",
+)
+SERVERS = Gauge("egretlever_relay_servers_known", "Servers in the directory.")
+
+
+def render() -> bytes:
+    """Render all metrics in the text format."""
+    return prometheus_client.generate_latest()
--- /dev/null
+++ b/egretlever/relay/_node.py
@@ -0,0 +1,233 @@
+"""Relay node: entry node, home node and follower of the store in one."""
+
+import random
+import time
+import traceback
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from egretlever.core import (
+    Address,
+    FailureDomain,
+    Incarnation,
+    RegionName,
+    Seconds,
+    ServiceName,
+    make_log,
+)
+from egretlever.placement import HomeServer
+from egretlever.platform import Bounds, make_row_store
+from egretlever.relay import _metrics as metrics
+from egretlever.relay._acceptor import RelayAcceptor
+from egretlever.relay._announcements import AnnouncementPage
+from egretlever.relay._clients import ClientConnection
+from egretlever.relay._entry import EntryNode
+from egretlever.relay._followers import (
+    ServerPublisher,
+    make_configuration_follower,
+    make_directory_follower,
+)
+from egretlever.relay._home import HomeNode
+from egretlever.relay._links import LinkPool
+from egretlever.schema import settings_pb2
+from egretlever.settings import parse_address
+from egretlever.transport import (
+    Answer,
+    RequestHead,
+    accept_connections,
+    open_listener,
+    serve_requests,
+)
+
+_LOG = make_log("node")
+_STORE_TIMEOUT = Seconds(2.0)  # of one call; slow days take 0.4 s
+_MAX_CLIENTS = 2000  # connections of clients held open at once
+_RESTART_PAUSE = 0.5  # seconds before a failed part runs again
+# Clients learn within two missed readiness checks, one a second, that the node
+# leaves. Until then they open connections, which are served.
+_LEAVE_TIME = Seconds(3.2)
+# Time kept before SIGKILL for the process to end by itself.
+_END_MARGIN = Seconds(0.4)
+_IDLE_CHECK = 0.05  # seconds
+
+
+class RelayNode:
+    """A node whose server is reachable from its own host only.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        Checked settings.
+    bounds : Bounds
+        Bounds that the platform states.
+    """
+
+    def __init__(
+        self, settings: settings_pb2.RelaySettings, bounds: Bounds
+    ) -> None:
+        self._settings = settings
+        self._bounds = bounds
+        rng = random.Random(f"{settings.identity.node}-{time.time_ns()}")
+        self._relay = Address(settings.listen.ip, settings.listen.relay_port)
+        self._home = HomeNode()
+        self._links = LinkPool()
+        regions = {}
+        for line in settings.identity.regions:
+            domain, _, region = line.partition(":")
+            regions[FailureDomain(domain)] = RegionName(region)
+        self._entry = EntryNode(
+            FailureDomain(settings.identity.failure_domain),
+            regions,
+            ServiceName(settings.identity.service),
+            self._relay,
+            self._home,
+            self._links,
+            bounds,
+            rng,
+        )
+        self._entry.find_local = self._find_local
+        store = make_row_store(
+            parse_address(settings.store.address), _STORE_TIMEOUT
+        )
+        self._configuration = make_configuration_follower(
+            store, self._entry.configure, rng
+        )
+        self._directory = make_directory_follower(
+            store, self._entry.directory, self._entry.forget, rng
+        )
+        self._publisher = ServerPublisher(
+            store,
+            self._find_local,
+            self._entry.directory,
+            self._directory,
+            rng,
+        )
+        self._acceptor = RelayAcceptor(
+            self._home, Incarnation(time.time_ns() // 1000)
+        )
+        self._stopping = False
+        self._clients = 0
+        self._ended = curio.Event()
+
+    def _find_local(self) -> HomeServer | None:
+        """Return the server on this host, None while it takes no requests."""
+        server = self._home.local.current
+        if server is None or server.draining or self._home.stopping:
+            return None
+        return HomeServer(
+            id=server.id,
+            service=server.service,
+            failure_domain=server.failure_domain,
+            relay=self._relay,
+            slots=server.slots,
+            incarnation=server.incarnation,
+        )
+
+    async def run(self) -> None:
+        """Run until the planned stop is complete."""
+        listen = self._settings.listen
+        page = AnnouncementPage(self._home, self._publisher.notify)
+        clients = open_listener(parse_address(listen.clients))
+        health = open_listener(parse_address(listen.health))
+        beats = open_listener(parse_address(listen.announcements))
+        relay = open_listener(self._relay)
+        scrapes = open_listener(Address(listen.ip, listen.metrics_port))
+        parts: list[tuple[Callable[..., Awaitable[Any]], tuple[Any, ...]]] = [
+            (accept_connections, (clients, self._serve_client, _MAX_CLIENTS)),
+            (serve_requests, (health, self._answer_health)),
+            (serve_requests, (beats, page.handle)),
+            (serve_requests, (scrapes, self._answer_metrics)),
+            (self._acceptor.serve_forever, (relay,)),
+            (self._configuration.follow_forever, ()),
+            (self._directory.follow_forever, ()),
+            (self._publisher.publish_forever, ()),
+            (self._home.expire_forever, ()),
+            (self._home.jobs.expire_forever, ()),
+            (self._home.maintain_forever, ()),
+            (self._links.expire_forever, ()),
+        ]
+        _LOG.info(
+            "Node %s starts; clients at %s, nodes at %s.",
+            self._settings.identity.node,
+            listen.clients,
+            self._relay,
+        )
+        for part, values in parts:
+            await curio.spawn(self._keep_running, part, values, daemon=True)
+        await self._ended.wait()
+        _LOG.info("Node %s has stopped.", self._settings.identity.node)
+
+    async def _keep_running(
+        self, part: Callable[..., Awaitable[Any]], values: tuple[Any, ...]
+    ) -> None:
+        """Run a part for ever; a fault in it must not end the others."""
+        while True:
+            try:
+                await part(*values)
+            except curio.CancelledError:
+                raise
+            except Exception:
+                _LOG.error("A part failed:\n%s", traceback.format_exc())
+            await curio.sleep(_RESTART_PAUSE)
+
+    async def _serve_client(self, sock: Any) -> None:
+        self._clients += 1
+        try:
+            await ClientConnection(
+                sock,
+                self._entry.handle,
+                self._entry.read_limits,
+                lambda: self._stopping,
+            ).run()
+        finally:
+            self._clients -= 1
+
+    async def _answer_health(self, head: RequestHead, body: bytes) -> Answer:
+        del body
+        if head.path != "/readiness":
+            return Answer(404)
+        ready = self._entry.configured and not self._stopping
+        return Answer(200 if ready else 503)
+
+    async def _answer_metrics(self, head: RequestHead, body: bytes) -> Answer:
+        del head, body
+        return Answer(200, metrics.render())
+
+    async def stop(self) -> None:
+        """Stop in a planned way; requests that were read are finished."""
+        _LOG.info("Node %s stops.", self._settings.identity.node)
+        self._stopping = True
+        self._home.stopping = True
+        grace = self._bounds.grace - _END_MARGIN
+        await curio.sleep(min(_LEAVE_TIME, grace))
+        left = grace - _LEAVE_TIME
+        while left > 0 and (
+            self._entry.in_flight or self._home.jobs.count_running()
+        ):
+            await curio.sleep(_IDLE_CHECK)
+            left -= _IDLE_CHECK
+        await self._links.close()
+        await self._home.close()
+        await self._ended.set()
+
+
+def make_relay_node(
+    settings: settings_pb2.RelaySettings, bounds: Bounds
+) -> RelayNode:
+    """Make a relay node.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        Checked settings.
+    bounds : Bounds
+        Bounds that the platform states.
+
+    Returns
+    -------
+    RelayNode
+        A node that `RelayNode.run` starts.
+    """
+    return RelayNode(settings, bounds)
--- a/egretlever/settings/__init__.py
+++ b/egretlever/settings/__init__.py
@@ -1,6 +1,10 @@
 """Settings of programs: INI files read into messages of the schema."""
 
-from egretlever.settings._fields import fill_message, parse_address
+from egretlever.settings._fields import (
+    fill_message,
+    parse_address,
+    parse_duration,
+)
 from egretlever.settings._files import (
     Findings,
     parse_sections,
@@ -12,6 +16,7 @@
     "Findings",
     "fill_message",
     "parse_address",
+    "parse_duration",
     "parse_sections",
     "parse_settings",
     "read_settings",
--- a/egretlever/settings/_fields.py
+++ b/egretlever/settings/_fields.py
@@ -7,10 +7,12 @@
 
 from google.protobuf import descriptor, message
 
-from egretlever.core import Address, Finding
+from egretlever.core import Address, Finding, Seconds
 from egretlever.schema import options_pb2
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_UNITS = {"ms": 0.001, "s": 1.0}  # seconds
 _BOOLEANS = {
     "true": True,
     "yes": True,
@@ -56,6 +58,35 @@
     return Address(ip, int(port))
 
 
+def parse_duration(text: str) -> Seconds:
+    """Parse a number with its unit, ``ms`` or ``s``, to seconds.
+
+    Parameters
+    ----------
+    text : str
+        Such as ``1500ms`` or ``2.5s``.
+
+    Returns
+    -------
+    Seconds
+        The duration.
+
+    Raises
+    ------
+    ValueError
+        When the text is no number with one of the two units.
+
+    Examples
+    --------
+    >>> parse_duration("1500ms")
+    1.5
+    """
+    found = _DURATION.fullmatch(text)
+    if found is None:
+        raise ValueError(f"{text!r} is not a duration such as 1500ms or 2.5s")
+    return Seconds(float(found[1]) * _UNITS[found[2]])
+
+
 def _check_kind(kind: int, text: str) -> None:
     if kind == options_pb2.ADDRESS:
         parse_address(text)
@@ -65,6 +96,8 @@
         )
     elif kind == options_pb2.PATH_PREFIX and not text.startswith("/"):
         raise ValueError(f"{text!r} does not start with '/'")
+    elif kind == options_pb2.DURATION:
+        parse_duration(text)
 
 
 def _parse_number(text: str, convert: type, option: options_pb2.Setting) -> Any:
--- a/egretlever/transport/_backends.py
+++ b/egretlever/transport/_backends.py
@@ -51,6 +51,8 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
+        self._request: h11.Request | None = None
+        self._reusable = True
         self._ended = False
         self.sent = False
         self.responded = False
@@ -83,11 +85,10 @@
             When the connection is closed; `sent` tells whether bytes may
             have left.
         """
-        encoded = self._http.send(
-            h11.Request(
-                method=head.method, target=head.target, headers=head.headers
-            )
+        self._request = h11.Request(
+            method=head.method, target=head.target, headers=head.headers
         )
+        encoded = self._http.send(self._request)
         encoded = (encoded or b"") + self._encode_body(data, ended)
         await self._send(encoded, timeout)
 
@@ -201,6 +202,35 @@
             self.responded = True
         self._http.receive_data(data)
 
+    def prevent_reuse(self) -> None:
+        """Let `prepare_next` refuse, since the request was not sent whole."""
+        self._reusable = False
+
+    def skip_response(self) -> None:
+        """Prepare to read another response to the present request.
+
+        A server may send the response of an earlier request twice. The second
+        copy then comes first, and the bytes after it are read again. Such a
+        connection can't be reused.
+
+        Raises
+        ------
+        BackendClosedError
+            When the connection ends behind the present response.
+        """
+        trailing, closed = self._http.trailing_data
+        if closed or self._http.their_state is not h11.DONE:
+            raise BackendClosedError("the connection ended behind a response")
+        request = self._request
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        if request is not None:
+            self._http.send(request)
+        if trailing:
+            self._http.receive_data(trailing)
+        self._ended = False
+
     @property
     def ended(self) -> bool:
         """Whether the whole response has been read."""
@@ -233,7 +263,8 @@
             h11.CLIENT: h11.DONE,
             h11.SERVER: h11.DONE,
         }
-        if not done or self._http.trailing_data != (b"", False):
+        clean = self._http.trailing_data == (b"", False)
+        if not (done and clean and self._reusable):
             return False
         self._http.start_next_cycle()
         self._ended = self.sent = self.responded = False
--- a/egretlever/transport/_pool.py
+++ b/egretlever/transport/_pool.py
@@ -19,6 +19,8 @@
         Idle connections kept to one address.
     faults : FaultInjector, optional
         Faults of the links, which only tests inject.
+    keepalive : bool, default=False
+        Let the system probe connections while they are silent.
     """
 
     def __init__(
@@ -27,11 +29,13 @@
         idle_timeout: Seconds,
         limit: int,
         faults: FaultInjector = NO_FAULTS,
+        keepalive: bool = False,
     ) -> None:
         self._connect_timeout = connect_timeout
         self._idle_timeout = idle_timeout
         self._limit = limit
         self._faults = faults
+        self._keepalive = keepalive
         self._idle: dict[Address, list[BackendConnection]] = {}
 
     async def acquire(
@@ -58,7 +62,7 @@
                 return connection
             await connection.close()
         sock = await open_connection(
-            address, self._connect_timeout, self._faults
+            address, self._connect_timeout, self._faults, self._keepalive
         )
         return BackendConnection(sock)
 
--- a/egretlever/transport/_sockets.py
+++ b/egretlever/transport/_sockets.py
@@ -13,6 +13,11 @@
 from egretlever.transport._faults import NO_FAULTS, FaultInjector
 
 _BACKLOG = 1024
+# A silent connection ends after three seconds: less than the time in which an
+# accepted configuration has to be in force, with the read that follows.
+_KEEPALIVE_IDLE = 1  # seconds
+_KEEPALIVE_INTERVAL = 1  # seconds
+_KEEPALIVE_PROBES = 2
 
 
 class ConnectError(Exception):
@@ -45,7 +50,10 @@
 
 
 async def open_connection(
-    address: Address, timeout: Seconds, faults: FaultInjector = NO_FAULTS
+    address: Address,
+    timeout: Seconds,
+    faults: FaultInjector = NO_FAULTS,
+    keepalive: bool = False,
 ) -> Any:
     """Open a TCP connection.
 
@@ -57,6 +65,8 @@
         Time allowed for the connection.
     faults : FaultInjector, optional
         Faults of the link, which only tests inject.
+    keepalive : bool, default=False
+        Let the system probe the connection while it is silent.
 
     Returns
     -------
@@ -83,6 +93,8 @@
         await sock.close()
         raise
     set_no_delay(sock)
+    if keepalive:
+        _set_keepalive(sock)
     return faults.wrap(sock, address)
 
 
@@ -116,6 +128,17 @@
     sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
 
 
+def _set_keepalive(sock: Any) -> None:
+    """Let the system end a connection that went silent for good."""
+    sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (plain_socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE),
+        (plain_socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL),
+        (plain_socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(plain_socket.IPPROTO_TCP, option, value)
+
+
 def _unwrap(sock: Any) -> plain_socket.socket:
     """Return the non-blocking socket inside of curio's.
 
