Reload settings on SIGHUP, and keep its default action away

Programs now read their settings again, or ignore the signal. A changed file is also found without a signal. Decisions of the home node have tests.

--- /dev/null
+++ b/egretlever/home/tests/test_slots.py
@@ -0,0 +1,130 @@
+"""Guards the queue of a home node against late and misplaced work."""
+
+import hypothesis.strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from egretlever.core import Seconds
+from egretlever.home import SlotQueue
+from egretlever.testing.relay_builders import build_slot_ticket
+
+NOW = Seconds(0.0)
+
+
+def fill(queue, count, now=NOW, **changes):
+    for number in range(count):
+        assert queue.offer(build_slot_ticket(f"busy-{number}", **changes), now)
+    queue.start_ready(now)
+
+
+def test_a_request_that_would_wait_too_long_is_refused_at_once():
+    queue = SlotQueue(2)
+    fill(queue, 2)
+    assert not queue.offer(build_slot_ticket(max_wait=Seconds(0.05)), NOW)
+    assert queue.offer(build_slot_ticket(max_wait=Seconds(0.5)), NOW)
+
+
+def test_a_request_whose_answer_would_come_too_late_is_refused():
+    queue = SlotQueue(1)
+    fill(queue, 1)
+    assert not queue.offer(build_slot_ticket(deadline=Seconds(0.3)), NOW)
+
+
+def test_urgent_requests_overtake_waiting_ones_in_a_flood_of_low_rank():
+    queue = SlotQueue(1)
+    fill(queue, 1)
+    for number in range(5):
+        queue.offer(build_slot_ticket(f"low-{number}", rank=2), NOW)
+    assert queue.forecast_wait(0, NOW) < queue.forecast_wait(2, NOW)
+    queue.offer(build_slot_ticket("urgent", rank=0), NOW)
+    queue.finish("busy-0", Seconds(0.1))
+    started = queue.start_ready(Seconds(0.1))
+    assert [ticket.request_id for ticket in started] == ["urgent"]
+
+
+def test_expired_requests_leave_the_queue_unsent():
+    queue = SlotQueue(1)
+    fill(queue, 1)
+    queue.offer(build_slot_ticket("soon", deadline=Seconds(0.5)), NOW)
+    queue.offer(build_slot_ticket("later"), NOW)
+    expired = queue.expire(Seconds(0.45))
+    assert [ticket.request_id for ticket in expired] == ["soon"]
+    queue.finish("busy-0", Seconds(0.5))
+    started = queue.start_ready(Seconds(0.5))
+    assert [ticket.request_id for ticket in started] == ["later"]
+
+
+def test_a_slow_server_shows_in_the_forecast_after_some_answers():
+    queue = SlotQueue(1)
+    before = queue.estimate("orders")
+    for number in range(8):
+        start = Seconds(float(number * 2))
+        queue.offer(build_slot_ticket(f"r-{number}"), start)
+        queue.start_ready(start)
+        queue.finish(f"r-{number}", Seconds(start + 1.0))
+    assert queue.estimate("orders") > 3 * before
+    assert queue.service_time_ > 3 * before
+
+
+class QueueMachine(RuleBasedStateMachine):
+    """Never runs more requests than slots, and never loses one."""
+
+    def __init__(self):
+        super().__init__()
+        self.queue = SlotQueue(3)
+        self.now = Seconds(0.0)
+        self.count = 0
+        self.waiting = set()
+        self.running = set()
+
+    @rule(rank=st.integers(0, 2), left=st.floats(0.01, 5), wait=st.floats(0, 5))
+    def offer(self, rank, left, wait):
+        self.count += 1
+        ticket = build_slot_ticket(
+            f"r-{self.count}",
+            rank=rank,
+            deadline=Seconds(self.now + left),
+            max_wait=Seconds(wait),
+        )
+        if self.queue.offer(ticket, self.now):
+            self.waiting.add(ticket.request_id)
+        self.start()
+
+    def start(self):
+        for ticket in self.queue.start_ready(self.now):
+            self.waiting.remove(ticket.request_id)
+            self.running.add(ticket.request_id)
+
+    @rule(data=st.data(), answered=st.booleans())
+    def finish(self, data, answered):
+        if self.running:
+            name = data.draw(st.sampled_from(sorted(self.running)))
+            self.running.remove(name)
+            self.queue.finish(name, self.now, answered)
+            self.start()
+
+    @rule(data=st.data())
+    def withdraw(self, data):
+        if self.waiting:
+            name = data.draw(st.sampled_from(sorted(self.waiting)))
+            self.waiting.remove(name)
+            self.queue.withdraw(name)
+
+    @rule(duration=st.floats(0.001, 1))
+    def wait(self, duration):
+        self.now = Seconds(self.now + duration)
+        for ticket in self.queue.expire(self.now):
+            self.waiting.remove(ticket.request_id)
+
+    @rule(slots=st.integers(1, 6))
+    def resize(self, slots):
+        self.queue.resize(slots)
+        self.start()
+
+    @invariant()
+    def slots_are_used_and_nothing_is_lost(self):
+        assert self.queue.count_waiting() == len(self.waiting)
+        assert not self.waiting or len(self.running) >= self.queue.slots
+        assert self.queue.forecast_wait(2, self.now) >= 0
+
+
+TestQueueMachine = QueueMachine.TestCase
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -161,6 +161,10 @@
         self._rng = rng
         self._views: dict[ServerId, HomeView] = {}
 
+    def reload(self, regions: Mapping[FailureDomain, RegionName]) -> None:
+        """Take over the regions of failure domains."""
+        self._regions = regions
+
     def measure_distance(self, server: HomeServer) -> Distance:
         """Tell how far the home node of a server is."""
         if server.failure_domain == self._domain:
--- a/egretlever/programs/_common.py
+++ b/egretlever/programs/_common.py
@@ -14,7 +14,7 @@
 import egretlever
 from egretlever.core import Finding
 from egretlever.programs._log_buffer import buffer_log
-from egretlever.programs._signals import catch_stop_signals
+from egretlever.programs._signals import RELOAD_SIGNAL, catch_signals
 from egretlever.settings import read_settings
 
 EXIT_FINDINGS = 2
@@ -127,22 +127,29 @@
 def run_until_signal(
     main: Callable[[], Awaitable[Any]],
     stop: Callable[[], Awaitable[Any]],
+    reload: Callable[[], Awaitable[Any]] | None = None,
 ) -> None:
     """Run a coroutine on one loop, with a planned stop on SIGTERM or SIGINT.
 
+    SIGHUP never ends a program: one without ``reload`` ignores it.
+
     Parameters
     ----------
     main : callable
         Coroutine function that runs until the program has stopped.
     stop : callable
         Coroutine function that begins the planned stop. It is called once.
+    reload : callable, optional
+        Coroutine function that reads the settings again.
     """
 
     async def run() -> OSError | None:
-        async with catch_stop_signals() as wait_for_stop:
+        async with catch_signals() as wait_for_signal:
 
             async def watch() -> None:
-                await wait_for_stop()
+                while await wait_for_signal() is RELOAD_SIGNAL:
+                    if reload is not None:
+                        await reload()
                 await stop()
 
             watcher = await curio.spawn(watch, daemon=True)
--- a/egretlever/programs/_signals.py
+++ b/egretlever/programs/_signals.py
@@ -1,4 +1,4 @@
-"""Waiting for the signals that ask a program to stop."""
+"""Waiting for the signals that ask a program to stop or to reload."""
 
 import contextlib
 import signal
@@ -9,6 +9,7 @@
 import curio.io
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
 
 
 def _ignore(number: int, frame: Any) -> None:
@@ -16,8 +17,10 @@
 
 
 @contextlib.asynccontextmanager
-async def catch_stop_signals() -> AsyncIterator[Callable[[], Awaitable[None]]]:
-    """Catch SIGTERM and SIGINT inside an ``async with`` block.
+async def catch_signals() -> AsyncIterator[
+    Callable[[], Awaitable[signal.Signals]]
+]:
+    """Catch SIGTERM, SIGINT and SIGHUP inside an ``async with`` block.
 
     Signals arrive through ``signal.set_wakeup_fd`` on a socket, because
     curio 1.6 has no signal events and its selector is not interrupted.
@@ -25,19 +28,21 @@
     Yields
     ------
     callable
-        Waits for the first signal.
+        Waits for the next signal and returns it.
     """
     reader, writer = socket.socketpair()
     reader.setblocking(False)
     writer.setblocking(False)
     previous_fd = signal.set_wakeup_fd(writer.fileno())
     previous = {
-        number: signal.signal(number, _ignore) for number in STOP_SIGNALS
+        number: signal.signal(number, _ignore)
+        for number in (*STOP_SIGNALS, RELOAD_SIGNAL)
     }
     stream = curio.io.Socket(reader)
 
-    async def wait() -> None:
-        await stream.recv(1)
+    async def wait() -> signal.Signals:
+        # The interpreter writes the number of each signal as one byte.
+        return signal.Signals((await stream.recv(1))[0])
 
     try:
         yield wait
--- a/egretlever/programs/relay.py
+++ b/egretlever/programs/relay.py
@@ -4,19 +4,24 @@
 import pathlib
 from typing import Annotated
 
+import curio
 import typer
-from returns.result import Failure
+from returns.result import Failure, Result, Success
 
+from egretlever.core import make_log
 from egretlever.platform import Bounds, decode_bounds
 from egretlever.programs import _common
 from egretlever.relay import make_relay_node
 from egretlever.schema import settings_pb2
+from egretlever.settings import Findings, read_settings
 
+_LOG = make_log("settings")
 app = _common.make_app(
     "egretlever-relay", "Node beside a server that only its host can reach."
 )
 # Names the settings file on the platform.
 SETTINGS_VARIABLE = "EGRETLEVER_SETTINGS"
+_WATCH_INTERVAL = 5.0  # seconds between looks at the settings file
 _File = Annotated[
     pathlib.Path | None,
     typer.Argument(
@@ -33,23 +38,40 @@
     return pathlib.Path(name)
 
 
-def _load(
-    file: pathlib.Path | None,
-) -> tuple[settings_pb2.RelaySettings, Bounds]:
-    settings = _common.load_settings(
-        _find_file(file), settings_pb2.RelaySettings
-    )
+def _read(
+    path: pathlib.Path,
+) -> Result[tuple[settings_pb2.RelaySettings, Bounds], Findings]:
+    read = read_settings(path, settings_pb2.RelaySettings)
+    if isinstance(read, Failure):
+        return read
+    settings = read.unwrap()
     bounds = decode_bounds(settings.bounds.platform)
     if isinstance(bounds, Failure):
-        _common.exit_with_findings(bounds.failure())
-    return settings, bounds.unwrap()
+        return bounds
+    return Success((settings, bounds.unwrap()))
+
+
+def _read_bytes(path: pathlib.Path) -> bytes | None:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        _LOG.warning("Settings can't be read: %s.", error)
+        return None
+
+
+def _load(path: pathlib.Path) -> tuple[settings_pb2.RelaySettings, Bounds]:
+    result = _read(path)
+    if isinstance(result, Failure):
+        _common.exit_with_findings(result.failure())
+    return result.unwrap()
 
 
 @app.command()
 def check(file: _File = None) -> None:
     """Check settings and print all findings."""
-    _load(file)
-    typer.echo(f"{_find_file(file)}: no findings")
+    path = _find_file(file)
+    _load(path)
+    typer.echo(f"{path}: no findings")
 
 
 @app.command()
@@ -57,11 +79,42 @@
     file: _File = None,
     verbose: Annotated[bool, typer.Option(help="Log debug lines.")] = False,
 ) -> None:
-    """Run the node until a planned stop by SIGTERM or SIGINT."""
-    settings, bounds = _load(file)
+    """Run the node until a planned stop by SIGTERM or SIGINT.
+
+    SIGHUP reads the settings again. A change without a signal is found within
+    five seconds.
+    """
+    path = _find_file(file)
+    settings, bounds = _load(path)
     _common.start_logging(verbose)
     node = make_relay_node(settings, bounds)
-    _common.run_until_signal(node.run, node.stop)
+
+    async def reload() -> None:
+        result = _read(path)
+        if isinstance(result, Failure):
+            for finding in result.failure():
+                _LOG.error("Settings are not taken: %s.", finding)
+            return
+        node.reload(*result.unwrap())
+
+    async def watch() -> None:
+        """Read the settings again when the file has changed."""
+        held = _read_bytes(path)
+        while True:
+            await curio.sleep(_WATCH_INTERVAL)
+            found = _read_bytes(path)
+            if found is not None and found != held:
+                held = found
+                await reload()
+
+    async def main_task() -> None:
+        watcher = await curio.spawn(watch, daemon=True)
+        try:
+            await node.run()
+        finally:
+            await watcher.cancel()
+
+    _common.run_until_signal(main_task, node.stop, reload)
 
 
 def main() -> None:
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -137,6 +137,15 @@
         self._routes = RouteTable(configuration, self._rng)
         return True
 
+    def reload(
+        self, regions: Mapping[FailureDomain, RegionName], bounds: Bounds
+    ) -> None:
+        """Take over regions and bounds from changed settings."""
+        self._selector.reload(regions)
+        if bounds != self._bounds:
+            self._bounds = bounds
+            self._budgets.clear()
+
     @property
     def configured(self) -> bool:
         """Whether a configuration is in force."""
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -73,13 +73,9 @@
         self._relay = Address(settings.listen.ip, settings.listen.relay_port)
         self._home = HomeNode()
         self._links = LinkPool()
-        regions = {}
-        for line in settings.identity.regions:
-            domain, _, region = line.partition(":")
-            regions[FailureDomain(domain)] = RegionName(region)
         self._entry = EntryNode(
             FailureDomain(settings.identity.failure_domain),
-            regions,
+            _parse_regions(settings),
             ServiceName(settings.identity.service),
             self._relay,
             self._home,
@@ -195,6 +191,33 @@
         del head, body
         return Answer(200, metrics.render())
 
+    def reload(
+        self, settings: settings_pb2.RelaySettings, bounds: Bounds
+    ) -> None:
+        """Take over changed settings as far as a running node can.
+
+        Parameters
+        ----------
+        settings : RelaySettings
+            Checked settings.
+        bounds : Bounds
+            Bounds that the platform states.
+        """
+        self._bounds = bounds
+        self._entry.reload(_parse_regions(settings), bounds)
+        kept = [
+            section.name
+            for section in settings.DESCRIPTOR.fields
+            if section.name != "bounds"
+            and getattr(settings, section.name)
+            != getattr(self._settings, section.name)
+        ]
+        _LOG.info(
+            "Settings are read again; sections that change at the next"
+            " start: %s.",
+            ", ".join(kept) or "none",
+        )
+
     async def stop(self) -> None:
         """Stop in a planned way; requests that were read are finished."""
         _LOG.info("Node %s stops.", self._settings.identity.node)
@@ -213,6 +236,16 @@
         await self._ended.set()
 
 
+def _parse_regions(
+    settings: settings_pb2.RelaySettings,
+) -> dict[FailureDomain, RegionName]:
+    regions = {}
+    for line in settings.identity.regions:
+        domain, _, region = line.partition(":")
+        regions[FailureDomain(domain)] = RegionName(region)
+    return regions
+
+
 def make_relay_node(
     settings: settings_pb2.RelaySettings, bounds: Bounds
 ) -> RelayNode:
--- /dev/null
+++ b/egretlever/testing/relay_builders.py
@@ -0,0 +1,185 @@
+"""Builders of test data for relay nodes: valid objects, changed by keywords."""
+
+import dataclasses
+import json
+from typing import Any
+
+from egretlever.core import (
+    Address,
+    FailureDomain,
+    Incarnation,
+    RequestId,
+    RouteId,
+    Seconds,
+    ServerId,
+    ServiceName,
+    Version,
+)
+from egretlever.home import Heartbeat, SlotTicket
+from egretlever.placement import (
+    Answer,
+    Backend,
+    ClientLimits,
+    Configuration,
+    HomeCondition,
+    HomeServer,
+    Offer,
+    Route,
+    Search,
+)
+
+
+def build_route(**changes: Any) -> Route:
+    """Build the route of an order: not idempotent, two attempts."""
+    route = Route(
+        id=RouteId("orders"),
+        host="shop.example",
+        prefix="/orders/",
+        idempotent=False,
+        timeout=Seconds(4.0),
+        objective=Seconds(1.2),
+        rank=1,
+        max_attempts=2,
+        backends=(Backend(ServiceName("ordering"), 1.0),),
+    )
+    return dataclasses.replace(route, **changes)
+
+
+def build_configuration(*routes: Route, **changes: Any) -> Configuration:
+    """Build a configuration of the given routes, or of one order route."""
+    configuration = Configuration(
+        Version(7), routes or (build_route(),), ClientLimits()
+    )
+    return dataclasses.replace(configuration, **changes)
+
+
+def build_home_server(number: int = 1, **changes: Any) -> HomeServer:
+    """Build a server; numbers alternate over four failure domains."""
+    server = HomeServer(
+        id=ServerId(f"i-{number}"),
+        service=ServiceName("ordering"),
+        failure_domain=FailureDomain(f"domain-{number % 4}"),
+        relay=Address("127.0.0.1", 20000 + number),
+        slots=4,
+        incarnation=Incarnation(1_700_000_000_000 + number),
+    )
+    return dataclasses.replace(server, **changes)
+
+
+def build_heartbeat(**changes: Any) -> Heartbeat:
+    """Build the first heartbeat of a ready server."""
+    beat = Heartbeat(
+        id=ServerId("i-1"),
+        address=Address("127.0.0.1", 8080),
+        service=ServiceName("ordering"),
+        failure_domain=FailureDomain("domain-1"),
+        slots=2,
+        draining=False,
+        sequence=1,
+        incarnation=Incarnation(1_700_000_000_000),
+        cold_for=Seconds(0.0),
+    )
+    return dataclasses.replace(beat, **changes)
+
+
+def build_heartbeat_body(**changes: Any) -> dict[str, Any]:
+    """Build the JSON fields of a heartbeat as the platform spells them."""
+    fields: dict[str, Any] = {
+        "address": "127.0.0.1:8080",
+        "born": 1_700_000_000_000,
+        "info": {
+            "service": "ordering",
+            "version": "v1",
+            "zone": "domain-1",
+            "slots": 2,
+        },
+        "status": {"state": "ready", "sequence": 1, "coldRemaining": "0ms"},
+    }
+    return {**fields, **changes}
+
+
+def build_configuration_body(version: str = "00000007", **spec: Any) -> bytes:
+    """Build the operator's configuration with one route as JSON."""
+    route = {
+        "host": "Shop.example",
+        "prefix": "/orders/",
+        "kind": "unsafe",
+        "timeout": "4000ms",
+        "targetLatency": "1.2s",
+        "priority": 1,
+        "service": "ordering",
+        "maxAttempts": 2,
+    }
+    limits = {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 1024,
+        "headerTimeout": "3000ms",
+        "idleTimeout": "15000ms",
+    }
+    resources = [
+        {
+            "type": "routes",
+            "metadata": {"name": "orders"},
+            "spec": {**route, **spec},
+        },
+        {"type": "services", "metadata": {"name": "ordering"}, "spec": {}},
+        {"type": "limits", "metadata": {}, "spec": limits},
+    ]
+    return json.dumps({"version": version, "resources": resources}).encode()
+
+
+def build_slot_ticket(request: str = "r-1", **changes: Any) -> SlotTicket:
+    """Build a ticket of rank 1 with time to wait."""
+    ticket = SlotTicket(
+        RequestId(request), RouteId("orders"), 1, Seconds(100.0), Seconds(10.0)
+    )
+    return dataclasses.replace(ticket, **changes)
+
+
+def build_offer(request: str = "r-1", **changes: Any) -> Offer:
+    """Build the offer of an order."""
+    offer = Offer(
+        request_id=RequestId(request),
+        service=ServiceName("ordering"),
+        route=RouteId("orders"),
+        method="POST",
+        target=b"/orders/1",
+        headers=(
+            (b"host", b"shop.example"),
+            (b"x-request-id", request.encode()),
+        ),
+        body=b"silk",
+        rank=1,
+        idempotent=False,
+        time_left=Seconds(4.0),
+        max_wait=Seconds(1.0),
+        caller_service=ServiceName("catalogue"),
+    )
+    return dataclasses.replace(offer, **changes)
+
+
+def build_answer(status: int = 200, **condition: Any) -> Answer:
+    """Build the answer of a server, with the condition of its home node."""
+    return Answer(
+        status,
+        ((b"x-request-id", b"r-1"),),
+        b"ok",
+        build_condition(**condition),
+    )
+
+
+def build_condition(**changes: Any) -> HomeCondition:
+    """Build the condition of a home node with free slots."""
+    condition = HomeCondition(free_slots=4, service_time=Seconds(0.2))
+    return dataclasses.replace(condition, **changes)
+
+
+def build_search(**changes: Any) -> Search:
+    """Build the search for an order that begins at time 0."""
+    search = Search(
+        idempotent=False,
+        on_time_at=Seconds(1.2),
+        deadline=Seconds(4.0),
+        service_time=Seconds(0.2),
+    )
+    return dataclasses.replace(search, **changes)
