--- a/egretlever/home/_trust.py
+++ b/egretlever/home/_trust.py
@@ -35,9 +35,9 @@
     --------
     >>> trust = ServerTrust()
     >>> trust.observe(False, Seconds(0.0))
-    >>> trust.decide(idempotent=False, now=Seconds(0.1))
+    >>> trust.decide(may_test=False, now=Seconds(0.1))
     False
-    >>> trust.decide(idempotent=True, now=Seconds(0.1))
+    >>> trust.decide(may_test=True, now=Seconds(0.1))
     True
     """
 
@@ -57,14 +57,14 @@
         return Trust.TRUSTED
 
     def decide(
-        self, idempotent: bool, now: Seconds, forced: bool = False
+        self, may_test: bool, now: Seconds, forced: bool = False
     ) -> bool:
         """Decide whether the server may get a request.
 
         Parameters
         ----------
-        idempotent : bool
-            Whether the request may run more than once.
+        may_test : bool
+            Whether the request may be a trial: it can be repeated elsewhere.
         now : Seconds
             Reading of the clock.
         forced : bool, default=False
@@ -73,11 +73,11 @@
         level = self.describe()
         if level is Trust.TRUSTED:
             return True
-        if level is Trust.DOUBTED and (idempotent or forced):
+        if level is Trust.DOUBTED and (may_test or forced):
             return True
         if now - self._observed_at > _LONE_TRIAL_INTERVAL:
             return self._take_trial(now)
-        return idempotent and level is Trust.BROKEN and self._take_trial(now)
+        return may_test and level is Trust.BROKEN and self._take_trial(now)
 
     def _take_trial(self, now: Seconds) -> bool:
         if self._trial_at is not None and now < self._trial_at:
--- a/egretlever/placement/_records.py
+++ b/egretlever/placement/_records.py
@@ -237,6 +237,8 @@
         Take it also when the server is doubted.
     resumed : bool
         Sent again because the connection between the nodes was lost.
+    careful : bool
+        Not to be used as a trial of a doubted server: it has failed once.
     """
 
     request_id: RequestId
@@ -253,6 +255,12 @@
     caller_service: ServiceName
     forced: bool = False
     resumed: bool = False
+    careful: bool = False
+
+    @property
+    def may_test(self) -> bool:
+        """Whether the request may be the trial of a doubted server."""
+        return self.idempotent and not self.careful
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -77,8 +77,8 @@
 
     Parameters
     ----------
-    idempotent : bool
-        Whether the request may run more than once.
+    may_test : bool
+        Whether the request may be the trial of a doubted server.
     on_time_at : Seconds
         Reading of the clock until which the answer has its full worth.
     deadline : Seconds
@@ -95,7 +95,7 @@
         Offers made in this stage.
     """
 
-    idempotent: bool
+    may_test: bool
     on_time_at: Seconds
     deadline: Seconds
     service_time: Seconds
@@ -202,7 +202,7 @@
                 return choice
             if search.stage is Stage.ON_TIME:
                 search.stage = Stage.LATE
-            elif search.stage is Stage.LATE and not search.idempotent:
+            elif search.stage is Stage.LATE and not search.may_test:
                 search.stage = Stage.FORCED
             else:
                 return None
@@ -239,8 +239,8 @@
         if search.stage is Stage.FORCED:
             return trust is not Trust.BROKEN
         if trust is Trust.BROKEN:
-            return search.stage is Stage.LATE and search.idempotent
-        return search.idempotent or trust is Trust.TRUSTED
+            return search.stage is Stage.LATE and search.may_test
+        return search.may_test or trust is Trust.TRUSTED
 
     def _choose_on_time(
         self,
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -83,6 +83,7 @@
             caller_service=offer.caller_service,
             forced=offer.forced,
             resumed=offer.resumed,
+            careful=offer.careful,
         )
     )
 
@@ -104,6 +105,7 @@
         caller_service=ServiceName(offer.caller_service),
         forced=offer.forced,
         resumed=offer.resumed,
+        careful=offer.careful,
     )
 
 
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -40,6 +40,7 @@
 from egretlever.relay._outcomes import (
     Ending,
     History,
+    Stop,
     is_failed,
     make_answer,
     make_own_answer,
@@ -208,7 +209,7 @@
         service = self._routes.choose_service(route)
         self._budget(service).observe(begun)
         search = Search(
-            idempotent=route.idempotent,
+            may_test=route.idempotent,
             on_time_at=Seconds(min(deadline, begun + route.objective)),
             deadline=Seconds(deadline - _RETURN_TIME),
             service_time=self._times.get(route.id, _FIRST_ESTIMATE),
@@ -232,8 +233,11 @@
             choice = self._selector.decide(
                 task.search, self._list_servers(task.service), read_clock()
             )
-            if choice is None or not self._may_send(task):
-                return self._give_up(task)
+            if choice is None:
+                return self._give_up(task, Stop.NO_HOME)
+            stop = self._find_stop(task)
+            if stop is not None:
+                return self._give_up(task, stop)
             started = read_clock()
             reply = await self._offer(task, choice)
             now = read_clock()
@@ -247,8 +251,9 @@
             task.history.observe(reply)
             if task.history.arrivals > arrivals:
                 task.search.excluded.add(choice.server.id)
+                task.search.may_test = False
             if task.history.may_have_run and not task.route.idempotent:
-                return self._give_up(task)
+                return self._give_up(task, Stop.MAY_HAVE_RUN)
 
     def _list_servers(self, service: ServiceName) -> list[HomeServer]:
         servers = self.directory.list_servers(service)
@@ -258,15 +263,17 @@
             servers.append(local)
         return servers
 
-    def _may_send(self, task: _Task) -> bool:
-        """Tell whether a further server may get the request."""
+    def _find_stop(self, task: _Task) -> Stop | None:
+        """Tell why no further server may get the request, if so."""
         arrivals = task.history.arrivals
         if arrivals == 0:
-            return True
+            return None
         if arrivals >= task.route.max_attempts:
-            return False
+            return Stop.ATTEMPTS_USED
         nodes = len(self.directory.list_relays())
-        return self._budget(task.service).take(read_clock(), nodes)
+        if self._budget(task.service).take(read_clock(), nodes):
+            return None
+        return Stop.BUDGET_USED
 
     async def _offer(self, task: _Task, choice: HomeChoice) -> Reply:
         head = task.request.head
@@ -284,6 +291,7 @@
             max_wait=choice.max_wait,
             caller_service=self._service,
             forced=choice.forced,
+            careful=task.history.arrivals > 0,
         )
         self._selector.start(choice.server)
         reply: Reply | None = None
@@ -314,9 +322,15 @@
             took,
         )
 
-    def _give_up(self, task: _Task) -> ClientAnswer:
+    def _give_up(self, task: _Task, stop: Stop) -> ClientAnswer:
         """Answer a request that no server will be sent any more."""
         history = task.history
+        _LOG.info(
+            "%s is given up (%s) after %d attempts.",
+            task.id,
+            stop.value,
+            history.arrivals,
+        )
         reason = history.reason.value if history.reason else "no-server"
         if history.failed_answer is not None:
             answer = make_answer(history.failed_answer)
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -99,7 +99,7 @@
             return self._refuse(obstacle, offer)
         now = read_clock()
         trial = self._trust.describe() is Trust.BROKEN
-        if not self._trust.decide(offer.idempotent, now, offer.forced):
+        if not self._trust.decide(offer.may_test, now, offer.forced):
             return self._refuse(RefusalReason.UNTRUSTED, offer)
         ticket = SlotTicket(
             offer.request_id,
@@ -130,7 +130,7 @@
     def _is_trusted(self, offer: Offer) -> bool:
         level = self._trust.describe()
         if level is Trust.DOUBTED:
-            return offer.idempotent or offer.forced
+            return offer.may_test or offer.forced
         return level is Trust.TRUSTED
 
     async def _await_turn(self, ticket: SlotTicket) -> bool:
--- a/egretlever/relay/_outcomes.py
+++ b/egretlever/relay/_outcomes.py
@@ -34,6 +34,15 @@
     MALFORMED = "malformed"
 
 
+class Stop(enum.Enum):
+    """Why no further home node is offered a request."""
+
+    NO_HOME = "no-home-takes-it"
+    ATTEMPTS_USED = "attempts-used"
+    BUDGET_USED = "budget-used"
+    MAY_HAVE_RUN = "may-have-run"
+
+
 @dataclasses.dataclass(slots=True)
 class History:
     """What became of the attempts of one request.
