--- a/egretlever/placement/_repeats.py
+++ b/egretlever/placement/_repeats.py
@@ -5,9 +5,8 @@
 from egretlever.core import Interval, Seconds, check_parameters
 
 # A repeated run repeats its own calls too, which count at the called service.
-# Half of the fleet's bound leaves room for them and for requests that a peer
-# repeats in the same window.
-_USED_SHARE = 0.5
+# A quarter of the fleet's bound is left for them.
+_USED_SHARE = 0.75
 
 
 class RepeatBudget:
@@ -29,7 +28,7 @@
 
     Examples
     --------
-    >>> budget = RepeatBudget(0.2, 4.0, Seconds(10.0))
+    >>> budget = RepeatBudget(0.2, 3.0, Seconds(10.0))
     >>> [budget.take(Seconds(0.0), nodes=2) for _ in range(2)]
     [True, False]
     """
@@ -65,14 +64,18 @@
         nodes : int
             Nodes that share the slack, at least 1.
         """
+        if not self.has_room(now, nodes):
+            return False
+        self._repeats.append(now)
+        return True
+
+    def has_room(self, now: Seconds, nodes: int) -> bool:
+        """Tell whether a repeated attempt would be allowed."""
         self._expire(now)
         allowed = _USED_SHARE * (
             self._ratio * len(self._requests) + self._slack / max(1, nodes)
         )
-        if len(self._repeats) + 1 > allowed:
-            return False
-        self._repeats.append(now)
-        return True
+        return len(self._repeats) + 1 <= allowed
 
     def _expire(self, now: Seconds) -> None:
         for times in (self._requests, self._repeats):
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -207,9 +207,16 @@
             limit = Seconds(min(limit, int(text) / 1000))
         deadline = Seconds(begun + limit)
         service = self._routes.choose_service(route)
-        self._budget(service).observe(begun)
+        budget = self._budget(service)
+        budget.observe(begun)
+        # A request that could not be repeated must not test a doubted server.
+        may_test = (
+            route.idempotent
+            and route.max_attempts > 1
+            and budget.has_room(begun, self._count_nodes())
+        )
         search = Search(
-            may_test=route.idempotent,
+            may_test=may_test,
             on_time_at=Seconds(min(deadline, begun + route.objective)),
             deadline=Seconds(deadline - _RETURN_TIME),
             service_time=self._times.get(route.id, _FIRST_ESTIMATE),
@@ -270,11 +277,15 @@
             return None
         if arrivals >= task.route.max_attempts:
             return Stop.ATTEMPTS_USED
-        nodes = len(self.directory.list_relays())
-        if self._budget(task.service).take(read_clock(), nodes):
+        budget = self._budget(task.service)
+        if budget.take(read_clock(), self._count_nodes()):
             return None
         return Stop.BUDGET_USED
 
+    def _count_nodes(self) -> int:
+        """Count the nodes that share the budgets of repeated attempts."""
+        return max(1, len(self.directory.list_relays()))
+
     async def _offer(self, task: _Task, choice: HomeChoice) -> Reply:
         head = task.request.head
         offer = Offer(
@@ -291,7 +302,7 @@
             max_wait=choice.max_wait,
             caller_service=self._service,
             forced=choice.forced,
-            careful=task.history.arrivals > 0,
+            careful=not task.search.may_test,
         )
         self._selector.start(choice.server)
         reply: Reply | None = None
