--- a/egretlever/home/_slots.py
+++ b/egretlever/home/_slots.py
@@ -17,6 +17,11 @@
 # Weight of a new answer in the mean time of its route. With 0.2 a server that
 # turns slow shows after five answers.
 _NEW_WEIGHT = 0.2
+# Long requests leave one slot to more urgent ones that are this many times
+# shorter and came within this time, seconds. Without it a short urgent request
+# waits for the rest of a long one, which can be more than its own objective.
+_LONG_FACTOR = 2.0
+_URGENT_SEEN = 3.0
 # A request that has run for its mean time still needs a part of it: work times
 # have a long tail.
 _REST_SHARE = 0.3
@@ -53,7 +58,8 @@
     It answers the load pattern of a server that gets more work than it can
     run: work waits here, where the count of busy slots is exact, and a request
     that would wait too long is refused at once, so that its entry node can
-    place it elsewhere. Urgent requests overtake waiting ones of lower ranks.
+    place it elsewhere. Urgent requests overtake waiting ones of lower ranks,
+    and find a slot that a flood of long requests of lower ranks leaves free.
 
     Parameters
     ----------
@@ -89,6 +95,7 @@
         self._times: dict[RouteId, Seconds] = {}
         self._running: dict[RequestId, tuple[SlotTicket, Seconds]] = {}
         self._waiting: list[tuple[int, int, SlotTicket]] = []
+        self._seen: dict[int, tuple[Seconds, RouteId]] = {}
         self._arrivals = 0
         self.service_time_ = FIRST_ESTIMATE
 
@@ -115,12 +122,24 @@
         """Estimate the time of a request of a route at the server."""
         return self._times.get(route, self.service_time_)
 
-    def forecast_wait(self, rank: int, now: Seconds) -> Seconds:
-        """Forecast how long a request of a rank would wait for a slot."""
+    def _count_usable(self, route: RouteId, rank: int, now: Seconds) -> int:
+        """Count the slots that requests of a route and rank may take."""
+        if self._slots == 1:
+            return 1
+        limit = self.estimate(route) / _LONG_FACTOR
+        for other, (seen_at, urgent) in self._seen.items():
+            recent = now - seen_at < _URGENT_SEEN
+            if other < rank and recent and self.estimate(urgent) < limit:
+                return self._slots - 1
+        return self._slots
+
+    def forecast_wait(self, route: RouteId, rank: int, now: Seconds) -> Seconds:
+        """Forecast how long a request would wait for a slot."""
         ends = sorted(self._forecast_ends(now))
-        while len(ends) < self._slots:
+        usable = self._count_usable(route, rank, now)
+        while len(ends) < usable:
             ends.insert(0, 0.0)
-        ends = ends[-self._slots :]
+        ends = ends[-usable:]
         for other, _, ticket in self._waiting:
             if other > rank:
                 break
@@ -141,7 +160,8 @@
         A request is also refused when the forecast answer would come after
         its deadline, since a slot spent on it would serve nobody.
         """
-        wait = self.forecast_wait(ticket.rank, now)
+        self._seen[ticket.rank] = (now, ticket.route)
+        wait = self.forecast_wait(ticket.route, ticket.rank, now)
         late = now + wait + self.estimate(ticket.route) > ticket.deadline
         if wait > 0 and (wait > ticket.max_wait or late):
             return False
@@ -152,10 +172,15 @@
     def start_ready(self, now: Seconds) -> list[SlotTicket]:
         """Give free slots to waiting requests and return these."""
         started = []
-        while self._waiting and len(self._running) < self._slots:
-            _, _, ticket = self._waiting.pop(0)
-            self._running[ticket.request_id] = (ticket, now)
-            started.append(ticket)
+        for entry in list(self._waiting):
+            if len(self._running) >= self._slots:
+                break
+            ticket = entry[2]
+            usable = self._count_usable(ticket.route, ticket.rank, now)
+            if len(self._running) < usable:
+                self._waiting.remove(entry)
+                self._running[ticket.request_id] = (ticket, now)
+                started.append(ticket)
         return started
 
     def expire(self, now: Seconds) -> list[SlotTicket]:
--- a/egretlever/home/tests/test_slots.py
+++ b/egretlever/home/tests/test_slots.py
@@ -34,7 +34,7 @@
     fill(queue, 1)
     for number in range(5):
         queue.offer(build_slot_ticket(f"low-{number}", rank=2), NOW)
-    assert queue.forecast_wait(0, NOW) < queue.forecast_wait(2, NOW)
+    assert queue.forecast_wait("a", 0, NOW) < queue.forecast_wait("a", 2, NOW)
     queue.offer(build_slot_ticket("urgent", rank=0), NOW)
     queue.finish("busy-0", Seconds(0.1))
     started = queue.start_ready(Seconds(0.1))
@@ -65,6 +65,39 @@
     assert queue.service_time_ > 3 * before
 
 
+def learn(queue, route, rank, time):
+    for number in range(20):
+        ticket = build_slot_ticket(f"{route}-{number}", route=route, rank=rank)
+        queue.offer(ticket, NOW)
+        queue.start_ready(NOW)
+        queue.finish(ticket.request_id, Seconds(NOW + time))
+
+
+def test_a_flood_of_long_requests_leaves_a_slot_to_short_urgent_ones():
+    queue = SlotQueue(3)
+    learn(queue, "long", 2, 0.5)
+    learn(queue, "short", 0, 0.05)
+    for number in range(6):
+        queue.offer(
+            build_slot_ticket(f"flood-{number}", route="long", rank=2), NOW
+        )
+    assert len(queue.start_ready(NOW)) == 2
+    queue.offer(build_slot_ticket("urgent", route="short", rank=0), NOW)
+    started = queue.start_ready(NOW)
+    assert [ticket.request_id for ticket in started] == ["urgent"]
+
+
+def test_long_requests_take_all_slots_when_nothing_urgent_comes():
+    queue = SlotQueue(3)
+    learn(queue, "long", 2, 0.5)
+    later = Seconds(10.0)
+    for number in range(3):
+        queue.offer(
+            build_slot_ticket(f"flood-{number}", route="long", rank=2), later
+        )
+    assert len(queue.start_ready(later)) == 3
+
+
 class QueueMachine(RuleBasedStateMachine):
     """Never runs more requests than slots, and never loses one."""
 
@@ -124,7 +157,7 @@
     def slots_are_used_and_nothing_is_lost(self):
         assert self.queue.count_waiting() == len(self.waiting)
         assert not self.waiting or len(self.running) >= self.queue.slots
-        assert self.queue.forecast_wait(2, self.now) >= 0
+        assert self.queue.forecast_wait("orders", 2, self.now) >= 0
 
 
 TestQueueMachine = QueueMachine.TestCase
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -37,8 +37,8 @@
 # and the wait nearby is free as long as the answer is on time.
 _WAIT_SHARES = {
     Distance.OWN_DOMAIN: 0.3,
-    Distance.OWN_REGION: 0.45,
-    Distance.OTHER_REGION: 0.6,
+    Distance.OWN_REGION: 0.6,
+    Distance.OTHER_REGION: 0.7,
 }
 # One exchange of messages, in seconds, on top of the time at the home node.
 _ROUND_TRIPS = {
@@ -279,8 +279,9 @@
         server = min(
             servers,
             key=lambda server: (
+                self._view(server).describe_trust(now) is Trust.BROKEN,
                 self._estimate_cost(server, usual, now)
-                + _ROUND_TRIPS[self.measure_distance(server)]
+                + _ROUND_TRIPS[self.measure_distance(server)],
             ),
         )
         forced = search.stage is Stage.FORCED
--- /dev/null
+++ b/egretlever/placement/tests/test_directory.py
@@ -0,0 +1,41 @@
+"""Guards the directory against answers of the store that arrive late."""
+
+from egretlever.core import Version
+from egretlever.placement import Directory
+from egretlever.testing.relay_builders import build_home_server
+
+ONE, TWO = build_home_server(1), build_home_server(2)
+
+
+def test_an_older_row_or_removal_changes_nothing():
+    directory = Directory()
+    directory.update(build_home_server(1, slots=8), Version(7))
+    assert not directory.update(ONE, Version(6))
+    assert not directory.remove(ONE.id, Version(5))
+    assert directory.find(ONE.id).slots == 8
+
+
+def test_a_removed_server_does_not_return_by_an_older_row():
+    directory = Directory()
+    directory.update(ONE, Version(3))
+    assert directory.remove(ONE.id, Version(5))
+    assert not directory.update(ONE, Version(4))
+    assert directory.list_servers("ordering") == []
+
+
+def test_a_stale_reading_keeps_rows_that_are_newer():
+    directory = Directory()
+    directory.update(ONE, Version(3))
+    directory.update(TWO, Version(9))
+    directory.replace([], Version(5))
+    assert directory.list_servers("ordering") == [TWO]
+
+
+def test_a_server_that_changes_its_service_leaves_the_old_one():
+    directory = Directory()
+    directory.update(ONE, Version(1))
+    moved = build_home_server(1, service="catalogue")
+    directory.update(moved, Version(2))
+    assert directory.list_servers("ordering") == []
+    assert directory.list_servers("catalogue") == [moved]
+    assert directory.list_at(ONE.relay) == [moved]
--- /dev/null
+++ b/egretlever/placement/tests/test_selection.py
@@ -0,0 +1,151 @@
+"""Guards the choice of home nodes under uneven load, cuts and gray servers."""
+
+import random
+
+from egretlever.core import Address, FailureDomain, RegionName, Seconds
+from egretlever.placement import (
+    Failure,
+    FailureReason,
+    HomeSelector,
+    Refusal,
+    RefusalReason,
+    Stage,
+    Trust,
+)
+from egretlever.testing.relay_builders import (
+    build_answer,
+    build_condition,
+    build_home_server,
+    build_search,
+)
+
+OWN = Address("127.0.0.1", 20001)
+REGIONS = {
+    FailureDomain("domain-0"): RegionName("south"),
+    FailureDomain("domain-1"): RegionName("north"),
+    FailureDomain("domain-2"): RegionName("south"),
+    FailureDomain("domain-3"): RegionName("north"),
+}
+NOW = Seconds(0.0)
+LOCAL = build_home_server(1)
+NEIGHBOUR = build_home_server(5)
+REGIONAL = build_home_server(3)
+REMOTE = build_home_server(2)
+FLEET = [REMOTE, REGIONAL, NEIGHBOUR, LOCAL]
+
+
+def make_selector():
+    return HomeSelector(
+        FailureDomain("domain-1"), REGIONS, OWN, random.Random(1)
+    )
+
+
+def report(selector, server, now=NOW, **condition):
+    selector.start(server)
+    selector.finish(server, build_answer(**condition), now)
+
+
+def list_choices(selector, search, servers=FLEET):
+    """List the choices of a search in which every home node refuses."""
+    found = []
+    while (choice := selector.decide(search, servers, NOW)) is not None:
+        found.append((search.stage, choice))
+    return found
+
+
+def test_an_idle_server_on_the_own_host_comes_first():
+    choice = make_selector().decide(build_search(), FLEET, NOW)
+    assert choice.server is LOCAL
+    assert choice.max_wait < 1.0
+
+
+def test_work_spills_to_the_region_then_to_the_other_one():
+    selector = make_selector()
+    search = build_search()
+    on_time = [
+        choice.server
+        for stage, choice in list_choices(selector, search)
+        if stage is Stage.ON_TIME
+    ]
+    assert on_time == [LOCAL, NEIGHBOUR, REGIONAL, REMOTE]
+
+
+def test_a_long_queue_nearby_sends_work_on_without_being_asked():
+    selector = make_selector()
+    for server in (LOCAL, NEIGHBOUR):
+        report(selector, server, wait=Seconds(0.9), free_slots=0)
+    choice = selector.decide(build_search(), FLEET, NOW)
+    assert choice.server is REGIONAL
+
+
+def test_when_all_are_late_the_shortest_queue_gets_the_request():
+    selector = make_selector()
+    for server, wait in zip(FLEET, (2.9, 2.5, 1.9, 2.1), strict=True):
+        report(selector, server, wait=Seconds(wait), free_slots=0)
+    search = build_search()
+    choice = selector.decide(search, FLEET, NOW)
+    assert search.stage is Stage.LATE
+    assert choice.server is NEIGHBOUR
+    assert choice.max_wait > 3.0
+
+
+def test_a_request_without_time_for_its_work_is_not_offered():
+    search = build_search(
+        on_time_at=Seconds(0.1), deadline=Seconds(0.15), may_test=True
+    )
+    assert make_selector().decide(search, FLEET, NOW) is None
+
+
+def test_orders_avoid_doubted_servers_until_none_else_takes_them():
+    selector = make_selector()
+    for server in FLEET:
+        report(selector, server, trust=Trust.DOUBTED)
+    found = list_choices(selector, build_search())
+    assert found
+    assert all(stage is Stage.FORCED for stage, _ in found)
+    assert all(choice.forced for _, choice in found)
+
+
+def test_broken_servers_are_the_last_to_test_with_a_late_request():
+    selector = make_selector()
+    report(selector, LOCAL, trust=Trust.BROKEN)
+    search = build_search(stage=Stage.LATE, may_test=True)
+    choice = selector.decide(search, [LOCAL, REMOTE], NOW)
+    assert choice.server is REMOTE
+
+
+def test_an_unreachable_home_is_left_alone_for_longer_each_time():
+    selector = make_selector()
+    now = NOW
+    absences = []
+    for _ in range(3):
+        selector.start(LOCAL)
+        selector.finish(LOCAL, Failure(FailureReason.HOME_LOST), now)
+        begun = now
+        while (
+            selector.decide(build_search(deadline=Seconds(99)), [LOCAL], now)
+            is None
+        ):
+            now = Seconds(now + 0.125)
+        absences.append(now - begun)
+    assert absences == [0.5, 1.0, 2.0]
+
+
+def test_a_home_without_a_server_is_asked_again_soon():
+    selector = make_selector()
+    selector.start(LOCAL)
+    refusal = Refusal(RefusalReason.DOWN, build_condition())
+    selector.finish(LOCAL, refusal, NOW)
+    search = build_search(on_time_at=Seconds(9), deadline=Seconds(9))
+    assert selector.decide(search, [LOCAL], Seconds(0.5)) is None
+    search = build_search(on_time_at=Seconds(9), deadline=Seconds(9))
+    assert selector.decide(search, [LOCAL], Seconds(1.0)) is not None
+
+
+def test_a_slow_server_is_avoided_by_its_reported_time():
+    selector = make_selector()
+    for server in (NEIGHBOUR, REGIONAL, REMOTE):
+        report(selector, server, service_time=Seconds(0.2))
+    report(selector, LOCAL, service_time=Seconds(1.5))
+    choice = selector.decide(build_search(), FLEET, NOW)
+    assert choice.server is NEIGHBOUR
--- a/egretlever/relay/_frames.py
+++ b/egretlever/relay/_frames.py
@@ -2,6 +2,7 @@
 
 import collections
 import struct
+import zlib
 from typing import Any
 
 import curio
@@ -17,6 +18,12 @@
 _READ_SIZE = 65536
 # Largest frame: the largest body that a client may send, with its head.
 _MAX_FRAME_BYTES = 72 << 20
+# Bytes between failure domains and regions are paid, and the heads of requests
+# and answers resemble one another. A window of 4 KiB holds several of them and
+# takes 28 KiB for each connection and direction.
+_WINDOW_BITS = -12  # negative for raw deflate without a checksum
+_MEMORY_LEVEL = 4
+_LEVEL = 6
 # Bytes that may wait to be sent; a peer that reads so slowly is given up.
 _MAX_WAITING_BYTES = 96 << 20
 
@@ -26,7 +33,7 @@
 
 
 class FrameStream:
-    """Sends and receives frames.
+    """Sends and receives frames, compressed as one stream.
 
     `post` only queues a frame, so that a task can withdraw its request while it
     is being cancelled; `write_forever` sends what was posted. The task that
@@ -45,6 +52,10 @@
 
     def __init__(self, sock: Any) -> None:
         self._sock = sock
+        self._packer = zlib.compressobj(
+            _LEVEL, zlib.DEFLATED, _WINDOW_BITS, _MEMORY_LEVEL
+        )
+        self._unpacker = zlib.decompressobj(_WINDOW_BITS)
         self._received = bytearray()
         self._posted: collections.deque[bytes] = collections.deque()
         self._posted_bytes = 0
@@ -74,7 +85,8 @@
         while not self._closed:
             await self._wake.wait()
             self._wake.clear()
-            data = b"".join(self._posted)
+            data = self._packer.compress(b"".join(self._posted))
+            data += self._packer.flush(zlib.Z_SYNC_FLUSH)
             self._posted.clear()
             try:
                 await self._sock.sendall(data)
@@ -110,7 +122,10 @@
             if not received:
                 return None
             self.heard_at = read_clock()
-            self._received += received
+            try:
+                self._received += self._unpacker.decompress(received)
+            except zlib.error as error:
+                raise FrameError(str(error)) from None
 
     async def shut_down(self) -> None:
         """End the connection under the tasks that read and write it."""
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -74,7 +74,7 @@
         """Return the condition that rides on the reply to an offer."""
         now = read_clock()
         return HomeCondition(
-            wait=self._queue.forecast_wait(offer.rank, now),
+            wait=self._queue.forecast_wait(offer.route, offer.rank, now),
             free_slots=self._queue.count_free(),
             trust=self._trust.describe(),
             service_time=self._queue.service_time_,
