Reject requests that come too late in a planned stop

Requests that come after 3 s are now rejected at once, and earlier ones end before the process does.

--- a/egretlever/core/_logs.py
+++ b/egretlever/core/_logs.py
@@ -1,6 +1,7 @@
-"""Log lines with a fixed prefix for each part."""
+"""Log lines with a fixed prefix, or with named fields, for each part."""
 
 from absl import logging
+from google.protobuf import json_format, message
 
 
 class Log:
@@ -17,22 +18,35 @@
     def __init__(self, prefix: str) -> None:
         self._prefix = prefix + ": "
 
-    def debug(self, message: str, *values: object) -> None:
+    def event(self, line: message.Message) -> None:
+        """Write a structured line at info level.
+
+        Parameters
+        ----------
+        line : Message
+            Line of ``logs.proto``; empty fields are left out.
+        """
+        fields = json_format.MessageToDict(
+            line, preserving_proto_field_name=True
+        )
+        logging.info({"part": self._prefix[:-2], **fields})
+
+    def debug(self, text: str, *values: object) -> None:
         """Write a line at debug level, formatted with %-style values."""
         if logging.vlog_is_on(1):
-            logging.debug(self._prefix + message, *values)
+            logging.debug(self._prefix + text, *values)
 
-    def info(self, message: str, *values: object) -> None:
+    def info(self, text: str, *values: object) -> None:
         """Write a line at info level, formatted with %-style values."""
-        logging.info(self._prefix + message, *values)
+        logging.info(self._prefix + text, *values)
 
-    def warning(self, message: str, *values: object) -> None:
+    def warning(self, text: str, *values: object) -> None:
         """Write a line at warning level, formatted with %-style values."""
-        logging.warning(self._prefix + message, *values)
+        logging.warning(self._prefix + text, *values)
 
-    def error(self, message: str, *values: object) -> None:
+    def error(self, text: str, *values: object) -> None:
         """Write a line at error level, formatted with %-style values."""
-        logging.error(self._prefix + message, *values)
+        logging.error(self._prefix + text, *values)
 
 
 def make_log(prefix: str) -> Log:
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -125,6 +125,8 @@
         self._budgets: dict[ServiceName, RepeatBudget] = {}
         self.directory = Directory()
         self.in_flight = 0
+        self._rejects_from: Seconds | None = None
+        self._ends_at: Seconds | None = None
         self.find_local: Callable[[], HomeServer | None] = lambda: None
 
     def configure(self, configuration: Configuration) -> bool:
@@ -162,6 +164,19 @@
         """Forget a server that left the directory."""
         self._selector.forget(server_id)
 
+    def stop(self, rejects_from: Seconds, ends_at: Seconds) -> None:
+        """Begin a planned stop.
+
+        Parameters
+        ----------
+        rejects_from : Seconds
+            Reading of the clock from which new requests are rejected.
+        ends_at : Seconds
+            Reading of the clock at which every request has its answer.
+        """
+        self._rejects_from = rejects_from
+        self._ends_at = ends_at
+
     async def handle(self, request: ClientRequest) -> ClientAnswer:
         """Serve one request of a client."""
         self.in_flight += 1
@@ -174,12 +189,12 @@
     async def _handle(self, request: ClientRequest) -> ClientAnswer:
         found = request.head.find(headers.REQUEST_ID)
         if self._routes is None:
-            return self._end(
-                Ending.NOT_READY,
-                found,
-                None,
-                make_rejection(found, "no configuration yet", Seconds(1.0)),
-            )
+            return self._reject(found, "no configuration yet", Seconds(1.0))
+        if (
+            self._rejects_from is not None
+            and request.received_at > self._rejects_from
+        ):
+            return self._reject(found, "the node stops", Seconds(0.0))
         route = self._routes.match(
             request.head.find(b"host") or "", request.head.path
         )
@@ -196,6 +211,12 @@
         except curio.TaskTimeout:
             return self._time_out(task)
 
+    def _reject(
+        self, request_id: str | None, text: str, wait: Seconds
+    ) -> ClientAnswer:
+        answer = make_rejection(request_id, text, wait)
+        return self._end(Ending.NOT_READY, request_id, None, answer)
+
     def _make_task(
         self, request: ClientRequest, request_id: RequestId, route: Route
     ) -> _Task:
@@ -206,6 +227,8 @@
         if text is not None and text.strip().isdecimal():
             limit = Seconds(min(limit, int(text) / 1000))
         deadline = Seconds(begun + limit)
+        if self._ends_at is not None:
+            deadline = min(deadline, self._ends_at)
         service = self._routes.choose_service(route)
         budget = self._budget(service)
         budget.observe(begun)
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -38,6 +38,7 @@
     RequestHead,
     accept_connections,
     open_listener,
+    read_clock,
     serve_requests,
 )
 
@@ -47,9 +48,11 @@
 _RESTART_PAUSE = 0.5  # seconds before a failed part runs again
 # Clients learn within two missed readiness checks, one a second, that the node
 # leaves. Until then they open connections, which are served.
-_LEAVE_TIME = Seconds(3.2)
+_LEAVE_TIME = Seconds(3.0)
 # Time kept before SIGKILL for the process to end by itself.
 _END_MARGIN = Seconds(0.4)
+# Time for the last answers to reach their clients.
+_ANSWER_MARGIN = Seconds(0.15)
 _IDLE_CHECK = 0.05  # seconds
 
 
@@ -223,14 +226,17 @@
         _LOG.info("Node %s stops.", self._settings.identity.node)
         self._stopping = True
         self._home.stopping = True
-        grace = self._bounds.grace - _END_MARGIN
-        await curio.sleep(min(_LEAVE_TIME, grace))
-        left = grace - _LEAVE_TIME
-        while left > 0 and (
+        now = read_clock()
+        ends_at = Seconds(now + self._bounds.grace - _END_MARGIN)
+        leaves_at = min(Seconds(now + _LEAVE_TIME), ends_at)
+        # A request that comes after clients have been told could not be
+        # finished, so it is rejected while "not run" is still true.
+        self._entry.stop(leaves_at, Seconds(ends_at - _ANSWER_MARGIN))
+        await curio.sleep(leaves_at - now)
+        while read_clock() < ends_at and (
             self._entry.in_flight or self._home.jobs.count_running()
         ):
             await curio.sleep(_IDLE_CHECK)
-            left -= _IDLE_CHECK
         await self._links.close()
         await self._home.close()
         await self._ended.set()
