Let late requests take only slots that no other wants, and end waits early

Each queue accepted whatever could still be answered before its deadline, first come, first served, so that in overload nearly all answers were late.

--- a/egretlever/home/_slots.py
+++ b/egretlever/home/_slots.py
@@ -22,6 +22,10 @@
 # waits for the rest of a long one, which can be more than its own objective.
 _LONG_FACTOR = 2.0
 _URGENT_SEEN = 3.0
+# A forecast errs by the tail of work times, so a request may wait for this
+# many times its longest wait, and this many seconds, before it is dropped.
+_PATIENCE = 1.5
+_MIN_PATIENCE = 0.05
 # A request that has run for its mean time still needs a part of it: work times
 # have a long tail.
 _REST_SHARE = 0.3
@@ -43,6 +47,8 @@
         Reading of the clock after which the answer is useless.
     max_wait : Seconds
         Longest acceptable wait.
+    late : bool
+        Its answer can't be on time any more.
     """
 
     request_id: RequestId
@@ -50,6 +56,18 @@
     rank: int
     deadline: Seconds
     max_wait: Seconds
+    late: bool = False
+
+
+@dataclasses.dataclass(order=True, frozen=True, slots=True)
+class _Waiting:
+    """A waiting request, in the order in which slots are given."""
+
+    late: bool
+    rank: int
+    arrival: int
+    ticket: SlotTicket = dataclasses.field(compare=False)
+    since: Seconds = dataclasses.field(compare=False)
 
 
 class SlotQueue:
@@ -60,6 +78,8 @@
     that would wait too long is refused at once, so that its entry node can
     place it elsewhere. Urgent requests overtake waiting ones of lower ranks,
     and find a slot that a flood of long requests of lower ranks leaves free.
+    Requests that can't be on time any more take slots that no other wants: in
+    a lasting overload of first come, first served, all answers would be late.
 
     Parameters
     ----------
@@ -94,7 +114,7 @@
         self._slots = slots
         self._times: dict[RouteId, Seconds] = {}
         self._running: dict[RequestId, tuple[SlotTicket, Seconds]] = {}
-        self._waiting: list[tuple[int, int, SlotTicket]] = []
+        self._waiting: list[_Waiting] = []
         self._seen: dict[int, tuple[Seconds, RouteId]] = {}
         self._arrivals = 0
         self.service_time_ = FIRST_ESTIMATE
@@ -133,18 +153,20 @@
                 return self._slots - 1
         return self._slots
 
-    def forecast_wait(self, route: RouteId, rank: int, now: Seconds) -> Seconds:
+    def forecast_wait(
+        self, route: RouteId, rank: int, now: Seconds, late: bool = False
+    ) -> Seconds:
         """Forecast how long a request would wait for a slot."""
         ends = sorted(self._forecast_ends(now))
         usable = self._count_usable(route, rank, now)
         while len(ends) < usable:
             ends.insert(0, 0.0)
         ends = ends[-usable:]
-        for other, _, ticket in self._waiting:
-            if other > rank:
+        for other in self._waiting:
+            if (other.late, other.rank) > (late, rank):
                 break
             first = ends.pop(0)
-            bisect.insort(ends, first + self.estimate(ticket.route))
+            bisect.insort(ends, first + self.estimate(other.ticket.route))
         return Seconds(ends[0])
 
     def _forecast_ends(self, now: Seconds) -> list[float]:
@@ -161,12 +183,15 @@
         its deadline, since a slot spent on it would serve nobody.
         """
         self._seen[ticket.rank] = (now, ticket.route)
-        wait = self.forecast_wait(ticket.route, ticket.rank, now)
-        late = now + wait + self.estimate(ticket.route) > ticket.deadline
-        if wait > 0 and (wait > ticket.max_wait or late):
+        wait = self.forecast_wait(ticket.route, ticket.rank, now, ticket.late)
+        useless = now + wait + self.estimate(ticket.route) > ticket.deadline
+        if wait > 0 and (wait > ticket.max_wait or useless):
             return False
         self._arrivals += 1
-        bisect.insort(self._waiting, (ticket.rank, self._arrivals, ticket))
+        waiting = _Waiting(
+            ticket.late, ticket.rank, self._arrivals, ticket, now
+        )
+        bisect.insort(self._waiting, waiting)
         return True
 
     def start_ready(self, now: Seconds) -> list[SlotTicket]:
@@ -175,7 +200,7 @@
         for entry in list(self._waiting):
             if len(self._running) >= self._slots:
                 break
-            ticket = entry[2]
+            ticket = entry.ticket
             usable = self._count_usable(ticket.route, ticket.rank, now)
             if len(self._running) < usable:
                 self._waiting.remove(entry)
@@ -184,26 +209,35 @@
         return started
 
     def expire(self, now: Seconds) -> list[SlotTicket]:
-        """Drop and return the waiting requests that can't be answered in time.
+        """Drop and return the requests that have waited long enough.
 
-        A request is dropped when less than half of its mean time is left: few
-        answers take less than that.
+        A request is dropped when less than half of its mean time is left,
+        since few answers take less than that, and when it has waited for much
+        longer than it may: others have overtaken it, and its client can still
+        be served elsewhere or told.
         """
         expired = [
-            ticket
-            for _, _, ticket in self._waiting
-            if now + 0.5 * self.estimate(ticket.route) > ticket.deadline
+            waiting.ticket
+            for waiting in self._waiting
+            if self._is_expired(waiting, now)
         ]
         for ticket in expired:
             self.withdraw(ticket.request_id)
         return expired
 
+    def _is_expired(self, waiting: _Waiting, now: Seconds) -> bool:
+        ticket = waiting.ticket
+        if now + 0.5 * self.estimate(ticket.route) > ticket.deadline:
+            return True
+        patience = _PATIENCE * ticket.max_wait + _MIN_PATIENCE
+        return now - waiting.since > patience
+
     def withdraw(self, request_id: RequestId) -> None:
         """Forget a waiting request."""
         self._waiting = [
-            entry
-            for entry in self._waiting
-            if entry[2].request_id != request_id
+            waiting
+            for waiting in self._waiting
+            if waiting.ticket.request_id != request_id
         ]
 
     def finish(
--- a/egretlever/home/tests/test_slots.py
+++ b/egretlever/home/tests/test_slots.py
@@ -65,6 +65,24 @@
     assert queue.service_time_ > 3 * before
 
 
+def test_late_requests_take_slots_that_no_other_wants():
+    queue = SlotQueue(1)
+    fill(queue, 1)
+    queue.offer(build_slot_ticket("late", rank=0, late=True), NOW)
+    queue.offer(build_slot_ticket("on-time", rank=1), NOW)
+    queue.finish("busy-0", Seconds(0.1))
+    started = queue.start_ready(Seconds(0.1))
+    assert [ticket.request_id for ticket in started] == ["on-time"]
+
+
+def test_a_request_that_was_overtaken_for_too_long_is_dropped():
+    queue = SlotQueue(1)
+    fill(queue, 1)
+    queue.offer(build_slot_ticket("r", max_wait=Seconds(0.3)), NOW)
+    assert queue.expire(Seconds(0.4)) == []
+    assert len(queue.expire(Seconds(0.6))) == 1
+
+
 def learn(queue, route, rank, time):
     for number in range(20):
         ticket = build_slot_ticket(f"{route}-{number}", route=route, rank=rank)
--- a/egretlever/placement/_records.py
+++ b/egretlever/placement/_records.py
@@ -239,6 +239,8 @@
         Sent again because the connection between the nodes was lost.
     careful : bool
         Not to be used as a trial of a doubted server: it has failed once.
+    late : bool
+        Its answer can't be on time any more.
     """
 
     request_id: RequestId
@@ -256,6 +258,7 @@
     forced: bool = False
     resumed: bool = False
     careful: bool = False
+    late: bool = False
 
     @property
     def may_test(self) -> bool:
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -40,6 +40,13 @@
     Distance.OWN_REGION: 0.6,
     Distance.OTHER_REGION: 0.7,
 }
+# Part of the time left that a request may wait when it can't be on time any
+# more. A request that is held for long and then rejected is worse off than one
+# that is rejected at once.
+_LATE_WAIT_SHARE = 0.3
+# Ranks from this one on do not cross to the other region to be on time: the
+# bytes of that link are dear, and such requests have time to wait.
+_FIRST_PATIENT_RANK = 2
 # One exchange of messages, in seconds, on top of the time at the home node.
 _ROUND_TRIPS = {
     Distance.OWN_DOMAIN: 0.001,
@@ -77,6 +84,8 @@
 
     Parameters
     ----------
+    rank : int
+        Priority, 0 for the most urgent.
     may_test : bool
         Whether the request may be the trial of a doubted server.
     on_time_at : Seconds
@@ -95,6 +104,7 @@
         Offers made in this stage.
     """
 
+    rank: int
     may_test: bool
     on_time_at: Seconds
     deadline: Seconds
@@ -117,6 +127,8 @@
         Longest wait for a slot that the request can bear there.
     forced : bool
         Whether doubt about the server must not keep the request out.
+    late : bool
+        Whether the answer can't be on time any more.
     reason : str
         Why it was chosen, for the log.
     """
@@ -124,6 +136,7 @@
     server: HomeServer
     max_wait: Seconds
     forced: bool
+    late: bool
     reason: str
 
 
@@ -252,7 +265,10 @@
         for distance, share in _WAIT_SHARES.items():
             spare = search.on_time_at - now - search.service_time
             allowed = Seconds(share * (spare - _ROUND_TRIPS[distance]))
-            if allowed < 0:
+            if allowed < 0 or (
+                distance is Distance.OTHER_REGION
+                and search.rank >= _FIRST_PATIENT_RANK
+            ):
                 continue
             near = [
                 server
@@ -262,7 +278,7 @@
             found = self._compare(near, usual, now)
             if found is not None and found[1] <= allowed:
                 return HomeChoice(
-                    found[0], allowed, False, distance.name.lower()
+                    found[0], allowed, False, False, distance.name.lower()
                 )
         return None
 
@@ -273,7 +289,8 @@
         usual: Seconds,
         now: Seconds,
     ) -> HomeChoice | None:
-        spare = Seconds(search.deadline - now - search.service_time)
+        spare = search.deadline - now - search.service_time
+        allowed = Seconds(_LATE_WAIT_SHARE * spare)
         if not servers or spare <= 0:
             return None
         server = min(
@@ -284,8 +301,11 @@
                 + _ROUND_TRIPS[self.measure_distance(server)],
             ),
         )
+        if self._estimate_cost(server, usual, now) > allowed:
+            return None
         forced = search.stage is Stage.FORCED
-        return HomeChoice(server, spare, forced, search.stage.value)
+        late = now + search.service_time > search.on_time_at or not forced
+        return HomeChoice(server, allowed, forced, late, search.stage.value)
 
     def _compare(
         self, servers: list[HomeServer], usual: Seconds, now: Seconds
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -84,6 +84,7 @@
             forced=offer.forced,
             resumed=offer.resumed,
             careful=offer.careful,
+            late=offer.late,
         )
     )
 
@@ -106,6 +107,7 @@
         forced=offer.forced,
         resumed=offer.resumed,
         careful=offer.careful,
+        late=offer.late,
     )
 
 
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -239,6 +239,7 @@
             and budget.has_room(begun, self._count_nodes())
         )
         search = Search(
+            rank=route.rank,
             may_test=may_test,
             on_time_at=Seconds(min(deadline, begun + route.objective)),
             deadline=Seconds(deadline - _RETURN_TIME),
@@ -326,6 +327,7 @@
             caller_service=self._service,
             forced=choice.forced,
             careful=not task.search.may_test,
+            late=choice.late,
         )
         self._selector.start(choice.server)
         reply: Reply | None = None
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -74,7 +74,9 @@
         """Return the condition that rides on the reply to an offer."""
         now = read_clock()
         return HomeCondition(
-            wait=self._queue.forecast_wait(offer.route, offer.rank, now),
+            wait=self._queue.forecast_wait(
+                offer.route, offer.rank, now, offer.late
+            ),
             free_slots=self._queue.count_free(),
             trust=self._trust.describe(),
             service_time=self._queue.service_time_,
@@ -106,7 +108,8 @@
             offer.route,
             offer.rank,
             job.deadline,
-            Seconds(offer.max_wait),
+            offer.max_wait,
+            offer.late,
         )
         if not self._queue.offer(ticket, now):
             return self._refuse(RefusalReason.BUSY, offer)
--- a/egretlever/testing/relay_builders.py
+++ b/egretlever/testing/relay_builders.py
@@ -177,6 +177,7 @@
 def build_search(**changes: Any) -> Search:
     """Build the search for an order that begins at time 0."""
     search = Search(
+        rank=1,
         may_test=False,
         on_time_at=Seconds(1.2),
         deadline=Seconds(4.0),
