Write structured log lines that name each decision's inputs, without blocking

Each line is a JSON object whose fields stand in logs.proto. In a flood whole requests are sampled by a hash of their ids, and lines that standard output does not take are dropped and counted.

--- a/egretlever/placement/_records.py
+++ b/egretlever/placement/_records.py
@@ -287,6 +287,11 @@
     body: bytes
     condition: HomeCondition
 
+    @property
+    def name(self) -> str:
+        """Short name of the reply, for logs and metrics."""
+        return f"answer-{self.status}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
@@ -295,6 +300,11 @@
     reason: RefusalReason
     condition: HomeCondition | None = None
 
+    @property
+    def name(self) -> str:
+        """Short name of the reply, for logs and metrics."""
+        return self.reason.value
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
@@ -303,5 +313,10 @@
     reason: FailureReason
     condition: HomeCondition | None = None
 
+    @property
+    def name(self) -> str:
+        """Short name of the reply, for logs and metrics."""
+        return self.reason.value
+
 
 Reply = Answer | Refusal | Failure
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -131,6 +131,12 @@
         Whether the answer can't be on time any more.
     reason : str
         Why it was chosen, for the log.
+    wait : Seconds
+        Expected wait and slowness, by which it was compared.
+    trust : Trust
+        What its last report said of the server.
+    view_age : Seconds or None
+        Age of that report, None without one.
     """
 
     server: HomeServer
@@ -138,6 +144,9 @@
     forced: bool
     late: bool
     reason: str
+    wait: Seconds
+    trust: Trust
+    view_age: Seconds | None
 
 
 class HomeSelector:
@@ -277,8 +286,16 @@
             ]
             found = self._compare(near, usual, now)
             if found is not None and found[1] <= allowed:
+                view = self._view(found[0])
                 return HomeChoice(
-                    found[0], allowed, False, False, distance.name.lower()
+                    server=found[0],
+                    max_wait=allowed,
+                    forced=False,
+                    late=False,
+                    reason=distance.name.lower(),
+                    wait=found[1],
+                    trust=view.describe_trust(now),
+                    view_age=view.measure_age(now),
                 )
         return None
 
@@ -301,11 +318,22 @@
                 + _ROUND_TRIPS[self.measure_distance(server)],
             ),
         )
-        if self._estimate_cost(server, usual, now) > allowed:
+        cost = Seconds(self._estimate_cost(server, usual, now))
+        if cost > allowed:
             return None
         forced = search.stage is Stage.FORCED
         late = now + search.service_time > search.on_time_at or not forced
-        return HomeChoice(server, allowed, forced, late, search.stage.value)
+        view = self._view(server)
+        return HomeChoice(
+            server=server,
+            max_wait=allowed,
+            forced=forced,
+            late=late,
+            reason=search.stage.value,
+            wait=cost,
+            trust=view.describe_trust(now),
+            view_age=view.measure_age(now),
+        )
 
     def _compare(
         self, servers: list[HomeServer], usual: Seconds, now: Seconds
--- a/egretlever/placement/_views.py
+++ b/egretlever/placement/_views.py
@@ -106,6 +106,10 @@
             return Seconds(0.0)
         return Seconds(self._report.service_time - service_time)
 
+    def measure_age(self, now: Seconds) -> Seconds | None:
+        """Return the age of the last report, None without one."""
+        return None if self._report is None else Seconds(now - self._at)
+
     @property
     def service_time(self) -> Seconds | None:
         """Mean time at the server by the last report."""
--- a/egretlever/programs/_common.py
+++ b/egretlever/programs/_common.py
@@ -1,7 +1,9 @@
 """Options, settings and signals that all programs share."""
 
+import atexit
 import logging as plain_logging
 import pathlib
+import sys
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Annotated, Any, NoReturn, TypeVar
 
@@ -9,11 +11,13 @@
 import typer
 from absl import flags, logging
 from google.protobuf import message
+from pythonjsonlogger.json import JsonFormatter
 from returns.pipeline import is_successful
 
 import egretlever
 from egretlever.core import Finding
 from egretlever.programs._log_buffer import buffer_log
+from egretlever.programs._log_output import LogOutput
 from egretlever.programs._signals import RELOAD_SIGNAL, catch_signals
 from egretlever.settings import read_settings
 
@@ -124,10 +128,33 @@
     logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
 
 
+def start_structured_logging(verbose: bool) -> LogOutput:
+    """Write log lines as JSON objects to standard output, without blocking.
+
+    Returns
+    -------
+    LogOutput
+        Output of the lines; `LogOutput.drain_forever` has to run on the loop.
+    """
+    start_logging(verbose)
+    output = LogOutput(sys.stdout.fileno())
+    handler = logging.get_absl_handler()
+    handler.python_handler.setStream(output)
+    handler.setFormatter(
+        JsonFormatter(
+            ["asctime", "levelname", "message"],
+            rename_fields={"asctime": "time", "levelname": "level"},
+        )
+    )
+    atexit.register(output.drain)
+    return output
+
+
 def run_until_signal(
     main: Callable[[], Awaitable[Any]],
     stop: Callable[[], Awaitable[Any]],
     reload: Callable[[], Awaitable[Any]] | None = None,
+    output: LogOutput | None = None,
 ) -> None:
     """Run a coroutine on one loop, with a planned stop on SIGTERM or SIGINT.
 
@@ -141,7 +168,12 @@
         Coroutine function that begins the planned stop. It is called once.
     reload : callable, optional
         Coroutine function that reads the settings again.
+    output : LogOutput, optional
+        Output of structured log lines; without it the lines are buffered.
     """
+    drain = (
+        buffer_log().drain_forever if output is None else output.drain_forever
+    )
 
     async def run() -> OSError | None:
         async with catch_signals() as wait_for_signal:
@@ -153,7 +185,7 @@
                 await stop()
 
             watcher = await curio.spawn(watch, daemon=True)
-            await curio.spawn(buffer_log().drain_forever, daemon=True)
+            await curio.spawn(drain, daemon=True)
             try:
                 await main()
             except OSError as error:
--- a/egretlever/programs/relay.py
+++ b/egretlever/programs/relay.py
@@ -86,7 +86,7 @@
     """
     path = _find_file(file)
     settings, bounds = _load(path)
-    _common.start_logging(verbose)
+    output = _common.start_structured_logging(verbose)
     node = make_relay_node(settings, bounds)
 
     async def reload() -> None:
@@ -114,7 +114,7 @@
         finally:
             await watcher.cancel()
 
-    _common.run_until_signal(main_task, node.stop, reload)
+    _common.run_until_signal(main_task, node.stop, reload, output)
 
 
 def main() -> None:
--- a/egretlever/relay/_announcements.py
+++ b/egretlever/relay/_announcements.py
@@ -5,7 +5,7 @@
 from returns.result import Failure
 
 from egretlever.core import make_log
-from egretlever.home import HeartbeatEffect
+from egretlever.home import Heartbeat, HeartbeatEffect
 from egretlever.platform import (
     decode_departure,
     decode_heartbeat,
@@ -13,6 +13,7 @@
 )
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._home import HomeNode
+from egretlever.schema import logs_pb2
 from egretlever.transport import Answer, RequestHead, read_clock
 
 _LOG = make_log("home")
@@ -69,16 +70,18 @@
         metrics.HEARTBEATS.labels(effect.value).inc()
         if effect in _CHANGES:
             self._home.renew()
-            server = self._home.local.current
-            _LOG.info(
-                "Server %s: %s, %s.",
-                server_id,
-                effect.value,
-                "gone"
-                if server is None
-                else "draining"
-                if server.draining
-                else "serving",
+            _LOG.event(
+                logs_pb2.StateLine(
+                    event=f"server-{effect.value}",
+                    subject=server_id,
+                    outcome=_describe(self._home.local.current),
+                )
             )
             await self._notify()
         return _ACKNOWLEDGED
+
+
+def _describe(server: Heartbeat | None) -> str:
+    if server is None:
+        return "gone"
+    return "draining" if server.draining else "serving"
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -46,6 +46,8 @@
     make_own_answer,
     make_rejection,
 )
+from egretlever.relay._sampling import RequestSampler
+from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock, remove_hop_by_hop
 
 _LOG = make_log("entry")
@@ -125,6 +127,7 @@
         self._budgets: dict[ServiceName, RepeatBudget] = {}
         self.directory = Directory()
         self.in_flight = 0
+        self._sampler = RequestSampler()
         self._rejects_from: Seconds | None = None
         self._ends_at: Seconds | None = None
         self.find_local: Callable[[], HomeServer | None] = lambda: None
@@ -200,10 +203,10 @@
         )
         if route is None:
             answer = make_own_answer(404, found, "no route")
-            return self._end(Ending.NO_ROUTE, found, None, answer)
+            return self._end(Ending.NO_ROUTE, found, None, answer, "no route")
         if not found:
             answer = make_own_answer(400, None, "the request has no id")
-            return self._end(Ending.MALFORMED, found, route, answer)
+            return self._end(Ending.MALFORMED, found, None, answer, "no id")
         task = self._make_task(request, RequestId(found), route)
         try:
             async with curio.timeout_after(task.deadline - read_clock()):
@@ -215,7 +218,7 @@
         self, request_id: str | None, text: str, wait: Seconds
     ) -> ClientAnswer:
         answer = make_rejection(request_id, text, wait)
-        return self._end(Ending.NOT_READY, request_id, None, answer)
+        return self._end(Ending.NOT_READY, request_id, None, answer, text)
 
     def _make_task(
         self, request: ClientRequest, request_id: RequestId, route: Route
@@ -276,7 +279,7 @@
             if isinstance(reply, Answer) and not is_failed(reply):
                 self._learn(task.route.id, reply.condition.route_time)
                 return self._end(
-                    Ending.ANSWERED, task.id, task.route, make_answer(reply)
+                    Ending.ANSWERED, task.id, task, make_answer(reply)
                 )
             arrivals = task.history.arrivals
             task.history.observe(reply)
@@ -338,7 +341,7 @@
                 reply = await self._links.offer(choice.server.relay, offer)
         finally:
             self._selector.finish(choice.server, reply, read_clock())
-        metrics.OFFERS.labels(_name_reply(reply)).inc()
+        metrics.OFFERS.labels(reply.name).inc()
         return reply
 
     def _learn(self, route: RouteId, time: Seconds) -> None:
@@ -348,60 +351,81 @@
     def _log_reply(
         self, task: _Task, choice: HomeChoice, reply: Reply, took: Seconds
     ) -> None:
-        _LOG.info(
-            "%s offered to %s (%s, wait up to %.3f s): %s after %.3f s.",
-            task.id,
-            choice.server.id,
-            choice.reason,
-            choice.max_wait,
-            _name_reply(reply),
-            took,
+        if not self._sampler.decide(task.id, read_clock()):
+            return
+        _LOG.event(
+            logs_pb2.RequestLine(
+                event="offered",
+                request=task.id,
+                route=task.route.id,
+                service=task.service,
+                server=choice.server.id,
+                rank=task.route.rank,
+                offers=task.search.offers,
+                attempts=task.history.arrivals,
+                reason=choice.reason,
+                max_wait_s=round(choice.max_wait, 4),
+                time_left_s=round(task.deadline - read_clock(), 4),
+                wait_s=round(choice.wait, 4),
+                trust=choice.trust.value,
+                view_age_s=round(choice.view_age or 0.0, 3),
+                directory=str(self.directory.version),
+                outcome=reply.name,
+                took_s=round(took, 4),
+            )
         )
 
     def _give_up(self, task: _Task, stop: Stop) -> ClientAnswer:
         """Answer a request that no server will be sent any more."""
         history = task.history
-        _LOG.info(
-            "%s is given up (%s) after %d attempts.",
-            task.id,
-            stop.value,
-            history.arrivals,
-        )
-        reason = history.reason.value if history.reason else "no-server"
+        cause = history.reason.value if history.reason else "no-server"
+        reason = f"{stop.value}: {cause}"
         if history.failed_answer is not None:
             answer = make_answer(history.failed_answer)
-            return self._end(Ending.ANSWERED, task.id, task.route, answer)
+            return self._end(Ending.ANSWERED, task.id, task, answer, reason)
         if history.may_have_run:
-            answer = make_own_answer(502, task.id, f"outcome unknown: {reason}")
-            return self._end(Ending.UNKNOWN, task.id, task.route, answer)
+            answer = make_own_answer(502, task.id, f"outcome unknown: {cause}")
+            return self._end(Ending.UNKNOWN, task.id, task, answer, reason)
         answer = make_rejection(
-            task.id, f"not run: {reason}", task.search.service_time
+            task.id, f"not run: {cause}", task.search.service_time
         )
-        return self._end(Ending.REJECTED, task.id, task.route, answer)
+        return self._end(Ending.REJECTED, task.id, task, answer, reason)
 
     def _time_out(self, task: _Task) -> ClientAnswer:
         answer = make_own_answer(504, task.id, "no answer in time")
-        return self._end(Ending.TIMED_OUT, task.id, task.route, answer)
+        reason = task.history.reason.value if task.history.reason else ""
+        return self._end(Ending.TIMED_OUT, task.id, task, answer, reason)
 
     def _end(
         self,
         ending: Ending,
         request_id: str | None,
-        route: Route | None,
+        task: _Task | None,
         answer: ClientAnswer,
+        reason: str = "",
     ) -> ClientAnswer:
+        """Count and log how a request ended, and return its answer."""
         metrics.REQUESTS.labels(ending.value, str(answer.status)).inc()
-        _LOG.info(
-            "%s ended %s with %d on route %s.",
-            request_id,
-            ending.value,
-            answer.status,
-            None if route is None else route.id,
+        now = read_clock()
+        if not self._sampler.decide(RequestId(request_id or ""), now):
+            return answer
+        version = ""
+        if self._routes is not None:
+            version = f"{self._routes.configuration.version:08x}"
+        line = logs_pb2.RequestLine(
+            event="ended",
+            request=request_id or "",
+            outcome=ending.value,
+            reason=reason,
+            status=answer.status,
+            configuration=version,
         )
+        if task is not None:
+            line.route = task.route.id
+            line.service = task.service
+            line.rank = task.route.rank
+            line.attempts = task.history.arrivals
+            line.time_left_s = round(task.deadline - now, 4)
+            line.took_s = round(now - task.request.received_at, 4)
+        _LOG.event(line)
         return answer
-
-
-def _name_reply(reply: Reply) -> str:
-    if isinstance(reply, Answer):
-        return f"answer-{reply.status}"
-    return reply.reason.value
--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -20,6 +20,7 @@
 )
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._codec import decode_row, encode_row
+from egretlever.schema import logs_pb2
 
 _LOG = make_log("store")
 SERVER_TABLE = "egretlever-servers"
@@ -35,6 +36,16 @@
 _MAX_PAUSE = Seconds(1.5)
 
 
+def _log_state(
+    event: str, subject: str, version: str = "", reason: str = ""
+) -> None:
+    _LOG.event(
+        logs_pb2.StateLine(
+            event=event, subject=subject, version=version, reason=reason
+        )
+    )
+
+
 class _Pauses:
     """Waits between failed calls, with full jitter."""
 
@@ -137,18 +148,16 @@
         self._pauses.reset()
         if self._failing:
             self._failing = False
-            _LOG.info("Table %s is followed again.", self._table)
+            _log_state("store-regained", self._table)
 
     async def _handle_failure(self, call: str, error: StoreError) -> None:
         metrics.STORE_CALLS.labels(call, error.kind.value).inc()
         if error.kind is StoreErrorKind.HISTORY_LOST:
-            _LOG.info("The history of table %s is gone.", self._table)
+            _log_state("history-lost", self._table)
             self._version = None
         elif not self._failing:
             self._failing = True
-            _LOG.warning(
-                "Table %s can't be followed: %s.", self._table, error.message
-            )
+            _log_state("store-lost", self._table, reason=error.message)
         await self._pauses.wait()
 
 
@@ -186,15 +195,15 @@
     if isinstance(result, Failure):
         # The version before it stays in force.
         for finding in result.failure():
-            _LOG.error("The configuration is refused: %s.", finding)
+            _log_state("configuration-refused", row.key, reason=str(finding))
         return
     configuration = result.unwrap()
     if configure(configuration):
         metrics.CONFIGURATION_VERSION.set(configuration.version)
-        _LOG.info(
-            "Configuration %08x is in force, with %d routes.",
-            configuration.version,
-            len(configuration.routes),
+        _log_state(
+            "configuration-in-force",
+            row.key,
+            version=f"{configuration.version:08x}",
         )
 
 
@@ -233,17 +242,11 @@
                 server_id = ServerId(row.key)
                 if directory.remove(server_id, row.version):
                     forget(server_id)
-                    _LOG.info("Server %s has left the directory.", row.key)
+                    _log_state("server-removed", row.key, str(row.version))
                 continue
             server = _decode(row)
             if server is not None and directory.update(server, row.version):
-                _LOG.info(
-                    "Server %s of %s is at %s, version %d.",
-                    server.id,
-                    server.service,
-                    server.relay,
-                    row.version,
-                )
+                _log_state("server-known", server.id, str(row.version))
         metrics.SERVERS.set(len(directory))
 
     return TableFollower(
@@ -255,7 +258,7 @@
     result = decode_row(row.value)
     if isinstance(result, Success):
         return result.unwrap()
-    _LOG.warning("Row %s can't be decoded: %s.", row.key, result.failure())
+    _log_state("row-refused", row.key, reason=result.failure())
     return None
 
 
@@ -336,9 +339,10 @@
         kind = "done" if isinstance(result, Success) else "failed"
         metrics.STORE_CALLS.labels("write", kind).inc()
         if isinstance(result, Failure):
-            _LOG.warning("Row of %s: %s.", other.id, result.failure().message)
+            message = result.failure().message
+            _log_state("row-not-removed", other.id, reason=message)
             return result.failure().kind is StoreErrorKind.REFUSED_CONDITION
-        _LOG.info("Row of server %s, which has left, is removed.", other.id)
+        _log_state("row-removed", other.id, str(result.unwrap()))
         self._directory.remove(other.id, result.unwrap())
         return True
 
@@ -358,16 +362,12 @@
         if isinstance(result, Success):
             metrics.STORE_CALLS.labels("write", "done").inc()
             self._written, self._version = wanted, result.unwrap()
-            _LOG.info(
-                "Row of server %s is %s, version %d.",
-                named.id,
-                "removed" if wanted is None else "written",
-                self._version,
-            )
+            event = "row-removed" if wanted is None else "row-written"
+            _log_state(event, named.id, str(self._version))
             return True
         error = result.failure()
         metrics.STORE_CALLS.labels("write", error.kind.value).inc()
-        _LOG.warning("Row of %s: %s.", named.id, error.message)
+        _log_state("row-not-written", named.id, reason=error.message)
         if error.kind is not StoreErrorKind.UNAVAILABLE:
             await self._reread(named)
         return False
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -23,7 +23,9 @@
     Trust,
 )
 from egretlever.relay._jobs import Job, JobTable
+from egretlever.relay._sampling import RequestSampler
 from egretlever.relay._server_client import ServerClient, ServerResult
+from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock
 
 _LOG = make_log("home")
@@ -49,7 +51,7 @@
 
     def __init__(self) -> None:
         self.local = LocalServer()
-        self.jobs = JobTable(self._run)
+        self.jobs = JobTable(self._work)
         self.stopping = False
         self._queue = SlotQueue(1)
         self._trust = ServerTrust()
@@ -57,6 +59,7 @@
         self._turns: dict[RequestId, curio.Event] = {}
         self._expired: set[RequestId] = set()
         self._key: tuple[str, int] | None = None
+        self._sampler = RequestSampler()
 
     def renew(self) -> None:
         """Take over the newest heartbeat of the server."""
@@ -83,6 +86,34 @@
             route_time=self._queue.estimate(offer.route),
         )
 
+    async def _work(self, job: Job) -> Reply:
+        begun = read_clock()
+        reply = await self._run(job)
+        now = read_clock()
+        if self._sampler.decide(job.offer.request_id, now):
+            self._log(job, reply, Seconds(now - begun))
+        return reply
+
+    def _log(self, job: Job, reply: Reply, took: Seconds) -> None:
+        server = self.local.current
+        condition = reply.condition or HomeCondition()
+        _LOG.event(
+            logs_pb2.RequestLine(
+                event="ran" if job.dispatched else "refused",
+                request=job.offer.request_id,
+                route=job.offer.route,
+                server="" if server is None else server.id,
+                rank=job.offer.rank,
+                outcome=reply.name,
+                max_wait_s=round(job.offer.max_wait, 4),
+                time_left_s=round(job.deadline - read_clock(), 4),
+                wait_s=round(condition.wait, 4),
+                free_slots=condition.free_slots,
+                trust=condition.trust.value,
+                took_s=round(took, 4),
+            )
+        )
+
     def _refuse(self, reason: RefusalReason, offer: Offer) -> Refusal:
         return Refusal(reason, self.describe(offer))
 
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -31,7 +31,7 @@
 )
 from egretlever.relay._home import HomeNode
 from egretlever.relay._links import LinkPool
-from egretlever.schema import settings_pb2
+from egretlever.schema import logs_pb2, settings_pb2
 from egretlever.settings import parse_address
 from egretlever.transport import (
     Answer,
@@ -147,16 +147,21 @@
             (self._home.maintain_forever, ()),
             (self._links.expire_forever, ()),
         ]
-        _LOG.info(
-            "Node %s starts; clients at %s, nodes at %s.",
-            self._settings.identity.node,
-            listen.clients,
-            self._relay,
-        )
+        self._log("start", address=str(self._relay))
         for part, values in parts:
             await curio.spawn(self._keep_running, part, values, daemon=True)
         await self._ended.wait()
-        _LOG.info("Node %s has stopped.", self._settings.identity.node)
+        self._log("stopped")
+
+    def _log(self, event: str, reason: str = "", address: str = "") -> None:
+        _LOG.event(
+            logs_pb2.StateLine(
+                event=event,
+                subject=self._settings.identity.node,
+                reason=reason,
+                address=address,
+            )
+        )
 
     async def _keep_running(
         self, part: Callable[..., Awaitable[Any]], values: tuple[Any, ...]
@@ -215,15 +220,12 @@
             and getattr(settings, section.name)
             != getattr(self._settings, section.name)
         ]
-        _LOG.info(
-            "Settings are read again; sections that change at the next"
-            " start: %s.",
-            ", ".join(kept) or "none",
-        )
+        # Addresses and names are taken at the next start.
+        self._log("reload", reason=f"waiting: {', '.join(kept) or 'none'}")
 
     async def stop(self) -> None:
         """Stop in a planned way; requests that were read are finished."""
-        _LOG.info("Node %s stops.", self._settings.identity.node)
+        self._log("stop")
         self._stopping = True
         self._home.stopping = True
         now = read_clock()
