Judge slowness route by route, and reject sooner in overload

Cause: a server's mean time over all routes differs by what it ran last, so that healthy servers were taken for slow ones and short urgent requests crossed to the other region.

--- a/egretlever/home/_slots.py
+++ b/egretlever/home/_slots.py
@@ -138,6 +138,10 @@
         """Count the requests that wait."""
         return len(self._waiting)
 
+    def find_time(self, route: RouteId) -> Seconds:
+        """Return the mean time of a route, 0 before its first answer."""
+        return self._times.get(route, Seconds(0.0))
+
     def estimate(self, route: RouteId) -> Seconds:
         """Estimate the time of a request of a route at the server."""
         return self._times.get(route, self.service_time_)
--- a/egretlever/placement/_records.py
+++ b/egretlever/placement/_records.py
@@ -190,7 +190,7 @@
     service_time : Seconds
         Mean time of all requests at the server.
     route_time : Seconds
-        Mean time of the requests of the same route at the server.
+        Mean time of the requests of the same route, 0 when not known.
     """
 
     wait: Seconds = Seconds(0.0)
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -43,7 +43,7 @@
 # Part of the time left that a request may wait when it can't be on time any
 # more. A request that is held for long and then rejected is worse off than one
 # that is rejected at once.
-_LATE_WAIT_SHARE = 0.3
+_LATE_WAIT_SHARE = 0.12
 # Ranks from this one on do not cross to the other region to be on time: the
 # bytes of that link are dear, and such requests have time to wait.
 _FIRST_PATIENT_RANK = 2
@@ -284,7 +284,7 @@
                 for server in servers
                 if self.measure_distance(server) is distance
             ]
-            found = self._compare(near, usual, now)
+            found = self._compare(search, near, usual, now)
             if found is not None and found[1] <= allowed:
                 view = self._view(found[0])
                 return HomeChoice(
@@ -314,11 +314,11 @@
             servers,
             key=lambda server: (
                 self._view(server).describe_trust(now) is Trust.BROKEN,
-                self._estimate_cost(server, usual, now)
+                self._estimate_cost(search, server, usual, now)
                 + _ROUND_TRIPS[self.measure_distance(server)],
             ),
         )
-        cost = Seconds(self._estimate_cost(server, usual, now))
+        cost = Seconds(self._estimate_cost(search, server, usual, now))
         if cost > allowed:
             return None
         forced = search.stage is Stage.FORCED
@@ -336,7 +336,11 @@
         )
 
     def _compare(
-        self, servers: list[HomeServer], usual: Seconds, now: Seconds
+        self,
+        search: Search,
+        servers: list[HomeServer],
+        usual: Seconds,
+        now: Seconds,
     ) -> tuple[HomeServer, Seconds] | None:
         """Return the better of two servers, and its expected delay."""
         if not servers:
@@ -344,18 +348,26 @@
         compared = self._rng.sample(servers, min(_COMPARED, len(servers)))
         own = [server for server in servers if server.relay == self._own_relay]
         costs = [
-            (self._estimate_cost(server, usual, now), server not in own, place)
+            (
+                self._estimate_cost(search, server, usual, now),
+                server not in own,
+                place,
+            )
             for place, server in enumerate([*own, *compared])
         ]
         cost, _, place = min(costs)
         return [*own, *compared][place], Seconds(cost)
 
     def _estimate_cost(
-        self, server: HomeServer, usual: Seconds, now: Seconds
+        self,
+        search: Search,
+        server: HomeServer,
+        usual: Seconds,
+        now: Seconds,
     ) -> float:
         view = self._view(server)
         wait = view.estimate_wait(usual, now)
-        return wait + view.estimate_slowness(usual)
+        return wait + view.estimate_slowness(search.service_time)
 
     def _estimate_usual_time(self, servers: Sequence[HomeServer]) -> Seconds:
         times = [
@@ -379,15 +391,33 @@
         view.sent_since += 1
 
     def finish(
-        self, server: HomeServer, reply: Reply | None, now: Seconds
+        self,
+        server: HomeServer,
+        reply: Reply | None,
+        now: Seconds,
+        route_time: Seconds = Seconds(0.0),
     ) -> None:
-        """Take the reply to an offer, or None when it was withdrawn."""
+        """Take the reply to an offer, or None when it was withdrawn.
+
+        Parameters
+        ----------
+        server : HomeServer
+            Server that the request was offered to.
+        reply : Answer, Refusal, Failure or None
+            What its home node replied.
+        now : Seconds
+            Reading of the clock.
+        route_time : Seconds, optional
+            Usual time of the request's route at all servers.
+        """
         view = self._view(server)
         view.in_flight -= 1
         if reply is None:
             return
         if reply.condition is not None:
             view.observe(reply.condition, now)
+            if reply.condition.route_time > 0 and route_time > 0:
+                view.observe_slowness(reply.condition.route_time / route_time)
         if isinstance(reply, Answer):
             return
         if reply.reason in _UNUSABLE:
@@ -398,6 +428,10 @@
         ):
             view.observe_absence(now)
 
+    def skip_stage(self, search: Search) -> None:
+        """Give the present stage up: the request has waited in vain."""
+        search.offers = _MAX_OFFERS[search.stage.value]
+
     def forget(self, server_id: ServerId) -> None:
         """Forget a server that left the directory."""
         view = self._views.get(server_id)
--- a/egretlever/placement/_views.py
+++ b/egretlever/placement/_views.py
@@ -13,8 +13,11 @@
 # A home node without a usable server is asked again after this time: its
 # server may have restarted, which the directory shows only later.
 _UNUSABLE_PAUSE = Seconds(0.75)
-# Servers this much slower than the mean of their service are avoided.
+# Servers whose routes take this much longer than elsewhere are avoided. Routes
+# are compared one by one, since a server that ran some long requests has a
+# long mean time and is not slow.
 _SLOW_FACTOR = 1.5
+_NEW_WEIGHT = 0.3  # weight of a new report in the slowness of a server
 
 
 class HomeView:
@@ -30,6 +33,7 @@
         "_absence",
         "_at",
         "_report",
+        "_slowness",
         "absent_until",
         "in_flight",
         "sent_since",
@@ -44,6 +48,7 @@
         self.absent_until = Seconds(0.0)
         self._absence = _FIRST_ABSENCE
         self._report: HomeCondition | None = None
+        self._slowness = 1.0
         self._at = Seconds(0.0)
 
     def observe(self, report: HomeCondition, now: Seconds) -> None:
@@ -98,13 +103,21 @@
             excess = taken
         return Seconds(wait + excess * service_time / self.slots)
 
+    def observe_slowness(self, ratio: float) -> None:
+        """Take the time of a route here, relative to its time elsewhere."""
+        self._slowness += _NEW_WEIGHT * (ratio - self._slowness)
+
     def estimate_slowness(self, service_time: Seconds) -> Seconds:
-        """Estimate how much longer than usual a request takes there."""
-        if self._report is None:
-            return Seconds(0.0)
-        if self._report.service_time < _SLOW_FACTOR * service_time:
+        """Estimate how much longer than usual a request takes there.
+
+        Parameters
+        ----------
+        service_time : Seconds
+            Usual time of a request of its route.
+        """
+        if self._slowness < _SLOW_FACTOR:
             return Seconds(0.0)
-        return Seconds(self._report.service_time - service_time)
+        return Seconds((self._slowness - 1.0) * service_time)
 
     def measure_age(self, now: Seconds) -> Seconds | None:
         """Return the age of the last report, None without one."""
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -26,6 +26,8 @@
     HomeSelector,
     HomeServer,
     Offer,
+    Refusal,
+    RefusalReason,
     RepeatBudget,
     Reply,
     Route,
@@ -283,6 +285,8 @@
                 )
             arrivals = task.history.arrivals
             task.history.observe(reply)
+            if reply == Refusal(RefusalReason.EXPIRED, reply.condition):
+                self._selector.skip_stage(task.search)
             if task.history.arrivals > arrivals:
                 task.search.excluded.add(choice.server.id)
                 task.search.may_test = False
@@ -340,11 +344,18 @@
             else:
                 reply = await self._links.offer(choice.server.relay, offer)
         finally:
-            self._selector.finish(choice.server, reply, read_clock())
+            self._selector.finish(
+                choice.server,
+                reply,
+                read_clock(),
+                self._times.get(task.route.id, Seconds(0.0)),
+            )
         metrics.OFFERS.labels(reply.name).inc()
         return reply
 
     def _learn(self, route: RouteId, time: Seconds) -> None:
+        if time <= 0:
+            return
         old = self._times.get(route, time)
         self._times[route] = Seconds(old + _NEW_WEIGHT * (time - old))
 
@@ -378,7 +389,7 @@
     def _give_up(self, task: _Task, stop: Stop) -> ClientAnswer:
         """Answer a request that no server will be sent any more."""
         history = task.history
-        cause = history.reason.value if history.reason else "no-server"
+        cause = history.reason.value if history.reason else "none-asked"
         reason = f"{stop.value}: {cause}"
         if history.failed_answer is not None:
             answer = make_answer(history.failed_answer)
--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -29,7 +29,7 @@
 _FOLLOW_WAIT = Seconds(25.0)
 # Changes of servers within this time are read together. Home nodes refuse for
 # servers that have left, so that an entry node may learn of it late.
-_GATHER_TIME = Seconds(1.0)
+_GATHER_TIME = Seconds(2.0)
 # Waits after failed calls: the first one, and the longest. They are drawn at
 # random up to their bound, so that nodes do not all return at once.
 _FIRST_PAUSE = Seconds(0.2)
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -83,7 +83,7 @@
             free_slots=self._queue.count_free(),
             trust=self._trust.describe(),
             service_time=self._queue.service_time_,
-            route_time=self._queue.estimate(offer.route),
+            route_time=self._queue.find_time(offer.route),
         )
 
     async def _work(self, job: Job) -> Reply:
