--- a/egretlever/home/_slots.py
+++ b/egretlever/home/_slots.py
@@ -18,10 +18,12 @@
 # turns slow shows after five answers.
 _NEW_WEIGHT = 0.2
 # Long requests leave one slot to more urgent ones that are this many times
-# shorter and came within this time, seconds. Without it a short urgent request
-# waits for the rest of a long one, which can be more than its own objective.
+# shorter and make up this share of recent arrivals. Without it a short urgent
+# request waits for the rest of a long one, which can be more than its own
+# objective; for a few urgent requests the idle slot would cost more.
 _LONG_FACTOR = 2.0
-_URGENT_SEEN = 3.0
+_URGENT_SHARE = 0.15
+_ARRIVAL_WEIGHT = 0.03  # weight of one arrival in the share of its rank
 # A forecast errs by the tail of work times, so a request may wait for this
 # many times its longest wait, and this many seconds, before it is dropped.
 _PATIENCE = 1.5
@@ -115,7 +117,8 @@
         self._times: dict[RouteId, Seconds] = {}
         self._running: dict[RequestId, tuple[SlotTicket, Seconds]] = {}
         self._waiting: list[_Waiting] = []
-        self._seen: dict[int, tuple[Seconds, RouteId]] = {}
+        self._shares: dict[int, float] = {}
+        self._latest: dict[int, RouteId] = {}
         self._arrivals = 0
         self.service_time_ = FIRST_ESTIMATE
 
@@ -146,14 +149,17 @@
         """Estimate the time of a request of a route at the server."""
         return self._times.get(route, self.service_time_)
 
-    def _count_usable(self, route: RouteId, rank: int, now: Seconds) -> int:
+    def _count_usable(self, route: RouteId, rank: int) -> int:
         """Count the slots that requests of a route and rank may take."""
         if self._slots == 1:
             return 1
         limit = self.estimate(route) / _LONG_FACTOR
-        for other, (seen_at, urgent) in self._seen.items():
-            recent = now - seen_at < _URGENT_SEEN
-            if other < rank and recent and self.estimate(urgent) < limit:
+        for other, share in self._shares.items():
+            if (
+                other < rank
+                and share > _URGENT_SHARE
+                and self.estimate(self._latest[other]) < limit
+            ):
                 return self._slots - 1
         return self._slots
 
@@ -162,7 +168,7 @@
     ) -> Seconds:
         """Forecast how long a request would wait for a slot."""
         ends = sorted(self._forecast_ends(now))
-        usable = self._count_usable(route, rank, now)
+        usable = self._count_usable(route, rank)
         while len(ends) < usable:
             ends.insert(0, 0.0)
         ends = ends[-usable:]
@@ -186,7 +192,7 @@
         A request is also refused when the forecast answer would come after
         its deadline, since a slot spent on it would serve nobody.
         """
-        self._seen[ticket.rank] = (now, ticket.route)
+        self._observe_arrival(ticket)
         wait = self.forecast_wait(ticket.route, ticket.rank, now, ticket.late)
         useless = now + wait + self.estimate(ticket.route) > ticket.deadline
         if wait > 0 and (wait > ticket.max_wait or useless):
@@ -198,6 +204,13 @@
         bisect.insort(self._waiting, waiting)
         return True
 
+    def _observe_arrival(self, ticket: SlotTicket) -> None:
+        for rank in self._shares:
+            self._shares[rank] *= 1 - _ARRIVAL_WEIGHT
+        share = self._shares.get(ticket.rank, 0.0)
+        self._shares[ticket.rank] = share + _ARRIVAL_WEIGHT
+        self._latest[ticket.rank] = ticket.route
+
     def start_ready(self, now: Seconds) -> list[SlotTicket]:
         """Give free slots to waiting requests and return these."""
         started = []
@@ -205,7 +218,7 @@
             if len(self._running) >= self._slots:
                 break
             ticket = entry.ticket
-            usable = self._count_usable(ticket.route, ticket.rank, now)
+            usable = self._count_usable(ticket.route, ticket.rank)
             if len(self._running) < usable:
                 self._waiting.remove(entry)
                 self._running[ticket.request_id] = (ticket, now)
