Remove rows that a late write brings back, with a stand-in of the row store

Found by a test against the stand-in: a first write that takes effect 6 s later, after its server has left, matched its condition again and the server stayed in the directory. The publisher now looks for such rows in its directory, which costs no call.

--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -1,5 +1,6 @@
 """What a node reads from the platform's store and keeps there."""
 
+import collections
 import random
 from collections.abc import Callable
 
@@ -33,6 +34,9 @@
 # Waits after failed calls: the first one, and the longest. They are drawn at
 # random up to their bound, so that nodes do not all return at once.
 _FIRST_PAUSE = Seconds(0.2)
+# Time between looks at the directory for rows that came back; it calls no one.
+_CHECK_INTERVAL = Seconds(2.0)
+_MAX_TRIED = 16  # servers of one host whose rows are looked for
 _MAX_PAUSE = Seconds(1.5)
 
 
@@ -266,7 +270,10 @@
     """Keeps the row of the server on this host.
 
     Each write is conditional on the version of the row before it, so that a
-    write whose answer was lost can't take effect after a later one.
+    write whose answer was lost can't take effect after a later one. The
+    condition of a first write holds until the row exists, and again after its
+    removal; rows that such a write brings back are removed when the directory
+    shows them.
 
     Parameters
     ----------
@@ -298,6 +305,9 @@
         self._wake = curio.Event()
         self._written: HomeServer | None = None
         self._version = Version(0)
+        self._tried: collections.deque[ServerId] = collections.deque(
+            maxlen=_MAX_TRIED
+        )
 
     async def notify(self) -> None:
         """Say that the server on this host may have changed."""
@@ -306,7 +316,12 @@
     async def publish_forever(self) -> None:
         """Write the row whenever the server has changed, for ever."""
         while True:
-            await self._wake.wait()
+            try:
+                async with curio.timeout_after(_CHECK_INTERVAL):
+                    await self._wake.wait()
+            except curio.TaskTimeout:
+                # No change is known; rows that came back are looked for.
+                pass
             self._wake.clear()
             while not self._follower.synced:
                 await curio.sleep(_FIRST_PAUSE)
@@ -322,6 +337,11 @@
             if not await self._write(old, None):
                 return False
             self._written, self._version = None, Version(0)
+        for server_id in self._tried:
+            back = self._directory.find(server_id)
+            own = wanted is not None and wanted.id == server_id
+            if back is not None and not own and not await self._remove(back):
+                return False
         if wanted is None or wanted == self._written:
             return True
         # A former process of this node may have left before its server did.
@@ -356,12 +376,16 @@
         self, named: HomeServer, wanted: HomeServer | None
     ) -> bool:
         value = None if wanted is None else encode_row(wanted)
+        if named.id not in self._tried:
+            self._tried.append(named.id)
         result = await self._store.write(
             SERVER_TABLE, named.id, value, self._version
         )
         if isinstance(result, Success):
             metrics.STORE_CALLS.labels("write", "done").inc()
             self._written, self._version = wanted, result.unwrap()
+            if wanted is None:
+                self._directory.remove(named.id, self._version)
             event = "row-removed" if wanted is None else "row-written"
             _log_state(event, named.id, str(self._version))
             return True
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -113,9 +113,13 @@
         return self._entry.count_homes(service)
 
     def _find_local(self) -> HomeServer | None:
-        """Return the server on this host, None while it takes no requests."""
+        """Return the server on this host, None when it leaves.
+
+        A node that stops does not speak for its server, which may live on
+        beside the next process.
+        """
         server = self._home.local.current
-        if server is None or server.draining or self._home.stopping:
+        if server is None or server.draining:
             return None
         return HomeServer(
             id=server.id,
--- a/egretlever/standins/__init__.py
+++ b/egretlever/standins/__init__.py
@@ -12,6 +12,7 @@
     listen_platform,
     serve_platform,
 )
+from egretlever.standins._rows import RowsFault, RowsStandIn
 from egretlever.standins._summary import RankSummary, summarize_results
 
 __all__ = [
@@ -20,6 +21,8 @@
     "LoadGenerator",
     "PlatformStandIn",
     "RankSummary",
+    "RowsFault",
+    "RowsStandIn",
     "is_own_and_whole",
     "listen_platform",
     "make_backend",
--- /dev/null
+++ b/egretlever/standins/_rows.py
@@ -0,0 +1,183 @@
+"""Stand-in of the platform's row store, for tests of one process."""
+
+import base64
+import dataclasses
+import enum
+import json
+import urllib.parse
+from typing import Any
+
+import curio
+
+from egretlever.core import Address
+from egretlever.transport import (
+    Answer,
+    RequestHead,
+    open_listener,
+    serve_requests,
+)
+
+_FOREVER = 3600.0  # seconds that a silent answer is held back
+_PAGE_ROWS = 500
+
+
+class RowsFault(enum.Enum):
+    """How the stand-in misbehaves.
+
+    ``LOST`` does what is asked and never answers. ``LATE`` does not answer
+    either, and does it after ``delay``.
+    """
+
+    NONE = "none"
+    BUSY = "busy"
+    SILENT = "silent"
+    LOST = "lost"
+    LATE = "late"
+    GARBLED = "garbled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    """One entry of the history."""
+
+    table: str
+    key: str
+    value: str
+    version: int
+    removed: bool
+
+
+class RowsStandIn:
+    """Tables of rows with a history, spoken as the platform does.
+
+    Attributes
+    ----------
+    address : Address
+        Where it listens.
+    fault : RowsFault
+        Present fault.
+    delay : float
+        Time after which a late write takes effect, in seconds.
+    calls : list of str
+        Method and path of all calls.
+    """
+
+    def __init__(self) -> None:
+        self._listener = open_listener(Address("127.0.0.1", 0))
+        self.address = Address(*self._listener.getsockname()[:2])
+        self.fault = RowsFault.NONE
+        self.delay = 0.0
+        self.calls: list[str] = []
+        self._rows: dict[tuple[str, str], _Change] = {}
+        self._history: list[_Change] = []
+        self._version = 1
+        self._forgotten = 0
+        self._changed = curio.Event()
+
+    async def run(self) -> None:
+        """Serve for ever."""
+        try:
+            await serve_requests(self._listener, self._handle)
+        finally:
+            await self._listener.close()
+
+    async def put(self, table: str, key: str, value: bytes | None) -> int:
+        """Write or remove a row as the operator or another node does."""
+        self._version += 1
+        text = "" if value is None else base64.b64encode(value).decode()
+        change = _Change(table, key, text, self._version, value is None)
+        self._history.append(change)
+        if value is None:
+            self._rows.pop((table, key), None)
+        else:
+            self._rows[table, key] = change
+        await self._changed.set()
+        self._changed = curio.Event()
+        return self._version
+
+    def find(self, table: str, key: str) -> bytes | None:
+        """Find the value of a row."""
+        row = self._rows.get((table, key))
+        return None if row is None else base64.b64decode(row.value)
+
+    def forget_history(self) -> None:
+        """Drop the history, so that followers have to read anew."""
+        self._history.clear()
+        self._forgotten = self._version
+
+    async def _handle(self, head: RequestHead, body: bytes) -> Answer:
+        url = urllib.parse.urlsplit(head.target)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        self.calls.append(f"{head.method} {url.path}")
+        if self.fault is RowsFault.BUSY:
+            return Answer(503)
+        if self.fault is RowsFault.SILENT:
+            await curio.sleep(_FOREVER)
+        if self.fault is RowsFault.GARBLED:
+            return Answer(200, b"{")
+        if url.path == "/rows-tx":
+            return await self._transact(json.loads(body))
+        if url.path == "/rows-feed":
+            return await self._feed(query)
+        return self._get(query)
+
+    async def _transact(self, call: dict[str, Any]) -> Answer:
+        fault = self.fault
+        if fault is RowsFault.LATE:
+            await curio.sleep(self.delay)
+        for row in call["expectedRev"]:
+            held = self._rows.get((row["table"], row["key"]))
+            if row["ver"] != (0 if held is None else held.version):
+                return Answer(412, json.dumps({"rows": []}).encode())
+        for row in call["writes"]:
+            value = base64.b64decode(row["value"])
+            await self.put(row["table"], row["key"], value)
+        for row in call["remove"]:
+            await self.put(row["table"], row["key"], None)
+        if fault in (RowsFault.LOST, RowsFault.LATE):
+            await curio.sleep(_FOREVER)
+        return self._answer([])
+
+    async def _feed(self, query: dict[str, str]) -> Answer:
+        after = int(query["after"])
+        try:
+            async with curio.timeout_after(int(query["waitMs"]) / 1000):
+                while not self._list_changes(query["table"], after):
+                    if after < self._forgotten:
+                        return Answer(410)
+                    await self._changed.wait()
+        except curio.TaskTimeout:
+            return self._answer([])
+        return self._answer(self._list_changes(query["table"], after))
+
+    def _list_changes(self, table: str, after: int) -> list[_Change]:
+        return [
+            change
+            for change in self._history
+            if change.table == table and change.version > after
+        ]
+
+    def _get(self, query: dict[str, str]) -> Answer:
+        first = query.get("from", "")
+        rows = [
+            row
+            for (table, key), row in sorted(self._rows.items())
+            if table == query["table"] and key >= first
+        ]
+        limit = min(int(query.get("limit", _PAGE_ROWS)), _PAGE_ROWS)
+        return self._answer(rows[:limit], len(rows) > limit)
+
+    def _answer(self, rows: list[_Change], more: bool = False) -> Answer:
+        found = [
+            {
+                "table": row.table,
+                "part": "",
+                "key": row.key,
+                "value": row.value,
+                "ver": row.version,
+                "tombstone": row.removed,
+            }
+            for row in rows
+        ]
+        fields = {"rows": found, "hasMore": more, "ver": self._version}
+        return Answer(200, json.dumps(fields).encode(), "application/json")
