--- a/egretlever/home/_trust.py
+++ b/egretlever/home/_trust.py
@@ -9,11 +9,11 @@
 _DOUBT_ABOVE = 0.3
 _BROKEN_ABOVE = 0.6
 # A broken server gets a trial after this time, seconds, and later ones after
-# longer times. Each trial costs a repeated attempt, and the traces of quiet
-# days show gray servers that stay so for 5 to 12 s.
-_TRIAL_INTERVAL = 0.5
-_TRIAL_GROWTH = 1.6
-_MAX_TRIAL_INTERVAL = 3.0
+# longer times. Each trial costs a repeated attempt, and each second without one
+# keeps a server that has recovered out of service.
+_TRIAL_INTERVAL = 0.3
+_TRIAL_GROWTH = 1.5
+_MAX_TRIAL_INTERVAL = 1.0
 # A service may have no idempotent requests. After this time without any
 # outcome, seconds, one request that may not be repeated is the trial.
 _LONE_TRIAL_INTERVAL = 3.0
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -53,6 +53,14 @@
     Distance.OWN_REGION: 0.003,
     Distance.OTHER_REGION: 0.018,
 }
+# Age in seconds at which a report no longer keeps a request away from a server
+# that was doubted. A server may recover at any moment, and asking costs a round
+# trip, with bytes that are dear between regions.
+_TRUST_LIFETIMES = {
+    Distance.OWN_DOMAIN: Seconds(0.3),
+    Distance.OWN_REGION: Seconds(0.5),
+    Distance.OTHER_REGION: Seconds(1.0),
+}
 # Offers of one request before it is rejected. A refused offer costs a round
 # trip, and a request that nobody takes has to be rejected soon.
 _MAX_OFFERS = {"on-time": 6, "late": 4, "forced": 2}
@@ -254,10 +262,9 @@
     def _may_ask(
         self, search: Search, server: HomeServer, now: Seconds
     ) -> bool:
-        view = self._view(server)
-        if view.is_absent(now):
+        if self._view(server).is_absent(now):
             return False
-        trust = view.describe_trust(now)
+        trust = self._believe(server, now)
         if search.stage is Stage.FORCED:
             return trust is not Trust.BROKEN
         if trust is Trust.BROKEN:
@@ -294,7 +301,7 @@
                     late=False,
                     reason=distance.name.lower(),
                     wait=found[1],
-                    trust=view.describe_trust(now),
+                    trust=self._believe(found[0], now),
                     view_age=view.measure_age(now),
                 )
         return None
@@ -313,7 +320,7 @@
         server = min(
             servers,
             key=lambda server: (
-                self._view(server).describe_trust(now) is Trust.BROKEN,
+                self._believe(server, now) is Trust.BROKEN,
                 self._estimate_cost(search, server, usual, now)
                 + _ROUND_TRIPS[self.measure_distance(server)],
             ),
@@ -331,7 +338,7 @@
             late=late,
             reason=search.stage.value,
             wait=cost,
-            trust=view.describe_trust(now),
+            trust=self._believe(server, now),
             view_age=view.measure_age(now),
         )
 
@@ -358,6 +365,10 @@
         cost, _, place = min(costs)
         return [*own, *compared][place], Seconds(cost)
 
+    def _believe(self, server: HomeServer, now: Seconds) -> Trust:
+        lifetime = _TRUST_LIFETIMES[self.measure_distance(server)]
+        return self._view(server).describe_trust(now, lifetime)
+
     def _estimate_cost(
         self,
         search: Search,
--- a/egretlever/placement/_views.py
+++ b/egretlever/placement/_views.py
@@ -72,14 +72,24 @@
         """Tell whether the home node is left alone for now."""
         return now < self.absent_until
 
-    def _fresh(self, now: Seconds) -> HomeCondition | None:
-        if self._report is None or now - self._at > _REPORT_LIFETIME:
+    def _find_report(
+        self, now: Seconds, lifetime: Seconds
+    ) -> HomeCondition | None:
+        if self._report is None or now - self._at > lifetime:
             return None
         return self._report
 
-    def describe_trust(self, now: Seconds) -> Trust:
-        """Return the trust of the last report, if it is recent."""
-        report = self._fresh(now)
+    def describe_trust(self, now: Seconds, lifetime: Seconds) -> Trust:
+        """Return the trust of the last report, if it is recent.
+
+        Parameters
+        ----------
+        now : Seconds
+            Reading of the clock.
+        lifetime : Seconds
+            Age at which a report is too old to keep a request away.
+        """
+        report = self._find_report(now, lifetime)
         return Trust.TRUSTED if report is None else report.trust
 
     def estimate_wait(self, service_time: Seconds, now: Seconds) -> Seconds:
@@ -92,7 +102,7 @@
         now : Seconds
             Reading of the clock.
         """
-        report = self._fresh(now)
+        report = self._find_report(now, _REPORT_LIFETIME)
         if report is None:
             taken, free, wait = self.in_flight, self.slots, 0.0
         else:
--- a/egretlever/programs/tests/test_programs.py
+++ b/egretlever/programs/tests/test_programs.py
@@ -8,7 +8,7 @@
 import pytest
 from typer.testing import CliRunner
 
-from egretlever.programs import backend, ctl, load, node, platform
+from egretlever.programs import backend, ctl, load, node, platform, relay
 from egretlever.schema import standins_pb2
 from egretlever.standins import make_mix, write_mix
 from egretlever.testing import SmallFleet, wait_until
@@ -21,6 +21,7 @@
     "load": load,
     "platform": platform,
     "ctl": ctl,
+    "relay": relay,
 }
 BAD_SETTINGS = {
     "node": "[listen]\ntraffic = here\n[members]\ngossip_interval_s = 0\n",
@@ -28,8 +29,15 @@
     "load": "[load]\nnodes = here\nmax_in_flight = 0\n",
     "platform": "[platform]\nlisten = here\nlatency_s = -1\n",
     "ctl": "[platform]\ntable = here\n[ctl]\nnodes = there\n",
+    "relay": "[store]\naddress = here\n[bounds]\nheartbeat = soon\n",
+}
+COMMANDS = {
+    "node": "run",
+    "backend": "run",
+    "load": "play",
+    "platform": "run",
+    "relay": "run",
 }
-COMMANDS = {"node": "run", "backend": "run", "load": "play", "platform": "run"}
 every_program = pytest.mark.parametrize("name", PROGRAMS)
 
 
--- /dev/null
+++ b/egretlever/relay/tests/test_process.py
@@ -0,0 +1,232 @@
+"""Guards the whole path of real processes, and the template of the platform."""
+
+import json
+import pathlib
+import re
+import signal
+
+import curio
+import pytest
+from returns.result import Success
+
+from egretlever.core import Address
+from egretlever.schema import settings_pb2
+from egretlever.settings import parse_settings
+from egretlever.standins import RowsStandIn
+from egretlever.testing import Fleet, answer, reserve_addresses
+from egretlever.testing._scripted_server import ScriptedServer
+from egretlever.testing.relay_builders import (
+    build_configuration_body,
+    build_heartbeat_body,
+)
+from egretlever.transport import send_request
+
+LIMIT = 60.0  # seconds; far above what a loaded machine needs
+TEMPLATE = pathlib.Path(__file__).parents[3] / "deploy" / "relay.ini"
+
+
+def serve(status=200, body=b"done"):
+    async def step(exchange):
+        name = exchange.head.find(b"x-request-id").encode()
+        own = (b"x-request-id: " + name, b"x-response-signature: s")
+        return await answer(body, status, *own)(exchange)
+
+    return step
+
+
+class Host:
+    """One relay process with the server beside it."""
+
+    def __init__(self, fleet, store, name, domain, server):
+        clients, health, beats, relay, scrapes = reserve_addresses(5)
+        self.clients, self.health, self.beats = clients, health, beats
+        self.scrapes = scrapes
+        self.name, self.domain, self.server = name, domain, server
+        path = fleet.write_settings(
+            name,
+            {
+                "identity": {
+                    "node": name,
+                    "failure_domain": domain,
+                    "region": "north",
+                    "service": "ordering",
+                    "regions": "domain-1:north, domain-2:north",
+                },
+                "listen": {
+                    "clients": clients,
+                    "health": health,
+                    "announcements": beats,
+                    "ip": relay.ip,
+                    "relay_port": relay.port,
+                    "metrics_port": scrapes.port,
+                },
+                "store": {"address": store.address},
+                "bounds": {"heartbeat": "1500ms", "platform": "grace=3s"},
+            },
+        )
+        self.path = path
+        self.running = fleet.start(name, "relay", "run", path)
+
+    async def announce(self, sequence=1, state="ready"):
+        info = {
+            "service": "ordering",
+            "version": "v1",
+            "zone": self.domain,
+            "slots": 2,
+        }
+        fields = build_heartbeat_body(
+            address=str(self.server.address),
+            info=info,
+            status={"state": state, "sequence": sequence},
+        )
+        return await ask(
+            self.beats, "PUT", f"/instances/{self.name}", json.dumps(fields)
+        )
+
+    async def order(self, request):
+        return await ask(
+            self.clients,
+            "POST",
+            "/orders/1",
+            "silk",
+            (b"x-request-id", request.encode()),
+            (b"x-request-deadline", b"4000"),
+        )
+
+    def read_lines(self):
+        lines = []
+        for line in self.running.log.read_text().splitlines():
+            lines.append(json.loads(line))
+        return lines
+
+
+async def ask(address, method, target, body="", *fields):
+    result = await send_request(
+        address, method, target, body.encode(), headers=fields
+    )
+    return result.unwrap() if isinstance(result, Success) else None
+
+
+async def wait_for(condition):
+    until = await curio.clock() + LIMIT
+    while await curio.clock() < until:
+        if await condition():
+            return
+        await curio.sleep(0.05)
+    pytest.fail("the condition did not hold in time")
+
+
+def play(script):
+    async def main():
+        store = RowsStandIn()
+        servers = [ScriptedServer(serve()), ScriptedServer(serve())]
+        tasks = [
+            await curio.spawn(part.run, daemon=True)
+            for part in (store, *servers)
+        ]
+        with Fleet() as fleet:
+            hosts = [
+                Host(fleet, store, f"i-{n}", f"domain-{n}", server)
+                for n, server in enumerate(servers, 1)
+            ]
+            body = build_configuration_body(host="127.0.0.1")
+            await store.put("op", "config", body)
+            for host in hosts:
+                await wait_for(lambda host=host: is_ready(host))
+            await script(store, hosts)
+            for task in tasks:
+                await task.cancel()
+
+    curio.run(main)
+
+
+async def is_ready(host):
+    reply = await ask(host.health, "GET", "/readiness")
+    return reply is not None and reply.head.status == 200
+
+
+def test_orders_go_to_the_server_of_another_host_and_stop_when_it_leaves():
+    async def script(store, hosts):
+        near, far = hosts
+        assert (await far.announce()).head.status == 200
+
+        async def is_served():
+            reply = await near.order("first")
+            return reply is not None and reply.head.status == 200
+
+        await wait_for(is_served)
+        served = await near.order("r-1")
+        assert (served.body, served.head.find(b"x-response-signature")) == (
+            b"done",
+            "s",
+        )
+        assert (await far.announce(2, "draining")).head.status == 200
+        count = len(far.server.heads)
+        refused = await near.order("r-2")
+        assert refused.head.status == 503
+        assert refused.head.find(b"retry-after") is not None
+        assert len(far.server.heads) == count
+        page = await ask(near.scrapes, "GET", "/metrics")
+        assert b"egretlever_relay_requests_total" in page.body
+
+    play(script)
+
+
+def test_a_reload_ends_nothing_and_a_stop_is_clean():
+    async def script(store, hosts):
+        near = hosts[0]
+        await near.announce()
+        near.running.signal(signal.SIGHUP)
+
+        async def has_reloaded():
+            return any(
+                line.get("event") == "reload" for line in near.read_lines()
+            )
+
+        await wait_for(has_reloaded)
+        near.path.write_text("[identity]\n")
+        near.running.signal(signal.SIGHUP)
+        assert (await near.order("r-1")).head.status == 200
+        near.running.signal(signal.SIGTERM)
+
+        async def has_ended():
+            return near.running.process.poll() is not None
+
+        await curio.sleep(0.2)
+        assert not await is_ready(near)
+        await wait_for(has_ended)
+        assert near.running.process.returncode == 0
+        events = [line.get("event") for line in near.read_lines()]
+        assert events.count("start") == events.count("stopped") == 1
+        assert "Traceback" not in near.running.log.read_text()
+
+    play(script)
+
+
+def test_the_template_of_the_platform_gives_settings_without_findings():
+    text = TEMPLATE.read_text(encoding="utf-8")
+    text = re.sub(
+        r"\{\{#zones\}\}.*\{\{/zones\}\}", "pj-a:punjab, sd-a:sindh", text
+    )
+    values = {
+        "nodeName": "sidecar-pj-a-1",
+        "zone": "pj-a",
+        "region": "punjab",
+        "service": "huvo11a",
+        "ip": "10.1.0.38",
+        "portRange.0": "7380",
+        "portRange.1": "7395",
+        "heartbeat": "1500ms",
+        "bounds": "drain=2000ms,grace=6s,retryBudgetRatio=0.2",
+    }
+
+    def fill(found):
+        return values.get(found[1], str(Address("10.1.0.38", 8147)))
+
+    text = re.sub(r"\{\{([\w.]+)\}\}", fill, text)
+    result = parse_settings(text, "relay.ini", settings_pb2.RelaySettings)
+    assert isinstance(result, Success), result.failure()
+    assert list(result.unwrap().identity.regions) == [
+        "pj-a:punjab",
+        "sd-a:sindh",
+    ]
