--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -40,10 +40,6 @@
     Distance.OWN_REGION: 0.6,
     Distance.OTHER_REGION: 0.7,
 }
-# Part of the time to spare that a request may wait anywhere, when no home took
-# it for the wait that its distance allows. Some failure domains have a single
-# server of a service, and the others may be doubted.
-_SPILL_WAIT_SHARE = 0.6
 # Part of the time left that a request may wait when it can't be on time any
 # more. A request that is held for long and then rejected is worse off than one
 # that is rejected at once.
@@ -67,7 +63,7 @@
 }
 # Offers of one request before it is rejected. A refused offer costs a round
 # trip, and a request that nobody takes has to be rejected soon.
-_MAX_OFFERS = {"on-time": 6, "spill": 3, "late": 4, "forced": 2}
+_MAX_OFFERS = {"on-time": 6, "late": 4, "forced": 2}
 # Homes compared in one choice. Two are enough to avoid the longest queues,
 # and the nodes do not all choose the one that was last seen free.
 _COMPARED = 2
@@ -86,7 +82,6 @@
     """How much is still asked of a home node for one request."""
 
     ON_TIME = "on-time"
-    SPILL = "spill"
     LATE = "late"
     FORCED = "forced"
 
@@ -167,8 +162,7 @@
 
     It answers three load patterns. Failure domains hold unequal numbers of
     servers for equal traffic, so work spills to the region and then to the
-    other region before its wait makes it late, and then to the shortest queue
-    that still leaves it on time. When all queues are long, the
+    other region before its wait makes it late. When all queues are long, the
     shortest one is taken while an answer is still useful to the client. When
     every server is doubted, one of them gets the request all the same.
 
@@ -237,8 +231,6 @@
                 search.offers += 1
                 return choice
             if search.stage is Stage.ON_TIME:
-                search.stage = Stage.SPILL
-            elif search.stage is Stage.SPILL:
                 search.stage = Stage.LATE
             elif search.stage is Stage.LATE and not search.may_test:
                 search.stage = Stage.FORCED
@@ -321,12 +313,9 @@
         usual: Seconds,
         now: Seconds,
     ) -> HomeChoice | None:
-        if search.stage is Stage.SPILL:
-            until, share = search.on_time_at, _SPILL_WAIT_SHARE
-        else:
-            until, share = search.deadline, _LATE_WAIT_SHARE
-        allowed = Seconds(share * (until - now - search.service_time))
-        if not servers or allowed <= 0:
+        spare = search.deadline - now - search.service_time
+        allowed = Seconds(_LATE_WAIT_SHARE * spare)
+        if not servers or spare <= 0:
             return None
         server = min(
             servers,
@@ -340,9 +329,7 @@
         if cost > allowed:
             return None
         forced = search.stage is Stage.FORCED
-        late = search.stage is Stage.LATE or (
-            now + search.service_time > search.on_time_at
-        )
+        late = now + search.service_time > search.on_time_at or not forced
         view = self._view(server)
         return HomeChoice(
             server=server,
@@ -452,14 +439,9 @@
         ):
             view.observe_absence(now)
 
-    def observe_expiry(self, search: Search) -> None:
-        """Note that a request has waited in vain; it may still be late."""
-        if search.stage in (Stage.ON_TIME, Stage.SPILL):
-            search.stage = Stage.LATE
-            search.asked.clear()
-            search.offers = 0
-        else:
-            search.offers = _MAX_OFFERS[search.stage.value]
+    def skip_stage(self, search: Search) -> None:
+        """Give the present stage up: the request has waited in vain."""
+        search.offers = _MAX_OFFERS[search.stage.value]
 
     def forget(self, server_id: ServerId) -> None:
         """Forget a server that left the directory."""
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -260,7 +260,7 @@
             arrivals = task.history.arrivals
             task.history.observe(reply)
             if reply == Refusal(RefusalReason.EXPIRED, reply.condition):
-                self._selector.observe_expiry(task.search)
+                self._selector.skip_stage(task.search)
             if task.history.arrivals > arrivals:
                 task.search.excluded.add(choice.server.id)
                 task.search.may_test = False
