--- a/egretlever/programs/relay.py
+++ b/egretlever/programs/relay.py
@@ -8,10 +8,10 @@
 import typer
 from returns.result import Failure, Result, Success
 
-from egretlever.core import make_log
+from egretlever.core import Finding, make_log
 from egretlever.platform import Bounds, decode_bounds
 from egretlever.programs import _common
-from egretlever.relay import make_relay_node
+from egretlever.relay import Moment, find_moments, make_relay_node
 from egretlever.schema import settings_pb2
 from egretlever.settings import Findings, read_settings
 
@@ -117,6 +117,28 @@
     _common.run_until_signal(main_task, node.stop, reload, output)
 
 
+@app.command()
+def explain(
+    request: Annotated[str, typer.Argument(help="Id of the request.")],
+    files: Annotated[
+        list[pathlib.Path], typer.Argument(help="Logs of one or more nodes.")
+    ],
+) -> None:
+    """Print what the logs of several nodes say of one request, by time."""
+    moments: list[Moment] = []
+    for file in files:
+        try:
+            with file.open(encoding="utf-8", errors="replace") as lines:
+                moments += find_moments(request, file.name, lines)
+        except OSError as error:
+            _common.exit_with_findings((Finding(str(file), str(error)),))
+    if not moments:
+        typer.echo(f"no line about {request}", err=True)
+        raise typer.Exit(1)
+    for moment in sorted(moments):
+        typer.echo(f"{moment.time} {moment.source}: {moment.text}")
+
+
 def main() -> None:
     """Run the program."""
     app()
