Serve a part of the requests when most servers of a service fail

Ruled out: long queues (busy named in none of the first windows) and the store, which refused 14 nodes at that time while their directory held. Ejection now ends where more than half of the servers are broken: requests that can be repeated go to servers that fail less than 85%.

--- a/egretlever/home/_trust.py
+++ b/egretlever/home/_trust.py
@@ -8,6 +8,10 @@
 _NEW_WEIGHT = 0.5
 _DOUBT_ABOVE = 0.3
 _BROKEN_ABOVE = 0.6
+# A forced request that can be repeated is kept out above this share. A server
+# that fails half of its requests is mostly below, one that fails nine in ten
+# mostly above.
+_HOPELESS_ABOVE = 0.85
 # A broken server gets a trial after this time, seconds, and later ones after
 # longer times. Each trial costs a repeated attempt, and each second without one
 # keeps a server that has recovered out of service.
@@ -69,15 +73,24 @@
             Reading of the clock.
         forced : bool, default=False
             No other server takes the request, so doubt does not keep it out.
+            When most servers of the service fail, even a broken one takes
+            requests that can be repeated: a part of them is served.
         """
-        level = self.describe()
-        if level is Trust.TRUSTED:
-            return True
-        if level is Trust.DOUBTED and (may_test or forced):
+        if self.is_open(may_test, forced):
             return True
         if now - self._observed_at > _LONE_TRIAL_INTERVAL:
             return self._take_trial(now)
-        return may_test and level is Trust.BROKEN and self._take_trial(now)
+        return may_test and self._take_trial(now)
+
+    def is_open(self, may_test: bool, forced: bool = False) -> bool:
+        """Tell whether a request may go to the server without being a trial."""
+        level = self.describe()
+        if level is Trust.TRUSTED:
+            return True
+        if level is Trust.DOUBTED:
+            return may_test or forced
+        hopeful = self.failure_share_ <= _HOPELESS_ABOVE
+        return may_test and forced and hopeful
 
     def _take_trial(self, now: Seconds) -> bool:
         if self._trial_at is not None and now < self._trial_at:
--- a/egretlever/home/tests/test_trust.py
+++ b/egretlever/home/tests/test_trust.py
@@ -43,6 +43,29 @@
     assert not trust.decide(False, Seconds(0.1), forced=True)
 
 
+def test_a_service_that_fails_half_of_its_requests_everywhere_still_serves():
+    # All servers of a service failed a part of their requests for seconds. All
+    # were called broken, and nearly every request was rejected.
+    trust = ServerTrust()
+    given = served = 0
+    for number in range(200):
+        now = Seconds(number * 0.02)
+        if trust.decide(True, now, forced=True):
+            given += 1
+            good = number % 2 == 0
+            served += good
+            trust.observe(good, now)
+    assert given > 150
+    assert served > 70
+
+
+def test_a_server_that_fails_nearly_all_is_not_forced():
+    trust = ServerTrust()
+    observe(trust, [False] * 4)
+    assert trust.decide(True, Seconds(0.05), forced=True)  # the trial
+    assert not trust.decide(True, Seconds(0.06), forced=True)
+
+
 def test_doubt_yields_when_no_other_server_takes_an_order():
     trust = ServerTrust()
     observe(trust, [False])
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -51,6 +51,11 @@
     Distance.OWN_REGION: Seconds(0.5),
     Distance.OTHER_REGION: Seconds(1.0),
 }
+# Share of a service's servers that may be broken at a time before requests go
+# to them all the same. On ordinary days about a third of them are; when all
+# fail a part of their requests, keeping away from them serves nobody.
+_FAILING_SHARE = 0.5
+_FAILING_LIFETIME = Seconds(2.0)  # age of reports that are counted for it
 # Offers of one request before it is rejected. A refused offer costs a round
 # trip, and a request that nobody takes has to be rejected soon.
 _MAX_OFFERS = {"on-time": 6, "late": 4, "forced": 2}
@@ -75,7 +80,8 @@
     servers for equal traffic, so work spills to the region and then to the
     other region before its wait makes it late. When all queues are long, the
     shortest one is taken while an answer is still useful to the client. When
-    every server is doubted, one of them gets the request all the same.
+    every server is doubted, or most are broken, one of them gets the request
+    all the same.
 
     Parameters
     ----------
@@ -143,7 +149,9 @@
                 return choice
             if search.stage is Stage.ON_TIME:
                 search.stage = Stage.LATE
-            elif search.stage is Stage.LATE and not search.may_test:
+            elif search.stage is Stage.LATE and (
+                not search.may_test or self._is_failing(servers, now)
+            ):
                 search.stage = Stage.FORCED
             else:
                 return None
@@ -177,7 +185,7 @@
             return False
         trust = self._believe(server, now)
         if search.stage is Stage.FORCED:
-            return trust is not Trust.BROKEN
+            return search.may_test or trust is not Trust.BROKEN
         if trust is Trust.BROKEN:
             return search.stage is Stage.LATE and search.may_test
         return search.may_test or trust is Trust.TRUSTED
@@ -276,6 +284,15 @@
         cost, _, place = min(costs)
         return [*own, *compared][place], Seconds(cost)
 
+    def _is_failing(self, servers: Sequence[HomeServer], now: Seconds) -> bool:
+        """Tell whether most servers of a service were broken at last."""
+        broken = sum(
+            self._view(server).describe_trust(now, _FAILING_LIFETIME)
+            is Trust.BROKEN
+            for server in servers
+        )
+        return broken > _FAILING_SHARE * len(servers)
+
     def _believe(self, server: HomeServer, now: Seconds) -> Trust:
         lifetime = _TRUST_LIFETIMES[self.measure_distance(server)]
         return self._view(server).describe_trust(now, lifetime)
--- a/egretlever/placement/tests/test_selection.py
+++ b/egretlever/placement/tests/test_selection.py
@@ -133,6 +133,20 @@
     assert choice.server is REMOTE
 
 
+def test_requests_go_to_broken_servers_only_when_most_are_broken():
+    selector = make_selector()
+    for server in (LOCAL, NEIGHBOUR, REGIONAL):
+        report(selector, server, trust=Trust.BROKEN)
+    search = build_search(may_test=True)
+    stages = [stage for stage, _ in list_choices(selector, search)]
+    assert stages[-1] is Stage.FORCED
+    report(selector, NEIGHBOUR, trust=Trust.TRUSTED)
+    report(selector, REGIONAL, trust=Trust.TRUSTED)
+    search = build_search(may_test=True)
+    stages = [stage for stage, _ in list_choices(selector, search)]
+    assert Stage.FORCED not in stages
+
+
 def test_an_unreachable_home_is_left_alone_for_longer_each_time():
     selector = make_selector()
     now = NOW
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -22,7 +22,6 @@
     Refusal,
     RefusalReason,
     Reply,
-    Trust,
 )
 from egretlever.platform import Bounds
 from egretlever.relay._jobs import Job, JobTable
@@ -152,12 +151,12 @@
         if obstacle is not None:
             return self._refuse(obstacle, offer)
         now = read_clock()
-        trial = self._trust.describe() is Trust.BROKEN
         room = self._budget.has_room(now, self._count_homes(offer.service))
         if offer.repeated and not room:
             return self._refuse(RefusalReason.NO_BUDGET, offer)
         # A trial that fails is repeated elsewhere, which needs the budget too.
         may_test = offer.may_test and room
+        trial = not self._trust.is_open(may_test, offer.forced)
         if not self._trust.decide(may_test, now, offer.forced):
             return self._refuse(RefusalReason.UNTRUSTED, offer)
         ticket = SlotTicket(
@@ -176,7 +175,9 @@
         try:
             # The server may have left or turned bad while the request waited.
             obstacle = self._find_obstacle(offer)
-            if obstacle is None and not (trial or self._is_trusted(offer)):
+            if obstacle is None and not (
+                trial or self._trust.is_open(may_test, offer.forced)
+            ):
                 obstacle = RefusalReason.UNTRUSTED
             if obstacle is None and not self._count_arrival(offer):
                 obstacle = RefusalReason.NO_BUDGET
@@ -198,12 +199,6 @@
         self._budget.observe(now)
         return True
 
-    def _is_trusted(self, offer: Offer) -> bool:
-        level = self._trust.describe()
-        if level is Trust.DOUBTED:
-            return offer.may_test or offer.forced
-        return level is Trust.TRUSTED
-
     async def _await_turn(self, ticket: SlotTicket) -> bool:
         """Wait for a slot; false when the request expired meanwhile."""
         turn = self._turns[ticket.request_id] = curio.Event()
