Never call a request unrun that was cancelled after it was sent

Found by reading, shown by a test first: the cancellation of a waiting job can reach it only after a small request was sent without waiting. Its kept reply then said "expired", and an entry node that asked again could reject an order that ran, or place it elsewhere.

--- a/egretlever/relay/_jobs.py
+++ b/egretlever/relay/_jobs.py
@@ -7,7 +7,14 @@
 import curio
 
 from egretlever.core import RequestId, Seconds, make_log
-from egretlever.placement import Offer, Refusal, RefusalReason, Reply
+from egretlever.placement import (
+    Failure,
+    FailureReason,
+    Offer,
+    Refusal,
+    RefusalReason,
+    Reply,
+)
 from egretlever.transport import read_clock
 
 _LOG = make_log("home")
@@ -105,8 +112,13 @@
         try:
             job.reply = await self._run(job)
         except curio.CancelledError:
-            # Its entry node withdrew it, so nobody waits for the reply.
-            job.reply = Refusal(RefusalReason.EXPIRED)
+            # Its entry node withdrew it, or was lost and may ask again. The
+            # cancellation may have come after the request was sent.
+            job.reply = (
+                Failure(FailureReason.CUT_OFF)
+                if job.dispatched
+                else Refusal(RefusalReason.EXPIRED)
+            )
         finally:
             job.ended_at = read_clock()
             await job.done.set()
