--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SCHEMAS := $(wildcard egretlever/schema/*.proto)
 
-.PHONY: test lint format schema schema-check demo bench soak clean
+.PHONY: test lint format schema schema-check deploy-check demo bench soak clean
 
 $(VENV)/.ready: requirements.lock
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -31,6 +31,13 @@
 	for file in build/schema/egretlever/schema/*_pb2.py*; do \
 	  cmp $$file egretlever/schema/$$(basename $$file) || exit 1; done
 
+# Installs what deploy/system.toml installs, and starts the program with nothing
+# else: without -S the interpreter would find the packages of the tests too.
+deploy-check:
+	rm -rf build/deps
+	$(PYTHON) -m pip install --quiet --target build/deps --requirement requirements.in
+	PYTHONPATH=build/deps $(PYTHON) -S -m egretlever.programs.relay --version
+
 demo: $(VENV)/.ready
 	$(BIN)/python -m examples.demo
 
