--- /dev/null
+++ b/benchmarks/relay_capacity.py
@@ -0,0 +1,104 @@
+"""Measures what an entry node holds and computes as the fleet grows.
+
+Run as ``python -m benchmarks.relay_capacity``. Memory is what Python allocates;
+times are processor time of one thread.
+"""
+
+import random
+import time
+import tracemalloc
+
+from egretlever.core import (
+    Address,
+    FailureDomain,
+    RegionName,
+    Seconds,
+    ServiceName,
+    Version,
+)
+from egretlever.placement import (
+    Directory,
+    HomeSelector,
+    RouteTable,
+)
+from egretlever.testing.relay_builders import (
+    build_answer,
+    build_configuration,
+    build_home_server,
+    build_route,
+    build_search,
+)
+
+_SIZES = (1_400, 7_000, 14_000)  # servers; the last one is the design size
+_SERVICES = 380
+_ROUTES = 5_100
+_DECISIONS = 2_000
+_OWN = Address("127.0.0.1", 1)
+_REGIONS = {
+    FailureDomain(f"domain-{number}"): RegionName(f"region-{number % 2}")
+    for number in range(4)
+}
+
+
+def _make_directory(servers: int) -> Directory:
+    directory = Directory()
+    for number in range(servers):
+        server = build_home_server(
+            number, service=f"service-{number % _SERVICES}"
+        )
+        directory.update(server, Version(number + 1))
+    return directory
+
+
+def _measure_memory(servers: int) -> float:
+    tracemalloc.start()
+    directory = _make_directory(servers)
+    selector = _make_selector()
+    for number in range(_SERVICES):
+        for server in directory.list_servers(ServiceName(f"service-{number}")):
+            selector.start(server)
+            selector.finish(server, build_answer(), Seconds(0.0))
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return used / 2**20
+
+
+def _make_selector() -> HomeSelector:
+    domain = FailureDomain("domain-1")
+    return HomeSelector(domain, _REGIONS, _OWN, random.Random(1))
+
+
+def _measure_decision(servers: int) -> float:
+    directory = _make_directory(servers)
+    selector = _make_selector()
+    start = time.process_time()
+    for _ in range(_DECISIONS):
+        found = directory.list_servers(ServiceName("service-7"))
+        selector.decide(build_search(), found, Seconds(0.0))
+    return (time.process_time() - start) / _DECISIONS * 1e6
+
+
+def _measure_match() -> float:
+    routes = [
+        build_route(id=f"r-{number}", prefix=f"/p{number}/")
+        for number in range(_ROUTES)
+    ]
+    table = RouteTable(build_configuration(*routes), random.Random(1))
+    start = time.process_time()
+    for number in range(_DECISIONS):
+        table.match("shop.example", f"/p{number}/a/b?c=d")
+    return (time.process_time() - start) / _DECISIONS * 1e6
+
+
+def main() -> None:
+    """Print memory and times at three sizes."""
+    for servers in _SIZES:
+        print(
+            f"{servers:6d} servers: {_measure_memory(servers):6.2f} MiB,"
+            f" {_measure_decision(servers):7.1f} us a decision"
+        )
+    print(f"{_ROUTES:6d} routes: {_measure_match():6.1f} us a match")
+
+
+if __name__ == "__main__":
+    main()
