Ask a store that failed with short waits until it answers

Ruled out: a connection gone silent, which keepalive ends (the other table's poll ended so at 17.9 s).

--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -27,6 +27,9 @@
 # Calls of the store are paid, and one change answers the waiting calls of all
 # nodes. Keepalive probes find a connection that went silent meanwhile.
 _FOLLOW_WAIT = Seconds(25.0)
+# Wait of a call after a failed one. A store can be silent on new connections
+# too, and a long wait would hide for as long that it answers again.
+_RETURN_WAIT = Seconds(0.5)
 # Changes of servers within this time are read together. Home nodes refuse for
 # servers that have left, so that an entry node may learn of it late.
 _GATHER_TIME = Seconds(2.0)
@@ -141,7 +144,8 @@
         self.synced = True
 
     async def _read_changes(self, version: Version) -> None:
-        result = await self._store.follow(self._table, version, _FOLLOW_WAIT)
+        wait = _RETURN_WAIT if self._failing else _FOLLOW_WAIT
+        result = await self._store.follow(self._table, version, wait)
         if isinstance(result, Failure):
             await self._handle_failure("follow", result.failure())
             return
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -119,6 +119,22 @@
     assert play(script).versions == [7, 8]
 
 
+def test_a_store_that_fell_silent_holds_no_configuration_back_for_long():
+    # A long poll that began while the store was silent was waited for 27 s.
+    async def script(scene):
+        await put_configuration(scene, 7)
+        await curio.sleep(0.5)
+        scene.store.fault = RowsFault.BUSY
+        await curio.sleep(30.0)
+        scene.store.fault = RowsFault.SILENT
+        await curio.sleep(3.0)
+        scene.store.fault = RowsFault.NONE
+        await put_configuration(scene, 8)
+        await curio.sleep(4.5)
+
+    assert play(script).versions == [7, 8]
+
+
 def test_a_dropped_history_leads_to_a_new_reading():
     async def script(scene):
         await scene.store.put(SERVER_TABLE, ONE.id, encode_row(ONE))
