Remove a list and a counter that nothing reads

Directory.list_relays lost its last caller when the repeat budget moved to the home nodes, and RelayNode counted its clients' connections for no one.

--- a/egretlever/placement/_directory.py
+++ b/egretlever/placement/_directory.py
@@ -79,9 +79,5 @@
             server for server in self._servers.values() if server.relay == relay
         ]
 
-    def list_relays(self) -> set[Address]:
-        """List the relay addresses of all home nodes."""
-        return {server.relay for server in self._servers.values()}
-
     def __len__(self) -> int:
         return len(self._servers)
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -106,7 +106,6 @@
             self._home, Incarnation(time.time_ns() // 1000)
         )
         self._stopping = False
-        self._clients = 0
         self._ended = curio.Event()
 
     def _count_homes(self, service: ServiceName) -> int:
@@ -183,16 +182,12 @@
             await curio.sleep(_RESTART_PAUSE)
 
     async def _serve_client(self, sock: Any) -> None:
-        self._clients += 1
-        try:
-            await ClientConnection(
-                sock,
-                self._entry.handle,
-                self._entry.read_limits,
-                lambda: self._stopping,
-            ).run()
-        finally:
-            self._clients -= 1
+        await ClientConnection(
+            sock,
+            self._entry.handle,
+            self._entry.read_limits,
+            lambda: self._stopping,
+        ).run()
 
     async def _answer_health(self, head: RequestHead, body: bytes) -> Answer:
         del body
