Count calls of repeated runs, and use the slack of the repeat budget

Half of the budget was kept back for calls that a repeated run makes anew, which were not counted. They are now: a request for another service that begins on a host whose server runs a repeat counts as one. It is never refused for it. Half of the ratio stays unused, since calls may not count as requests.

The half that was kept back also covered a fleet that is killed: its new processes know nothing of the repeats before. They use the remaining fifth of the slack within their first window, which a test checks.

--- a/egretlever/home/_repeats.py
+++ b/egretlever/home/_repeats.py
@@ -4,10 +4,12 @@
 
 from egretlever.core import Interval, Seconds, check_parameters
 
-# A repeated run repeats its own calls too, which count as repeats at the called
-# service, and calls may not count among its requests. Half of the fleet's
-# bound covers both where calls are half of the requests.
-_USED_SHARE = 0.5
+# Calls of servers arrive like other requests and may not count as requests for
+# the service. Half of the ratio covers services with as many calls as requests.
+_RATIO_SHARE = 0.5
+# A new process does not know what the one before it has used. Within its first
+# window it uses the rest only, so that both together keep the bound.
+_SLACK_SHARE = 0.8
 
 
 class RepeatBudget:
@@ -28,15 +30,19 @@
         Repeated attempts allowed beyond the share, in the whole fleet.
     window : Seconds
         Length of the sliding window.
+    started_at : Seconds
+        Reading of the clock at which counting begins.
 
     Examples
     --------
-    >>> budget = RepeatBudget(0.2, 4.0, Seconds(10.0))
-    >>> [budget.take(Seconds(0.0), homes=2) for _ in range(2)]
+    >>> budget = RepeatBudget(0.2, 4.0, Seconds(10.0), Seconds(0.0))
+    >>> [budget.take(Seconds(12.0), homes=2) for _ in range(2)]
     [True, False]
     """
 
-    def __init__(self, ratio: float, slack: float, window: Seconds) -> None:
+    def __init__(
+        self, ratio: float, slack: float, window: Seconds, started_at: Seconds
+    ) -> None:
         check_parameters(
             "RepeatBudget",
             {"ratio": ratio, "slack": slack, "window": window},
@@ -49,12 +55,22 @@
         self._ratio = ratio
         self._slack = slack
         self._window = window
+        self._started_at = started_at
         self._requests: collections.deque[Seconds] = collections.deque()
         self._repeats: collections.deque[Seconds] = collections.deque()
 
-    def observe(self, now: Seconds) -> None:
-        """Count a first arrival."""
-        self._requests.append(now)
+    def observe(self, now: Seconds, derived: bool = False) -> None:
+        """Count an arrival that is never refused.
+
+        Parameters
+        ----------
+        now : Seconds
+            Reading of the clock.
+        derived : bool, default=False
+            Whether it may be a call of a repeated run. Such a call counts as
+            repeated at the called service.
+        """
+        (self._repeats if derived else self._requests).append(now)
         self._expire(now)
 
     def take(self, now: Seconds, homes: int) -> bool:
@@ -75,9 +91,11 @@
     def has_room(self, now: Seconds, homes: int) -> bool:
         """Tell whether a repeated attempt would be allowed."""
         self._expire(now)
-        allowed = _USED_SHARE * (
-            self._ratio * len(self._requests) + self._slack / max(1, homes)
-        )
+        share = _SLACK_SHARE
+        if now - self._started_at < self._window:
+            share = 1 - _SLACK_SHARE
+        slack = share * self._slack / max(1, homes)
+        allowed = _RATIO_SHARE * self._ratio * len(self._requests) + slack
         return len(self._repeats) + 1 <= allowed
 
     def _expire(self, now: Seconds) -> None:
--- a/egretlever/home/tests/test_repeats.py
+++ b/egretlever/home/tests/test_repeats.py
@@ -7,6 +7,19 @@
 from egretlever.home import RepeatBudget
 
 RATIO, SLACK, WINDOW = 0.2, 60.0, Seconds(10.0)
+LONG_AGO = Seconds(-10.0)
+
+
+def make_budget(slack=SLACK, started_at=LONG_AGO):
+    return RepeatBudget(RATIO, slack, WINDOW, started_at)
+
+
+def use_up(budget, now, homes=1):
+    """Take repeats until the budget has no room, and count them."""
+    count = 0
+    while budget.take(Seconds(now), homes):
+        count += 1
+    return count
 
 
 @hypothesis.given(
@@ -18,7 +31,7 @@
 )
 def test_all_homes_together_keep_the_bound_in_every_window(events):
     homes = 5
-    budgets = [RepeatBudget(RATIO, SLACK, WINDOW) for _ in range(homes)]
+    budgets = [make_budget() for _ in range(homes)]
     now = 0.0
     requests, repeats = [], []
     for wait, home, fails in events:
@@ -33,7 +46,37 @@
 
 
 def test_room_returns_when_the_window_has_passed():
-    budget = RepeatBudget(0.0, 2.0, WINDOW)
+    budget = make_budget(slack=2.0)
     assert budget.take(Seconds(0.0), homes=1)
     assert not budget.has_room(Seconds(9.9), homes=1)
     assert budget.take(Seconds(10.1), homes=1)
+
+
+def test_calls_of_repeated_runs_use_the_budget_too():
+    # They arrive like first requests and count as repeats all the same.
+    budget = make_budget(slack=20.0)
+    for number in range(10):
+        budget.observe(Seconds(number / 10), derived=True)
+    unused = use_up(make_budget(slack=20.0), 1.0)
+    assert use_up(budget, 1.0) == unused - 10
+
+
+def test_a_fleet_whose_processes_are_all_killed_keeps_the_bound():
+    # Each new process knew nothing of the repeats of the one before it, and
+    # the whole budget could be used twice in one window.
+    for killed_at in (0.5, 3.0, 6.0, 9.5):
+        before = use_up(make_budget(), 0.0)
+        after = make_budget(started_at=Seconds(killed_at))
+        times = [0.0] * before
+        for step in range(200):
+            now = killed_at + step * 0.1
+            times += [now] * use_up(after, now)
+            assert sum(at > now - WINDOW for at in times) <= SLACK
+
+
+def test_the_slack_serves_a_burst_of_failures():
+    # Half of it was kept back for calls of repeated runs, and requests failed
+    # that could have been repeated.
+    budgets = [make_budget() for _ in range(14)]
+    used = sum(use_up(budget, 1.0, homes=14) for budget in budgets)
+    assert used >= 0.7 * SLACK
--- a/egretlever/placement/_records.py
+++ b/egretlever/placement/_records.py
@@ -244,6 +244,8 @@
         Its answer can't be on time any more.
     repeated : bool
         Another server was sent the request before.
+    derived : bool
+        It may be a call of a repeated run.
     """
 
     request_id: RequestId
@@ -263,6 +265,7 @@
     careful: bool = False
     late: bool = False
     repeated: bool = False
+    derived: bool = False
 
     @property
     def may_test(self) -> bool:
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -86,6 +86,7 @@
             careful=offer.careful,
             late=offer.late,
             repeated=offer.repeated,
+            derived=offer.derived,
         )
     )
 
@@ -110,6 +111,7 @@
         careful=offer.careful,
         late=offer.late,
         repeated=offer.repeated,
+        derived=offer.derived,
     )
 
 
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -71,6 +71,7 @@
     deadline: Seconds
     search: Search
     history: History
+    derived: bool
 
 
 class EntryNode:
@@ -238,7 +239,14 @@
             service_time=self._times.get(route.id, _FIRST_ESTIMATE),
         )
         return _Task(
-            request, request_id, route, service, deadline, search, History()
+            request,
+            request_id,
+            route,
+            service,
+            deadline,
+            search,
+            History(),
+            self._home.may_derive(service),
         )
 
     async def _serve(self, task: _Task) -> ClientAnswer:
@@ -296,6 +304,7 @@
             careful=not task.search.may_test,
             late=choice.late,
             repeated=task.history.arrivals > 0,
+            derived=task.derived,
         )
         self._selector.start(choice.server)
         reply: Reply | None = None
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -69,6 +69,7 @@
         self._count_homes = count_homes
         self._bounds = bounds
         self._budget = _make_budget(bounds)
+        self._repeats_running = 0
         self.local = LocalServer()
         self.jobs = JobTable(self._work)
         self.stopping = False
@@ -98,6 +99,24 @@
             self._bounds = bounds
             self._budget = _make_budget(bounds)
 
+    def may_derive(self, service: ServiceName) -> bool:
+        """Tell whether a request of the host may be a call of a repeated run.
+
+        Calls of the server carry no mark, so each request for another service
+        that begins on the host during such a run is taken for one.
+
+        Parameters
+        ----------
+        service : ServiceName
+            Service that is called.
+        """
+        server = self.local.current
+        return (
+            self._repeats_running > 0
+            and server is not None
+            and server.service != service
+        )
+
     def describe(self, offer: Offer) -> HomeCondition:
         """Return the condition that rides on the reply to an offer."""
         now = read_clock()
@@ -188,7 +207,11 @@
                 obstacle = RefusalReason.NO_BUDGET
             if obstacle is not None:
                 return self._refuse(obstacle, offer)
-            result = await self._dispatch(job)
+            self._repeats_running += offer.repeated
+            try:
+                result = await self._dispatch(job)
+            finally:
+                self._repeats_running -= offer.repeated
             answered = result.good is True
         finally:
             self._queue.finish(offer.request_id, read_clock(), answered)
@@ -201,7 +224,7 @@
         if offer.repeated:
             homes = self._count_homes(offer.service)
             return self._budget.take(now, homes)
-        self._budget.observe(now)
+        self._budget.observe(now, offer.derived)
         return True
 
     async def _await_turn(self, ticket: SlotTicket) -> bool:
@@ -319,5 +342,8 @@
 
 def _make_budget(bounds: Bounds) -> RepeatBudget:
     return RepeatBudget(
-        bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+        bounds.retry_ratio,
+        bounds.retry_slack,
+        bounds.retry_window,
+        read_clock(),
     )
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -404,3 +404,25 @@
         )
 
     assert play(scene, script).body == b"list"
+
+
+def test_calls_made_during_a_repeated_run_are_taken_for_repeats():
+    scene = Scene(serve(after=0.3))
+    seen = []
+
+    async def script():
+        for repeated in (False, True):
+            task = await curio.spawn(
+                lambda repeated=repeated: scene.offer(
+                    f"r-{repeated}", idempotent=True, repeated=repeated
+                ),
+                daemon=True,
+            )
+            await curio.sleep(0.1)
+            for service in ("catalogue", "ordering"):
+                seen.append(scene.home.may_derive(service))
+            await task.join()
+        seen.append(scene.home.may_derive("catalogue"))
+
+    play(scene, script)
+    assert seen == [False, False, True, False, False]
