Replay loads on real entry and home nodes in virtual time

The decisions at the worst load had no test: single choices were checked, not what callers get from a fleet of them. A fleet of the product's entry and home nodes now runs in one loop under the virtual clock, with delays in place of connections and servers.

--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -37,7 +37,7 @@
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._clients import ClientAnswer, ClientRequest
 from egretlever.relay._home import HomeNode
-from egretlever.relay._links import LinkPool
+from egretlever.relay._interfaces import OfferSender
 from egretlever.relay._outcomes import (
     Ending,
     History,
@@ -89,7 +89,7 @@
         Relay address of this node.
     home : HomeNode
         Home node in the same process.
-    links : LinkPool
+    links : OfferSender
         Connections to the other home nodes.
     rng : random.Random
         Source of choices.
@@ -111,7 +111,7 @@
         service: ServiceName,
         relay: Address,
         home: HomeNode,
-        links: LinkPool,
+        links: OfferSender,
         rng: random.Random,
     ) -> None:
         self._service = service
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -25,6 +25,7 @@
     Reply,
 )
 from egretlever.platform import Bounds
+from egretlever.relay._interfaces import ServerRunner
 from egretlever.relay._jobs import Job, JobTable
 from egretlever.relay._sampling import RequestSampler
 from egretlever.relay._server_client import ServerClient, ServerResult
@@ -52,6 +53,8 @@
         Bounds of repeated attempts.
     count_homes : callable
         Returns the number of home nodes of a service, which share them.
+    client : ServerRunner
+        Runs requests at the server.
 
     Attributes
     ----------
@@ -64,7 +67,10 @@
     """
 
     def __init__(
-        self, bounds: Bounds, count_homes: Callable[[ServiceName], int]
+        self,
+        bounds: Bounds,
+        count_homes: Callable[[ServiceName], int],
+        client: ServerRunner,
     ) -> None:
         self._count_homes = count_homes
         self._bounds = bounds
@@ -75,7 +81,7 @@
         self.stopping = False
         self._queue = SlotQueue(1)
         self._trust = ServerTrust()
-        self._client = ServerClient()
+        self._client = client
         self._turns: dict[RequestId, curio.Event] = {}
         self._expired: set[RequestId] = set()
         self._key: tuple[str, int] | None = None
@@ -336,6 +342,21 @@
         await self._client.close()
 
 
+def make_home_node(
+    bounds: Bounds, count_homes: Callable[[ServiceName], int]
+) -> HomeNode:
+    """Make a home node that reaches its server over HTTP.
+
+    Parameters
+    ----------
+    bounds : Bounds
+        Bounds of repeated attempts.
+    count_homes : callable
+        Returns the number of home nodes of a service, which share them.
+    """
+    return HomeNode(bounds, count_homes, ServerClient())
+
+
 def _is_stopped_at_deadline(reply: Reply) -> bool:
     return isinstance(reply, Answer) and reply.status == _DEADLINE_PASSED
 
--- /dev/null
+++ b/egretlever/relay/_interfaces.py
@@ -0,0 +1,34 @@
+"""What entry nodes and home nodes need of the parts that do their I/O."""
+
+from typing import Protocol
+
+from egretlever.core import Address, Seconds
+from egretlever.home import Heartbeat
+from egretlever.placement import Offer, Reply
+from egretlever.relay._server_client import ServerResult
+
+
+class OfferSender(Protocol):
+    """Takes offers of an entry node to home nodes."""
+
+    async def offer(self, relay: Address, offer: Offer) -> Reply:
+        """Offer a request to the home node at an address."""
+        ...
+
+
+class ServerRunner(Protocol):
+    """Runs requests at the server of a home node."""
+
+    async def exchange(
+        self, server: Heartbeat, offer: Offer, time_left: Seconds
+    ) -> ServerResult:
+        """Run one request, which may take the time left."""
+        ...
+
+    async def expire(self, now: Seconds) -> None:
+        """Close connections that have been idle for too long."""
+        ...
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        ...
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -28,7 +28,7 @@
     make_configuration_follower,
     make_directory_follower,
 )
-from egretlever.relay._home import HomeNode
+from egretlever.relay._home import make_home_node
 from egretlever.relay._links import LinkPool
 from egretlever.relay._publishing import ServerPublisher
 from egretlever.schema import logs_pb2, settings_pb2
@@ -74,7 +74,7 @@
         self._bounds = bounds
         rng = random.Random(f"{settings.identity.node}-{time.time_ns()}")
         self._relay = Address(settings.listen.ip, settings.listen.relay_port)
-        self._home = HomeNode(bounds, self._count_homes)
+        self._home = make_home_node(bounds, self._count_homes)
         self._links = LinkPool()
         self._entry = EntryNode(
             FailureDomain(settings.identity.failure_domain),
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -16,7 +16,7 @@
 )
 from egretlever.platform import Bounds
 from egretlever.relay._acceptor import RelayAcceptor
-from egretlever.relay._home import HomeNode
+from egretlever.relay._home import make_home_node
 from egretlever.relay._links import LinkPool
 from egretlever.testing import ServerExchange, answer, run_virtual
 from egretlever.testing._scripted_server import ScriptedServer
@@ -36,7 +36,7 @@
 
 
 def make_home(**bounds):
-    return HomeNode(Bounds(**bounds), lambda service: 1)
+    return make_home_node(Bounds(**bounds), lambda service: 1)
 
 
 class Scene:
@@ -263,7 +263,7 @@
 def test_a_reload_does_not_forget_which_repeats_were_allowed():
     scene = Scene()
     bounds = Bounds(retry_ratio=0.0, retry_slack=4.0)
-    scene.home = HomeNode(bounds, lambda service: 1)
+    scene.home = make_home_node(bounds, lambda service: 1)
 
     async def script():
         for number in range(9):
--- /dev/null
+++ b/egretlever/testing/_relay_fleet.py
@@ -0,0 +1,573 @@
+"""A fleet of relay nodes in one loop, under a load pattern in virtual time.
+
+Entry nodes and home nodes are the product's own. The connections between them
+and the servers are replaced by delays, so that a day's load is replayed in
+seconds and the same way each time.
+"""
+
+import collections
+import dataclasses
+import math
+import random
+from collections.abc import Iterable
+
+import curio
+
+from egretlever.core import (
+    Address,
+    FailureDomain,
+    Incarnation,
+    RegionName,
+    RouteId,
+    Seconds,
+    ServerId,
+    ServiceName,
+    Version,
+)
+from egretlever.home import Heartbeat
+from egretlever.placement import (
+    Answer,
+    Backend,
+    ClientLimits,
+    Configuration,
+    Failure,
+    FailureReason,
+    HomeCondition,
+    HomeServer,
+    Offer,
+    Reply,
+    Route,
+)
+from egretlever.platform import Bounds, headers
+from egretlever.relay._clients import ClientRequest
+from egretlever.relay._entry import EntryNode
+from egretlever.relay._home import HomeNode
+from egretlever.relay._jobs import Job
+from egretlever.relay._server_client import ServerResult
+from egretlever.testing._clock import run_virtual
+from egretlever.transport import RequestHead, read_clock
+
+# One way between two nodes, in seconds, by what they have in common.
+_SAME_DOMAIN_DELAY = 0.0002
+_SAME_REGION_DELAY = 0.0014
+_REGION_DELAY = 0.008
+# A gray server fails this share of its requests at once.
+_GRAY_SHARE = 0.85
+_GRAY_TIME = 0.001  # seconds
+_ERROR_SHARE = 0.012  # of the requests of healthy servers
+_SPREAD = 0.6  # of the logarithm of work times
+_FIRST_PORT = 10_000
+_START = Seconds(1000.0)  # first reading of the virtual clock
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestKind:
+    """One kind of request of the fleet's clients.
+
+    Parameters
+    ----------
+    name : str
+        Name of the kind and of its route.
+    service : ServiceName
+        Service that runs it.
+    rate : float
+        Requests a second in the whole fleet.
+    work : Seconds
+        Mean time at a server.
+    objective, timeout : Seconds
+        Time for full worth, and time after which the client has gone.
+    rank : int
+        Priority, 0 for the most urgent.
+    worth, late_worth : float
+        Worth of an answer within the objective, and of a later one.
+    idempotent : bool
+        Whether it may run more than once.
+    calls : tuple of str and float, optional
+        Kind that each run calls, and how often in the mean.
+    """
+
+    name: str
+    service: ServiceName
+    rate: float
+    work: Seconds
+    objective: Seconds
+    timeout: Seconds
+    rank: int
+    worth: float
+    late_worth: float
+    idempotent: bool = True
+    calls: tuple[str, float] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Burst:
+    """A time in which one kind of request comes more often."""
+
+    kind: str
+    begins: float
+    ends: float
+    factor: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outage:
+    """A time in which a share of a service's servers is gray.
+
+    With `share` 0.3 and `period` 12, each server turns gray for two thirds of
+    a period with this probability, over and over.
+    """
+
+    begins: float
+    ends: float
+    share: float
+    period: float = 12.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadPattern:
+    """What a replay plays.
+
+    Parameters
+    ----------
+    kinds : tuple of RequestKind
+        Kinds of requests; those with rate 0 are called by servers only.
+    hosts : tuple of tuple of FailureDomain, ServiceName and int
+        Number of hosts by failure domain and service.
+    slots : int
+        Slots of each server.
+    length : Seconds
+        Time during which clients send requests.
+    bursts, outages
+        What is out of the ordinary.
+    bounds : Bounds
+        Bounds of repeated attempts.
+    """
+
+    kinds: tuple[RequestKind, ...]
+    hosts: tuple[tuple[FailureDomain, ServiceName, int], ...]
+    slots: int = 3
+    length: Seconds = Seconds(30.0)
+    bursts: tuple[Burst, ...] = ()
+    outages: tuple[Outage, ...] = ()
+    bounds: Bounds = Bounds()
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What became of the requests of one kind."""
+
+    asked: int = 0
+    on_time: int = 0
+    late: int = 0
+    rejected: int = 0
+    failed: int = 0
+    worth: float = 0.0
+
+    @property
+    def served(self) -> int:
+        """Requests with a good answer."""
+        return self.on_time + self.late
+
+
+@dataclasses.dataclass(slots=True)
+class ReplayReport:
+    """What callers and servers saw in a replay.
+
+    Attributes
+    ----------
+    tallies : dict
+        Outcomes by kind of request.
+    arrivals : dict
+        For each service, time and whether it was a repeat, of each request
+        that reached a server.
+    runs : collections.Counter
+        Runs by request id, for requests that may not be repeated.
+    refused_runs : int
+        Requests that were rejected as not run although they had run.
+    offers : int
+        Offers made by entry nodes to other hosts.
+    """
+
+    tallies: dict[str, Tally]
+    arrivals: dict[ServiceName, list[tuple[float, bool]]]
+    runs: "collections.Counter[str]"
+    refused_runs: int = 0
+    offers: int = 0
+
+    def measure_worth(self, kinds: Iterable[RequestKind]) -> float:
+        """Return the share of the worth of all requests that was earned."""
+        earned = sum(tally.worth for tally in self.tallies.values())
+        owed = sum(
+            self.tallies[kind.name].asked * kind.worth
+            for kind in kinds
+            if kind.name in self.tallies
+        )
+        return earned / owed
+
+    def measure_unserved(self) -> float:
+        """Return the share of requests without a good answer."""
+        asked = sum(tally.asked for tally in self.tallies.values())
+        served = sum(tally.served for tally in self.tallies.values())
+        return 1 - served / asked
+
+    def find_repeat_excess(self, pattern: LoadPattern) -> float:
+        """Return by how much any window had more repeats than allowed.
+
+        Requests for a service are those of clients; calls do not count.
+        """
+        bounds = pattern.bounds
+        excess = -math.inf
+        for service, arrivals in self.arrivals.items():
+            rate = sum(
+                kind.rate for kind in pattern.kinds if kind.service == service
+            )
+            allowed = bounds.retry_slack + bounds.retry_ratio * rate * float(
+                bounds.retry_window
+            )
+            repeats = [at for at, repeated in arrivals if repeated]
+            for place, end in enumerate(repeats):
+                used = sum(
+                    at > end - bounds.retry_window
+                    for at in repeats[: place + 1]
+                )
+                excess = max(excess, used - allowed)
+        return excess
+
+
+class _Server:
+    """A server with slots, which may be gray."""
+
+    def __init__(
+        self, fleet: "RelayFleet", host: "_Host", rng: random.Random
+    ) -> None:
+        self._fleet = fleet
+        self._host = host
+        self._rng = rng
+        self._gray_until: dict[int, bool] = {}
+
+    def _is_gray(self, now: float) -> bool:
+        for outage in self._fleet.pattern.outages:
+            if not outage.begins <= now < outage.ends:
+                continue
+            phase = (now - outage.begins + self._host.phase) / outage.period
+            turn = int(phase)
+            if turn not in self._gray_until:
+                self._gray_until[turn] = self._rng.random() < outage.share
+            if self._gray_until[turn] and phase - turn < 2 / 3:
+                return True
+        return False
+
+    async def exchange(
+        self, server: Heartbeat, offer: Offer, time_left: Seconds
+    ) -> ServerResult:
+        """Run one request."""
+        del server
+        now = self._fleet.measure_time()
+        report = self._fleet.report
+        report.arrivals[offer.service].append(
+            (now, self._host.take_derived(offer) or offer.repeated)
+        )
+        if not offer.idempotent:
+            report.runs[offer.request_id] += 1
+        gray = self._is_gray(now) and self._rng.random() < _GRAY_SHARE
+        if gray or self._rng.random() < _ERROR_SHARE:
+            await curio.sleep(_GRAY_TIME)
+            return _fail(500)
+        kind = self._fleet.kinds[offer.route]
+        mean = math.log(kind.work) - _SPREAD**2 / 2
+        work = self._rng.lognormvariate(mean, _SPREAD)
+        try:
+            async with curio.timeout_after(time_left):
+                await curio.sleep(work)
+                called = await self._call(kind, offer, time_left - work)
+        except curio.TaskTimeout:
+            return _fail(504)
+        if not called:
+            return _fail(500)
+        answer = Answer(200, (), b"", HomeCondition())
+        return ServerResult(answer, True)
+
+    async def _call(self, kind: RequestKind, offer: Offer, left: float) -> bool:
+        """Make the calls of a run; false when one of them fails."""
+        if kind.calls is None:
+            return True
+        called, mean = kind.calls
+        whole, part = divmod(mean, 1.0)
+        count = int(whole) + (self._rng.random() < part)
+        for _ in range(count):
+            status = await self._host.send(
+                self._fleet.kinds[RouteId(called)], left, offer.repeated
+            )
+            if status != 200:
+                return False
+        return True
+
+    async def expire(self, now: Seconds) -> None:
+        """Do nothing: there are no connections."""
+
+    async def close(self) -> None:
+        """Do nothing: there are no connections."""
+
+
+def _fail(status: int) -> ServerResult:
+    return ServerResult(Answer(status, (), b"", HomeCondition()), False)
+
+
+class _Links:
+    """Takes offers to other hosts of the fleet after a delay."""
+
+    def __init__(self, fleet: "RelayFleet", host: "_Host") -> None:
+        self._fleet = fleet
+        self._host = host
+
+    async def offer(self, relay: Address, offer: Offer) -> Reply:
+        """Offer a request to the home node at an address."""
+        other = self._fleet.hosts_by_relay[relay]
+        delay = self._fleet.measure_delay(self._host, other)
+        self._fleet.report.offers += 1
+        await curio.sleep(delay)
+        if offer.request_id in self._host.derived:
+            other.derived[offer.request_id] = self._host.derived.pop(
+                offer.request_id
+            )
+        job: Job = await other.home.jobs.submit(offer)
+        try:
+            await job.done.wait()
+        except curio.CancelledError:
+            await other.home.jobs.withdraw(job)
+            raise
+        await curio.sleep(delay)
+        return job.reply or Failure(FailureReason.HOME_LOST)
+
+
+class _Host:
+    """One host: a relay node, its server and its clients."""
+
+    def __init__(
+        self,
+        fleet: "RelayFleet",
+        number: int,
+        domain: FailureDomain,
+        service: ServiceName,
+    ) -> None:
+        self.domain = domain
+        self.relay = Address("10.0.0.1", _FIRST_PORT + number)
+        self.rng = random.Random(f"{fleet.seed}-{number}")
+        self.phase = self.rng.random() * 12.0
+        self.derived: dict[str, bool] = {}
+        self._fleet = fleet
+        self._number = number
+        self._service = service
+        self.home = HomeNode(
+            fleet.pattern.bounds,
+            lambda name: fleet.count_homes(name),
+            _Server(fleet, self, random.Random(f"server-{self.rng.random()}")),
+        )
+        self.entry = EntryNode(
+            domain,
+            fleet.regions,
+            service,
+            self.relay,
+            self.home,
+            _Links(fleet, self),
+            random.Random(f"entry-{self.rng.random()}"),
+        )
+        self.server = HomeServer(
+            ServerId(f"i-{number}"),
+            service,
+            domain,
+            self.relay,
+            fleet.pattern.slots,
+            Incarnation(1),
+        )
+        self.entry.find_local = lambda: self.server
+        self._sequence = 0
+
+    def take_derived(self, offer: Offer) -> bool:
+        """Tell whether a request is a call of a repeated run; only once."""
+        return self.derived.pop(offer.request_id, False)
+
+    def start(self) -> None:
+        """Announce the server and take the configuration."""
+        beat = Heartbeat(
+            id=self.server.id,
+            address=self.relay,
+            service=self._service,
+            failure_domain=self.domain,
+            slots=self.server.slots,
+            draining=False,
+            sequence=1,
+            incarnation=self.server.incarnation,
+            cold_for=Seconds(0.0),
+        )
+        self.home.local.observe(beat, read_clock())
+        self.home.renew()
+        self.entry.configure(self._fleet.configuration)
+        for host in self._fleet.hosts:
+            self.entry.directory.update(host.server, Version(1))
+
+    async def send(
+        self, kind: RequestKind, left: float, derived: bool = False
+    ) -> int:
+        """Send one request to the entry node and return its status."""
+        self._sequence += 1
+        request_id = f"{self._number}-{self._sequence}"
+        if derived:
+            self.derived[request_id] = True
+        fields = [
+            (b"host", b"fleet.example"),
+            (headers.REQUEST_ID, request_id.encode()),
+            (headers.DEADLINE, b"%d" % max(1, int(left * 1000))),
+        ]
+        head = RequestHead("GET", f"/{kind.name}/1", fields)
+        answer = await self.entry.handle(ClientRequest(head, b"", read_clock()))
+        if answer.status == 503 and self._fleet.report.runs[request_id]:
+            self._fleet.report.refused_runs += 1
+        return answer.status
+
+    async def send_counted(self, kind: RequestKind) -> None:
+        """Send a client's request and count what becomes of it."""
+        tally = self._fleet.report.tallies[kind.name]
+        tally.asked += 1
+        begun = read_clock()
+        status = await self.send(kind, kind.timeout)
+        took = read_clock() - begun
+        if status == 200 and took <= kind.objective:
+            tally.on_time += 1
+            tally.worth += kind.worth
+        elif status == 200:
+            tally.late += 1
+            tally.worth += kind.late_worth
+        elif status == 503:
+            tally.rejected += 1
+        else:
+            tally.failed += 1
+
+
+class RelayFleet:
+    """Relay nodes, servers and clients of one load pattern.
+
+    Parameters
+    ----------
+    pattern : LoadPattern
+        What is played.
+    seed : int, default=1
+        Seed of arrivals, work times and gray servers.
+    """
+
+    def __init__(self, pattern: LoadPattern, seed: int = 1) -> None:
+        self.pattern = pattern
+        self.seed = seed
+        self.kinds = {RouteId(kind.name): kind for kind in pattern.kinds}
+        services = {kind.service for kind in pattern.kinds}
+        self.report = ReplayReport(
+            {kind.name: Tally() for kind in pattern.kinds if kind.rate > 0},
+            {service: [] for service in services},
+            collections.Counter(),
+        )
+        # Names of failure domains begin with the name of their region.
+        self.regions = {
+            domain: RegionName(domain.rpartition("-")[0])
+            for domain, _, _ in pattern.hosts
+        }
+        self.configuration = Configuration(
+            Version(1),
+            tuple(_make_route(kind) for kind in pattern.kinds),
+            ClientLimits(),
+        )
+        self.hosts: list[_Host] = []
+        for domain, service, count in pattern.hosts:
+            for _ in range(count):
+                number = len(self.hosts)
+                self.hosts.append(_Host(self, number, domain, service))
+        self.hosts_by_relay = {host.relay: host for host in self.hosts}
+
+    def count_homes(self, service: ServiceName) -> int:
+        """Count the servers of a service."""
+        return sum(
+            count for _, name, count in self.pattern.hosts if name == service
+        )
+
+    def measure_time(self) -> float:
+        """Return the seconds since clients began."""
+        return read_clock() - _START
+
+    def measure_delay(self, one: _Host, other: _Host) -> float:
+        """Return the one-way delay between two hosts."""
+        if one.domain == other.domain:
+            return _SAME_DOMAIN_DELAY
+        if self.regions[one.domain] == self.regions[other.domain]:
+            return _SAME_REGION_DELAY
+        return _REGION_DELAY
+
+    async def run(self) -> ReplayReport:
+        """Play the pattern and return what was seen."""
+        for host in self.hosts:
+            host.start()
+            await curio.spawn(host.home.expire_forever, daemon=True)
+            await curio.spawn(host.home.jobs.expire_forever, daemon=True)
+        async with curio.TaskGroup() as group:
+            for at, host, kind in self._draw_arrivals():
+                await curio.sleep(max(0.0, at - self.measure_time()))
+                await group.spawn(host.send_counted, kind)
+        return self.report
+
+    def _draw_arrivals(self) -> list[tuple[float, _Host, RequestKind]]:
+        """Draw all requests of clients; failure domains get equal shares."""
+        rng = random.Random(f"arrivals-{self.seed}")
+        by_domain: dict[FailureDomain, list[_Host]] = {}
+        for host in self.hosts:
+            by_domain.setdefault(host.domain, []).append(host)
+        domains = list(by_domain.values())
+        arrivals = []
+        for kind in self.pattern.kinds:
+            at = 0.0
+            while kind.rate > 0:
+                at += rng.expovariate(kind.rate * self._find_factor(kind, at))
+                if at >= self.pattern.length:
+                    break
+                host = rng.choice(rng.choice(domains))
+                arrivals.append((at, host, kind))
+        return sorted(arrivals, key=lambda arrival: arrival[0])
+
+    def _find_factor(self, kind: RequestKind, at: float) -> float:
+        for burst in self.pattern.bursts:
+            if burst.kind == kind.name and burst.begins <= at < burst.ends:
+                return burst.factor
+        return 1.0
+
+
+def _make_route(kind: RequestKind) -> Route:
+    return Route(
+        id=RouteId(kind.name),
+        host="fleet.example",
+        prefix=f"/{kind.name}/",
+        idempotent=kind.idempotent,
+        timeout=kind.timeout,
+        objective=kind.objective,
+        rank=kind.rank,
+        max_attempts=3,
+        backends=(Backend(kind.service, 1.0),),
+    )
+
+
+def replay_load(pattern: LoadPattern, seed: int = 1) -> ReplayReport:
+    """Play a load pattern in virtual time.
+
+    Parameters
+    ----------
+    pattern : LoadPattern
+        What is played.
+    seed : int, default=1
+        Seed of arrivals, work times and gray servers.
+
+    Returns
+    -------
+    ReplayReport
+        What callers and servers saw.
+    """
+
+    async def play() -> ReplayReport:
+        return await RelayFleet(pattern, seed).run()
+
+    return run_virtual(play())
--- /dev/null
+++ b/egretlever/testing/relay_loads.py
@@ -0,0 +1,130 @@
+"""Load patterns for replays: small and large fleets, floods, gray servers."""
+
+import dataclasses
+
+from egretlever.core import FailureDomain, Seconds, ServiceName
+from egretlever.platform import Bounds
+from egretlever.testing._relay_fleet import (
+    Burst,
+    LoadPattern,
+    Outage,
+    RequestKind,
+)
+
+DESK = ServiceName("desk")
+HUB = ServiceName("hub")
+
+
+def build_kinds(scale: float = 1.0) -> tuple[RequestKind, ...]:
+    """Build reads, orders, long lists and short urgent views.
+
+    Parameters
+    ----------
+    scale : float, default=1.0
+        Factor of all rates.
+    """
+    seconds = Seconds
+    return (
+        RequestKind(
+            name="lesson",
+            service=DESK,
+            rate=15.9 * scale,
+            work=seconds(0.22),
+            objective=seconds(0.8),
+            timeout=seconds(2.0),
+            rank=1,
+            worth=0.88,
+            late_worth=0.26,
+            calls=("lookup", 1.4),
+        ),
+        RequestKind(
+            name="order",
+            service=DESK,
+            rate=40.1 * scale,
+            work=seconds(0.29),
+            objective=seconds(0.8),
+            timeout=seconds(2.5),
+            rank=1,
+            worth=1.8,
+            late_worth=0.53,
+            idempotent=False,
+        ),
+        RequestKind(
+            name="list",
+            service=HUB,
+            rate=11.8 * scale,
+            work=seconds(0.55),
+            objective=seconds(3.0),
+            timeout=seconds(5.0),
+            rank=2,
+            worth=0.44,
+            late_worth=0.2,
+        ),
+        RequestKind(
+            name="view",
+            service=HUB,
+            rate=13.1 * scale,
+            work=seconds(0.088),
+            objective=seconds(0.25),
+            timeout=seconds(1.0),
+            rank=0,
+            worth=3.4,
+            late_worth=0.4,
+        ),
+        RequestKind(
+            name="lookup",
+            service=HUB,
+            rate=0.0,
+            work=seconds(0.055),
+            objective=seconds(0.2),
+            timeout=seconds(0.6),
+            rank=1,
+            worth=0.0,
+            late_worth=0.0,
+        ),
+    )
+
+
+def build_pattern(
+    scale: float = 1.0, size: int = 1, **changes: object
+) -> LoadPattern:
+    """Build two regions of two failure domains with unequal parts.
+
+    A third of the servers are gray at times, as on every day.
+
+    Parameters
+    ----------
+    scale : float, default=1.0
+        Load of each server, relative to an ordinary day.
+    size : int, default=1
+        Factor of the number of hosts and of the rates.
+    **changes
+        Other fields of the pattern.
+    """
+    hosts = []
+    for region in ("north", "south"):
+        for place, desks in (("a", 5), ("b", 2)):
+            domain = FailureDomain(f"{region}-{place}")
+            hosts.append((domain, DESK, desks * size))
+            hosts.append((domain, HUB, 2 * size))
+    pattern = LoadPattern(
+        kinds=build_kinds(scale * size),
+        hosts=tuple(hosts),
+        outages=(Outage(0.0, 60.0, 0.3),),
+        bounds=Bounds(retry_ratio=0.2, retry_slack=60.0 * (1 + size) / 2),
+    )
+    return dataclasses.replace(pattern, **changes)  # type: ignore[arg-type]
+
+
+def build_flood(kind: str, factor: float, **changes: object) -> LoadPattern:
+    """Build a pattern with a burst of one kind from 8 s to 16 s."""
+    return build_pattern(bursts=(Burst(kind, 8.0, 16.0, factor),), **changes)  # type: ignore[arg-type]
+
+
+def build_overload() -> LoadPattern:
+    """Build the worst load: a flood of long lists while half is gray."""
+    return build_pattern(
+        scale=1.5,
+        bursts=(Burst("list", 4.0, 10.0, 2.1),),
+        outages=(Outage(0.0, 60.0, 0.3), Outage(4.0, 12.0, 0.3, 8.0)),
+    )
