Spend fewer repeats on trials, and fewer calls on the store

Gray servers stay so for about 12 s, and a trial came every second.

Trials now come after 0.5 s and every 2.5 s at the most, and none while half of the repeats are used: the rest is for requests that failed at a trusted server. A failure domain whose home nodes allow no repeat is not asked again. Changes of servers are gathered for 4 s and configurations for 0.7 s. A server that has left is asked every 3 s at the most.

--- a/egretlever/home/_trust.py
+++ b/egretlever/home/_trust.py
@@ -15,9 +15,9 @@
 # A broken server gets a trial after this time, seconds, and later ones after
 # longer times. Each trial costs a repeated attempt, and each second without one
 # keeps a server that has recovered out of service.
-_TRIAL_INTERVAL = 0.3
-_TRIAL_GROWTH = 1.5
-_MAX_TRIAL_INTERVAL = 1.0
+_TRIAL_INTERVAL = 0.5
+_TRIAL_GROWTH = 1.6
+_MAX_TRIAL_INTERVAL = 2.5
 # A service may have no idempotent requests. After this time without any
 # outcome, seconds, one request that may not be repeated is the trial.
 _LONE_TRIAL_INTERVAL = 3.0
--- a/egretlever/placement/_search.py
+++ b/egretlever/placement/_search.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from egretlever.core import Seconds, ServerId
+from egretlever.core import FailureDomain, Seconds, ServerId
 from egretlever.placement._records import HomeServer, Trust
 
 
@@ -45,6 +45,8 @@
         Homes that were offered the request in this stage.
     excluded : set of ServerId
         Homes that the request must not be offered to again.
+    spent : set of FailureDomain
+        Failure domains whose home nodes allow no repeated attempts now.
     offers : int
         Offers made in this stage.
     """
@@ -57,6 +59,7 @@
     stage: Stage = Stage.ON_TIME
     asked: set[ServerId] = dataclasses.field(default_factory=set)
     excluded: set[ServerId] = dataclasses.field(default_factory=set)
+    spent: set[FailureDomain] = dataclasses.field(default_factory=set)
     offers: int = 0
 
 
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -34,9 +34,9 @@
 # Ranks that have time to wait are held in queues nearby until a flood is over.
 # They go behind the other ranks there and take no slot from them.
 _PATIENT_WAIT_SHARES = {
-    Distance.OWN_DOMAIN: 0.6,
-    Distance.OWN_REGION: 0.8,
-    Distance.OTHER_REGION: 0.8,
+    Distance.OWN_DOMAIN: 0.45,
+    Distance.OWN_REGION: 0.7,
+    Distance.OTHER_REGION: 0.7,
 }
 # Part of the time left that a request may wait when it can't be on time any
 # more. A request that is held for long and then rejected is worse off than one
@@ -190,6 +190,7 @@
             for server in servers
             if server.id not in search.asked
             and server.id not in search.excluded
+            and server.failure_domain not in search.spent
             and self._may_ask(search, server, now)
         ]
         if search.stage is Stage.ON_TIME:
@@ -431,6 +432,7 @@
             if reply.condition.route_time > 0 and route_time > 0:
                 view.observe_slowness(reply.condition.route_time / route_time)
         if isinstance(reply, Answer):
+            view.observe_usable()
             return
         if reply.reason in _UNUSABLE:
             view.observe_unusable(now)
--- a/egretlever/placement/_views.py
+++ b/egretlever/placement/_views.py
@@ -14,8 +14,10 @@
 _FIRST_ABSENCE = Seconds(0.5)
 _MAX_ABSENCE = Seconds(4.0)
 # A home node without a usable server is asked again after this time: its
-# server may have restarted, which the directory shows only later.
+# server may have restarted, which the directory shows only later. The time is
+# doubled with each refusal, since most of these servers have left for good.
 _UNUSABLE_PAUSE = Seconds(0.75)
+_MAX_UNUSABLE_PAUSE = Seconds(3.0)
 # Servers whose routes take this much longer than elsewhere are avoided. Routes
 # are compared one by one, since a server that ran some long requests has a
 # long mean time and is not slow.
@@ -35,6 +37,7 @@
     __slots__ = (
         "_absence",
         "_at",
+        "_pause",
         "_report",
         "_slowness",
         "absent_until",
@@ -52,6 +55,7 @@
         self.absent_until = Seconds(0.0)
         self.followed = False
         self._absence = _FIRST_ABSENCE
+        self._pause = _UNUSABLE_PAUSE
         self._report: HomeCondition | None = None
         self._slowness = 1.0
         self._at = Seconds(0.0)
@@ -69,9 +73,14 @@
         self.absent_until = Seconds(now + self._absence)
         self._absence = Seconds(min(_MAX_ABSENCE, 2 * self._absence))
 
+    def observe_usable(self) -> None:
+        """Note that the server has answered a request."""
+        self._pause = _UNUSABLE_PAUSE
+
     def observe_unusable(self, now: Seconds) -> None:
         """Leave a home node alone whose server takes no requests."""
-        self.absent_until = Seconds(now + _UNUSABLE_PAUSE)
+        self.absent_until = Seconds(now + self._pause)
+        self._pause = Seconds(min(_MAX_UNUSABLE_PAUSE, 2 * self._pause))
 
     def is_absent(self, now: Seconds) -> bool:
         """Tell whether the home node is left alone for now."""
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -18,7 +18,6 @@
     Configuration,
     HomeChoice,
     Offer,
-    Refusal,
     RefusalReason,
     Reply,
     Route,
@@ -238,8 +237,11 @@
                 )
             arrivals = task.history.arrivals
             task.history.observe(reply)
-            if reply == Refusal(RefusalReason.EXPIRED, reply.condition):
+            if task.history.reason is RefusalReason.EXPIRED:
                 self._selector.skip_stage(task.search)
+            elif task.history.reason is RefusalReason.NO_BUDGET:
+                # Home nodes of one failure domain pool their parts.
+                task.search.spent.add(choice.server.failure_domain)
             if task.history.arrivals > arrivals:
                 task.search.excluded.add(choice.server.id)
                 task.search.may_test = False
--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -26,13 +26,17 @@
 SERVER_TABLE = "egretlever-servers"
 # Calls of the store are paid, and one change answers the waiting calls of all
 # nodes. Keepalive probes find a connection that went silent meanwhile.
-_FOLLOW_WAIT = Seconds(25.0)
+_FOLLOW_WAIT = Seconds(29.0)
 # Wait of a call after a failed one. A store can be silent on new connections
 # too, and a long wait would hide for as long that it answers again.
 _RETURN_WAIT = Seconds(0.5)
 # Changes of servers within this time are read together. Home nodes refuse for
-# servers that have left, so that an entry node may learn of it late.
-_GATHER_TIME = Seconds(2.0)
+# servers that have left, so that an entry node may learn of it late, and a new
+# server is known before it has got over its slow start.
+_GATHER_TIME = Seconds(4.0)
+# Configurations within this time are read together. They have to be in force
+# within 2 s.
+_CONFIGURATION_GATHER_TIME = Seconds(0.7)
 # Waits after failed calls: the first one, and the longest. They are drawn at
 # random up to their bound, so that nodes do not all return at once.
 _FIRST_PAUSE = Seconds(0.2)
@@ -197,7 +201,7 @@
                 _take_configuration(row, configure)
 
     return TableFollower(
-        store, CONFIGURATION_TABLE, take, take, Seconds(0.0), rng
+        store, CONFIGURATION_TABLE, take, take, _CONFIGURATION_GATHER_TIME, rng
     )
 
 
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -48,6 +48,8 @@
 # Waits are told for this many ranks; the last one holds for all further ranks.
 _REPORTED_RANKS = 3
 _NO_ROUTE = RouteId("")
+# Use of the repeats from which on no trials are made.
+_TRIAL_USE = 0.5
 # Time without trials of a broken server when no repeat is allowed.
 _NO_ROOM_CLOSURE = Seconds(0.5)
 
@@ -164,10 +166,20 @@
         closure = self._trust.measure_closure(now)
         broken = self._trust.describe() is Trust.BROKEN
         server = self.local.current
-        if broken and server and not self._has_room(server.service, now):
+        if broken and server and not self._has_trial_room(server.service, now):
             return max(closure, _NO_ROOM_CLOSURE)
         return closure
 
+    def _has_trial_room(self, service: ServiceName, now: Seconds) -> bool:
+        """Tell whether the budget allows a trial that may have to be repeated.
+
+        The last part of the budget is kept for requests that failed on a
+        server that was trusted: they have no other way to be served.
+        """
+        pooled = self._measure_pooled_use(service)
+        use = self._measure_repeat_use() if pooled is None else pooled
+        return use < _TRIAL_USE and self._has_room(service, now)
+
     def _has_room(self, service: ServiceName, now: Seconds) -> bool:
         """Tell whether the budget allows a repeated attempt."""
         homes = self._neighbours.count_homes(service)
@@ -238,11 +250,9 @@
         if obstacle is not None:
             return self._refuse(obstacle, offer)
         now = read_clock()
-        room = self._has_room(offer.service, now)
-        if offer.repeated and not room:
+        if offer.repeated and not self._has_room(offer.service, now):
             return self._refuse(RefusalReason.NO_BUDGET, offer)
-        # A trial that fails is repeated elsewhere, which needs the budget too.
-        may_test = offer.may_test and room
+        may_test = offer.may_test and self._has_trial_room(offer.service, now)
         trial = not self._trust.is_open(may_test, offer.forced)
         if not self._trust.decide(may_test, now, offer.forced):
             return self._refuse(RefusalReason.UNTRUSTED, offer)
