Hold requests for the first milliseconds of a node

Each node had read it 13 ms after its start.

A request now waits until configuration and servers were read, 0.3 s at most. Ruled out: a later start of the listener, which makes clients fail to connect.

--- a/egretlever/placement/_directory.py
+++ b/egretlever/placement/_directory.py
@@ -16,10 +16,13 @@
     ----------
     version : Version
         Newest store version whose changes are all included.
+    complete : bool
+        Whether the table was read as a whole at least once.
     """
 
     def __init__(self) -> None:
         self.version = Version(0)
+        self.complete = False
         self._servers: dict[ServerId, HomeServer] = {}
         self._versions: dict[ServerId, Version] = {}
         self._services: dict[ServiceName, dict[ServerId, HomeServer]] = {}
@@ -35,6 +38,7 @@
         for server, row_version in found.values():
             self.update(server, row_version)
         self.version = max(self.version, version)
+        self.complete = True
 
     def update(self, server: HomeServer, version: Version) -> bool:
         """Take one row; false when a newer one is known."""
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -47,6 +47,10 @@
 # Time of a request at a server before its route has answers.
 _FIRST_ESTIMATE = Seconds(0.15)
 _NEW_WEIGHT = 0.1  # weight of a new answer in the mean time of its route
+# A node that has just started reads configuration and servers within this time,
+# or the store is away.
+_START_WAIT = Seconds(0.3)
+_START_CHECK = 0.01  # seconds
 # A server has to be given up this long before the client gives up, or its
 # answer comes too late on the way back.
 _RETURN_TIME = Seconds(0.02)
@@ -155,8 +159,9 @@
 
     async def _handle(self, request: ClientRequest) -> ClientAnswer:
         found = request.head.find(headers.REQUEST_ID)
-        if self._routes is None:
+        if not await self._await_start():
             return self._reject(found, "no configuration yet", Seconds(1.0))
+        assert self._routes is not None  # awaited
         if (
             self._rejects_from is not None
             and request.received_at > self._rejects_from
@@ -178,6 +183,19 @@
         except curio.TaskTimeout:
             return self._time_out(task)
 
+    async def _await_start(self) -> bool:
+        """Wait until the node knows routes and servers; false if it does not.
+
+        After all processes were killed clients come back within the first
+        milliseconds, and reading the store takes a few more.
+        """
+        until = read_clock() + _START_WAIT
+        while not (self.configured and self._fleet.directory.complete):
+            if read_clock() >= until:
+                return self.configured
+            await curio.sleep(_START_CHECK)
+        return True
+
     def _reject(
         self, request_id: str | None, text: str, wait: Seconds
     ) -> ClientAnswer:
--- a/egretlever/testing/_relay_fleet.py
+++ b/egretlever/testing/_relay_fleet.py
@@ -418,8 +418,8 @@
         self.home.local.observe(beat, read_clock())
         self.home.renew()
         self.entry.configure(self._fleet.configuration)
-        for host in self._fleet.hosts:
-            self.view.directory.update(host.server, Version(1))
+        rows = [(host.server, Version(1)) for host in self._fleet.hosts]
+        self.view.directory.replace(rows, Version(1))
 
     async def send(
         self, kind: RequestKind, left: float, derived: bool = False
