Let a failure after the usual work speak less against a server

A failure that comes after a third of its route's usual time now counts a quarter, so that two in a row are needed for doubt. Ruled out: telling failed calls by their source, since calls of servers carry no mark.

--- a/egretlever/home/_trust.py
+++ b/egretlever/home/_trust.py
@@ -6,6 +6,9 @@
 # Each outcome counts half. One bad outcome after good ones is above the first
 # bound, two in a row are above the second; two good ones end either state.
 _NEW_WEIGHT = 0.5
+# A failure after the usual time of work counts less: the request itself or a
+# call that it made may be at fault. Two in a row are above the first bound.
+_WORKED_WEIGHT = 0.25
 _DOUBT_ABOVE = 0.3
 _BROKEN_ABOVE = 0.6
 # A forced request that can be repeated is kept out above this share. A server
@@ -107,10 +110,22 @@
         )
         return True
 
-    def observe(self, good: bool, now: Seconds) -> None:
-        """Take the outcome of a request that the server began to run."""
+    def observe(self, good: bool, now: Seconds, worked: bool = False) -> None:
+        """Take the outcome of a request that the server began to run.
+
+        Parameters
+        ----------
+        good : bool
+            Whether the request was served.
+        now : Seconds
+            Reading of the clock.
+        worked : bool, default=False
+            Whether a failure came after the usual time of work. Gray servers
+            mostly fail at once.
+        """
         bad = 0.0 if good else 1.0
-        self.failure_share_ += _NEW_WEIGHT * (bad - self.failure_share_)
+        weight = _WORKED_WEIGHT if worked and not good else _NEW_WEIGHT
+        self.failure_share_ += weight * (bad - self.failure_share_)
         self._observed_at = now
         if good:
             self._interval = _TRIAL_INTERVAL
--- a/egretlever/home/tests/test_trust.py
+++ b/egretlever/home/tests/test_trust.py
@@ -86,3 +86,21 @@
     assert not trust.decide(False, Seconds(0.1))
     trust.observe_overdue(-1)
     assert trust.decide(False, Seconds(0.2))
+
+
+def test_a_failure_after_the_usual_work_alone_keeps_no_orders_away():
+    # One request in a hundred fails by itself, and more by calls that fail.
+    # Each kept orders away from a healthy server for about a second.
+    trust = ServerTrust()
+    observe(trust, [True, True])
+    trust.observe(False, Seconds(0.1), worked=True)
+    assert trust.describe() is Trust.TRUSTED
+    trust.observe(False, Seconds(0.2), worked=True)
+    assert trust.describe() is Trust.DOUBTED
+
+
+def test_a_server_that_fails_after_its_work_is_broken_in_the_end():
+    trust = ServerTrust()
+    for number in range(5):
+        trust.observe(False, Seconds(number / 10), worked=True)
+    assert trust.describe() is Trust.BROKEN
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -43,6 +43,10 @@
 # Part of the time left that a request of a route without known times may take.
 # The times of other routes say little about it.
 _UNKNOWN_SHARE = 0.25
+# Part of the usual time of its route after which a failed request has been
+# worked on. On measured days 4 of 251 failures of healthy servers and 845 of
+# 976 failures of gray ones came within 10 ms.
+_WORKED_SHARE = 0.3
 _DEADLINE_PASSED = 504  # status of a server that stopped at the deadline
 _CHECK_INTERVAL = 0.05  # seconds between looks for expired requests
 # Waits are told for this many ranks; the last one holds for all further ranks.
@@ -360,9 +364,21 @@
             server.id,
             server.incarnation,
         ):
-            self._trust.observe(result.good, read_clock())
+            end = read_clock()
+            worked = self._has_worked(result.reply, offer, Seconds(end - now))
+            self._trust.observe(result.good, end, worked)
         return result
 
+    def _has_worked(self, reply: Reply, offer: Offer, took: Seconds) -> bool:
+        """Tell whether an answer came after a usual time of work."""
+        usual = self._queue.find_time(offer.route)
+        return (
+            isinstance(reply, Answer)
+            and reply.status != _DEADLINE_PASSED
+            and usual > 0
+            and took >= _WORKED_SHARE * usual
+        )
+
     def _find_overdue(self, offer: Offer, left: Seconds) -> Seconds:
         """Find the time at the server after which a request is overdue."""
         usual = self._queue.find_time(offer.route)
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -489,3 +489,11 @@
         return sum(at > begun for at in counts) / (read_clock() - begun)
 
     assert play(scene, script) <= 250
+
+
+@pytest.mark.parametrize(
+    ("after", "trust"), [(0.2, Trust.TRUSTED), (0.001, Trust.DOUBTED)]
+)
+def test_a_failure_at_once_says_more_than_one_after_the_work(after, trust):
+    scene = Scene(*[serve(after=0.2)] * 3, serve(b"", 500, after))
+    assert play(scene, offer_with_known_time(scene)) is trust
