Keep trials going while repeats are scarce, and refresh notices

In replays with half of the servers gray, servers that had recovered stayed out while the budget allowed no trials.

Notices are sent again every 4 s and hold for 9 s. While half of the repeats are used a broken server gets a trial every 2 s instead of none. Two failure domains without repeats end a request, and a request is offered to four homes of the own region and two of the other one at most in order to be on time.

--- a/egretlever/home/_trust.py
+++ b/egretlever/home/_trust.py
@@ -1,5 +1,7 @@
 """Judgement of a server by the outcomes of all callers at its home node."""
 
+import math
+
 from egretlever.core import Seconds
 from egretlever.placement import Trust
 
@@ -18,9 +20,12 @@
 # A broken server gets a trial after this time, seconds, and later ones after
 # longer times. Each trial costs a repeated attempt, and each second without one
 # keeps a server that has recovered out of service.
-_TRIAL_INTERVAL = 0.5
-_TRIAL_GROWTH = 1.6
-_MAX_TRIAL_INTERVAL = 2.5
+_TRIAL_INTERVAL = 0.4
+_TRIAL_GROWTH = 1.5
+_MAX_TRIAL_INTERVAL = 1.2
+# Time between trials, seconds, while few repeats are left. Without any trial,
+# servers that have recovered would stay out of service in an overload.
+_SCARCE_TRIAL_INTERVAL = 2.0
 # A service may have no idempotent requests. After this time without any
 # outcome, seconds, one request that may not be repeated is the trial.
 _LONE_TRIAL_INTERVAL = 3.0
@@ -50,8 +55,8 @@
 
     def __init__(self) -> None:
         self.failure_share_ = 0.0
-        self._trial_at: Seconds | None = None
-        self._interval = _TRIAL_INTERVAL
+        self._tried_at = Seconds(-math.inf)
+        self._interval = 0.0
         self._observed_at = Seconds(0.0)
         self._overdue = 0
 
@@ -64,7 +69,11 @@
         return Trust.TRUSTED
 
     def decide(
-        self, may_test: bool, now: Seconds, forced: bool = False
+        self,
+        may_test: bool,
+        now: Seconds,
+        forced: bool = False,
+        scarce: bool = False,
     ) -> bool:
         """Decide whether the server may get a request.
 
@@ -78,12 +87,14 @@
             No other server takes the request, so doubt does not keep it out.
             When most servers of the service fail, even a broken one takes
             requests that can be repeated: a part of them is served.
+        scarce : bool, default=False
+            Whether few repeats are left for trials that fail.
         """
         if self.is_open(may_test, forced):
             return True
         if now - self._observed_at > _LONE_TRIAL_INTERVAL:
-            return self._take_trial(now)
-        return may_test and self._take_trial(now)
+            return self._take_trial(now, scarce)
+        return may_test and self._take_trial(now, scarce)
 
     def is_open(self, may_test: bool, forced: bool = False) -> bool:
         """Tell whether a request may go to the server without being a trial."""
@@ -95,18 +106,30 @@
         hopeful = self.failure_share_ <= _HOPELESS_ABOVE
         return may_test and forced and hopeful
 
-    def measure_closure(self, now: Seconds) -> Seconds:
-        """Return the time until a broken server gets its next trial."""
-        if self.describe() is not Trust.BROKEN or self._trial_at is None:
+    def measure_closure(self, now: Seconds, scarce: bool = False) -> Seconds:
+        """Return the time until a broken server gets its next trial.
+
+        Parameters
+        ----------
+        now : Seconds
+            Reading of the clock.
+        scarce : bool, default=False
+            Whether few repeats are left for trials that fail.
+        """
+        if self.describe() is not Trust.BROKEN:
             return Seconds(0.0)
-        return Seconds(max(0.0, self._trial_at - now))
+        interval = self._interval
+        if scarce:
+            interval = max(interval, _SCARCE_TRIAL_INTERVAL)
+        return Seconds(max(0.0, self._tried_at + interval - now))
 
-    def _take_trial(self, now: Seconds) -> bool:
-        if self._trial_at is not None and now < self._trial_at:
+    def _take_trial(self, now: Seconds, scarce: bool) -> bool:
+        if self.measure_closure(now, scarce) > 0:
             return False
-        self._trial_at = Seconds(now + self._interval)
+        self._tried_at = now
         self._interval = min(
-            _MAX_TRIAL_INTERVAL, self._interval * _TRIAL_GROWTH
+            _MAX_TRIAL_INTERVAL,
+            max(_TRIAL_INTERVAL, self._interval * _TRIAL_GROWTH),
         )
         return True
 
@@ -128,7 +151,7 @@
         self.failure_share_ += weight * (bad - self.failure_share_)
         self._observed_at = now
         if good:
-            self._interval = _TRIAL_INTERVAL
+            self._interval = 0.0
 
     def observe_overdue(self, change: int) -> None:
         """Count the running requests that take far longer than usual."""
--- a/egretlever/home/tests/test_trust.py
+++ b/egretlever/home/tests/test_trust.py
@@ -104,3 +104,15 @@
     for number in range(5):
         trust.observe(False, Seconds(number / 10), worked=True)
     assert trust.describe() is Trust.BROKEN
+
+
+def test_few_trials_are_made_while_few_repeats_are_left_but_some():
+    # Without any, servers that had recovered stayed out in an overload.
+    trust = ServerTrust()
+    observe(trust, [False] * 4)
+    given = [
+        number / 10
+        for number in range(1, 101)
+        if trust.decide(True, Seconds(number / 10), scarce=True)
+    ]
+    assert 4 <= len(given) <= 6
--- a/egretlever/placement/_search.py
+++ b/egretlever/placement/_search.py
@@ -45,6 +45,8 @@
         Homes that were offered the request in this stage.
     excluded : set of ServerId
         Homes that the request must not be offered to again.
+    asked_at : list of Distance
+        How far the homes of all offers were.
     spent : set of FailureDomain
         Failure domains whose home nodes allow no repeated attempts now.
     offers : int
@@ -59,6 +61,7 @@
     stage: Stage = Stage.ON_TIME
     asked: set[ServerId] = dataclasses.field(default_factory=set)
     excluded: set[ServerId] = dataclasses.field(default_factory=set)
+    asked_at: list[Distance] = dataclasses.field(default_factory=list)
     spent: set[FailureDomain] = dataclasses.field(default_factory=set)
     offers: int = 0
 
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -59,8 +59,9 @@
     Distance.OWN_REGION: Seconds(0.5),
     Distance.OTHER_REGION: Seconds(1.0),
 }
-# A broken server needs good answers to several trials, which take longer.
-_BROKEN_LIFETIME = Seconds(1.5)
+# A broken server needs good answers to several trials, which take longer. Gray
+# servers stay so for some 10 s.
+_BROKEN_LIFETIME = Seconds(2.5)
 # Share of a service's servers that may be broken at a time before requests go
 # to them all the same. On ordinary days about a third of them are; when all
 # fail a part of their requests, keeping away from them serves nobody.
@@ -69,6 +70,13 @@
 # Offers of one request before it is rejected. A refused offer costs a round
 # trip, and a request that nobody takes has to be rejected soon.
 _MAX_OFFERS = {"on-time": 10, "late": 4, "forced": 2}
+# Offers to homes at a distance for a request to be on time. A refusal costs
+# bytes that are paid beyond the own failure domain.
+_MAX_DISTANT_OFFERS = {
+    Distance.OWN_DOMAIN: 10,
+    Distance.OWN_REGION: 4,
+    Distance.OTHER_REGION: 2,
+}
 # Homes of other failure domains compared in one choice. Two are enough to avoid
 # the longest queues, and the nodes do not all choose the one last seen free.
 _COMPARED = 2
@@ -160,6 +168,7 @@
             choice = self._choose(search, servers, usual, now)
             if choice is not None:
                 search.asked.add(choice.server.id)
+                search.asked_at.append(self.measure_distance(choice.server))
                 search.offers += 1
                 return choice
             if search.stage is Stage.ON_TIME:
@@ -276,9 +285,14 @@
     ) -> HomeChoice | None:
         for distance in Distance:
             allowed = self._measure_spare(search, distance, now)
-            if allowed < 0 or (
-                distance is Distance.OTHER_REGION
-                and search.rank >= _FIRST_PATIENT_RANK
+            asked = search.asked_at.count(distance)
+            if (
+                asked >= _MAX_DISTANT_OFFERS[distance]
+                or allowed < 0
+                or (
+                    distance is Distance.OTHER_REGION
+                    and search.rank >= _FIRST_PATIENT_RANK
+                )
             ):
                 continue
             near = [
--- a/egretlever/placement/_views.py
+++ b/egretlever/placement/_views.py
@@ -5,9 +5,9 @@
 
 # A reported wait says little about a queue a second later.
 _REPORT_LIFETIME = Seconds(1.0)
-# A home node that sends notices says when its condition changes. A connection
-# may have gone silent, so its last notice does not hold for longer.
-_NOTICE_LIFETIME = Seconds(3.0)
+# A home node that sends notices says when its condition changes, and every 4 s.
+# A connection may have gone silent: its last notice holds for two of these.
+_NOTICE_LIFETIME = Seconds(9.0)
 # An unreachable home node is left alone for this time, doubled with each
 # further failure, so that a cut costs few requests and ends unnoticed by none
 # for long.
--- a/egretlever/placement/tests/test_selection.py
+++ b/egretlever/placement/tests/test_selection.py
@@ -220,11 +220,21 @@
 
 def test_a_notice_holds_until_the_next_one_for_seconds():
     selector = make_selector()
-    follow(selector, LOCAL, trust=Trust.BROKEN, closed_for=Seconds(0.1))
-    choice = selector.decide(build_search(), [LOCAL, REGIONAL], Seconds(2.0))
+    report(selector, LOCAL)
+    selector.observe(
+        HomeNotice(
+            LOCAL.id,
+            build_condition(free_slots=0, wait=Seconds(20.0)),
+        ),
+        NOW,
+    )
+    later = Seconds(5.0)
+    search = build_search(on_time_at=Seconds(6.2), deadline=Seconds(9.0))
+    choice = selector.decide(search, [LOCAL, REGIONAL], later)
     assert choice.server is REGIONAL
     selector.lose(LOCAL.id)
-    choice = selector.decide(build_search(), [LOCAL, REGIONAL], Seconds(2.0))
+    search = build_search(on_time_at=Seconds(6.2), deadline=Seconds(9.0))
+    choice = selector.decide(search, [LOCAL, REGIONAL], later)
     assert choice.server is LOCAL
 
 
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -47,6 +47,9 @@
 # Time of a request at a server before its route has answers.
 _FIRST_ESTIMATE = Seconds(0.15)
 _NEW_WEIGHT = 0.1  # weight of a new answer in the mean time of its route
+# Failure domains without repeats after which a request is given up: the whole
+# fleet has none then, and each further refusal costs bytes between regions.
+_MAX_SPENT = 2
 # A node that has just started reads configuration and servers within this time,
 # or the store is away.
 _START_WAIT = Seconds(0.3)
@@ -263,6 +266,8 @@
             if task.history.arrivals > arrivals:
                 task.search.excluded.add(choice.server.id)
                 task.search.may_test = False
+            if len(task.search.spent) >= _MAX_SPENT:
+                return self._give_up(task, Stop.NO_BUDGET)
             if task.history.may_have_run and not task.route.idempotent:
                 return self._give_up(task, Stop.MAY_HAVE_RUN)
             if task.history.arrivals >= task.route.max_attempts:
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -52,10 +52,8 @@
 # Waits are told for this many ranks; the last one holds for all further ranks.
 _REPORTED_RANKS = 3
 _NO_ROUTE = RouteId("")
-# Use of the repeats from which on no trials are made.
+# Use of the repeats from which on few trials are made.
 _TRIAL_USE = 0.5
-# Time without trials of a broken server when no repeat is allowed.
-_NO_ROOM_CLOSURE = Seconds(0.5)
 
 
 class HomeNode:
@@ -163,22 +161,18 @@
         )
 
     def _measure_closure(self, now: Seconds) -> Seconds:
-        """Return the time until a trial of a broken server is possible.
-
-        A trial that fails is repeated elsewhere, which the budget has to allow.
-        """
-        closure = self._trust.measure_closure(now)
-        broken = self._trust.describe() is Trust.BROKEN
+        """Return the time until the next trial of a broken server."""
         server = self.local.current
-        if broken and server and not self._has_trial_room(server.service, now):
-            return max(closure, _NO_ROOM_CLOSURE)
-        return closure
+        if server is None or self._trust.describe() is not Trust.BROKEN:
+            return Seconds(0.0)
+        scarce = not self._has_trial_room(server.service, now)
+        return self._trust.measure_closure(now, scarce)
 
     def _has_trial_room(self, service: ServiceName, now: Seconds) -> bool:
-        """Tell whether the budget allows a trial that may have to be repeated.
+        """Tell whether the budget allows trials that may have to be repeated.
 
-        The last part of the budget is kept for requests that failed on a
-        server that was trusted: they have no other way to be served.
+        The last part of it is kept for requests that failed at a server that
+        was trusted: they have no other way to be served.
         """
         pooled = self._measure_pooled_use(service)
         use = self._measure_repeat_use() if pooled is None else pooled
@@ -256,9 +250,10 @@
         now = read_clock()
         if offer.repeated and not self._has_room(offer.service, now):
             return self._refuse(RefusalReason.NO_BUDGET, offer)
-        may_test = offer.may_test and self._has_trial_room(offer.service, now)
+        may_test = offer.may_test
+        scarce = not self._has_trial_room(offer.service, now)
         trial = not self._trust.is_open(may_test, offer.forced)
-        if not self._trust.decide(may_test, now, offer.forced):
+        if not self._trust.decide(may_test, now, offer.forced, scarce):
             return self._refuse(RefusalReason.UNTRUSTED, offer)
         ticket = SlotTicket(
             offer.request_id,
--- a/egretlever/relay/_notices.py
+++ b/egretlever/relay/_notices.py
@@ -15,6 +15,9 @@
 # Notices a second of one home node. With more entry nodes each hears less
 # often, which bounds the time and bytes spent on them.
 _MAX_RATE = 200.0
+# Time after which an unchanged condition is sent again, in seconds. An entry
+# node finds by it that a connection has gone silent.
+_REFRESH_INTERVAL = 4.0
 # Times that differ by less are the same for an entry node, in seconds.
 _TIME_STEP = 0.1
 
@@ -66,12 +69,19 @@
     async def publish_forever(self) -> None:
         """Send notices of changes, for ever."""
         while True:
-            await self._changed.wait()
+            try:
+                async with curio.timeout_after(_REFRESH_INTERVAL):
+                    await self._changed.wait()
+                due = False
+            except curio.TaskTimeout:
+                due = True
             self._changed.clear()
             notice = self._describe()
             now = read_clock()
-            if notice is None or not _is_news(
-                self._sent, notice, Seconds(now - self._sent_at)
+            elapsed = Seconds(now - self._sent_at)
+            due = due or elapsed >= _REFRESH_INTERVAL
+            if notice is None or not (
+                due or _is_news(self._sent, notice, elapsed)
             ):
                 continue
             self._sent, self._sent_at = notice, now
--- a/egretlever/relay/_outcomes.py
+++ b/egretlever/relay/_outcomes.py
@@ -40,6 +40,7 @@
     NO_HOME = "no-home-takes-it"
     ATTEMPTS_USED = "attempts-used"
     MAY_HAVE_RUN = "may-have-run"
+    NO_BUDGET = "no-budget"
 
 
 @dataclasses.dataclass(slots=True)
