--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -359,11 +359,32 @@
             server.id,
             server.incarnation,
         ):
-            end = read_clock()
-            worked = self._has_worked(result.reply, offer, Seconds(end - now))
-            self._trust.observe(result.good, end, worked)
+            self._judge(offer, result, now)
         return result
 
+    def _judge(
+        self, offer: Offer, result: ServerResult, begun: Seconds
+    ) -> None:
+        """Take an outcome into the trust in the server."""
+        end = read_clock()
+        before = self._trust.describe()
+        worked = self._has_worked(result.reply, offer, Seconds(end - begun))
+        self._trust.observe(result.good is True, end, worked)
+        after = self._trust.describe()
+        if after is not before and self.local.current is not None:
+            share = self._trust.failure_share_
+            _LOG.event(
+                logs_pb2.StateLine(
+                    event="trust-changed",
+                    subject=self.local.current.id,
+                    outcome=after.value,
+                    reason=(
+                        f"failures {share:.2f} after {result.reply.name}"
+                        f" of {offer.request_id}"
+                    ),
+                )
+            )
+
     def _has_worked(self, reply: Reply, offer: Offer, took: Seconds) -> bool:
         """Tell whether an answer came after a usual time of work."""
         usual = self._queue.find_time(offer.route)
