Add a soak of relay processes with faults from outside

The randomised run so far plays the direct topology, whose nodes inject their own faults. Relay nodes had no such run. The new one starts them as processes of their own and disturbs them by signals, by proxies between the nodes that delay, silence, cut one way and reset connections, by a store that is busy, silent, garbled, loses answers, writes late or forgets its history, and by gray and leaving servers. Events come in series and overlap; callers keep their connections. From what callers and servers saw it checks that no order runs twice, that no refused one has run, that answers are own and signed, that a server which has left gets nothing, that a planned stop loses nothing, and that all is served again at the end.

--- /dev/null
+++ b/benchmarks/_relay_soak.py
@@ -0,0 +1,284 @@
+"""Runs relay processes through random faults and checks their promises.
+
+Faults come from outside of the processes: signals, proxies between the nodes,
+a store that misbehaves, and servers that fail. The same seed gives the same
+schedule; the timing of the processes differs between runs. Exits with 1 when a
+promise was broken, and keeps the logs.
+"""
+
+import pathlib
+import random
+import shutil
+import signal
+from typing import Annotated
+
+import curio
+import typer
+
+from benchmarks._relay_soak_hosts import SERVICE, SoakHost
+from benchmarks._relay_soak_network import LinkFault, SoakStore
+from benchmarks._relay_soak_plan import Event, EventKind, make_schedule
+from benchmarks._relay_soak_records import Disturbance, Records
+from egretlever.core import Seconds
+from egretlever.platform.tests.wire_builders import build_soak_configuration
+from egretlever.standins import RowsFault
+from egretlever.testing import Fleet
+from egretlever.transport import read_clock
+
+_READY_TIMEOUT = 120.0  # seconds; far above what a loaded machine needs
+_CHECK_INTERVAL = 0.1  # seconds
+_SETTLE = 8.0  # seconds without faults at the end
+_STOP_TIMEOUT = 10.0  # seconds, above the grace of the settings
+_LATE_WRITE = 1.5  # seconds after which a late write takes effect
+# Requests of the last seconds that have to be served, when all is well again.
+_SERVED_SHARE = 0.8
+_SERVED_TIME = Seconds(4.0)
+_LINK_FAULTS = {
+    EventKind.LINK_DELAY: LinkFault.DELAY,
+    EventKind.LINK_SILENT: LinkFault.SILENT,
+    EventKind.LINK_CUT_TO: LinkFault.CUT_TO,
+    EventKind.LINK_CUT_FROM: LinkFault.CUT_FROM,
+    EventKind.LINK_RESET: LinkFault.RESET,
+}
+_STORE_FAULTS = {
+    EventKind.STORE_BUSY: RowsFault.BUSY,
+    EventKind.STORE_SILENT: RowsFault.SILENT,
+    EventKind.STORE_LOST: RowsFault.LOST,
+    EventKind.STORE_LATE: RowsFault.LATE,
+    EventKind.STORE_GARBLED: RowsFault.GARBLED,
+}
+# What a process writes only when it has a fault of its own.
+_FAULT_WORDS = ("Traceback", "A part failed", "invariant")
+
+
+class RelaySoak:
+    """One run.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Starts the processes.
+    seed : int
+        Seed of the schedule, and of work and failures.
+    seconds : float
+        Time in which faults begin.
+    hosts : int
+        Number of hosts.
+
+    Attributes
+    ----------
+    records : Records
+        What was seen.
+    violations : list of str
+        Broken promises.
+    """
+
+    def __init__(
+        self, fleet: Fleet, seed: int, seconds: float, hosts: int
+    ) -> None:
+        self.records = Records()
+        self.violations: list[str] = []
+        self.schedule = make_schedule(seed, seconds, hosts)
+        self._store = SoakStore()
+        self._hosts = [
+            SoakHost(
+                fleet,
+                self._store,
+                self.records,
+                number,
+                random.Random(f"{seed}-{number}"),
+            )
+            for number in range(hosts)
+        ]
+        # Signals of one host follow one another.
+        self._busy = [curio.Lock() for _ in self._hosts]
+
+    async def run(self) -> None:
+        """Play the schedule and check what was seen."""
+        body = build_soak_configuration(SERVICE)
+        await self._store.put("op", "config", body)
+        parts = [self._store.run, *(host.run for host in self._hosts)]
+        tasks = [await curio.spawn(part, daemon=True) for part in parts]
+        try:
+            await self._run_schedule()
+        finally:
+            for host in self._hosts:
+                host.signal(signal.SIGTERM)
+            for host in self._hosts:
+                await self._await_end(host)
+            for task in tasks:
+                await task.cancel()
+
+    async def _run_schedule(self) -> None:
+        if not await self._await_ready():
+            self.violations.append("the fleet did not become ready")
+            return
+        begun = read_clock()
+        async with curio.TaskGroup() as group:
+            for event in self.schedule:
+                await curio.sleep(max(0.0, begun + event.at - read_clock()))
+                await group.spawn(self._play, event)
+        if not await self._await_ready():
+            self.violations.append("a node did not become ready again")
+        await curio.sleep(_SETTLE)
+        self._check_end()
+        self.violations += self.records.find_violations()
+
+    async def _await_ready(self) -> bool:
+        until = read_clock() + _READY_TIMEOUT
+        while read_clock() < until:
+            ready = [await host.is_ready() for host in self._hosts]
+            if all(ready):
+                return True
+            await curio.sleep(_CHECK_INTERVAL)
+        return False
+
+    async def _play(self, event: Event) -> None:
+        host = self._hosts[event.host]
+        begun = read_clock()
+        if event.kind in _STORE_FAULTS:
+            self._store.delay = _LATE_WRITE
+            self._store.fault = _STORE_FAULTS[event.kind]
+            await curio.sleep(event.length)
+            self._store.fault = RowsFault.NONE
+        elif event.kind is EventKind.STORE_FORGETS:
+            self._store.forget_history()
+        elif event.kind in _LINK_FAULTS:
+            host.proxy.set_fault(_LINK_FAULTS[event.kind])
+            await curio.sleep(event.length)
+            host.proxy.set_fault(LinkFault.NONE)
+        elif event.kind is EventKind.GRAY:
+            host.gray = True
+            await curio.sleep(event.length)
+            host.gray = False
+        elif event.kind is EventKind.RELOAD:
+            host.signal(signal.SIGHUP)
+        else:
+            async with self._busy[event.host]:
+                begun = read_clock()
+                await self._disturb_process(event, host)
+        self.records.disturbances.append(
+            Disturbance(
+                event.kind.value,
+                "" if event.kind.is_global else host.name,
+                begun,
+                read_clock(),
+            )
+        )
+
+    async def _disturb_process(self, event: Event, host: SoakHost) -> None:
+        if event.kind is EventKind.REPLACE_SERVER:
+            await host.replace_server()
+        elif event.kind is EventKind.PAUSE:
+            host.signal(signal.SIGSTOP)
+            await curio.sleep(event.length)
+            host.signal(signal.SIGCONT)
+        elif event.kind is EventKind.KILL:
+            host.signal(signal.SIGKILL)
+            await self._await_end(host)
+            host.start()
+        else:
+            host.signal(signal.SIGTERM)
+            if not await self._await_end(host):
+                self.violations.append(f"{host.name} did not stop in time")
+                host.signal(signal.SIGKILL)
+                await self._await_end(host)
+            host.start()
+
+    async def _await_end(self, host: SoakHost) -> bool:
+        until = read_clock() + _STOP_TIMEOUT
+        while host.is_running() and read_clock() < until:
+            await curio.sleep(_CHECK_INTERVAL)
+        return not host.is_running()
+
+    def _check_end(self) -> None:
+        """Check that all is well when nothing is wrong any more."""
+        now = read_clock()
+        last = [
+            sent
+            for sent in self.records.sent
+            if sent.begun > now - _SERVED_TIME
+        ]
+        served = sum(sent.status == 200 for sent in last)
+        if served < _SERVED_SHARE * len(last) or not last:
+            self.violations.append(
+                f"{served} of {len(last)} requests were served at the end"
+            )
+        for host in self._hosts:
+            if not host.is_running():
+                self.violations.append(f"{host.name} ended by itself")
+            logs = host.read_logs()
+            self.violations += [
+                f"{host.name} wrote {word!r}"
+                for word in _FAULT_WORDS
+                if word in logs
+            ]
+
+
+def print_report(soak: RelaySoak) -> None:
+    """Print what was sent, what was done and what was broken."""
+    statuses: dict[int, int] = {}
+    for sent in soak.records.sent:
+        statuses[sent.status] = statuses.get(sent.status, 0) + 1
+    kinds: dict[str, int] = {}
+    for event in soak.schedule:
+        kinds[event.kind.value] = kinds.get(event.kind.value, 0) + 1
+    print("answers:", dict(sorted(statuses.items())))
+    print("events:", dict(sorted(kinds.items())))
+    for violation in soak.violations:
+        print(f"BROKEN: {violation}")
+
+
+def play(seed: int, seconds: float, hosts: int) -> RelaySoak:
+    """Play one seed and return the run with its violations.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the run.
+    seconds : float
+        Time in which faults begin.
+    hosts : int
+        Number of hosts, each with one process.
+    """
+    with Fleet() as fleet:
+        soak = RelaySoak(fleet, seed, seconds, hosts)
+        curio.run(soak.run)
+        if soak.violations:
+            folder = pathlib.Path("build/relay-soak") / str(seed)
+            shutil.rmtree(folder, ignore_errors=True)
+            shutil.copytree(fleet.path, folder)
+            print(f"logs are in {folder}")
+        return soak
+
+
+def run(
+    seed: Annotated[
+        int | None, typer.Option(help="First seed; drawn if absent.")
+    ] = None,
+    runs: Annotated[int, typer.Option(min=1, help="Seeds to play.")] = 1,
+    seconds: Annotated[
+        float, typer.Option(min=5, max=3600, help="Length of each run.")
+    ] = 60.0,
+    hosts: Annotated[
+        int, typer.Option(min=2, max=200, help="Hosts, a process each.")
+    ] = 8,
+) -> None:
+    """Run relay processes through random faults."""
+    if seed is None:
+        seed = random.SystemRandom().randrange(1, 1_000_000)
+    broken = []
+    for number in range(seed, seed + runs):
+        print(f"seed {number}, {seconds:g} s, {hosts} hosts", flush=True)
+        soak = play(number, seconds, hosts)
+        print_report(soak)
+        if soak.violations:
+            broken.append(number)
+    if broken:
+        print(f"BROKEN SEEDS: {broken}")
+        raise typer.Exit(1)
+    print("all promises kept")
+
+
+if __name__ == "__main__":
+    typer.run(run)
--- /dev/null
+++ b/benchmarks/_relay_soak_hosts.py
@@ -0,0 +1,295 @@
+"""Hosts of a soak: a relay process, its server and its callers."""
+
+import json
+import random
+import signal
+
+import curio
+
+from benchmarks._relay_soak_network import FaultyProxy, SoakStore
+from benchmarks._relay_soak_records import Records, Run, Sent
+from egretlever.core import (
+    Incarnation,
+    RequestId,
+    Seconds,
+    ServerId,
+)
+from egretlever.platform import headers
+from egretlever.platform.tests.wire_builders import build_heartbeat_body
+from egretlever.testing import (
+    Fleet,
+    ServerExchange,
+    answer,
+    reserve_addresses,
+)
+from egretlever.testing._scripted_server import ScriptedServer
+from egretlever.transport import (
+    BackendClosedError,
+    BackendConnection,
+    BackendProtocolError,
+    ConnectError,
+    RequestHead,
+    open_connection,
+    read_body,
+    read_clock,
+    send_request,
+)
+
+SERVICE = "ordering"
+SLOTS = 3
+_BEAT_INTERVAL = 0.5  # seconds
+_WORK = 0.05  # mean seconds of a request at a server
+_GRAY_SHARE = 0.85  # of the requests that a gray server fails at once
+_ERROR_SHARE = 0.02  # of the requests that any server fails
+_SHED_SHARE = 0.03  # of the requests that any server refuses
+_LINGER = 3.0  # seconds that a server serves on after it has said it leaves
+_PAUSE = 0.08  # mean seconds between two requests of a caller
+_DEADLINE_MS = 3000
+_UNSAFE_SHARE = 0.6
+_CONNECT_TIMEOUT = Seconds(1.0)
+_MAX_ANSWER_BYTES = 1 << 20
+_ANSWER_TIMEOUT = 10.0  # seconds; far behind the deadline of every request
+_FIRST_BORN = 1_700_000_000_000
+
+
+class SoakHost:
+    """One host: a relay process, a server and callers in this process.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Starts the relay process.
+    store : SoakStore
+        The platform's store.
+    records : Records
+        Takes what is seen.
+    number : int
+        Number of the host.
+    rng : random.Random
+        Source of work, failures and pauses.
+
+    Attributes
+    ----------
+    name : str
+        Name of the host.
+    proxy : FaultyProxy
+        Way of the other nodes to this one.
+    gray : bool
+        Whether the server fails most requests.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        store: SoakStore,
+        records: Records,
+        number: int,
+        rng: random.Random,
+    ) -> None:
+        self.name = f"host-{number}"
+        self.gray = False
+        self._fleet = fleet
+        self._store = store
+        self._records = records
+        self._rng = rng
+        self._domain = f"domain-{number % 2}"
+        addresses = reserve_addresses(5)
+        self._clients, self._health, self._beats, relay, scrapes = addresses
+        self.proxy = FaultyProxy(relay)
+        store.proxies[str(relay)] = self.proxy
+        self._path = fleet.write_settings(
+            self.name,
+            {
+                "identity": {
+                    "node": self.name,
+                    "failure_domain": self._domain,
+                    "region": "north",
+                    "service": SERVICE,
+                    "regions": "domain-0:north, domain-1:north",
+                },
+                "listen": {
+                    "clients": self._clients,
+                    "health": self._health,
+                    "announcements": self._beats,
+                    "ip": relay.ip,
+                    "relay_port": relay.port,
+                    "metrics_port": scrapes.port,
+                },
+                "store": {"address": store.address},
+                "bounds": {"heartbeat": "500ms", "platform": "grace=6s"},
+            },
+        )
+        self._starts = 0
+        self._born = _FIRST_BORN + number
+        self._server = ScriptedServer(self._answer)
+        self._leaving = False
+        self._requests = 0
+        self.start()
+
+    @property
+    def server_id(self) -> ServerId:
+        """Id of the present server."""
+        return ServerId(f"i-{self._born}")
+
+    def start(self) -> None:
+        """Start the relay process."""
+        self._starts += 1
+        self._process = self._fleet.start(
+            f"{self.name}-{self._starts}", "relay", "run", self._path
+        )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the relay process, unless it has ended."""
+        if self.is_running():
+            self._process.signal(number)
+
+    def is_running(self) -> bool:
+        """Tell whether the relay process has not ended."""
+        return self._process.process.poll() is None
+
+    def read_logs(self) -> str:
+        """Return the output of all relay processes of the host."""
+        return "\n".join(
+            path.read_text(errors="replace")
+            for path in sorted(self._fleet.path.glob(f"{self.name}-*.log"))
+        )
+
+    async def is_ready(self) -> bool:
+        """Tell whether the relay process calls itself ready."""
+        result = await send_request(self._health, "GET", "/readiness", b"")
+        return bool(
+            result.map(lambda reply: reply.head.status == 200).value_or(False)
+        )
+
+    async def run(self) -> None:
+        """Run the proxy, the server, its heartbeats and three callers."""
+        async with curio.TaskGroup() as group:
+            await group.spawn(self.proxy.run)
+            await group.spawn(self._server.run)
+            await group.spawn(self._beat_forever)
+            for caller in range(3):
+                await group.spawn(self._call_forever, caller)
+
+    async def _answer(self, exchange: ServerExchange) -> bool:
+        """Run one request at the server; a step of the scripted server."""
+        request = RequestId(exchange.head.find(headers.REQUEST_ID) or "")
+        name = headers.REQUEST_ID + b": " + request.encode()
+        if self._rng.random() < _SHED_SHARE:
+            refusal = answer(b"", 503, name, headers.NOT_RUN + b": 1")
+            return await refusal(exchange)
+        run = Run(request, self.server_id, read_clock())
+        self._records.runs.append(run)
+        own = (name, headers.SIGNATURE + b": s")
+        fails = _GRAY_SHARE if self.gray else _ERROR_SHARE
+        if self._rng.random() < fails:
+            return await answer(b"", 500, *own)(exchange)
+        body = f"{request} {run.server}".encode()
+        work = self._rng.expovariate(1 / _WORK)
+        return await answer(body, 200, *own, after=work)(exchange)
+
+    async def _beat_forever(self) -> None:
+        sequence = 0
+        while True:
+            sequence += 1
+            state = "draining" if self._leaving else "ready"
+            if await self._announce(sequence, state) and self._leaving:
+                self._records.departures.setdefault(
+                    self.server_id, read_clock()
+                )
+            await curio.sleep(_BEAT_INTERVAL)
+
+    async def _announce(self, sequence: int, state: str) -> bool:
+        """Send one heartbeat; whether it was acknowledged."""
+        fields = build_heartbeat_body(
+            address=str(self._server.address),
+            born=self._born,
+            info={
+                "service": SERVICE,
+                "version": "v1",
+                "zone": self._domain,
+                "slots": SLOTS,
+            },
+            status={"state": state, "sequence": sequence},
+        )
+        result = await send_request(
+            self._beats,
+            "PUT",
+            f"/instances/{self.server_id}",
+            json.dumps(fields).encode(),
+        )
+        return bool(
+            result.map(lambda reply: reply.head.status == 200).value_or(False)
+        )
+
+    async def replace_server(self) -> None:
+        """Let the server leave as planned, and start another one."""
+        self._leaving = True
+        while self.server_id not in self._records.departures:
+            await curio.sleep(_BEAT_INTERVAL)
+        await curio.sleep(_LINGER)
+        await send_request(
+            self._beats, "DELETE", f"/instances/{self.server_id}", b""
+        )
+        self._born = Incarnation(self._born + 1_000)
+        self._leaving = False
+
+    async def _call_forever(self, caller: int) -> None:
+        """Send one request after the other on a kept connection."""
+        while True:
+            try:
+                sock = await open_connection(self._clients, _CONNECT_TIMEOUT)
+            except ConnectError:
+                await curio.sleep(_PAUSE)
+                continue
+            connection = BackendConnection(sock)
+            kept = False
+            try:
+                while await self._call(connection, caller, kept):
+                    kept = True
+                    await curio.sleep(self._rng.expovariate(1 / _PAUSE))
+            finally:
+                await connection.close()
+
+    async def _call(
+        self, connection: BackendConnection, caller: int, kept: bool
+    ) -> bool:
+        """Send one request; whether its connection can be used again."""
+        self._requests += 1
+        request = RequestId(f"{self.name}-{caller}-{self._requests}")
+        self._records.started.add(request)
+        idempotent = self._rng.random() > _UNSAFE_SHARE
+        method, prefix = ("GET", "reads") if idempotent else ("POST", "orders")
+        fields = [
+            (b"host", b"shop.example"),
+            (headers.REQUEST_ID, request.encode()),
+            (headers.DEADLINE, b"%d" % _DEADLINE_MS),
+            (b"content-length", b"0"),
+        ]
+        begun = read_clock()
+        status, body, signed = 0, b"", False
+        try:
+            async with curio.timeout_after(_ANSWER_TIMEOUT):
+                await connection.send_request(
+                    RequestHead(method, f"/{prefix}/1", fields), b""
+                )
+                response = await connection.read_response()
+                body = await read_body(connection, _MAX_ANSWER_BYTES)
+            status = response.status
+            signed = response.find(headers.SIGNATURE) is not None
+        except (BackendClosedError, BackendProtocolError, curio.TaskTimeout):
+            # Recorded as a request without an answer.
+            status = 0
+        self._records.sent.append(
+            Sent(
+                request,
+                self.name,
+                idempotent,
+                kept,
+                begun,
+                read_clock(),
+                status,
+                body,
+                signed,
+            )
+        )
+        return status != 0 and connection.prepare_next()
--- /dev/null
+++ b/benchmarks/_relay_soak_network.py
@@ -0,0 +1,138 @@
+"""Loopback proxies that delay, silence, cut and reset connections."""
+
+import enum
+import struct
+from typing import Any
+
+import curio
+from curio import socket
+
+from egretlever.core import Address, Seconds
+from egretlever.schema import relay_pb2
+from egretlever.standins import RowsStandIn
+from egretlever.transport import (
+    ConnectError,
+    accept_connections,
+    open_connection,
+    open_listener,
+)
+
+_READ_SIZE = 65536
+_MAX_CONNECTIONS = 1000
+_CONNECT_TIMEOUT = Seconds(0.5)
+_DELAY = 0.15  # seconds that each piece is held back
+_CHECK_INTERVAL = 0.02  # seconds between looks at the present fault
+# Closes a socket with a reset.
+_RESET = struct.pack("ii", 1, 0)
+
+
+class LinkFault(enum.Enum):
+    """What happens to the connections to one node.
+
+    ``SILENT`` is for good: connections that were open then deliver nothing any
+    more, while new ones work.
+    """
+
+    NONE = "none"
+    DELAY = "delay"
+    SILENT = "silent"
+    CUT_TO = "cut-to"
+    CUT_FROM = "cut-from"
+    RESET = "reset"
+
+
+class FaultyProxy:
+    """Passes connections on to one node.
+
+    Parameters
+    ----------
+    target : Address
+        Where the node listens.
+
+    Attributes
+    ----------
+    address : Address
+        Where the proxy listens.
+    """
+
+    def __init__(self, target: Address) -> None:
+        self._target = target
+        self._listener = open_listener(Address(target.ip, 0))
+        self.address = Address(*self._listener.getsockname()[:2])
+        self._fault = LinkFault.NONE
+        self._silent: set[Any] = set()
+        self._open: set[Any] = set()
+
+    async def run(self) -> None:
+        """Serve for ever."""
+        try:
+            await accept_connections(
+                self._listener, self._serve, _MAX_CONNECTIONS
+            )
+        finally:
+            await self._listener.close()
+
+    def set_fault(self, fault: LinkFault) -> None:
+        """Change what happens to connections."""
+        self._fault = fault
+        if fault is LinkFault.SILENT:
+            self._silent |= self._open
+        if fault is LinkFault.RESET:
+            for sock in self._open:
+                with sock.blocking() as raw:
+                    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+                    raw.shutdown(socket.SHUT_RDWR)
+
+    async def _serve(self, sock: Any) -> None:
+        try:
+            onward = await open_connection(self._target, _CONNECT_TIMEOUT)
+        except ConnectError:
+            # The caller sees its connection end, as at a dead node.
+            await sock.close()
+            return
+        self._open |= {sock, onward}
+        back = await curio.spawn(
+            self._pump, onward, sock, LinkFault.CUT_FROM, daemon=True
+        )
+        try:
+            await self._pump(sock, onward, LinkFault.CUT_TO)
+        finally:
+            await back.cancel()
+            for end in (sock, onward):
+                self._open.discard(end)
+                self._silent.discard(end)
+                await end.close()
+
+    async def _pump(self, source: Any, sink: Any, cut: LinkFault) -> None:
+        """Pass bytes on in one direction until either end closes."""
+        try:
+            while data := await source.recv(_READ_SIZE):
+                if self._fault is LinkFault.DELAY:
+                    await curio.sleep(_DELAY)
+                while self._fault is cut:
+                    await curio.sleep(_CHECK_INTERVAL)
+                if source not in self._silent:
+                    await sink.sendall(data)
+            if source not in self._silent:
+                await sink.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # One of the ends was reset; both are closed by the caller.
+            return
+
+
+class SoakStore(RowsStandIn):
+    """Row store that names proxies in place of the nodes' relay addresses."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.proxies: dict[str, FaultyProxy] = {}
+
+    async def put(self, table: str, key: str, value: bytes | None) -> int:
+        """Write or remove a row."""
+        if value is not None and table == "egretlever-servers":
+            row = relay_pb2.ServerRow.FromString(value)
+            proxy = self.proxies.get(row.relay_address)
+            if proxy is not None:
+                row.relay_address = str(proxy.address)
+            value = row.SerializeToString()
+        return await super().put(table, key, value)
--- a/benchmarks/tests/builders.py
+++ b/benchmarks/tests/builders.py
@@ -1,5 +1,8 @@
-"""Builders of what the checks of the randomised run compare."""
+"""Builders of what the checks of the randomised runs compare."""
 
+import dataclasses
+
+from benchmarks._relay_soak_records import Sent
 from benchmarks._soak_history import Edit, History, Sample, Span
 from benchmarks._soak_plan import Kind
 from egretlever.schema import standins_pb2
@@ -39,3 +42,19 @@
 def make_edit(version, accepted):
     """Make an accepted edit."""
     return Edit(version, accepted, "operator-1")
+
+
+def build_sent(**changes):
+    """Build an order that was answered with 200 by a signed body."""
+    sent = Sent(
+        request="r-1",
+        host="host-1",
+        idempotent=False,
+        kept=True,
+        begun=1.0,
+        ended=1.5,
+        status=200,
+        body=b"r-1 i-1",
+        signed=True,
+    )
+    return dataclasses.replace(sent, **changes)
--- a/egretlever/platform/tests/wire_builders.py
+++ b/egretlever/platform/tests/wire_builders.py
@@ -48,3 +48,14 @@
         {"type": "limits", "metadata": {}, "spec": limits},
     ]
     return json.dumps({"version": version, "resources": resources}).encode()
+
+
+def build_soak_configuration(service: str) -> bytes:
+    """Build a configuration with reads and orders of one service as JSON."""
+    fields = json.loads(build_configuration_body(service=service))
+    orders, services, limits = fields["resources"]
+    services["metadata"]["name"] = service
+    spec = {**orders["spec"], "prefix": "/reads/", "kind": "safe"}
+    reads = {**orders, "metadata": {"name": "reads"}, "spec": spec}
+    fields["resources"] = [orders, reads, services, limits]
+    return json.dumps(fields).encode()
