--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := $(VENV)/bin
 SCHEMAS := $(wildcard egretlever/schema/*.proto)
 
-.PHONY: test lint format schema schema-check deploy-check demo bench soak clean
+.PHONY: test lint format schema schema-check deploy-check demo bench soak \
+  relay-soak clean
 
 $(VENV)/.ready: requirements.lock
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -47,5 +48,8 @@
 soak: $(VENV)/.ready
 	$(BIN)/python -m benchmarks._soak
 
+relay-soak: $(VENV)/.ready
+	$(BIN)/python -m benchmarks._relay_soak --runs 3
+
 clean:
 	rm -rf build
--- a/egretlever/home/_trust.py
+++ b/egretlever/home/_trust.py
@@ -22,7 +22,7 @@
 # keeps a server that has recovered out of service.
 _TRIAL_INTERVAL = 0.4
 _TRIAL_GROWTH = 1.5
-_MAX_TRIAL_INTERVAL = 1.2
+_MAX_TRIAL_INTERVAL = 1.6
 # Time between trials, seconds, while few repeats are left. Without any trial,
 # servers that have recovered would stay out of service in an overload.
 _SCARCE_TRIAL_INTERVAL = 2.0
