Split the search's limits, the counting of repeats and the load patterns off

Limits of waits and offers are part of a request's search, the counting of repeats at a home node is a class of its own, and load patterns stand apart from the fleet that plays them. No behaviour changes.

--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -20,37 +20,15 @@
     Reply,
     Trust,
 )
-from egretlever.placement._search import Distance, HomeChoice, Search, Stage
+from egretlever.placement._search import (
+    ROUND_TRIPS,
+    Distance,
+    HomeChoice,
+    Search,
+    Stage,
+)
 from egretlever.placement._views import HomeView
 
-# Part of the time to spare that a request may wait for a slot before homes
-# further away are tried. Bytes between failure domains and regions are paid,
-# and the wait nearby is free as long as the answer is on time.
-_WAIT_SHARES = {
-    Distance.OWN_DOMAIN: 0.3,
-    Distance.OWN_REGION: 0.6,
-    Distance.OTHER_REGION: 0.7,
-}
-# Ranks that have time to wait are held in queues nearby until a flood is over.
-# They go behind the other ranks there and take no slot from them.
-_PATIENT_WAIT_SHARES = {
-    Distance.OWN_DOMAIN: 0.45,
-    Distance.OWN_REGION: 0.7,
-    Distance.OTHER_REGION: 0.7,
-}
-# Part of the time left that a request may wait when it can't be on time any
-# more. A request that is held for long and then rejected is worse off than one
-# that is rejected at once.
-_LATE_WAIT_SHARE = 0.12
-# Ranks from this one on do not cross to the other region to be on time: the
-# bytes of that link are dear, and such requests have time to wait.
-_FIRST_PATIENT_RANK = 2
-# One exchange of messages, in seconds, on top of the time at the home node.
-_ROUND_TRIPS = {
-    Distance.OWN_DOMAIN: 0.001,
-    Distance.OWN_REGION: 0.003,
-    Distance.OTHER_REGION: 0.018,
-}
 # Age in seconds at which a report no longer keeps a request away from a server
 # that was doubted. A server may recover at any moment, and asking costs a round
 # trip, with bytes that are dear between regions.
@@ -67,16 +45,6 @@
 # fail a part of their requests, keeping away from them serves nobody.
 _FAILING_SHARE = 0.5
 _FAILING_LIFETIME = Seconds(2.0)  # age of reports that are counted for it
-# Offers of one request before it is rejected. A refused offer costs a round
-# trip, and a request that nobody takes has to be rejected soon.
-_MAX_OFFERS = {"on-time": 10, "late": 4, "forced": 2}
-# Offers to homes at a distance for a request to be on time. A refusal costs
-# bytes that are paid beyond the own failure domain.
-_MAX_DISTANT_OFFERS = {
-    Distance.OWN_DOMAIN: 10,
-    Distance.OWN_REGION: 4,
-    Distance.OTHER_REGION: 2,
-}
 # Homes of other failure domains compared in one choice. Two are enough to avoid
 # the longest queues, and the nodes do not all choose the one last seen free.
 _COMPARED = 2
@@ -101,10 +69,9 @@
     other region before its wait makes it late. In a flood each entry node sends
     a home node less than one request a second and would know nothing of it, so
     home nodes of the own failure domain send notices, and the best is taken.
-    When all queues are long, the
-    shortest one is taken while an answer is still useful to the client. When
-    every server is doubted, or most are broken, one of them gets the request
-    all the same.
+    When all queues are long, the shortest one is taken while an answer is still
+    useful to the client. When every server is doubted, or most are broken, one
+    of them gets the request all the same.
 
     Parameters
     ----------
@@ -167,20 +134,17 @@
         while True:
             choice = self._choose(search, servers, usual, now)
             if choice is not None:
-                search.asked.add(choice.server.id)
-                search.asked_at.append(self.measure_distance(choice.server))
-                search.offers += 1
+                distance = self.measure_distance(choice.server)
+                search.note_offer(choice.server.id, distance)
                 return choice
             if search.stage is Stage.ON_TIME:
-                search.stage = Stage.LATE
+                search.begin_stage(Stage.LATE)
             elif search.stage is Stage.LATE and (
                 not search.may_test or self._is_failing(servers, now)
             ):
-                search.stage = Stage.FORCED
+                search.begin_stage(Stage.FORCED)
             else:
                 return None
-            search.asked.clear()
-            search.offers = 0
 
     def _choose(
         self,
@@ -189,7 +153,7 @@
         usual: Seconds,
         now: Seconds,
     ) -> HomeChoice | None:
-        if search.offers >= _MAX_OFFERS[search.stage.value]:
+        if search.is_stage_over():
             return None
         trial = self._choose_trial(search, servers, now)
         if trial is not None:
@@ -238,23 +202,12 @@
             and server.id not in search.excluded
             and self._view(server).is_trial_due(now)
         ]
-        allowed = self._measure_spare(search, Distance.OWN_DOMAIN, now)
-        if search.offers > 0 or not due or allowed < 0:
+        allowed = search.measure_wait(Distance.OWN_DOMAIN, now)
+        if search.offers > 0 or not due or allowed is None:
             return None
         server = self._rng.choice(due)
         return self._make_choice(server, Seconds(0.0), allowed, "trial", now)
 
-    @staticmethod
-    def _measure_spare(
-        search: Search, distance: Distance, now: Seconds
-    ) -> Seconds:
-        """Return the longest wait at a distance that is not too late."""
-        spare = search.on_time_at - now - search.service_time
-        shares = _WAIT_SHARES
-        if search.rank >= _FIRST_PATIENT_RANK:
-            shares = _PATIENT_WAIT_SHARES
-        return Seconds(shares[distance] * (spare - _ROUND_TRIPS[distance]))
-
     def _make_choice(
         self,
         server: HomeServer,
@@ -284,16 +237,8 @@
         now: Seconds,
     ) -> HomeChoice | None:
         for distance in Distance:
-            allowed = self._measure_spare(search, distance, now)
-            asked = search.asked_at.count(distance)
-            if (
-                asked >= _MAX_DISTANT_OFFERS[distance]
-                or allowed < 0
-                or (
-                    distance is Distance.OTHER_REGION
-                    and search.rank >= _FIRST_PATIENT_RANK
-                )
-            ):
+            allowed = search.measure_wait(distance, now)
+            if allowed is None:
                 continue
             near = [
                 server
@@ -313,16 +258,15 @@
         usual: Seconds,
         now: Seconds,
     ) -> HomeChoice | None:
-        spare = search.deadline - now - search.service_time
-        allowed = Seconds(_LATE_WAIT_SHARE * spare)
-        if not servers or spare <= 0:
+        allowed = search.measure_late_wait(now)
+        if not servers or allowed <= 0:
             return None
         server = min(
             servers,
             key=lambda server: (
                 self._believe(server, now) is Trust.BROKEN,
                 self._estimate_cost(search, server, usual, now)
-                + _ROUND_TRIPS[self.measure_distance(server)],
+                + ROUND_TRIPS[self.measure_distance(server)],
             ),
         )
         cost = Seconds(self._estimate_cost(search, server, usual, now))
@@ -456,10 +400,6 @@
         ):
             view.observe_absence(now)
 
-    def skip_stage(self, search: Search) -> None:
-        """Give the present stage up: the request has waited in vain."""
-        search.offers = _MAX_OFFERS[search.stage.value]
-
     def observe(self, notice: HomeNotice, now: Seconds) -> None:
         """Take the notice of a home node that says when it changes."""
         view = self._views.get(notice.server)
--- a/egretlever/placement/tests/test_selection.py
+++ b/egretlever/placement/tests/test_selection.py
@@ -196,7 +196,7 @@
     selector = make_selector()
     search = build_search()
     selector.decide(search, FLEET, NOW)
-    selector.skip_stage(search)
+    search.skip_stage()
     assert selector.decide(search, FLEET, NOW).late
 
 
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -259,7 +259,7 @@
             arrivals = task.history.arrivals
             task.history.observe(reply)
             if task.history.reason is RefusalReason.EXPIRED:
-                self._selector.skip_stage(task.search)
+                task.search.skip_stage()
             elif task.history.reason is RefusalReason.NO_BUDGET:
                 # Home nodes of one failure domain pool their parts.
                 task.search.spent.add(choice.server.failure_domain)
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -9,7 +9,6 @@
 from egretlever.home import (
     Heartbeat,
     LocalServer,
-    RepeatBudget,
     ServerTrust,
     SlotQueue,
     SlotTicket,
@@ -31,6 +30,7 @@
 from egretlever.relay._interfaces import ServerRunner
 from egretlever.relay._jobs import Job, JobTable
 from egretlever.relay._notices import NoticeBoard
+from egretlever.relay._repeats import RepeatCounter
 from egretlever.relay._sampling import RequestSampler
 from egretlever.relay._server_client import ServerClient, ServerResult
 from egretlever.schema import logs_pb2
@@ -55,8 +55,6 @@
 # Waits are told for this many ranks; the last one holds for all further ranks.
 _REPORTED_RANKS = 3
 _NO_ROUTE = RouteId("")
-# Use of the repeats from which on few trials are made.
-_TRIAL_USE = 0.5
 
 
 class HomeNode:
@@ -87,9 +85,7 @@
         neighbours: Neighbours,
         client: ServerRunner,
     ) -> None:
-        self._neighbours = neighbours
-        self._bounds = bounds
-        self._budget = _make_budget(bounds)
+        self._repeats = RepeatCounter(bounds, neighbours)
         self._repeats_running = 0
         self.local = LocalServer()
         self.jobs = JobTable(self._work)
@@ -118,9 +114,7 @@
 
     def reload(self, bounds: Bounds) -> None:
         """Take over bounds of repeated attempts; the same ones keep counts."""
-        if bounds != self._bounds:
-            self._bounds = bounds
-            self._budget = _make_budget(bounds)
+        self._repeats.reload(bounds)
 
     def may_derive(self, service: ServiceName) -> bool:
         """Tell whether a request of the host may be a call of a repeated run.
@@ -167,36 +161,12 @@
         server = self.local.current
         if server is None or self._trust.describe() is not Trust.BROKEN:
             return Seconds(0.0)
-        scarce = not self._has_trial_room(server.service, now)
+        scarce = self._repeats.is_scarce(server.service, now)
         return self._trust.measure_closure(now, scarce)
 
-    def _has_trial_room(self, service: ServiceName, now: Seconds) -> bool:
-        """Tell whether the budget allows trials that may have to be repeated.
-
-        The last part of it is kept for requests that failed at a server that
-        was trusted: they have no other way to be served.
-        """
-        pooled = self._measure_pooled_use(service)
-        use = self._measure_repeat_use() if pooled is None else pooled
-        return use < _TRIAL_USE and self._has_room(service, now)
-
-    def _has_room(self, service: ServiceName, now: Seconds) -> bool:
-        """Tell whether the budget allows a repeated attempt."""
-        homes = self._neighbours.count_homes(service)
-        pooled = self._measure_pooled_use(service)
-        return self._budget.has_room(now, homes, pooled)
-
     def _measure_repeat_use(self) -> float:
         server = self.local.current
-        if server is None:
-            return 0.0
-        homes = self._neighbours.count_homes(server.service)
-        return self._budget.measure_use(read_clock(), homes)
-
-    def _measure_pooled_use(self, service: ServiceName) -> float | None:
-        return self._neighbours.measure_repeat_use(
-            service, self._measure_repeat_use()
-        )
+        return self._repeats.measure_use(server.service) if server else 0.0
 
     def _make_notice(self) -> HomeNotice | None:
         server = self.local.current
@@ -271,10 +241,10 @@
         if obstacle is not None:
             return self._refuse(obstacle, offer)
         now = read_clock()
-        if offer.repeated and not self._has_room(offer.service, now):
+        if offer.repeated and not self._repeats.has_room(offer.service, now):
             return self._refuse(RefusalReason.NO_BUDGET, offer)
         may_test = offer.may_test
-        scarce = not self._has_trial_room(offer.service, now)
+        scarce = self._repeats.is_scarce(offer.service, now)
         trial = not self._trust.is_open(may_test, offer.forced)
         if not self._trust.decide(may_test, now, offer.forced, scarce):
             return self._refuse(RefusalReason.UNTRUSTED, offer)
@@ -298,7 +268,7 @@
                 trial or self._trust.is_open(may_test, offer.forced)
             ):
                 obstacle = RefusalReason.UNTRUSTED
-            if obstacle is None and not self._count_arrival(offer):
+            if obstacle is None and not self._repeats.count_arrival(offer):
                 obstacle = RefusalReason.NO_BUDGET
             if obstacle is not None:
                 return self._refuse(obstacle, offer)
@@ -315,16 +285,6 @@
             result.reply, condition=self.describe(offer.route)
         )
 
-    def _count_arrival(self, offer: Offer) -> bool:
-        """Count an arrival at the server; false when it is not allowed."""
-        now = read_clock()
-        if offer.repeated:
-            homes = self._neighbours.count_homes(offer.service)
-            pooled = self._measure_pooled_use(offer.service)
-            return self._budget.take(now, homes, pooled)
-        self._budget.observe(now, offer.derived)
-        return True
-
     async def _await_turn(self, ticket: SlotTicket) -> bool:
         """Wait for a slot; false when the request expired meanwhile."""
         turn = self._turns[ticket.request_id] = curio.Event()
@@ -483,12 +443,3 @@
 
 def _is_stopped_at_deadline(reply: Reply) -> bool:
     return isinstance(reply, Answer) and reply.status == _DEADLINE_PASSED
-
-
-def _make_budget(bounds: Bounds) -> RepeatBudget:
-    return RepeatBudget(
-        bounds.retry_ratio,
-        bounds.retry_slack,
-        bounds.retry_window,
-        read_clock(),
-    )
--- a/egretlever/relay/tests/test_loads.py
+++ b/egretlever/relay/tests/test_loads.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from egretlever.testing._relay_fleet import Outage, replay_load
+from egretlever.testing._relay_fleet import replay_load
+from egretlever.testing._relay_patterns import Outage
 from egretlever.testing.relay_loads import (
     build_flood,
     build_overload,
--- a/egretlever/testing/relay_loads.py
+++ b/egretlever/testing/relay_loads.py
@@ -4,7 +4,7 @@
 
 from egretlever.core import FailureDomain, Seconds, ServiceName
 from egretlever.platform import Bounds
-from egretlever.testing._relay_fleet import (
+from egretlever.testing._relay_patterns import (
     Burst,
     LoadPattern,
     Outage,
