Take each refusal for what it is, and send no notices of leaving servers

Found by reading the change. The reason of an earlier refusal was taken for that of a later answer: a request that was refused for want of repeats once and then failed was given up, although another server could have served it. Notices of a server that leaves made entry nodes ask it again at once. A planned stop now also leaves 50 ms for its last answers to reach the sockets.

The first two have tests that failed before.

--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -18,6 +18,7 @@
     Configuration,
     HomeChoice,
     Offer,
+    Refusal,
     RefusalReason,
     Reply,
     Route,
@@ -258,9 +259,10 @@
                 )
             arrivals = task.history.arrivals
             task.history.observe(reply)
-            if task.history.reason is RefusalReason.EXPIRED:
+            refused = reply.reason if isinstance(reply, Refusal) else None
+            if refused is RefusalReason.EXPIRED:
                 task.search.skip_stage()
-            elif task.history.reason is RefusalReason.NO_BUDGET:
+            elif refused is RefusalReason.NO_BUDGET:
                 # Home nodes of one failure domain pool their parts.
                 task.search.spent.add(choice.server.failure_domain)
             if task.history.arrivals > arrivals:
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -170,7 +170,10 @@
 
     def _make_notice(self) -> HomeNotice | None:
         server = self.local.current
-        if server is None:
+        stops = read_clock() > self._rejects_from
+        if server is None or server.draining or stops:
+            # A server that leaves is asked less and less; a notice would make
+            # entry nodes ask it at once.
             return None
         return HomeNotice(server.id, self.describe())
 
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -55,6 +55,7 @@
 # Time for the last answers to reach their clients.
 _ANSWER_MARGIN = Seconds(0.15)
 _IDLE_CHECK = 0.05  # seconds
+_FLUSH_TIME = 0.05  # seconds
 
 
 class RelayNode:
@@ -248,6 +249,8 @@
             self._entry.in_flight or self._home.jobs.count_running()
         ):
             await curio.sleep(_IDLE_CHECK)
+        # The last answers and replies are on their way to the sockets.
+        await curio.sleep(_FLUSH_TIME)
         await self._links.close()
         await self._home.close()
         await self._ended.set()
--- a/egretlever/relay/tests/test_entry.py
+++ b/egretlever/relay/tests/test_entry.py
@@ -3,9 +3,12 @@
 import curio
 
 from egretlever.core import Seconds, Version
+from egretlever.placement import HomeCondition, Refusal, RefusalReason
+from egretlever.relay._entry import EntryNode
 from egretlever.testing import run_virtual
 from egretlever.testing._relay_fleet import RelayFleet
-from egretlever.testing.relay_loads import build_pattern
+from egretlever.testing.relay_builders import build_answer
+from egretlever.testing.relay_loads import DESK, build_pattern
 from egretlever.transport import read_clock
 
 
@@ -55,3 +58,34 @@
     status, took = run_virtual(main())
     assert status == 200
     assert took < 0.3
+
+
+class ScriptedHomes:
+    """Stands for all other home nodes and replies by a script."""
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+
+    async def offer(self, relay, offer, follow=False):
+        return self.replies.pop(0)
+
+
+def test_a_refusal_for_want_of_budget_is_not_counted_again():
+    # The reason of an earlier refusal was taken for that of a later answer, and
+    # the request was given up although a third server could have served it.
+    async def main():
+        fleet = RelayFleet(build_pattern())
+        host = next(one for one in fleet.hosts if one.server.service == DESK)
+        host.start()
+        refusal = Refusal(RefusalReason.NO_BUDGET, HomeCondition())
+        homes = ScriptedHomes(
+            refusal, build_answer(500), build_answer(200), build_answer(200)
+        )
+        host.entry = EntryNode(
+            host.server.service, host.view, host.home, homes, host.rng
+        )
+        host.entry.configure(fleet.configuration)
+        kind = next(kind for kind in fleet.pattern.kinds if kind.name == "list")
+        return await host.send(kind, 5.0)
+
+    assert run_virtual(main()) == 200
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -528,3 +528,23 @@
         return await scene.offer("r-long")
 
     assert play(scene, script).reason is RefusalReason.LEAVING
+
+
+def test_a_server_that_leaves_is_not_offered_by_notices():
+    scene = Scene(serve(after=0.3))
+
+    async def script():
+        task = await curio.spawn(
+            lambda: scene.links.offer(scene.relay, build_offer(), follow=True),
+            daemon=True,
+        )
+        await curio.sleep(0.1)
+        before = len(scene.notices.taken)
+        scene.announce(draining=True, sequence=2)
+        await task.join()
+        await curio.sleep(1.0)
+        return before, len(scene.notices.taken)
+
+    before, after = play(scene, script)
+    assert before >= 1
+    assert after == before
