--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -49,7 +49,9 @@
 
     async def serve_forever(self, listener: Any) -> None:
         """Accept connections of other nodes."""
-        await accept_connections(listener, self._serve, _MAX_CONNECTIONS)
+        await accept_connections(
+            listener, self._serve, _MAX_CONNECTIONS, ends_connections=True
+        )
 
     async def _serve(self, sock: Any) -> None:
         stream = FrameStream(sock)
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -142,7 +142,7 @@
         relay = open_listener(self._relay)
         scrapes = open_listener(Address(listen.ip, listen.metrics_port))
         parts: list[tuple[Callable[..., Awaitable[Any]], tuple[Any, ...]]] = [
-            (accept_connections, (clients, self._serve_client, _MAX_CLIENTS)),
+            (self._serve_clients, (clients,)),
             (serve_requests, (health, self._answer_health)),
             (serve_requests, (beats, page.handle)),
             (serve_requests, (scrapes, self._answer_metrics)),
@@ -189,6 +189,11 @@
                 _LOG.error("A part failed:\n%s", traceback.format_exc())
             await curio.sleep(_RESTART_PAUSE)
 
+    async def _serve_clients(self, listener: Any) -> None:
+        await accept_connections(
+            listener, self._serve_client, _MAX_CLIENTS, ends_connections=True
+        )
+
     async def _serve_client(self, sock: Any) -> None:
         await ClientConnection(
             sock,
--- a/egretlever/transport/_services.py
+++ b/egretlever/transport/_services.py
@@ -52,12 +52,10 @@
     handle: Callable[[Any], Awaitable[None]],
     limit: int,
     count: Callable[[int], None] = _ignore,
+    ends_connections: bool = False,
 ) -> None:
     """Accept connections for ever and handle each in a task of its own.
 
-    Cancelling it ends its connections too, so that none of them starts further
-    tasks while the loop is being shut down.
-
     Parameters
     ----------
     listener : curio.io.Socket
@@ -68,6 +66,9 @@
         Connections handled at once; further ones are closed at once.
     count : callable, optional
         Called with 0 for a connection that ended by an unexpected exception.
+    ends_connections : bool, default=False
+        Whether cancelling the loop ends its connections too. They could start
+        tasks while curio's kernel is being shut down, which it does not allow.
     """
     active: set[Any] = set()
 
@@ -100,8 +101,9 @@
             set_no_delay(sock)
             await curio.spawn(run, sock, daemon=True)
     finally:
-        for task in list(active):
-            await task.cancel()
+        if ends_connections:
+            for task in list(active):
+                await task.cancel()
 
 
 async def _read_whole_body(
