Read what neighbours use only for trials and repeats, and once each time

Each request asked whether repeats are scarce, which walks the servers of its service, though the answer matters only to a trial; the pooled use was read twice for one question. The choice of a trial listed servers before the checks that rule it out, and looked for earlier offers that a first offer can't have. The board told a timeout from the age of its last notice, which say the same. One place dispatches the frames of an entry node now.

--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -193,17 +193,14 @@
         A trial that fails costs its client little: gray servers mostly fail
         at once, and the request goes elsewhere.
         """
-        if search.stage is not Stage.ON_TIME or not search.may_test:
+        first = search.stage is Stage.ON_TIME and search.offers == 0
+        allowed = search.measure_wait(Distance.OWN_DOMAIN, now)
+        if not first or not search.may_test or allowed is None:
             return None
         due = [
-            server
-            for server in servers
-            if server.id not in search.asked
-            and server.id not in search.excluded
-            and self._view(server).is_trial_due(now)
+            server for server in servers if self._view(server).is_trial_due(now)
         ]
-        allowed = search.measure_wait(Distance.OWN_DOMAIN, now)
-        if search.offers > 0 or not due or allowed is None:
+        if not due:
             return None
         server = self._rng.choice(due)
         return self._make_choice(server, Seconds(0.0), allowed, "trial", now)
--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -62,10 +62,7 @@
         try:
             await stream.post(relay_pb2.RelayFrame(hello=hello))
             while (frame := await stream.read()) is not None:
-                if frame.WhichOneof("kind") == "subscription":
-                    await self._home.board.subscribe(subscriber)
-                else:
-                    await self._take(stream, jobs, frame)
+                await self._take(stream, subscriber, jobs, frame)
         except FrameError as error:
             _LOG.warning("A node sent bytes that are no frame: %s.", error)
         finally:
@@ -78,6 +75,7 @@
     async def _take(
         self,
         stream: FrameStream,
+        subscriber: _StreamSubscriber,
         jobs: dict[int, Job],
         frame: relay_pb2.RelayFrame,
     ) -> None:
@@ -85,6 +83,8 @@
         if kind == "ping":
             pong = relay_pb2.Pong(number=frame.ping.number)
             await stream.post(relay_pb2.RelayFrame(pong=pong))
+        elif kind == "subscription":
+            await self._home.board.subscribe(subscriber)
         elif kind == "withdrawal":
             job = jobs.pop(frame.withdrawal.sequence, None)
             if job is not None:
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -247,8 +247,8 @@
         if offer.repeated and not self._repeats.has_room(offer.service, now):
             return self._refuse(RefusalReason.NO_BUDGET, offer)
         may_test = offer.may_test
-        scarce = self._repeats.is_scarce(offer.service, now)
         trial = not self._trust.is_open(may_test, offer.forced)
+        scarce = trial and self._repeats.is_scarce(offer.service, now)
         if not self._trust.decide(may_test, now, offer.forced, scarce):
             return self._refuse(RefusalReason.UNTRUSTED, offer)
         ticket = SlotTicket(
--- a/egretlever/relay/_notices.py
+++ b/egretlever/relay/_notices.py
@@ -69,17 +69,12 @@
     async def publish_forever(self) -> None:
         """Send notices of changes, for ever."""
         while True:
-            try:
-                async with curio.timeout_after(_REFRESH_INTERVAL):
-                    await self._changed.wait()
-                due = False
-            except curio.TaskTimeout:
-                due = True
+            await curio.ignore_after(_REFRESH_INTERVAL, self._changed.wait())
             self._changed.clear()
             notice = self._describe()
             now = read_clock()
             elapsed = Seconds(now - self._sent_at)
-            due = due or elapsed >= _REFRESH_INTERVAL
+            due = elapsed >= _REFRESH_INTERVAL
             if notice is None or not (
                 due or _is_news(self._sent, notice, elapsed)
             ):
--- a/egretlever/relay/_repeats.py
+++ b/egretlever/relay/_repeats.py
@@ -38,14 +38,17 @@
         homes = self._neighbours.count_homes(service)
         return self._budget.measure_use(read_clock(), homes)
 
-    def _measure_pooled_use(self, service: ServiceName) -> float | None:
-        use = self.measure_use(service)
-        return self._neighbours.measure_repeat_use(service, use)
+    def _read(
+        self, service: ServiceName, now: Seconds
+    ) -> tuple[int, float, float | None]:
+        """Return the number of home nodes, the own use and the pooled one."""
+        homes = self._neighbours.count_homes(service)
+        use = self._budget.measure_use(now, homes)
+        return homes, use, self._neighbours.measure_repeat_use(service, use)
 
     def has_room(self, service: ServiceName, now: Seconds) -> bool:
         """Tell whether a repeated attempt is allowed."""
-        homes = self._neighbours.count_homes(service)
-        pooled = self._measure_pooled_use(service)
+        homes, _, pooled = self._read(service, now)
         return self._budget.has_room(now, homes, pooled)
 
     def is_scarce(self, service: ServiceName, now: Seconds) -> bool:
@@ -54,16 +57,16 @@
         The last part of them is kept for requests that failed at a server that
         was trusted: they have no other way to be served.
         """
-        pooled = self._measure_pooled_use(service)
-        use = self.measure_use(service) if pooled is None else pooled
-        return use >= _TRIAL_USE or not self.has_room(service, now)
+        homes, own, pooled = self._read(service, now)
+        use = own if pooled is None else pooled
+        room = self._budget.has_room(now, homes, pooled)
+        return use >= _TRIAL_USE or not room
 
     def count_arrival(self, offer: Offer) -> bool:
         """Count an arrival at the server; false when it is not allowed."""
         now = read_clock()
         if offer.repeated:
-            homes = self._neighbours.count_homes(offer.service)
-            pooled = self._measure_pooled_use(offer.service)
+            homes, _, pooled = self._read(offer.service, now)
             return self._budget.take(now, homes, pooled)
         self._budget.observe(now, offer.derived)
         return True
