Bound and share the receipt of bytes without end

Cause: a receive that finds data does not suspend a curio task, and h11 parses what is buffered at once. A server that never stopped sending kept the node's only loop: timeouts did not fire, and a body was given up after 64 MB only.

Each reader of a connection now yields at every fourth receive; the parser yields after 256 chunks; at most 16 informational responses precede an answer; a declared length beyond the limit is refused with the head; framing may take 64 KiB more than the body; and bodies that are received together can share a bound.

Ruled out: smaller reads alone.

--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -14,6 +14,7 @@
 from egretlever.transport import (
     RequestError,
     RequestHead,
+    SocketReader,
     check_raw_head,
     check_request,
     read_clock,
@@ -111,6 +112,7 @@
         is_stopping: Callable[[], bool],
     ) -> None:
         self._sock = sock
+        self._reader = SocketReader(sock)
         self._handle = handle
         self._read_limits = read_limits
         self._is_stopping = is_stopping
@@ -145,7 +147,7 @@
     async def _watch_for_close(self, writer: Any) -> None:
         """Cancel the requests when the client closes after its last request."""
         try:
-            while await self._sock.recv(_READ_SIZE):
+            while await self._reader.receive():
                 continue
         except OSError as error:
             _LOG.debug("Client connection failed: %s.", error)
@@ -248,7 +250,7 @@
                 async with curio.timeout_after(
                     limits.idle_timeout + _IDLE_MARGIN
                 ):
-                    data = await self._sock.recv(_READ_SIZE)
+                    data = await self._reader.receive()
             except curio.TaskTimeout:
                 if self._pending:
                     continue
@@ -273,7 +275,7 @@
             if end >= 0:
                 check_raw_head(bytes(self._received[: end + 2]))
                 return True
-            data = await self._sock.recv(_READ_SIZE)
+            data = await self._reader.receive()
             if not data:
                 return False
             self._received += data
@@ -311,8 +313,7 @@
     async def _receive_body(self) -> bytes:
         try:
             async with curio.timeout_after(_BODY_TIMEOUT):
-                data: bytes = await self._sock.recv(_READ_SIZE)
-                return data
+                return await self._reader.receive()
         except curio.TaskTimeout:
             raise RequestError(
                 408, "the request body came too slowly"
--- a/egretlever/relay/_frames.py
+++ b/egretlever/relay/_frames.py
@@ -11,11 +11,10 @@
 
 from egretlever.core import Seconds, make_log
 from egretlever.schema import relay_pb2
-from egretlever.transport import read_clock
+from egretlever.transport import SocketReader, read_clock
 
 _LOG = make_log("relay")
 _LENGTH = struct.Struct(">I")
-_READ_SIZE = 65536
 # Holds the largest body that a client may send, with its head.
 _MAX_FRAME_BYTES = 72 << 20
 # Traffic between failure domains and regions is paid, and the heads of requests
@@ -52,6 +51,7 @@
 
     def __init__(self, sock: Any) -> None:
         self._sock = sock
+        self._reader = SocketReader(sock)
         self._compressor = zlib.compressobj(
             _COMPRESSION_LEVEL, zlib.DEFLATED, _WINDOW_BITS, _MEMORY_LEVEL
         )
@@ -118,7 +118,7 @@
                     del self._received[: size + length]
                     return _decode(data)
             try:
-                received = await self._sock.recv(_READ_SIZE)
+                received = await self._reader.receive()
             except OSError as error:
                 _LOG.debug("Receiving from a node failed: %s.", error)
                 return None
--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -17,6 +17,7 @@
     NoFaults,
 )
 from egretlever.transport._exchanges import (
+    BufferLimit,
     ExchangeError,
     ExchangeFailure,
     Reply,
@@ -51,6 +52,7 @@
 )
 from egretlever.transport._sockets import (
     ConnectError,
+    SocketReader,
     open_connection,
     open_listener,
     read_clock,
@@ -63,6 +65,7 @@
     "BackendClosedError",
     "BackendConnection",
     "BackendProtocolError",
+    "BufferLimit",
     "CallerConnection",
     "CallerDisconnectedError",
     "ConnectError",
@@ -82,6 +85,7 @@
     "RequestError",
     "RequestHead",
     "ResponseHead",
+    "SocketReader",
     "accept_connections",
     "answer_requests",
     "check_raw_head",
--- a/egretlever/transport/_backends.py
+++ b/egretlever/transport/_backends.py
@@ -2,22 +2,30 @@
 
 from typing import Any
 
+import curio
 import h11
 from curio import socket
 
 from egretlever.transport._heads import (
     RequestHead,
     ResponseHead,
+    find_content_length,
     is_chunked,
 )
 from egretlever.transport._sockets import (
+    SocketReader,
     is_open_and_empty,
     read_clock,
     send_all,
 )
 
-_READ_SIZE = 65536
 _MAX_HEAD_BYTES = 65536
+_MAX_INTERIM_RESPONSES = 16  # informational responses before the final one
+# Chunk headers, chunk extensions and trailers of a response may take this many
+# bytes in addition to as many bytes as the body itself.
+_MAX_FRAMING_BYTES = 65536
+# Parsing one chunk takes some 20 us, and one read may hold thousands of them.
+_MAX_EVENTS_PER_TURN = 256
 _LENGTH = b"content-length"
 _SEND_TIMEOUT = 3600.0  # seconds; the longest timeout of a request
 
@@ -44,6 +52,8 @@
         Whether any byte of the current request may have been written.
     responded : bool
         Whether any byte of the current response has been received.
+    declared_length : int or None
+        Length of the current response's body according to its head, in bytes.
     used : int
         Number of requests before the current one.
     idle_since : Seconds
@@ -52,12 +62,17 @@
 
     def __init__(self, sock: Any) -> None:
         self._sock = sock
+        self._reader = SocketReader(sock)
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
         self._request: h11.Request | None = None
         self._reusable = True
         self._ended = False
+        self._unparsed = False
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self.declared_length: int | None = None
         self.sent = False
         self.responded = False
         self.used = 0
@@ -129,19 +144,25 @@
         BackendClosedError
             When the connection ends before the response head.
         BackendProtocolError
-            When the received bytes are not a valid response head.
+            When the received bytes are not a valid response head, or when too
+            many informational responses precede it.
         """
-        while True:
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self._read_event()
             if isinstance(event, h11.Response):
                 fields = list(event.headers)
                 if is_chunked(fields):
                     # Chunked framing overrides a length (RFC 9112, 6.3).
                     fields = [field for field in fields if field[0] != _LENGTH]
+                self.declared_length = find_content_length(fields)
+                self._received_bytes = len(self._parser.trailing_data[0])
+                self._body_bytes = 0
                 return ResponseHead(event.status_code, fields)
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            raise BackendClosedError("the connection ended before a response")
+            if not isinstance(event, h11.InformationalResponse):
+                raise BackendClosedError(
+                    "the connection ended before a response"
+                )
+        raise BackendProtocolError("too many informational responses")
 
     async def read_data(self) -> tuple[bytes, bool]:
         """Read the next part of the body.
@@ -160,6 +181,8 @@
         BackendProtocolError
             When the framing of the body is invalid.
         """
+        if self._unparsed:
+            await curio.sleep(0)
         data, ended = self.read_buffered_data()
         if data or ended:
             return data, ended
@@ -167,9 +190,13 @@
         return self.read_buffered_data()
 
     def read_buffered_data(self) -> tuple[bytes, bool]:
-        """Return the part of the body received so far, without waiting."""
-        parts = []
+        """Return a part of the body received so far, without waiting."""
+        parts: list[bytes] = []
+        self._unparsed = False
         while not self._ended:
+            if len(parts) >= _MAX_EVENTS_PER_TURN:
+                self._unparsed = True
+                break
             event = self._next_event()
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
@@ -181,7 +208,26 @@
                 raise BackendClosedError(
                     "the connection ended within the response body"
                 )
-        return b"".join(parts), self._ended
+        data = b"".join(parts)
+        self._body_bytes += len(data)
+        if self._received_bytes > 2 * self._body_bytes + _MAX_FRAMING_BYTES:
+            self._check_framing()
+        return data, self._ended
+
+    def _check_framing(self) -> None:
+        """Check that most of the parsed bytes belong to the body.
+
+        Raises
+        ------
+        BackendProtocolError
+            When the framing takes far more bytes than the body.
+        """
+        parsed = self._received_bytes - len(self._parser.trailing_data[0])
+        if parsed > 2 * self._body_bytes + _MAX_FRAMING_BYTES:
+            raise BackendProtocolError(
+                f"the framing of a body of {self._body_bytes} bytes takes"
+                f" {parsed - self._body_bytes} bytes"
+            )
 
     async def _read_event(self) -> Any:
         while True:
@@ -202,11 +248,12 @@
 
     async def _receive(self) -> None:
         try:
-            data = await self._sock.recv(_READ_SIZE)
+            data = await self._reader.receive()
         except OSError as error:
             raise BackendClosedError(str(error)) from None
         if data:
             self.responded = True
+        self._received_bytes += len(data)
         self._parser.receive_data(data)
 
     def prevent_reuse(self) -> None:
@@ -239,6 +286,7 @@
         if trailing:
             self._parser.receive_data(trailing)
         self._ended = False
+        self._reusable = False
 
     @property
     def ended(self) -> bool:
--- a/egretlever/transport/_callers.py
+++ b/egretlever/transport/_callers.py
@@ -15,6 +15,7 @@
     check_request,
 )
 from egretlever.transport._sockets import (
+    SocketReader,
     has_unread_data,
     is_closed_by_peer,
     is_reset_by_peer,
@@ -64,6 +65,7 @@
         idle_timeout: Seconds = Seconds(60.0),
     ) -> None:
         self._sock = sock
+        self._reader = SocketReader(sock)
         self._max_head = max_head
         self._head_timeout = head_timeout
         self._body_timeout = body_timeout
@@ -144,7 +146,7 @@
             return True
         try:
             async with curio.timeout_after(self._idle_timeout):
-                data = await self._sock.recv(_READ_SIZE)
+                data = await self._reader.receive()
         except (curio.TaskTimeout, OSError):
             return False
         self._received += data
@@ -168,7 +170,7 @@
                 raise RequestError(431, "the request head is too large")
             scanned = len(self._received)
             try:
-                data = await self._sock.recv(_READ_SIZE)
+                data = await self._reader.receive()
             except OSError as error:
                 raise CallerDisconnectedError(str(error)) from None
             if not data:
@@ -246,7 +248,7 @@
             )
         try:
             async with curio.timeout_after(self._body_timeout):
-                data = await self._sock.recv(_READ_SIZE)
+                data = await self._reader.receive()
         except curio.TaskTimeout:
             raise RequestError(
                 408, "the request body came too slowly"
@@ -396,7 +398,7 @@
         try:
             await self._sock.shutdown(socket.SHUT_WR)
             async with curio.timeout_after(_LINGER_TIMEOUT):
-                while await self._sock.recv(_READ_SIZE):
+                while await self._reader.receive():
                     pass
         except (OSError, curio.TaskTimeout):
             pass
--- a/egretlever/transport/_exchanges.py
+++ b/egretlever/transport/_exchanges.py
@@ -18,6 +18,8 @@
 from egretlever.transport._sockets import ConnectError, open_connection
 
 _MAX_BODY_BYTES = 64 << 20
+# Bytes of a body that take no room in a shared bound. Most bodies are smaller.
+_UNCOUNTED_BODY_BYTES = 65536
 
 
 class ExchangeFailure(enum.Enum):
@@ -121,8 +123,40 @@
         await connection.close()
 
 
+class BufferLimit:
+    """Bound of the bytes that several bodies may take in memory together.
+
+    Parameters
+    ----------
+    most : int
+        Bound, in bytes.
+
+    Attributes
+    ----------
+    used : int
+        Bytes in use.
+    """
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self.used = 0
+
+    def reserve(self, size: int) -> bool:
+        """Take room for some bytes; false when there is not enough."""
+        if self.used + size > self._most:
+            return False
+        self.used += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Return room taken by `reserve`."""
+        self.used -= size
+
+
 async def read_body(
-    connection: BackendConnection, max_body: int = _MAX_BODY_BYTES
+    connection: BackendConnection,
+    max_body: int = _MAX_BODY_BYTES,
+    buffered: BufferLimit | None = None,
 ) -> bytes:
     """Read the complete body of a response.
 
@@ -132,6 +166,8 @@
         Connection whose response head has been read.
     max_body : int, default=64 MiB
         Largest accepted body, in bytes.
+    buffered : BufferLimit, optional
+        Bound that this body shares with others while it is received.
 
     Raises
     ------
@@ -142,11 +178,28 @@
     """
     body = bytearray()
     ended = False
-    while not ended:
-        data, ended = await connection.read_data()
-        body += data
-        if len(body) > max_body:
-            raise BackendProtocolError(
-                f"the response body exceeds {max_body} bytes"
-            )
-    return bytes(body)
+    reserved = 0
+    if (connection.declared_length or 0) > max_body:
+        raise BackendProtocolError(
+            f"the response body exceeds {max_body} bytes"
+        )
+    try:
+        while not ended:
+            data, ended = await connection.read_data()
+            body += data
+            if len(body) > max_body:
+                raise BackendProtocolError(
+                    f"the response body exceeds {max_body} bytes"
+                )
+            needed = len(body) - _UNCOUNTED_BODY_BYTES - reserved
+            if buffered is None or needed <= 0:
+                continue
+            if not buffered.reserve(needed):
+                raise BackendProtocolError(
+                    "too many large response bodies are received together"
+                )
+            reserved += needed
+        return bytes(body)
+    finally:
+        if buffered is not None:
+            buffered.release(reserved)
--- a/egretlever/transport/_sockets.py
+++ b/egretlever/transport/_sockets.py
@@ -19,6 +19,10 @@
 _KEEPALIVE_IDLE = 1  # seconds
 _KEEPALIVE_INTERVAL = 1  # seconds
 _KEEPALIVE_PROBES = 2
+_READ_SIZE = 65536
+# Receiving available data does not suspend a task, so a peer that never stops
+# sending would keep the only loop. A reader yields after this many calls.
+_RECEIVES_PER_TURN = 4
 
 
 class ConnectError(Exception):
@@ -251,6 +255,34 @@
             await sock.sendall(memoryview(data)[sent:])
 
 
+class SocketReader:
+    """Receives from a socket without keeping the loop from other tasks.
+
+    Parameters
+    ----------
+    sock : curio.io.Socket
+        Connected socket.
+    """
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+        self._receives = 0
+
+    async def receive(self) -> bytes:
+        """Receive available bytes; empty when the peer has closed.
+
+        Raises
+        ------
+        OSError
+            When the connection is closed.
+        """
+        self._receives += 1
+        if self._receives % _RECEIVES_PER_TURN == 0:
+            await curio.sleep(0)
+        data: bytes = await self._sock.recv(_READ_SIZE)
+        return data
+
+
 def reset_on_close(sock: Any) -> None:
     """Make the next close of the socket reset the connection."""
     linger = struct.pack("ii", 1, 0)
