Bound the cost of choosing a home node

A home node counted all servers of its service for every reply.

The directory's servers are grouped by distance when it changes, a request considers at most 32 servers of its own failure domain and 16 at each other distance, and the usual service time comes from at most 16 of them. A small service is considered as a whole, as before.

Ruled out: sampling without a look at the backoff.

--- a/benchmarks/relay_capacity.py
+++ b/benchmarks/relay_capacity.py
@@ -18,6 +18,7 @@
 )
 from egretlever.placement import (
     Directory,
+    DistanceGroups,
     HomeSelector,
     RouteTable,
 )
@@ -71,10 +72,14 @@
 def _measure_decision(servers: int) -> float:
     directory = _make_directory(servers)
     selector = _make_selector()
+    groups = DistanceGroups(
+        directory, selector.measure_distance, random.Random(1)
+    )
     start = time.process_time()
     for _ in range(_DECISIONS):
-        found = directory.list_servers(ServiceName("service-7"))
-        selector.decide(build_search(), found, Seconds(0.0))
+        found = groups.find(ServiceName("service-7"))
+        sampled = selector.sample(found, Seconds(0.0))
+        selector.decide(build_search(), sampled, Seconds(0.0))
     return (time.process_time() - start) / _DECISIONS * 1e6
 
 
--- a/egretlever/placement/__init__.py
+++ b/egretlever/placement/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from egretlever.placement._directory import Directory
+from egretlever.placement._groups import DistanceGroups, ServersByDistance
 from egretlever.placement._records import (
     Answer,
     Backend,
@@ -35,6 +36,7 @@
     "Configuration",
     "Directory",
     "Distance",
+    "DistanceGroups",
     "Failure",
     "FailureReason",
     "HeaderFields",
@@ -50,6 +52,7 @@
     "Route",
     "RouteTable",
     "Search",
+    "ServersByDistance",
     "Stage",
     "Trust",
 ]
--- a/egretlever/placement/_directory.py
+++ b/egretlever/placement/_directory.py
@@ -18,11 +18,14 @@
         Highest store version whose changes are all included.
     complete : bool
         Whether the whole table was read at least once.
+    revision : int
+        Number of changes so far.
     """
 
     def __init__(self) -> None:
         self.version = Version(0)
         self.complete = False
+        self.revision = 0
         self._servers: dict[ServerId, HomeServer] = {}
         self._versions: dict[ServerId, Version] = {}
         self._services: dict[ServiceName, dict[ServerId, HomeServer]] = {}
@@ -44,6 +47,7 @@
         """Apply a row; return false when it is not newer than the known one."""
         if self._versions.get(server.id, -1) >= version:
             return False
+        self.revision += 1
         old = self._servers.get(server.id)
         if old is not None and old.service != server.service:
             self._services[old.service].pop(server.id, None)
@@ -59,6 +63,7 @@
         server = self._servers.pop(server_id, None)
         self._versions[server_id] = version
         if server is not None:
+            self.revision += 1
             self._services[server.service].pop(server_id, None)
         return server is not None
 
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -1,5 +1,6 @@
 """Selection of the home node that a request is offered to."""
 
+import itertools
 import random
 import statistics
 from collections.abc import Iterable, Mapping, Sequence
@@ -11,6 +12,7 @@
     Seconds,
     ServerId,
 )
+from egretlever.placement._groups import ServersByDistance
 from egretlever.placement._records import (
     Answer,
     FailureReason,
@@ -50,8 +52,21 @@
 # choices). Two are enough to avoid the longest queues, and the nodes do not
 # herd on the home node that was last seen free.
 _MAX_CANDIDATES = 2
+# Servers of a service that one request considers at each distance, so that the
+# cost of a choice does not grow with the service. Home nodes of the own failure
+# domain send notices, so a choice among more of them is worthwhile.
+_SAMPLE_SIZES = {
+    Distance.OWN_DOMAIN: 32,
+    Distance.OWN_REGION: 16,
+    Distance.OTHER_REGION: 16,
+}
+# Servers looked at for each one of a sample. The others are left alone for now,
+# such as those of hosts that were lost together.
+_LOOKS_PER_CANDIDATE = 4
 # Seconds to which expected delays are rounded down before they are compared.
 _DELAY_STEP_S = 0.02
+# Servers whose service times give the usual one of their service.
+_MEDIAN_SAMPLE_SIZE = 16
 _DEFAULT_SERVICE_TIME = Seconds(0.2)  # until a home node reports one
 _UNUSABLE_REASONS = frozenset(
     {
@@ -119,8 +134,44 @@
             return Distance.OWN_REGION
         return Distance.OTHER_REGION
 
+    def sample(
+        self, groups: ServersByDistance, now: Seconds
+    ) -> dict[Distance, list[HomeServer]]:
+        """Return the servers of a service that a request considers.
+
+        A small service is returned as a whole.
+
+        Parameters
+        ----------
+        groups : mapping of Distance to sequence of HomeServer
+            Servers of the service, in random order.
+        now : Seconds
+            Current time.
+        """
+        return {
+            distance: self._sample_group(servers, _SAMPLE_SIZES[distance], now)
+            for distance, servers in groups.items()
+        }
+
+    def _sample_group(
+        self, servers: Sequence[HomeServer], size: int, now: Seconds
+    ) -> list[HomeServer]:
+        """Return servers from a random position on, without unusable ones."""
+        if len(servers) <= size:
+            return list(servers)
+        found: list[HomeServer] = []
+        start = self._rng.randrange(len(servers))
+        for look in range(min(len(servers), _LOOKS_PER_CANDIDATE * size)):
+            server = servers[(start + look) % len(servers)]
+            view = self._views.get(server.id)
+            if view is None or not view.is_backing_off(now):
+                found.append(server)
+                if len(found) == size:
+                    break
+        return found
+
     def decide(
-        self, search: Search, servers: Sequence[HomeServer], now: Seconds
+        self, search: Search, servers: ServersByDistance, now: Seconds
     ) -> HomeChoice | None:
         """Choose the next home node for a request.
 
@@ -128,8 +179,8 @@
         ----------
         search : Search
             State of the request's search, which is updated.
-        servers : sequence of HomeServer
-            Servers of the service that are not draining.
+        servers : mapping of Distance to sequence of HomeServer
+            Servers of the service that are not draining, or a sample of them.
         now : Seconds
             Current time.
 
@@ -157,16 +208,23 @@
     def _choose(
         self,
         search: Search,
-        servers: Sequence[HomeServer],
+        servers: ServersByDistance,
         median_time: Seconds,
         now: Seconds,
     ) -> HomeChoice | None:
         if search.is_stage_over():
             return None
-        trial = self._choose_trial(search, servers, now)
+        trial = self._choose_trial(search, servers[Distance.OWN_DOMAIN], now)
         if trial is not None:
             return trial
-        eligible = [
+        if search.stage is Stage.ON_TIME:
+            return self._choose_on_time(search, servers, median_time, now)
+        return self._choose_least_delayed(search, servers, median_time, now)
+
+    def _list_eligible(
+        self, search: Search, servers: Sequence[HomeServer], now: Seconds
+    ) -> list[HomeServer]:
+        return [
             server
             for server in servers
             if server.id not in search.offered
@@ -174,9 +232,6 @@
             and server.failure_domain not in search.domains_without_budget
             and self._may_offer(search, server, now)
         ]
-        if search.stage is Stage.ON_TIME:
-            return self._choose_on_time(search, eligible, median_time, now)
-        return self._choose_least_delayed(search, eligible, median_time, now)
 
     def _may_offer(
         self, search: Search, server: HomeServer, now: Seconds
@@ -194,7 +249,7 @@
         return search.may_be_trial or trust is Trust.TRUSTED
 
     def _choose_trial(
-        self, search: Search, servers: Sequence[HomeServer], now: Seconds
+        self, search: Search, nearby: Sequence[HomeServer], now: Seconds
     ) -> HomeChoice | None:
         """Choose a broken server nearby that is due for a trial.
 
@@ -206,7 +261,7 @@
         if not first or not search.may_be_trial or max_wait is None:
             return None
         due = [
-            server for server in servers if self._view(server).is_trial_due(now)
+            server for server in nearby if self._view(server).is_trial_due(now)
         ]
         if not due:
             return None
@@ -237,7 +292,7 @@
     def _choose_on_time(
         self,
         search: Search,
-        servers: list[HomeServer],
+        servers: ServersByDistance,
         median_time: Seconds,
         now: Seconds,
     ) -> HomeChoice | None:
@@ -245,13 +300,9 @@
             max_wait = search.find_max_wait(distance, now)
             if max_wait is None:
                 continue
-            at_distance = [
-                server
-                for server in servers
-                if self.measure_distance(server) is distance
-            ]
+            eligible = self._list_eligible(search, servers[distance], now)
             candidate = self._compare(
-                search, at_distance, median_time, max_wait, now
+                search, eligible, distance, median_time, max_wait, now
             )
             if candidate is not None:
                 reason = distance.name.lower()
@@ -261,19 +312,24 @@
     def _choose_least_delayed(
         self,
         search: Search,
-        servers: list[HomeServer],
+        servers: ServersByDistance,
         median_time: Seconds,
         now: Seconds,
     ) -> HomeChoice | None:
         max_wait = search.find_max_late_wait(now)
-        if not servers or max_wait <= 0:
+        eligible = [
+            (server, ROUND_TRIP_TIMES_S[distance])
+            for distance in Distance
+            for server in self._list_eligible(search, servers[distance], now)
+        ]
+        if not eligible or max_wait <= 0:
             return None
-        server = min(
-            servers,
-            key=lambda server: (
-                self._find_current_trust(server, now) is Trust.BROKEN,
-                self._estimate_delay(search, server, median_time, now)
-                + ROUND_TRIP_TIMES_S[self.measure_distance(server)],
+        server, _ = min(
+            eligible,
+            key=lambda found: (
+                self._find_current_trust(found[0], now) is Trust.BROKEN,
+                self._estimate_delay(search, found[0], median_time, now)
+                + found[1],
             ),
         )
         delay = Seconds(self._estimate_delay(search, server, median_time, now))
@@ -290,6 +346,7 @@
         self,
         search: Search,
         servers: list[HomeServer],
+        distance: Distance,
         median_time: Seconds,
         max_wait: Seconds,
         now: Seconds,
@@ -309,7 +366,6 @@
         if not candidates:
             return None
         self._rng.shuffle(candidates)
-        distance = self.measure_distance(candidates[0][0])
         if distance is not Distance.OWN_DOMAIN:
             candidates = candidates[:_MAX_CANDIDATES]
         return min(
@@ -321,21 +377,22 @@
             ),
         )
 
-    def _has_outage(self, servers: Sequence[HomeServer], now: Seconds) -> bool:
+    def _has_outage(self, servers: ServersByDistance, now: Seconds) -> bool:
         """Return whether most servers of a service were reported as broken."""
-        broken = sum(
+        broken = [
             self._view(server).find_trust(now, _MAX_OUTAGE_REPORT_AGE)
             is Trust.BROKEN
-            for server in servers
-        )
-        return broken > _OUTAGE_SHARE * len(servers)
+            for group in servers.values()
+            for server in group
+        ]
+        return sum(broken) > _OUTAGE_SHARE * len(broken)
 
     def _find_current_trust(self, server: HomeServer, now: Seconds) -> Trust:
-        view = self._view(server)
-        if view.find_trust(now, _MAX_BROKEN_AGE) is Trust.BROKEN:
-            return Trust.BROKEN
-        lifetime = _MAX_DOUBT_AGES[self.measure_distance(server)]
-        return view.find_trust(now, lifetime)
+        return self._view(server).find_current_trust(
+            now,
+            _MAX_DOUBT_AGES[self.measure_distance(server)],
+            _MAX_BROKEN_AGE,
+        )
 
     def _estimate_delay(
         self,
@@ -348,13 +405,15 @@
         wait = view.estimate_wait(search.rank, median_time, now)
         return wait + view.estimate_slowness(search.service_time)
 
-    def _estimate_median_time(self, servers: Sequence[HomeServer]) -> Seconds:
-        times = [
+    def _estimate_median_time(self, servers: ServersByDistance) -> Seconds:
+        known = (
             view.service_time
-            for server in servers
+            for group in servers.values()
+            for server in group
             if (view := self._views.get(server.id)) is not None
             and view.service_time
-        ]
+        )
+        times = list(itertools.islice(known, _MEDIAN_SAMPLE_SIZE))
         return (
             Seconds(statistics.median(times))
             if times
--- a/egretlever/placement/_views.py
+++ b/egretlever/placement/_views.py
@@ -154,6 +154,27 @@
         report = self._find_recent_report(now, lifetime)
         return Trust.TRUSTED if report is None else report.trust
 
+    def find_current_trust(
+        self, now: Seconds, doubt_age: Seconds, broken_age: Seconds
+    ) -> Trust:
+        """Return the trust of the latest report, TRUSTED when it is too old.
+
+        Parameters
+        ----------
+        now : Seconds
+            Current time.
+        doubt_age : Seconds
+            Age up to which a report counts.
+        broken_age : Seconds
+            Age up to which a report of a broken server counts.
+        """
+        report = self._report
+        if report is None or report.trust is Trust.TRUSTED:
+            return Trust.TRUSTED
+        lifetime = broken_age if report.trust is Trust.BROKEN else doubt_age
+        recent = self._find_recent_report(now, lifetime)
+        return Trust.TRUSTED if recent is None else recent.trust
+
     def estimate_wait(
         self, rank: int, service_time: Seconds, now: Seconds
     ) -> Seconds:
--- a/egretlever/placement/tests/test_selection.py
+++ b/egretlever/placement/tests/test_selection.py
@@ -4,6 +4,7 @@
 
 from egretlever.core import Address, FailureDomain, RegionName, Seconds
 from egretlever.placement import (
+    Distance,
     Failure,
     FailureReason,
     HomeNotice,
@@ -41,6 +42,14 @@
     )
 
 
+def decide(selector, search, servers, now):
+    """Choose a home node among a flat list of servers."""
+    groups = {distance: [] for distance in Distance}
+    for server in servers:
+        groups[selector.measure_distance(server)].append(server)
+    return selector.decide(search, groups, now)
+
+
 def report(selector, server, now=NOW, **condition):
     selector.start_offer(server)
     selector.finish_offer(server, build_answer(**condition), now, Seconds(0.2))
@@ -49,13 +58,13 @@
 def list_choices(selector, search, servers=SERVERS):
     """Return the choices of a search in which every home node refuses."""
     found = []
-    while (choice := selector.decide(search, servers, NOW)) is not None:
+    while (choice := decide(selector, search, servers, NOW)) is not None:
         found.append((search.stage, choice))
     return found
 
 
 def test_an_idle_server_on_the_own_host_is_preferred():
-    choice = build_selector().decide(build_search(), SERVERS, NOW)
+    choice = decide(build_selector(), build_search(), SERVERS, NOW)
     assert choice.server is LOCAL
     assert choice.max_wait < 1.0
 
@@ -75,7 +84,7 @@
     selector = build_selector()
     for server in (LOCAL, NEIGHBOUR):
         report(selector, server, wait=Seconds(0.9), free_slots=0)
-    choice = selector.decide(build_search(), SERVERS, NOW)
+    choice = decide(selector, build_search(), SERVERS, NOW)
     assert choice.server is REGIONAL
 
 
@@ -84,7 +93,7 @@
     for server, wait in zip(SERVERS, (1.1, 1.05, 0.9, 0.95), strict=True):
         report(selector, server, wait=Seconds(wait), free_slots=0)
     search = build_search(deadline=Seconds(12.0))
-    choice = selector.decide(search, SERVERS, NOW)
+    choice = decide(selector, search, SERVERS, NOW)
     assert search.stage is Stage.LATE
     assert choice.server is NEIGHBOUR
     assert choice.late
@@ -95,7 +104,7 @@
     selector = build_selector()
     for server in SERVERS:
         report(selector, server, wait=Seconds(2.0), free_slots=0)
-    assert selector.decide(build_search(), SERVERS, NOW) is None
+    assert decide(selector, build_search(), SERVERS, NOW) is None
 
 
 def test_delay_tolerant_ranks_do_not_cross_regions_to_be_on_time():
@@ -113,7 +122,7 @@
     search = build_search(
         on_time_at=Seconds(0.1), deadline=Seconds(0.15), may_be_trial=True
     )
-    assert build_selector().decide(search, SERVERS, NOW) is None
+    assert decide(build_selector(), search, SERVERS, NOW) is None
 
 
 def test_non_idempotent_requests_go_to_doubted_servers_only_when_forced():
@@ -130,7 +139,7 @@
     selector = build_selector()
     report(selector, LOCAL, trust=Trust.BROKEN)
     search = build_search(stage=Stage.LATE, may_be_trial=True)
-    choice = selector.decide(search, [LOCAL, REMOTE], NOW)
+    choice = decide(selector, search, [LOCAL, REMOTE], NOW)
     assert choice.server is REMOTE
 
 
@@ -157,7 +166,7 @@
         selector.finish_offer(LOCAL, Failure(FailureReason.HOME_LOST), now)
         failed_at = now
         while (
-            selector.decide(build_search(deadline=Seconds(99)), [LOCAL], now)
+            decide(selector, build_search(deadline=Seconds(99)), [LOCAL], now)
             is None
         ):
             now = Seconds(now + 0.125)
@@ -171,16 +180,16 @@
     refusal = Refusal(RefusalReason.DOWN, build_condition())
     selector.finish_offer(LOCAL, refusal, NOW)
     search = build_search(on_time_at=Seconds(9), deadline=Seconds(9))
-    assert selector.decide(search, [LOCAL], Seconds(0.5)) is None
+    assert decide(selector, search, [LOCAL], Seconds(0.5)) is None
     search = build_search(on_time_at=Seconds(9), deadline=Seconds(9))
-    assert selector.decide(search, [LOCAL], Seconds(1.0)) is not None
+    assert decide(selector, search, [LOCAL], Seconds(1.0)) is not None
 
 
 def test_a_server_that_is_slow_on_a_route_is_avoided():
     selector = build_selector()
     for _ in range(5):
         report(selector, LOCAL, route_time=Seconds(0.8))
-    choice = selector.decide(build_search(), SERVERS, NOW)
+    choice = decide(selector, build_search(), SERVERS, NOW)
     assert choice.server is NEIGHBOUR
 
 
@@ -188,16 +197,16 @@
     selector = build_selector()
     report(selector, NEIGHBOUR, service_time=Seconds(0.2))
     report(selector, LOCAL, service_time=Seconds(1.5))
-    choice = selector.decide(build_search(), SERVERS, NOW)
+    choice = decide(selector, build_search(), SERVERS, NOW)
     assert choice.server is LOCAL
 
 
 def test_a_request_that_expired_in_a_queue_moves_to_the_next_stage():
     selector = build_selector()
     search = build_search()
-    selector.decide(search, SERVERS, NOW)
+    decide(selector, search, SERVERS, NOW)
     search.end_stage()
-    assert selector.decide(search, SERVERS, NOW).late
+    assert decide(selector, search, SERVERS, NOW).late
 
 
 def send_notice(selector, server, **condition):
@@ -214,7 +223,7 @@
     send_notice(selector, near[5], free_slots=2)
     for seed in range(5):
         del seed
-        choice = selector.decide(build_search(), near, NOW)
+        choice = decide(selector, build_search(), near, NOW)
         assert choice.server is near[5]
 
 
@@ -230,11 +239,11 @@
     )
     later = Seconds(5.0)
     search = build_search(on_time_at=Seconds(6.2), deadline=Seconds(9.0))
-    choice = selector.decide(search, [LOCAL, REGIONAL], later)
+    choice = decide(selector, search, [LOCAL, REGIONAL], later)
     assert choice.server is REGIONAL
     selector.end_notices(LOCAL.id)
     search = build_search(on_time_at=Seconds(6.2), deadline=Seconds(9.0))
-    choice = selector.decide(search, [LOCAL, REGIONAL], later)
+    choice = decide(selector, search, [LOCAL, REGIONAL], later)
     assert choice.server is LOCAL
 
 
@@ -243,13 +252,13 @@
     send_notice(
         selector, NEIGHBOUR, trust=Trust.BROKEN, time_to_trial=Seconds(0.3)
     )
-    early = selector.decide(
-        build_search(may_be_trial=True), SERVERS, Seconds(0.2)
+    early = decide(
+        selector, build_search(may_be_trial=True), SERVERS, Seconds(0.2)
     )
-    due = selector.decide(
-        build_search(may_be_trial=True), SERVERS, Seconds(0.4)
+    due = decide(
+        selector, build_search(may_be_trial=True), SERVERS, Seconds(0.4)
     )
-    order = selector.decide(build_search(), SERVERS, Seconds(0.4))
+    order = decide(selector, build_search(), SERVERS, Seconds(0.4))
     assert early.server is LOCAL
     assert (due.server, due.reason) == (NEIGHBOUR, "trial")
     assert order.server is LOCAL
@@ -258,8 +267,8 @@
 def test_delay_tolerant_ranks_may_wait_longer_nearby():
     selector = build_selector()
     report(selector, LOCAL, free_slots=0, wait=Seconds(0.4))
-    urgent = selector.decide(build_search(), [LOCAL], NOW)
-    tolerant = selector.decide(build_search(rank=2), [LOCAL], NOW)
+    urgent = decide(selector, build_search(), [LOCAL], NOW)
+    tolerant = decide(selector, build_search(rank=2), [LOCAL], NOW)
     assert urgent.late
     assert not tolerant.late
 
@@ -271,8 +280,11 @@
     offered_at = []
     for step in range(200):
         now = Seconds(step * 0.1)
-        choice = selector.decide(
-            build_search(on_time_at=now + 1.2, deadline=now + 4), [LOCAL], now
+        choice = decide(
+            selector,
+            build_search(on_time_at=now + 1.2, deadline=now + 4),
+            [LOCAL],
+            now,
         )
         if choice is not None:
             offered_at.append(now)
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -250,7 +250,7 @@
         while True:
             choice = self._selector.decide(
                 task.search,
-                self._fleet.list_servers(task.service),
+                self._fleet.sample_servers(task.service),
                 read_clock(),
             )
             if choice is None:
--- a/egretlever/relay/_fleet.py
+++ b/egretlever/relay/_fleet.py
@@ -1,15 +1,25 @@
 """One node's view of the fleet: servers, their home nodes and distances."""
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
-from egretlever.core import Address, Seconds, ServerId, ServiceName
+from egretlever.core import (
+    Address,
+    FailureDomain,
+    RegionName,
+    Seconds,
+    ServerId,
+    ServiceName,
+)
 from egretlever.placement import (
     Directory,
     Distance,
+    DistanceGroups,
     HomeNotice,
     HomeSelector,
     HomeServer,
+    ServersByDistance,
 )
 from egretlever.transport import read_clock
 
@@ -53,6 +63,8 @@
     find_local : callable
         Returns the server on this host, None when there is none or it is
         leaving.
+    rng : random.Random
+        Source of random choices.
 
     Attributes
     ----------
@@ -66,18 +78,32 @@
         self,
         selector: HomeSelector,
         find_local: Callable[[], HomeServer | None],
+        rng: random.Random,
     ) -> None:
         self.selector = selector
         self.directory = Directory()
         self._find_local = find_local
+        self._groups = DistanceGroups(
+            self.directory, selector.measure_distance, rng
+        )
+
+    def reload(self, regions: Mapping[FailureDomain, RegionName]) -> None:
+        """Replace the regions of the failure domains."""
+        self.selector.reload(regions)
+        self._groups.clear()
 
-    def list_servers(self, service: ServiceName) -> list[HomeServer]:
-        """List the servers of a service, the local one by its heartbeats."""
-        servers = self.directory.list_servers(service)
+    def sample_servers(self, service: ServiceName) -> ServersByDistance:
+        """Return the servers of a service that a request considers.
+
+        The local server is among them, by its heartbeats.
+        """
+        groups = self._groups.find(service)
+        servers = self.selector.sample(groups, read_clock())
         local = self._find_local()
         if local is not None and local.service == service:
-            servers = [server for server in servers if server.id != local.id]
-            servers.append(local)
+            near = servers[Distance.OWN_DOMAIN]
+            near[:] = [server for server in near if server.id != local.id]
+            near.append(local)
         return servers
 
     def is_in_own_domain(self, server: HomeServer) -> bool:
@@ -103,7 +129,7 @@
 
     def count_homes(self, service: ServiceName) -> int:
         """Count the home nodes of a service, at least 1."""
-        return max(1, len(self.directory.list_servers(service)))
+        return max(1, self._groups.count(service))
 
     def measure_retry_usage(
         self, service: ServiceName, own: float
@@ -124,8 +150,8 @@
         """
         near = (
             server
-            for server in self.directory.list_servers(service)
-            if self.is_in_own_domain(server) and not self.is_own(server.relay)
+            for server in self._groups.find(service)[Distance.OWN_DOMAIN]
+            if not self.is_own(server.relay)
         )
         now: Seconds = read_clock()
         usages = self.selector.list_retry_usages(near, now)
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -82,7 +82,7 @@
             self._relay,
             rng,
         )
-        self._fleet = FleetView(selector, self._find_local)
+        self._fleet = FleetView(selector, self._find_local, rng)
         self._home = make_home_node(bounds, self._fleet)
         self._links = LinkPool(self._fleet)
         self._entry = EntryNode(
@@ -230,7 +230,7 @@
             Limits that the platform sets.
         """
         self._bounds = bounds
-        self._fleet.selector.reload(_parse_regions(settings))
+        self._fleet.reload(_parse_regions(settings))
         self._home.reload(bounds)
         unapplied = [
             section.name
--- a/egretlever/testing/_relay_fleet.py
+++ b/egretlever/testing/_relay_fleet.py
@@ -205,7 +205,7 @@
         self._service = service
         choices = random.Random(f"entry-{self.rng.random()}")
         selector = HomeSelector(domain, fleet.regions, self.relay, choices)
-        self.view = FleetView(selector, lambda: self.server)
+        self.view = FleetView(selector, lambda: self.server, choices)
         self.home = HomeNode(
             fleet.pattern.bounds,
             self.view,
