Read the platform's bounds: none of them was understood

Cause: the platform fills templates in as plain tables, so {{bounds}} became JSON. Split at its commas no line was NAME=VALUE, and lines without = were ignored as unknown names. Every node ran with the defaults: 50 retries of slack instead of 430, grace 6 s instead of 10 s, drain 2 s instead of 3 s.

Ruled out: the reserved part of the first window. Nodes had run for 10.7 s of it by the first request.

--- a/egretlever/platform/_bounds.py
+++ b/egretlever/platform/_bounds.py
@@ -37,6 +37,13 @@
     retry_slack: float = 50.0
     retry_window: Seconds = Seconds(10.0)
 
+    def __str__(self) -> str:
+        return (
+            f"retries {self.retry_ratio:g} and {self.retry_slack:g} in"
+            f" {self.retry_window:g} s, drain {self.drain:g} s, grace"
+            f" {self.grace:g} s, configuration {self.configuration:g} s"
+        )
+
 
 def decode_bounds(lines: Iterable[str]) -> Result[Bounds, Findings]:
     """Decode lines of the form ``NAME=VALUE``; unknown names are ignored.
@@ -49,7 +56,9 @@
     findings: list[Finding] = []
     fields: dict[str, str] = {}
     for line in lines:
-        name, _, value = line.partition("=")
+        name, separator, value = line.partition("=")
+        if not separator:
+            findings.append(Finding("bounds", f"{line!r} is not NAME=VALUE"))
         fields[name.strip()] = value.strip()
     reader = FieldReader(fields, "bounds", findings)
     defaults = Bounds()
--- a/egretlever/platform/tests/test_decoding.py
+++ b/egretlever/platform/tests/test_decoding.py
@@ -114,3 +114,9 @@
     assert (bounds.grace, bounds.retry_slack) == (7.0, 5.0)
     findings = decode_bounds(["grace=7", "budgetSlack=many"]).failure()
     assert len(findings) == 2
+
+
+def test_lines_that_name_no_bound_are_findings():
+    # They were ignored, so that a node ran with defaults for all bounds.
+    lines = ['{"grace":"7s"', '"budgetSlack":430}']
+    assert len(decode_bounds(lines).failure()) == 2
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -160,7 +160,7 @@
             (self._home.maintain_forever, ()),
             (self._links.expire_forever, ()),
         ]
-        self._log("start", address=str(self._relay))
+        self._log("start", reason=str(self._bounds), address=str(self._relay))
         tasks = [
             await curio.spawn(self._supervise, component, values, daemon=True)
             for component, values in components
--- a/egretlever/relay/tests/test_process.py
+++ b/egretlever/relay/tests/test_process.py
@@ -2,14 +2,14 @@
 
 import json
 import pathlib
-import re
 import signal
 
 import curio
 import pytest
 from returns.result import Success
 
-from egretlever.core import Address
+from egretlever.core import Seconds
+from egretlever.platform import Bounds, decode_bounds
 from egretlever.platform.tests.wire_builders import (
     build_configuration_body,
     build_heartbeat_body,
@@ -18,6 +18,7 @@
 from egretlever.settings import parse_settings
 from egretlever.standins import RowsStandIn
 from egretlever.testing import Fleet, answer, reserve_addresses
+from egretlever.testing._platform_template import render_template
 from egretlever.testing._scripted_server import ScriptedServer
 from egretlever.transport import send_request
 
@@ -206,30 +207,61 @@
     run_script(script)
 
 
-def test_platform_template_yields_valid_settings():
-    text = TEMPLATE.read_text(encoding="utf-8")
-    text = re.sub(
-        r"\{\{#zones\}\}.*\{\{/zones\}\}", "pj-a:punjab, sd-a:sindh", text
-    )
-    values = {
+def build_platform_fields():
+    """Build the fields with which the platform fills in a template."""
+    return {
         "nodeName": "sidecar-pj-a-1",
+        "ip": "10.1.0.38",
         "zone": "pj-a",
         "region": "punjab",
-        "service": "huvo11a",
-        "ip": "10.1.0.38",
-        "portRange.0": "7380",
-        "portRange.1": "7395",
+        "zones": {"pj-a": "punjab", "sd-a": "sindh"},
+        "listen": {
+            "outbound": "10.1.0.38:8147",
+            "ready": "10.1.0.38:8141",
+            "control": "10.1.0.38:8144",
+        },
+        "portRange": [7380, 7395],
         "heartbeat": "1500ms",
-        "bounds": "drain=2000ms,grace=6s,retryBudgetRatio=0.2",
+        "service": "huvo11a",
+        "platform": {"address": "10.200.1.7:8142"},
+        "bounds": {
+            "drain": "3000ms",
+            "grace": "10s",
+            "configApply": "3000ms",
+            "retryBudgetRatio": 0.25,
+            "budgetWindow": "8s",
+            "budgetSlack": 430,
+            "floorShare": 0.7,
+        },
     }
 
-    def fill(found):
-        return values.get(found[1], str(Address("10.1.0.38", 8147)))
 
-    text = re.sub(r"\{\{([\w.]+)\}\}", fill, text)
+def test_platform_template_yields_valid_settings():
+    text = render_template(
+        TEMPLATE.read_text(encoding="utf-8"), build_platform_fields()
+    )
     result = parse_settings(text, "relay.ini", settings_pb2.RelaySettings)
     assert isinstance(result, Success), result.failure()
     assert list(result.unwrap().identity.regions) == [
         "pj-a:punjab",
         "sd-a:sindh",
     ]
+
+
+def test_platform_template_passes_all_bounds_on():
+    # The bounds are a table. Written as JSON none of them was understood, and
+    # 135 home nodes shared the default of 50 retries instead of 430.
+    text = render_template(
+        TEMPLATE.read_text(encoding="utf-8"), build_platform_fields()
+    )
+    settings = parse_settings(
+        text, "relay.ini", settings_pb2.RelaySettings
+    ).unwrap()
+    assert decode_bounds(settings.bounds.platform).unwrap() == Bounds(
+        drain=Seconds(3.0),
+        grace=Seconds(10.0),
+        configuration=Seconds(3.0),
+        retry_ratio=0.25,
+        retry_slack=430.0,
+        retry_window=Seconds(8.0),
+    )
