Use the fleet's allowance of retries at every size

Half of the ratio is held back for nested calls, which the first service never gets; clients' requests that arrive on a host while a retried request runs there count as its nested calls; parts below a whole retry are lost; two failure domains of eight end a search; and in its first window a process holds most of the slack back for an earlier one.

A request that began on a host of the called service is no nested call, so home nodes know how many come from clients and use 0.9 of the ratio for these. A request that outlives the retried one is not its nested call. Parts are rounded by the server's id. Half of the failure domains end a search, two at least. A fleet that starts for the first time, as the platform says, uses the slack at once; 0.9 of it is used instead of 0.8.

Ruled out: 0.9 of the ratio for all arrivals. A service with as many calls as requests would get more than its bound (home/tests/test_retry_budget.py).

--- a/egretlever/home/_retry_budget.py
+++ b/egretlever/home/_retry_budget.py
@@ -4,14 +4,17 @@
 
 from egretlever.core import Interval, Seconds, check_parameters
 
-# Share of the ratio that home nodes use. Calls between servers arrive like
-# other requests but may not count as requests for the service; half of the
-# ratio keeps the bound for services with as many calls as requests.
-_RATIO_SHARE = 0.5
+# Share of the ratio that home nodes use for all arrivals. Calls between servers
+# arrive like other requests but may not count as requests for the service; half
+# of the ratio keeps the bound for services with as many calls as requests.
+_ARRIVALS_RATIO_SHARE = 0.5
+# Share of the ratio that home nodes use for arrivals that are no calls. It is
+# below 1 because their number is an estimate.
+_CLIENTS_RATIO_SHARE = 0.9
 # Share of the slack that a process uses after its first window. Within that
 # window it uses the remaining share, since it does not know how much its
 # predecessor has used; together they keep the bound.
-_SLACK_SHARE = 0.8
+_SLACK_SHARE = 0.9
 # A home node may use this multiple of its own part while it and its neighbours
 # use less than this share of theirs on average. When a few servers have gray
 # failures, few home nodes get all the retries. The share is below 1 because the
@@ -40,7 +43,14 @@
     window : Seconds
         Length of the sliding window.
     started_at : Seconds
-        Time at which counting begins.
+        Time at which counting begins, negative infinity when there was no
+        earlier process.
+
+    Attributes
+    ----------
+    rounding : float
+        Added to this home node's part before it is rounded down, 0 to 1. With
+        values spread evenly over the home nodes, no part is lost by rounding.
 
     Examples
     --------
@@ -65,10 +75,14 @@
         self._slack = slack
         self._window = window
         self._started_at = started_at
+        self.rounding = 0.0
         self._requests: collections.deque[Seconds] = collections.deque()
+        self._client_requests: collections.deque[Seconds] = collections.deque()
         self._retries: collections.deque[Seconds] = collections.deque()
 
-    def observe(self, now: Seconds, derived: bool = False) -> None:
+    def observe(
+        self, now: Seconds, derived: bool = False, from_client: bool = False
+    ) -> None:
         """Count an arrival that is not limited by the budget.
 
         Parameters
@@ -78,12 +92,21 @@
         derived : bool, default=False
             Whether the caller may be running a retried request. Such a call
             counts as a retry at the called service.
+        from_client : bool, default=False
+            Whether the request is known to come from a client: it began on a
+            host of the same service, and servers call other services only.
         """
         (self._retries if derived else self._requests).append(now)
+        if from_client and not derived:
+            self._client_requests.append(now)
         self._expire(now)
 
     def take(
-        self, now: Seconds, home_count: int, pooled_usage: float | None = None
+        self,
+        now: Seconds,
+        home_count: int,
+        pooled_usage: float | None = None,
+        host_share: float = 1.0,
     ) -> bool:
         """Count a retry and return true if the budget allows it.
 
@@ -95,39 +118,64 @@
             Number of home nodes that share the slack, at least 1.
         pooled_usage : float, optional
             Mean usage of this home node and its neighbours, None when unknown.
+        host_share : float, default=1
+            Share of the fleet's hosts that have a server of this service.
         """
-        if not self.has_room(now, home_count, pooled_usage):
+        if not self.has_room(now, home_count, pooled_usage, host_share):
             return False
         self._retries.append(now)
         return True
 
     def has_room(
-        self, now: Seconds, home_count: int, pooled_usage: float | None = None
+        self,
+        now: Seconds,
+        home_count: int,
+        pooled_usage: float | None = None,
+        host_share: float = 1.0,
     ) -> bool:
         """Return whether the budget allows a retry."""
-        part = self._measure_part(now, home_count)
+        part = self._measure_part(now, home_count, host_share)
         if pooled_usage is None:
-            return len(self._retries) + 1 <= part
+            return len(self._retries) + 1 <= part + self.rounding
         return (
             pooled_usage < _MAX_POOLED_USAGE
             and len(self._retries) + 1 <= _MAX_POOLED_PARTS * part
         )
 
-    def measure_usage(self, now: Seconds, home_count: int) -> float:
+    def measure_usage(
+        self, now: Seconds, home_count: int, host_share: float = 1.0
+    ) -> float:
         """Return the used share of this home node's part of the budget."""
-        part = self._measure_part(now, home_count)
+        part = self._measure_part(now, home_count, host_share)
         return len(self._retries) / part if part > 0 else 1.0
 
-    def _measure_part(self, now: Seconds, home_count: int) -> float:
+    def _measure_part(
+        self, now: Seconds, home_count: int, host_share: float
+    ) -> float:
         """Return the retries per window that are this home node's part."""
         self._expire(now)
         share = _SLACK_SHARE
         if now - self._started_at < self._window:
             share = 1 - _SLACK_SHARE
         slack = share * self._slack / max(1, home_count)
-        return _RATIO_SHARE * self._ratio * len(self._requests) + slack
+        counted = max(
+            _ARRIVALS_RATIO_SHARE * len(self._requests),
+            _CLIENTS_RATIO_SHARE * self._estimate_clients(host_share),
+        )
+        return self._ratio * counted + slack
+
+    def _estimate_clients(self, host_share: float) -> float:
+        """Estimate the requests of clients among those in the window.
+
+        Clients send from all hosts alike, so those of the hosts that have a
+        server of this service are a known share of all.
+        """
+        if host_share <= 0:
+            return 0.0
+        estimate = len(self._client_requests) / host_share
+        return min(float(len(self._requests)), estimate)
 
     def _expire(self, now: Seconds) -> None:
-        for times in (self._requests, self._retries):
+        for times in (self._requests, self._client_requests, self._retries):
             while times and times[0] <= now - self._window:
                 times.popleft()
--- a/egretlever/home/tests/test_retry_budget.py
+++ b/egretlever/home/tests/test_retry_budget.py
@@ -1,7 +1,10 @@
 """Guards the fleet-wide bound on retries that each home node enforces alone."""
 
+import math
+
 import hypothesis
 import hypothesis.strategies as st
+import pytest
 
 from egretlever.core import Seconds
 from egretlever.home import WindowRetryBudget
@@ -74,6 +77,13 @@
             assert sum(at > now - WINDOW for at in times) <= SLACK
 
 
+def test_the_first_process_may_use_the_slack_at_once():
+    # Gray servers are found in the first second of a fleet, when most of the
+    # slack was held back for an earlier process that had never run.
+    first = build_budget(started_at=Seconds(-math.inf))
+    assert exhaust(first, 1.0) >= 0.8 * SLACK
+
+
 def test_a_burst_of_failures_may_use_most_of_the_slack():
     # When half of the slack was reserved for calls of retried requests,
     # requests failed that could have been retried.
@@ -103,3 +113,38 @@
         usages = [budget.measure_usage(now, home_count) for budget in budgets]
         used += budgets[home].take(now, home_count, sum(usages) / home_count)
     assert used <= SLACK
+
+
+@pytest.mark.parametrize("home_count", [8, 135, 1000])
+def test_a_service_without_nested_calls_may_use_most_of_its_allowance(
+    home_count,
+):
+    # Half of the ratio was held back for calls that such a service never gets.
+    slack, requests_at_each = 430.0, 28
+    host_share = 0.6
+    used = 0
+    for home in range(home_count):
+        budget = build_budget(slack)
+        budget.rounding = home / home_count
+        for number in range(requests_at_each):
+            # Every host sends alike; 0.6 of them have a server of the service.
+            from_client = (home + 3 * number) % 5 < 3
+            budget.observe(Seconds(0.1), from_client=from_client)
+        while budget.take(Seconds(1.0), home_count, host_share=host_share):
+            used += 1
+    allowed = RATIO * requests_at_each * home_count + slack
+    assert 0.8 * allowed <= used <= allowed
+
+
+def test_nested_calls_do_not_raise_the_allowance():
+    # As many calls as requests of clients; only hosts without a server of the
+    # service make calls.
+    home_count, requests, host_share = 50, 40, 0.5
+    used = 0
+    for _ in range(home_count):
+        budget = build_budget(0.0)
+        for number in range(requests):
+            budget.observe(Seconds(0.1), from_client=number % 4 == 0)
+        while budget.take(Seconds(1.0), home_count, host_share=host_share):
+            used += 1
+    assert used <= RATIO * requests * home_count / 2
--- a/egretlever/placement/_directory.py
+++ b/egretlever/placement/_directory.py
@@ -82,6 +82,10 @@
         servers = self._services.get(service, {}).values()
         return [server for server in servers if not server.draining]
 
+    def list_all(self) -> list[HomeServer]:
+        """Return all servers, draining ones included."""
+        return list(self._servers.values())
+
     def list_at(self, relay: Address) -> list[HomeServer]:
         """Return the servers behind the home node at an address."""
         return [
--- a/egretlever/placement/_groups.py
+++ b/egretlever/placement/_groups.py
@@ -37,6 +37,8 @@
         self._measure_distance = measure_distance
         self._rng = rng
         self._groups: dict[ServiceName, ServersByDistance] = {}
+        self._domain_counts: dict[ServiceName, int] = {}
+        self._hosts_nearby: int | None = None
         self._revision = directory.revision
 
     def find(self, service: ServiceName) -> ServersByDistance:
@@ -65,7 +67,36 @@
         """Count the servers of a service."""
         return sum(map(len, self.find(service).values()))
 
+    def count_domains(self, service: ServiceName) -> int:
+        """Count the failure domains with servers of a service."""
+        groups = self.find(service)
+        found = self._domain_counts.get(service)
+        if found is None:
+            domains = {
+                server.failure_domain
+                for group in groups.values()
+                for server in group
+            }
+            found = self._domain_counts[service] = len(domains)
+        return found
+
+    def measure_share(self, service: ServiceName) -> float:
+        """Return the share of all servers that belong to a service.
+
+        The share in the own failure domain is taken when it is larger.
+        """
+        own = self.find(service)[Distance.OWN_DOMAIN]
+        if self._hosts_nearby is None:
+            self._hosts_nearby = sum(
+                self._measure_distance(server) is Distance.OWN_DOMAIN
+                for server in self._directory.list_all()
+            )
+        share = self.count(service) / max(1, len(self._directory))
+        return max(share, len(own) / max(1, self._hosts_nearby))
+
     def clear(self) -> None:
         """Forget the groups, since distances have changed."""
         self._groups.clear()
+        self._domain_counts.clear()
+        self._hosts_nearby = None
         self._revision = self._directory.revision
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -49,10 +49,11 @@
 _INITIAL_SERVICE_TIME = Seconds(0.15)
 # Weight of a new answer in the moving average of its route's service time.
 _SERVICE_TIME_WEIGHT = 0.1
-# A request is given up when this many failure domains have refused it for lack
-# of retry budget: the whole fleet has none left then, and each further refusal
-# costs paid traffic between regions.
-_MAX_DOMAINS_WITHOUT_BUDGET = 2
+# A request is given up when this share of its service's failure domains have
+# refused it for lack of retry budget, at least two: hardly any has some left
+# then, and each further refusal costs paid traffic between regions.
+_MAX_DOMAINS_WITHOUT_BUDGET_SHARE = 0.5
+_MIN_DOMAINS_WITHOUT_BUDGET = 2
 # A starting node reads the configuration and the servers within this time,
 # unless the store is unavailable.
 _STARTUP_TIMEOUT = Seconds(0.3)
@@ -215,10 +216,13 @@
     ) -> _RequestTask:
         assert self._routes is not None  # checked by handle
         begun = request.received_at
-        limit = route.timeout
+        # A request without a deadline counts as one that may expire any time.
+        expires_at, limit = begun, route.timeout
         text = request.head.find(headers.DEADLINE)
         if text is not None and text.strip().isdecimal():
-            limit = Seconds(min(limit, int(text) / 1000))
+            time_left = int(text) / 1000
+            expires_at = Seconds(begun + time_left)
+            limit = Seconds(min(limit, time_left))
         deadline = Seconds(begun + limit)
         if self._ends_at is not None:
             deadline = min(deadline, self._ends_at)
@@ -243,7 +247,7 @@
             deadline,
             search,
             AttemptHistory(),
-            self._home.may_be_derived(service),
+            self._home.may_be_derived(service, expires_at),
         )
 
     async def _serve(self, task: _RequestTask) -> ClientAnswer:
@@ -279,16 +283,22 @@
             if task.history.attempts > attempts:
                 task.search.excluded.add(choice.server.id)
                 task.search.may_be_trial = False
-            if (
-                len(task.search.domains_without_budget)
-                >= _MAX_DOMAINS_WITHOUT_BUDGET
-            ):
+            if self._is_budget_used(task):
                 return self._give_up(task, GiveUpReason.NO_BUDGET)
             if task.history.may_have_run and not task.route.idempotent:
                 return self._give_up(task, GiveUpReason.MAY_HAVE_RUN)
             if task.history.attempts >= task.route.max_attempts:
                 return self._give_up(task, GiveUpReason.ATTEMPTS_USED)
 
+    def _is_budget_used(self, task: _RequestTask) -> bool:
+        """Tell whether the fleet has most likely no retry budget left."""
+        most = max(
+            _MIN_DOMAINS_WITHOUT_BUDGET,
+            _MAX_DOMAINS_WITHOUT_BUDGET_SHARE
+            * self._fleet.count_domains(task.service),
+        )
+        return len(task.search.domains_without_budget) >= most
+
     async def _offer(self, task: _RequestTask, choice: HomeChoice) -> Reply:
         head = task.request.head
         offer = Offer(
--- a/egretlever/relay/_fleet.py
+++ b/egretlever/relay/_fleet.py
@@ -31,6 +31,10 @@
         """Count the home nodes of a service."""
         ...
 
+    def measure_host_share(self, service: ServiceName) -> float:
+        """Return the share of the hosts that have a server of a service."""
+        ...
+
     def measure_retry_usage(
         self, service: ServiceName, own: float
     ) -> float | None:
@@ -131,6 +135,14 @@
         """Count the home nodes of a service, at least 1."""
         return max(1, self._groups.count(service))
 
+    def count_domains(self, service: ServiceName) -> int:
+        """Count the failure domains with servers of a service."""
+        return self._groups.count_domains(service)
+
+    def measure_host_share(self, service: ServiceName) -> float:
+        """Return the share of the hosts that have a server of a service."""
+        return self._groups.measure_share(service)
+
     def measure_retry_usage(
         self, service: ServiceName, own: float
     ) -> float | None:
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -53,6 +53,9 @@
 # During a planned stop, a request is accepted only when this multiple of its
 # route's mean service time is left.
 _STOP_TIME_FACTOR = 3.0
+# Nested calls arrive some milliseconds after their parent's time left was
+# rounded.
+_EXPIRY_TOLERANCE = Seconds(0.05)
 # Waits are reported for this many ranks; the last one also covers all further
 # ranks.
 _REPORTED_RANKS = 3
@@ -70,6 +73,8 @@
         Reports of the other home nodes, which share the retry budget.
     client : ServerRunner
         Runs requests at the server.
+    first_start : bool, default=False
+        Whether the whole fleet starts for the first time.
 
     Attributes
     ----------
@@ -87,9 +92,10 @@
         bounds: Bounds,
         neighbours: Neighbours,
         client: ServerRunner,
+        first_start: bool = False,
     ) -> None:
-        self._retries = RetryCounter(bounds, neighbours)
-        self._retries_running = 0
+        self._retries = RetryCounter(bounds, neighbours, first_start)
+        self._retries_until: dict[RequestId, Seconds] = {}
         self.local = LocalServer()
         self.jobs = JobTable(self._run_logged)
         self.notice_publisher = NoticePublisher(self._make_notice)
@@ -113,29 +119,34 @@
             # Outcomes of the previous server do not apply to this one.
             self._server_key = key
             self._circuit_breaker = CircuitBreaker()
+            self._retries.identify(server.id)
         self._queue.resize(server.slots)
 
     def reload(self, bounds: Bounds) -> None:
         """Apply limits of the retry budget; unchanged ones keep the counts."""
         self._retries.reload(bounds)
 
-    def may_be_derived(self, service: ServiceName) -> bool:
+    def may_be_derived(self, service: ServiceName, expires_at: Seconds) -> bool:
         """Tell whether a request may be a nested call of a retried request.
 
         Nested calls of the server are not marked. While the server runs a
-        retried request, each request from this host for another service is
-        therefore counted as one.
+        retried request, each request from this host for another service that
+        expires no later is therefore counted as one.
 
         Parameters
         ----------
         service : ServiceName
             Called service.
+        expires_at : Seconds
+            Clock time at which the request expires for its sender. A nested
+            call expires with the request that made it, or sooner.
         """
         server = self.local.current
-        return (
-            self._retries_running > 0
-            and server is not None
-            and server.service != service
+        if server is None or server.service == service:
+            return False
+        return any(
+            expires_at <= until + _EXPIRY_TOLERANCE
+            for until in self._retries_until.values()
         )
 
     def describe(self, route: RouteId = _NO_ROUTE) -> HomeCondition:
@@ -301,11 +312,10 @@
                 reason = RefusalReason.NO_BUDGET
             if reason is not None:
                 return self._refuse(reason, offer)
-            self._retries_running += offer.repeated
             try:
                 result = await self._dispatch(job)
             finally:
-                self._retries_running -= offer.repeated
+                self._retries_until.pop(offer.request_id, None)
             answered = result.good is True
         finally:
             self._queue.finish(offer.request_id, read_clock(), answered)
@@ -356,10 +366,11 @@
             return ServerResult(Refusal(RefusalReason.EXPIRED), None)
         overdue = self._find_overdue_time(offer, left)
         job.dispatched = True
+        time_left = Seconds(min(left, overdue)) if offer.idempotent else left
+        if offer.repeated:
+            self._retries_until[offer.request_id] = Seconds(now + time_left)
         if offer.idempotent:
-            result = await self._client.exchange(
-                server, offer, Seconds(min(left, overdue))
-            )
+            result = await self._client.exchange(server, offer, time_left)
         else:
             result = await self._run_watched(server, offer, left, overdue)
         if _is_stopped_at_deadline(result.reply) and not (
@@ -469,7 +480,9 @@
         await self._client.close()
 
 
-def make_home_node(bounds: Bounds, neighbours: Neighbours) -> HomeNode:
+def make_home_node(
+    bounds: Bounds, neighbours: Neighbours, first_start: bool = False
+) -> HomeNode:
     """Make a home node that reaches its server over HTTP.
 
     Parameters
@@ -478,8 +491,10 @@
         Limits of the retry budget.
     neighbours : Neighbours
         Reports of the other home nodes, which share the retry budget.
+    first_start : bool, default=False
+        Whether the whole fleet starts for the first time.
     """
-    return HomeNode(bounds, neighbours, ServerClient())
+    return HomeNode(bounds, neighbours, ServerClient(), first_start)
 
 
 def _is_stopped_at_deadline(reply: Reply) -> bool:
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -83,7 +83,9 @@
             rng,
         )
         self._fleet = FleetView(selector, self._find_local, rng)
-        self._home = make_home_node(bounds, self._fleet)
+        self._home = make_home_node(
+            bounds, self._fleet, settings.bounds.first_start
+        )
         self._links = LinkPool(self._fleet)
         self._entry = EntryNode(
             ServiceName(settings.identity.service),
--- a/egretlever/relay/_retries.py
+++ b/egretlever/relay/_retries.py
@@ -1,6 +1,10 @@
 """Retry budget of one home node, as its share of the fleet's budget."""
 
-from egretlever.core import Seconds, ServiceName
+import dataclasses
+import math
+import zlib
+
+from egretlever.core import Seconds, ServerId, ServiceName
 from egretlever.home import WindowRetryBudget
 from egretlever.placement import Offer
 from egretlever.platform import Bounds
@@ -20,40 +24,53 @@
         Limits of the retry budget.
     neighbours : Neighbours
         Reports of the other home nodes, which share the budget.
+    first_start : bool, default=False
+        Whether there was no earlier process, whose retries would count.
     """
 
-    def __init__(self, bounds: Bounds, neighbours: Neighbours) -> None:
+    def __init__(
+        self,
+        bounds: Bounds,
+        neighbours: Neighbours,
+        first_start: bool = False,
+    ) -> None:
         self._neighbours = neighbours
         self._bounds = bounds
-        self._budget = _make_budget(bounds)
+        started_at = Seconds(-math.inf) if first_start else read_clock()
+        self._budget = _make_budget(bounds, started_at)
 
     def reload(self, bounds: Bounds) -> None:
         """Apply limits of the retry budget; unchanged ones keep the counts."""
         if bounds != self._bounds:
+            rounding = self._budget.rounding
             self._bounds = bounds
-            self._budget = _make_budget(bounds)
+            self._budget = _make_budget(bounds, read_clock())
+            self._budget.rounding = rounding
+
+    def identify(self, server_id: ServerId) -> None:
+        """Derive the rounding of this home node's part from its server's id."""
+        self._budget.rounding = zlib.crc32(server_id.encode()) / 2**32
 
     def measure_usage(self, service: ServiceName) -> float:
         """Return the used share of this home node's retry budget."""
-        homes = self._neighbours.count_homes(service)
-        return self._budget.measure_usage(read_clock(), homes)
+        return self._read_usage(service, read_clock()).own
 
-    def _read_usage(
-        self, service: ServiceName, now: Seconds
-    ) -> tuple[int, float, float | None]:
-        """Return the number of home nodes, and the own and the pooled usage."""
+    def _read_usage(self, service: ServiceName, now: Seconds) -> "_Usage":
         homes = self._neighbours.count_homes(service)
-        usage = self._budget.measure_usage(now, homes)
-        return (
-            homes,
-            usage,
-            self._neighbours.measure_retry_usage(service, usage),
-        )
+        host_share = self._neighbours.measure_host_share(service)
+        own = self._budget.measure_usage(now, homes, host_share)
+        return _Usage(homes, host_share, own)
+
+    def _measure_pooled(
+        self, service: ServiceName, usage: "_Usage"
+    ) -> float | None:
+        return self._neighbours.measure_retry_usage(service, usage.own)
 
     def has_room(self, service: ServiceName, now: Seconds) -> bool:
         """Tell whether a retry is allowed."""
-        homes, _, pooled = self._read_usage(service, now)
-        return self._budget.has_room(now, homes, pooled)
+        usage = self._read_usage(service, now)
+        pooled = self._measure_pooled(service, usage)
+        return self._budget.has_room(now, usage.homes, pooled, usage.host_share)
 
     def has_low_retry_budget(self, service: ServiceName, now: Seconds) -> bool:
         """Tell whether the retry budget is too low for frequent trials.
@@ -62,25 +79,39 @@
         requests that failed at a trusted server and can be served only by a
         retry.
         """
-        homes, own, pooled = self._read_usage(service, now)
-        usage = own if pooled is None else pooled
-        room = self._budget.has_room(now, homes, pooled)
-        return usage >= _LOW_BUDGET_USAGE or not room
+        usage = self._read_usage(service, now)
+        pooled = self._measure_pooled(service, usage)
+        used = usage.own if pooled is None else pooled
+        room = self._budget.has_room(now, usage.homes, pooled, usage.host_share)
+        return used >= _LOW_BUDGET_USAGE or not room
 
     def count_arrival(self, offer: Offer) -> bool:
         """Count an attempt at the server; false for a retry without budget."""
         now = read_clock()
         if offer.repeated:
-            homes, _, pooled = self._read_usage(offer.service, now)
-            return self._budget.take(now, homes, pooled)
-        self._budget.observe(now, offer.derived)
+            usage = self._read_usage(offer.service, now)
+            pooled = self._measure_pooled(offer.service, usage)
+            return self._budget.take(now, usage.homes, pooled, usage.host_share)
+        # Servers call other services only, so a request that began on a host of
+        # the same service comes from a client.
+        from_client = offer.caller_service == offer.service
+        self._budget.observe(now, offer.derived, from_client)
         return True
 
 
-def _make_budget(bounds: Bounds) -> WindowRetryBudget:
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Usage:
+    """Use of a home node's retry budget, and what its part depends on."""
+
+    homes: int
+    host_share: float
+    own: float
+
+
+def _make_budget(bounds: Bounds, started_at: Seconds) -> WindowRetryBudget:
     return WindowRetryBudget(
         bounds.retry_ratio,
         bounds.retry_slack,
         bounds.retry_window,
-        read_clock(),
+        started_at,
     )
--- a/egretlever/relay/tests/test_process.py
+++ b/egretlever/relay/tests/test_process.py
@@ -222,6 +222,7 @@
         },
         "portRange": [7380, 7395],
         "heartbeat": "1500ms",
+        "bootstrap": True,
         "service": "huvo11a",
         "platform": {"address": "10.200.1.7:8142"},
         "bounds": {
@@ -257,6 +258,7 @@
     settings = parse_settings(
         text, "relay.ini", settings_pb2.RelaySettings
     ).unwrap()
+    assert settings.bounds.first_start
     assert decode_bounds(settings.bounds.platform).unwrap() == Bounds(
         drain=Seconds(3.0),
         grace=Seconds(10.0),
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -41,6 +41,9 @@
     def count_homes(self, service):
         return 1
 
+    def measure_host_share(self, service):
+        return 1.0
+
     def measure_retry_usage(self, service, own):
         return None
 
@@ -517,6 +520,10 @@
     fixture = RelayFixture(serve(after=0.3))
     seen = []
 
+    def ask(service, time_left=0.3):
+        expires_at = Seconds(read_clock() + time_left)
+        seen.append(fixture.home.may_be_derived(service, expires_at))
+
     async def script():
         for repeated in (False, True):
             task = await curio.spawn(
@@ -527,14 +534,36 @@
             )
             await curio.sleep(0.1)
             for service in ("catalogue", "ordering"):
-                seen.append(fixture.home.may_be_derived(service))
+                ask(service)
             await task.join()
-        seen.append(fixture.home.may_be_derived("catalogue"))
+        ask("catalogue")
 
     run_script(fixture, script)
     assert seen == [False, False, True, False, False]
 
 
+def test_request_that_outlives_a_retried_one_is_not_its_nested_call():
+    # Clients' requests for long lists used up the retries of the list's
+    # service while retried requests of another one were running.
+    fixture = RelayFixture(serve(after=0.3))
+
+    async def script():
+        task = await curio.spawn(
+            lambda: fixture.offer("r-1", idempotent=True, repeated=True),
+            daemon=True,
+        )
+        await curio.sleep(0.1)
+        now = read_clock()
+        found = [
+            fixture.home.may_be_derived("catalogue", Seconds(now + left))
+            for left in (1.0, 20.0)
+        ]
+        await task.join()
+        return found
+
+    assert run_script(fixture, script) == [True, False]
+
+
 def test_subscribed_entry_node_is_notified_of_each_change():
     fixture = RelayFixture(serve(after=0.5), slots=1)
 
