Keep a departure known across a restart of the home node

Cause: that a server is leaving was known only to the process that had acknowledged it. Its row was removed, so the next process of the node took a delayed heartbeat of that server for a new one, wrote its row again and offered it requests after the acknowledged departure.

The row now says that the server is leaving until the server has ended, 10 s after its departure or with the planned stop of the node. The next process compares incarnations and marks the server. The acknowledgement waits for the row, at most 0.5 s: a store outage must not hold it up beyond the second after which servers call again.

Ruled out: a tombstone in the store's history. The store may discard it at any time. Not covered: a process that starts while the store is unavailable knows no row; other nodes no longer list the server.

test_restarted_node_does_not_take_a_leaving_server_back and the two tests of the acknowledgement fail without the change. Each departure makes one write call more.

--- a/egretlever/home/_lifecycle.py
+++ b/egretlever/home/_lifecycle.py
@@ -142,6 +142,32 @@
             return HeartbeatEffect.DEPARTED
         return HeartbeatEffect.STALE
 
+    def drain(self, server_id: ServerId, incarnation: Incarnation) -> bool:
+        """Mark the current server as leaving, as an earlier process knew.
+
+        Parameters
+        ----------
+        server_id : ServerId
+            Server that was leaving.
+        incarnation : Incarnation
+            Its incarnation then.
+
+        Returns
+        -------
+        bool
+            Whether the current server is that one and was not marked before.
+        """
+        current = self.current
+        if (
+            current is None
+            or current.draining
+            or current.id != server_id
+            or current.incarnation > incarnation
+        ):
+            return False
+        self.current = dataclasses.replace(current, draining=True)
+        return True
+
     def _expire_departed(self, now: Seconds) -> None:
         self._departed = {
             server_id: entry
--- a/egretlever/relay/_announcements.py
+++ b/egretlever/relay/_announcements.py
@@ -32,18 +32,20 @@
     """Handles the announcements of the server on the host.
 
     When a server announces that it leaves, new requests are stopped before the
-    acknowledgement, which promises that the server gets none afterwards.
+    acknowledgement, which promises that the server gets none afterwards, also
+    when this process is restarted.
 
     Parameters
     ----------
     home : HomeNode
         Home node of the server.
     notify : callable
-        Coroutine function that is called when the server has changed.
+        Coroutine function that is called when the server has changed, with
+        whether it is leaving.
     """
 
     def __init__(
-        self, home: HomeNode, notify: Callable[[], Awaitable[None]]
+        self, home: HomeNode, notify: Callable[[bool], Awaitable[None]]
     ) -> None:
         self._home = home
         self._notify = notify
@@ -70,14 +72,15 @@
         metrics.HEARTBEATS.labels(effect.value).inc()
         if effect in _CHANGE_EFFECTS:
             self._home.apply_heartbeat()
+            server = self._home.local.current
             _LOG.event(
                 logs_pb2.StateLine(
                     event=f"server-{effect.value}",
                     subject=server_id,
-                    outcome=_describe(self._home.local.current),
+                    outcome=_describe(server),
                 )
             )
-            await self._notify()
+            await self._notify(server is None or server.draining)
         return _ACKNOWLEDGED
 
 
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -14,6 +14,7 @@
     Incarnation,
     RegionName,
     Seconds,
+    ServerId,
     ServiceName,
     make_log,
 )
@@ -109,7 +110,8 @@
         )
         self._publisher = ServerPublisher(
             store,
-            self._find_local,
+            self._find_published,
+            self._mark_leaving,
             self._fleet.directory,
             self._directory,
             rng,
@@ -121,13 +123,18 @@
         self._ended = curio.Event()
 
     def _find_local(self) -> HomeServer | None:
-        """Return the server on this host, None when it is leaving.
+        """Return the server on this host, None when it is leaving."""
+        server = self._find_published()
+        return None if server is None or server.draining else server
+
+    def _find_published(self) -> HomeServer | None:
+        """Return the server on this host, None when it has left.
 
         A planned stop of the node does not matter here: the server may keep
         running beside the next process.
         """
         server = self._home.local.current
-        if server is None or server.draining:
+        if server is None:
             return None
         return HomeServer(
             id=server.id,
@@ -136,8 +143,16 @@
             relay=self._relay,
             slots=server.slots,
             incarnation=server.incarnation,
+            draining=server.draining,
         )
 
+    def _mark_leaving(
+        self, server_id: ServerId, incarnation: Incarnation
+    ) -> None:
+        """Stop offering a server that was leaving before this process began."""
+        if self._home.local.drain(server_id, incarnation):
+            self._home.apply_heartbeat()
+
     async def run(self) -> None:
         """Run until the planned stop is complete."""
         listen = self._settings.listen
@@ -252,6 +267,7 @@
         """Stop gracefully: requests that were received are finished."""
         self._log("stop")
         self._stopping = True
+        await self._publisher.stop()
         now = read_clock()
         ends_at = Seconds(now + self._bounds.grace - _EXIT_MARGIN)
         leaves_at = min(Seconds(now + _LEAVE_NOTICE_TIME), ends_at)
--- a/egretlever/relay/_publishing.py
+++ b/egretlever/relay/_publishing.py
@@ -1,13 +1,14 @@
 """Publishes the row of a home node's server in the platform's store."""
 
 import collections
+import dataclasses
 import random
 from collections.abc import Callable
 
 import curio
 from returns.result import Failure, Success
 
-from egretlever.core import Seconds, ServerId, Version
+from egretlever.core import Incarnation, Seconds, ServerId, Version
 from egretlever.placement import Directory, HomeServer
 from egretlever.platform import RowStore, StoreErrorKind
 from egretlever.relay import _metrics as metrics
@@ -19,12 +20,19 @@
     decode_server,
     log_state,
 )
+from egretlever.transport import read_clock
 
 _SYNC_POLL_INTERVAL = 0.2  # seconds between checks for the first table read
 # Time between checks of the local directory for rows that reappeared. The check
 # makes no store call.
 _CHECK_INTERVAL = Seconds(2.0)
 _MAX_WRITTEN_IDS = 16  # latest server ids whose rows may reappear
+# The row of a server that has left says so for this time. A delayed heartbeat
+# of it may reach the next process of this node while it still runs.
+_LEFT_ROW_RETENTION = Seconds(10.0)
+# Time for which the acknowledgement of a departure waits for the row. Servers
+# call again when they have no acknowledgement after a second.
+_DEPARTURE_WRITE_TIMEOUT = Seconds(0.5)
 
 
 class ServerPublisher:
@@ -36,13 +44,19 @@
     row was removed. A row that such a write restores is removed when the
     directory shows it.
 
+    That a server is leaving must outlast this process once it has been
+    acknowledged, so its row says so until the server has ended.
+
     Parameters
     ----------
     store : RowStore
         The store.
     find_local : callable
-        Returns the server on this host, None when there is none or it is
-        leaving.
+        Returns the server on this host, None when there is none or it has
+        left.
+    mark_leaving : callable
+        Called with the id and the incarnation of a server that was leaving when
+        a former process of this node ended.
     directory : Directory
         Holds the rows that former processes of this node have written.
     follower : TableFollower
@@ -55,24 +69,46 @@
         self,
         store: RowStore,
         find_local: Callable[[], HomeServer | None],
+        mark_leaving: Callable[[ServerId, Incarnation], None],
         directory: Directory,
         follower: TableFollower,
         rng: random.Random,
     ) -> None:
         self._store = store
         self._find_local = find_local
+        self._mark_leaving = mark_leaving
         self._directory = directory
         self._follower = follower
         self._backoff = Backoff(rng)
         self._wake = curio.Event()
+        self._published = curio.Event()
         self._written: HomeServer | None = None
+        self._left_at: Seconds | None = None
+        self._retention = _LEFT_ROW_RETENTION
         self._version = Version(0)
         self._written_ids: collections.deque[ServerId] = collections.deque(
             maxlen=_MAX_WRITTEN_IDS
         )
 
-    async def notify(self) -> None:
-        """Signal that the server on this host may have changed."""
+    async def notify(self, leaving: bool = False) -> None:
+        """Signal that the server on this host may have changed.
+
+        Parameters
+        ----------
+        leaving : bool, default=False
+            Whether the server leaves, which is to be acknowledged to it. The
+            call then returns when the row says so, or after half a second: the
+            store may be unavailable.
+        """
+        self._published.clear()
+        await self._wake.set()
+        if leaving:
+            async with curio.ignore_after(_DEPARTURE_WRITE_TIMEOUT):
+                await self._published.wait()
+
+    async def stop(self) -> None:
+        """Remove the row of a server that has left: it has ended by now."""
+        self._retention = Seconds(0.0)
         await self._wake.set()
 
     async def publish_forever(self) -> None:
@@ -91,15 +127,23 @@
                 await self._backoff.wait()
                 await self._follower.wait_while_failing()
             self._backoff.reset()
+            if not self._wake.is_set():
+                await self._published.set()
 
     async def _publish(self) -> bool:
         """Update the row; false when that failed."""
         wanted = self._find_local()
         old = self._written
+        if wanted is not None:
+            self._left_at = None
         if old is not None and (wanted is None or wanted.id != old.id):
+            if wanted is None and not self._is_row_due(read_clock()):
+                leaving = dataclasses.replace(old, draining=True)
+                return old.draining or await self._write(old, leaving)
             if not await self._write(old, None):
                 return False
             self._written, self._version = None, Version(0)
+            self._left_at = None
         for server_id in self._written_ids:
             restored = self._directory.find(server_id)
             own = wanted is not None and wanted.id == server_id
@@ -115,10 +159,16 @@
         for other in self._directory.list_at(wanted.relay):
             if other.id != wanted.id and not await self._remove(other):
                 return False
-        if self._written is None:
-            self._adopt(wanted)
+        if self._written is None and self._adopt(wanted):
+            return True
         return wanted == self._written or await self._write(wanted, wanted)
 
+    def _is_row_due(self, now: Seconds) -> bool:
+        """Tell whether the row of a server that has left is to be removed."""
+        if self._left_at is None:
+            self._left_at = now
+        return now - self._left_at >= self._retention
+
     async def _remove(self, other: HomeServer) -> bool:
         """Remove the row of another server, as found in the directory."""
         version = self._directory.find_version(other.id)
@@ -133,11 +183,30 @@
         self._directory.remove(other.id, result.unwrap())
         return True
 
-    def _adopt(self, wanted: HomeServer) -> None:
-        """Adopt the row that a former process has written."""
+    def _adopt(self, wanted: HomeServer) -> bool:
+        """Adopt the row that a former process has written.
+
+        Returns
+        -------
+        bool
+            Whether the row says that the server was leaving: its heartbeat was
+            delayed, and the row stays.
+        """
         self._version = self._directory.find_version(wanted.id)
-        if self._directory.find(wanted.id) == wanted:
+        found = self._directory.find(wanted.id)
+        if found == wanted:
             self._written = wanted
+        if (
+            found is None
+            or not found.draining
+            or wanted.draining
+            or not 0 < wanted.incarnation <= found.incarnation
+        ):
+            return False
+        self._written = found
+        log_state("server-was-leaving", found.id, str(self._version))
+        self._mark_leaving(found.id, found.incarnation)
+        return True
 
     async def _write(
         self, named: HomeServer, wanted: HomeServer | None
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -1,11 +1,12 @@
 """Tests followers and the publisher against an unreliable store."""
 
 import contextlib
+import dataclasses
 import random
 
 import curio
 
-from egretlever.core import Address, Seconds
+from egretlever.core import Address, Incarnation, Seconds
 from egretlever.placement import Directory
 from egretlever.platform import make_row_store
 from egretlever.platform.tests.wire_builders import (
@@ -23,6 +24,7 @@
 from egretlever.testing.relay_builders import build_home_server
 
 ONE, TWO = build_home_server(1), build_home_server(2)
+LEAVING = dataclasses.replace(ONE, draining=True)
 
 
 class StoreFixture:
@@ -46,8 +48,14 @@
             rng,
             leader=self.configuration,
         )
+        self.leaving = []
         self.publisher = ServerPublisher(
-            client, lambda: self.local, self.directory, self.servers, rng
+            client,
+            lambda: self.local,
+            lambda *named: self.leaving.append(named),
+            self.directory,
+            self.servers,
+            rng,
         )
 
     def configure(self, configuration):
@@ -56,9 +64,9 @@
         self.versions.append(configuration.version)
         return True
 
-    async def publish(self, server):
+    async def publish(self, server, leaving=False):
         self.local = server
-        await self.publisher.notify()
+        await self.publisher.notify(leaving)
 
     def read_row(self, server):
         value = self.store.find(SERVER_TABLE, server.id)
@@ -186,11 +194,87 @@
         assert fixture.store.calls.count("POST /rows-tx") == 1
         await fixture.publish(None)
         await curio.sleep(5.0)
+        # The row outlasts this process until the server has ended.
+        assert fixture.read_row(ONE) == LEAVING
         assert fixture.store.calls.count("POST /rows-tx") == 2
+        await curio.sleep(10.0)
+        assert fixture.store.calls.count("POST /rows-tx") == 3
 
     assert run_script(script).read_row(ONE) is None
 
 
+def test_row_of_a_leaving_server_says_so_and_goes_with_the_node():
+    async def script(fixture):
+        await fixture.publish(ONE)
+        await curio.sleep(1.0)
+        await fixture.publish(LEAVING)
+        await curio.sleep(1.0)
+        assert fixture.read_row(ONE) == LEAVING
+        await fixture.publish(None)
+        await curio.sleep(1.0)
+        assert fixture.read_row(ONE) == LEAVING
+        await fixture.publisher.stop()
+        await curio.sleep(1.0)
+
+    fixture = run_script(script)
+    assert fixture.read_row(ONE) is None
+    assert fixture.store.calls.count("POST /rows-tx") == 3
+
+
+def test_restarted_node_does_not_take_a_leaving_server_back():
+    # The acknowledgement of its leaving was known to the ended process only, so
+    # a delayed heartbeat brought the server back into use.
+    async def script(fixture):
+        await fixture.store.put(SERVER_TABLE, ONE.id, encode_row(LEAVING))
+        await fixture.publish(ONE)
+        await curio.sleep(1.0)
+        assert fixture.leaving == [(ONE.id, ONE.incarnation)]
+        assert fixture.read_row(ONE) == LEAVING
+
+    run_script(script)
+
+
+def test_departure_is_acknowledged_when_its_row_is_written():
+    # The next process of a node that ends right after the acknowledgement knows
+    # nothing but the row.
+    async def script(fixture):
+        await fixture.publish(ONE)
+        await curio.sleep(1.0)
+        await fixture.publish(LEAVING, leaving=True)
+        assert fixture.read_row(ONE) == LEAVING
+
+    run_script(script)
+
+
+def test_departure_is_acknowledged_soon_while_the_store_is_unavailable():
+    async def script(fixture):
+        await fixture.publish(ONE)
+        await curio.sleep(1.0)
+        fixture.store.fault = RowsFault.BUSY
+        begun = await curio.clock()
+        await fixture.publish(LEAVING, leaving=True)
+        assert 0.4 < await curio.clock() - begun < 0.6
+        fixture.store.fault = RowsFault.NONE
+        await curio.sleep(4.0)
+        assert fixture.read_row(ONE) == LEAVING
+
+    run_script(script)
+
+
+def test_next_incarnation_of_a_server_that_left_is_taken():
+    later = dataclasses.replace(
+        ONE, incarnation=Incarnation(ONE.incarnation + 1)
+    )
+
+    async def script(fixture):
+        await fixture.store.put(SERVER_TABLE, ONE.id, encode_row(LEAVING))
+        await fixture.publish(later)
+        await curio.sleep(1.0)
+        assert fixture.leaving == []
+
+    assert run_script(script).read_row(ONE) == later
+
+
 def test_restarted_node_adopts_its_row_without_a_write():
     async def script(fixture):
         await fixture.store.put(SERVER_TABLE, ONE.id, encode_row(ONE))
