Resume orders at a silent home node until their time is up

Cause: after a lost connection an order was resumed three times, about a second in all, and then given up as of unknown outcome, although its home node may only have been silent and ran it to its end. An order can't be retried elsewhere, so nothing is gained by giving up earlier than its client or its route does. A home node that has restarted ends the search as before, and safe requests are resumed once and then retried elsewhere, as before.

The new test (3 s of silence) fails without the change.

--- a/egretlever/relay/_links.py
+++ b/egretlever/relay/_links.py
@@ -40,10 +40,11 @@
 # A request that is not idempotent is sent only on a connection that received
 # data within this time; otherwise a ping has to be answered first.
 _RECENTLY_ACTIVE_TIME = Seconds(0.5)
-# Times that a request is resumed after its connection was lost. An idempotent
-# one is better retried elsewhere after the first time.
-_MAX_RESUMES = 3
+# Times that an idempotent request is resumed after its connection was lost; it
+# is better retried elsewhere then. Others can't be, and their home node may
+# only be silent for a while, so they are resumed until their time is up.
 _MAX_IDEMPOTENT_RESUMES = 1
+_RESUME_INTERVAL = 0.25  # seconds between two attempts to reach the home node
 # A connection without requests for this time is closed.
 _IDLE_TIMEOUT = Seconds(20.0)
 
@@ -313,11 +314,14 @@
             await link.follow()
         incarnation = link.incarnation
         reply = await link.exchange(offer)
-        resumes = _MAX_IDEMPOTENT_RESUMES if offer.idempotent else _MAX_RESUMES
-        for _ in range(resumes):
+        resumes = 0
+        while reply is None and not (
+            offer.idempotent and resumes == _MAX_IDEMPOTENT_RESUMES
+        ):
             left = deadline - read_clock()
-            if reply is not None or left <= 0:
+            if left <= 0:
                 break
+            resumes += 1
             offer = dataclasses.replace(
                 offer, resumed=True, time_left=Seconds(left)
             )
@@ -325,6 +329,8 @@
                 link = await self.acquire(relay)
             except LinkError as error:
                 _LOG.debug("%s.", error)
+                if not offer.idempotent:
+                    await curio.sleep(_RESUME_INTERVAL)
                 continue
             if link.incarnation != incarnation:
                 break
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -189,6 +189,25 @@
     assert len(fixture.server.heads) == 1
 
 
+def test_order_at_a_home_node_that_is_silent_for_seconds_gets_its_answer():
+    # The order was given up after three attempts to reach the home node, about
+    # a second, although it ran to its end there.
+    fixture = RelayFixture(serve(b"once", after=1.0))
+
+    async def script():
+        order = await curio.spawn(fixture.offer, daemon=True)
+        await curio.sleep(0.4)
+        acceptor = fixture.tasks[1]
+        await acceptor.cancel()
+        await curio.sleep(3.0)
+        await fixture.start_home()
+        return await order.join()
+
+    reply = run_script(fixture, script)
+    assert reply.body == b"once"
+    assert len(fixture.server.heads) == 1
+
+
 def test_order_resumed_at_a_restarted_home_node_is_not_reported_as_not_run():
     fixture = RelayFixture(serve(after=1.0))
 
