Send fewer notices, and wake idle nodes less often

A home node sent each change of its free slots to all entry nodes of its failure domain, up to 200 notices a second, and looked for expired requests 30 times a second whether there were any or not.

Changes among two or more free slots are not notified any more, and do not decide between servers, since all entry nodes would choose the server that was last reported with the most. A notice is encoded once for all subscribers. The checks for expired and detached requests run while there are such requests.

The new tests fail without the change.

--- a/egretlever/placement/__init__.py
+++ b/egretlever/placement/__init__.py
@@ -28,6 +28,7 @@
 from egretlever.placement._routes import RouteTable
 from egretlever.placement._search import Distance, HomeChoice, Search, Stage
 from egretlever.placement._selection import HomeSelector
+from egretlever.placement._views import count_relevant_slots
 
 __all__ = [
     "Answer",
@@ -55,4 +56,5 @@
     "ServersByDistance",
     "Stage",
     "Trust",
+    "count_relevant_slots",
 ]
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -29,7 +29,7 @@
     Search,
     Stage,
 )
-from egretlever.placement._views import HomeView
+from egretlever.placement._views import HomeView, count_relevant_slots
 
 # Age in seconds up to which a report of a doubted server counts. A server may
 # recover at any time, and an offer to find out costs a round trip, with traffic
@@ -373,7 +373,7 @@
             key=lambda candidate: (
                 candidate[1] // _DELAY_STEP_S,
                 candidate[0].relay != self.own_relay,
-                -self._view(candidate[0]).count_free(now),
+                -count_relevant_slots(self._view(candidate[0]).count_free(now)),
             ),
         )
 
--- a/egretlever/placement/_views.py
+++ b/egretlever/placement/_views.py
@@ -24,6 +24,14 @@
 # server that is not slow.
 _SLOW_FACTOR = 1.5
 _SLOWNESS_SMOOTHING = 0.3  # weight of a new ratio in the moving average
+# More free slots than this do not make a server preferable, and home nodes do
+# not report changes among such numbers.
+_AMPLE_SLOTS = 2
+
+
+def count_relevant_slots(free_slots: int) -> int:
+    """Return the number of free slots as far as it affects choices."""
+    return min(free_slots, _AMPLE_SLOTS)
 
 
 class HomeView:
--- a/egretlever/placement/tests/test_selection.py
+++ b/egretlever/placement/tests/test_selection.py
@@ -227,6 +227,19 @@
         assert choice.server is near[5]
 
 
+def test_ample_free_slots_do_not_decide():
+    # Changes among such numbers are not notified, so all entry nodes would send
+    # their requests to the server that was last reported with the most.
+    selector = build_selector()
+    near = [build_home_server(4 * number + 1) for number in range(1, 5)]
+    for number, server in enumerate(near):
+        send_notice(selector, server, free_slots=3 + number)
+    chosen = {
+        decide(selector, build_search(), near, NOW).server.id for _ in range(40)
+    }
+    assert len(chosen) == 4
+
+
 def test_a_notice_is_valid_for_seconds_while_notices_are_subscribed():
     selector = build_selector()
     report(selector, LOCAL)
--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -1,5 +1,6 @@
 """Accepts connections of entry nodes to a home node."""
 
+import functools
 from typing import Any
 
 import curio
@@ -29,7 +30,13 @@
 
     async def send_notice(self, notice: HomeNotice) -> None:
         """Send a notice; a closed connection ignores it."""
-        await self._stream.post(encode_notice(notice))
+        await self._stream.post(_encode_shared(notice))
+
+
+@functools.lru_cache(maxsize=1)
+def _encode_shared(notice: HomeNotice) -> bytes:
+    """Encode a notice once for all of its subscribers."""
+    return encode_notice(notice).SerializeToString()
 
 
 class RelayAcceptor:
@@ -68,7 +75,7 @@
         finally:
             self._home.notice_publisher.unsubscribe(subscriber)
             for job in jobs.values():
-                self._home.jobs.detach(job, stream)
+                await self._home.jobs.detach(job, stream)
             await writer.cancel()
             await stream.close()
 
--- a/egretlever/relay/_frames.py
+++ b/egretlever/relay/_frames.py
@@ -68,11 +68,17 @@
         """Whether the connection was closed."""
         return self._closed
 
-    async def post(self, frame: relay_pb2.RelayFrame) -> None:
-        """Queue a frame for sending; a closed stream ignores it."""
+    async def post(self, frame: relay_pb2.RelayFrame | bytes) -> None:
+        """Queue a frame for sending; a closed stream ignores it.
+
+        Parameters
+        ----------
+        frame : RelayFrame or bytes
+            The frame, or its serialized form.
+        """
         if self._closed:
             return
-        data = frame.SerializeToString()
+        data = frame if isinstance(frame, bytes) else frame.SerializeToString()
         self._queued.append(_LENGTH.pack(len(data)) + data)
         self._queued_bytes += len(data)
         if self._queued_bytes > _MAX_QUEUED_BYTES:
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -106,6 +106,7 @@
         self._client = client
         self._slot_events: dict[RequestId, curio.Event] = {}
         self._expired: set[RequestId] = set()
+        self._has_waiting = curio.Event()
         self._server_key: tuple[str, int] | None = None
         self._sampler = RequestSampler()
 
@@ -329,6 +330,8 @@
         slot_event = self._slot_events[ticket.request_id] = curio.Event()
         try:
             await self._start_ready()
+            if not slot_event.is_set():
+                await self._has_waiting.set()
             await slot_event.wait()
         except curio.CancelledError:
             if slot_event.is_set() and ticket.request_id not in self._expired:
@@ -351,10 +354,13 @@
     async def expire_forever(self) -> None:
         """Refuse queued requests that could no longer finish in time."""
         while True:
-            await curio.sleep(_EXPIRY_INTERVAL)
-            for ticket in self._queue.expire(read_clock()):
-                self._expired.add(ticket.request_id)
-                await self._slot_events[ticket.request_id].set()
+            await self._has_waiting.wait()
+            self._has_waiting.clear()
+            while self._queue.count_waiting():
+                await curio.sleep(_EXPIRY_INTERVAL)
+                for ticket in self._queue.expire(read_clock()):
+                    self._expired.add(ticket.request_id)
+                    await self._slot_events[ticket.request_id].set()
 
     async def _dispatch(self, job: Job) -> ServerResult:
         server = self.local.current
--- a/egretlever/relay/_jobs.py
+++ b/egretlever/relay/_jobs.py
@@ -24,7 +24,10 @@
 # Replies and fences are kept for this time, so that a resumed request gets its
 # reply and is not run twice. Connection failures are detected within seconds.
 _REPLY_RETENTION = Seconds(10.0)
-_EXPIRY_INTERVAL = 0.1  # seconds
+# Seconds between checks for detached jobs, while there are any, and for old
+# replies and fences.
+_DETACHED_CHECK_INTERVAL = 0.1
+_RETENTION_CHECK_INTERVAL = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,6 +83,7 @@
         self._run = run
         self._jobs: dict[RequestId, Job] = {}
         self._fences: dict[RequestId, Seconds] = {}
+        self._has_detached = curio.Event()
 
     async def submit(self, offer: Offer, owner: object = None) -> Job:
         """Start the job of an offer, or return the existing one.
@@ -141,10 +145,11 @@
             return
         await job.task.cancel(blocking=False)
 
-    def detach(self, job: Job, owner: object) -> None:
+    async def detach(self, job: Job, owner: object) -> None:
         """Record the loss of a connection that waited for a job's reply."""
         if job.owner is owner:
             job.detached_at = read_clock()
+            await self._has_detached.set()
 
     def count_running(self) -> int:
         """Count the jobs without a reply."""
@@ -153,19 +158,35 @@
     async def expire_forever(self) -> None:
         """Withdraw detached jobs, and drop old replies and fences."""
         while True:
-            await curio.sleep(_EXPIRY_INTERVAL)
-            now = read_clock()
-            for job in list(self._jobs.values()):
-                if job.ended_at is not None:
-                    if now - job.ended_at > _REPLY_RETENTION:
-                        del self._jobs[job.offer.request_id]
-                elif (
-                    job.detached_at is not None
-                    and now - job.detached_at > _REATTACH_TIMEOUT
-                ):
-                    await self.withdraw(job)
-            self._fences = {
-                request_id: at
-                for request_id, at in self._fences.items()
-                if now - at < _REPLY_RETENTION
-            }
+            await curio.ignore_after(
+                _RETENTION_CHECK_INTERVAL, self._has_detached.wait()
+            )
+            self._has_detached.clear()
+            while await self._withdraw_detached(read_clock()):
+                await curio.sleep(_DETACHED_CHECK_INTERVAL)
+            self._expire(read_clock())
+
+    async def _withdraw_detached(self, now: Seconds) -> bool:
+        """Withdraw detached jobs in time; false when none may be resumed."""
+        waiting = False
+        for job in list(self._jobs.values()):
+            if job.ended_at is not None or job.detached_at is None:
+                continue
+            if now - job.detached_at <= _REATTACH_TIMEOUT:
+                waiting = True
+            else:
+                await self.withdraw(job)
+        return waiting
+
+    def _expire(self, now: Seconds) -> None:
+        for job in list(self._jobs.values()):
+            if (
+                job.ended_at is not None
+                and now - job.ended_at > _REPLY_RETENTION
+            ):
+                del self._jobs[job.offer.request_id]
+        self._fences = {
+            request_id: at
+            for request_id, at in self._fences.items()
+            if now - at < _REPLY_RETENTION
+        }
--- a/egretlever/relay/_notices.py
+++ b/egretlever/relay/_notices.py
@@ -6,7 +6,7 @@
 import curio
 
 from egretlever.core import Seconds
-from egretlever.placement import HomeNotice
+from egretlever.placement import HomeNotice, count_relevant_slots
 from egretlever.transport import read_clock
 
 # Shortest time between two notices to one entry node, in seconds. Requests
@@ -37,6 +37,11 @@
     few seconds. With the conditions on replies alone its view would be
     outdated, and it would reject requests while servers nearby have free slots.
 
+    Under an ordinary load the number of free slots changes with every request
+    and most servers have several. Such changes are not sent: each notice goes
+    to all entry nodes of the failure domain, and they would take most of the
+    processor time of the fleet.
+
     Parameters
     ----------
     describe : callable
@@ -102,7 +107,11 @@
     if old is None or old.server != new.server:
         return True
     before, after = old.condition, new.condition
-    if (before.trust, before.free_slots) != (after.trust, after.free_slots):
+    if before.trust is not after.trust:
+        return True
+    if count_relevant_slots(before.free_slots) != count_relevant_slots(
+        after.free_slots
+    ):
         return True
     times = [(before.time_to_trial, after.time_to_trial)]
     times += zip(before.waits, after.waits, strict=True)
--- a/egretlever/relay/tests/test_jobs.py
+++ b/egretlever/relay/tests/test_jobs.py
@@ -58,7 +58,7 @@
     async def script(table):
         job = await table.submit(build_offer(), owner="first")
         await curio.sleep(0.1)
-        table.detach(job, "first")
+        await table.detach(job, "first")
         await curio.sleep(3.0)
         again = await table.submit(build_offer(resumed=True), owner="second")
         return again.reply
@@ -72,7 +72,7 @@
         job = await table.submit(offer, owner="first")
         await curio.sleep(0.1)
         await table.submit(build_offer(idempotent=True, resumed=True), "second")
-        table.detach(job, "first")
+        await table.detach(job, "first")
         await job.done.wait()
         return job.reply
 
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -599,6 +599,55 @@
     assert fixture.notices.lost == ["i-1"]
 
 
+async def run_concurrently(fixture, count):
+    tasks = [
+        await curio.spawn(fixture.offer, f"{count}-{number}", daemon=True)
+        for number in range(count)
+    ]
+    for task in tasks:
+        await task.join()
+
+
+@pytest.mark.parametrize(("concurrent", "notices"), [(3, 0), (4, 2)])
+def test_changes_among_ample_free_slots_are_not_notified(concurrent, notices):
+    # Notices of each change took most of the processor time of 235 nodes.
+    fixture = RelayFixture(serve(after=0.5), slots=5)
+
+    async def script():
+        await fixture.links.offer(fixture.relay, build_offer(), follow=True)
+        await curio.sleep(5.0)
+        before = len(fixture.notices.received)
+        await run_concurrently(fixture, concurrent)
+        await curio.sleep(0.2)
+        return len(fixture.notices.received) - before
+
+    assert run_script(fixture, script) == notices
+
+
+def test_idle_home_node_does_not_look_for_expired_requests():
+    # Each of its wake-ups costs processor time, 20 a second and node.
+    fixture = RelayFixture(serve(after=0.3), slots=1)
+    checks = []
+
+    async def script():
+        expire = fixture.home._queue.expire
+
+        def count_and_expire(now):
+            checks.append(now)
+            return expire(now)
+
+        fixture.home._queue.expire = count_and_expire
+        await fixture.offer()
+        await curio.sleep(10.0)
+        idle = len(checks)
+        await run_concurrently(fixture, 2)
+        return idle, len(checks) - idle
+
+    idle, busy = run_script(fixture, script)
+    assert idle == 0
+    assert busy > 0
+
+
 def test_notice_rate_is_limited_with_many_subscribers():
     fixture = RelayFixture(serve(after=0.02), slots=1)
     counts = []
