Delay the first poll of a table as any other poll after rows

Cause: a starting node polled for changes as soon as it had read a table. When many nodes start together the first row of another one ended that poll, and all other rows took one more.

test_rows_of_a_starting_fleet_are_read_in_few_calls fails without the change.

--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -96,7 +96,7 @@
     update : callable
         Receives changed rows, in order, and the store version.
     batch_time : Seconds
-        Delay after a call that returned changes.
+        Delay after a call that returned rows.
     rng : random.Random
         Source of jitter.
     leader : TableFollower, optional
@@ -157,6 +157,8 @@
         self._replace(rows, page.version)
         self._version = page.version
         self.synced = True
+        # When many nodes start together, each one's row would end this poll.
+        await curio.sleep(self._batch_time)
 
     async def _read_changes(self, version: Version) -> None:
         wait = _RECOVERY_POLL_TIME if self._failing else _LONG_POLL_TIME
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -339,6 +339,22 @@
     run_script(script)
 
 
+def test_rows_of_a_starting_fleet_are_read_in_few_calls():
+    # The first row of another node ended each node's poll at once, so that the
+    # other rows took one call more at all 235 nodes.
+    async def script(fixture):
+        for number in range(3, 40):
+            row = build_home_server(number)
+            await fixture.store.put(SERVER_TABLE, row.id, encode_row(row))
+            await curio.sleep(0.1)
+        await curio.sleep(2.0)
+        assert len(fixture.directory) == 37
+
+    fixture = run_script(script)
+    polls = [call for call in fixture.store.calls if "feed" in call]
+    assert len(polls) <= 2  # one of each table
+
+
 def test_long_polling_makes_few_store_calls():
     async def script(fixture):
         await curio.sleep(100.0)
