Count the time of a suspended host against deadlines

Cause: deadlines and ages were measured with the steady clock, which does not count the time for which a host is suspended. A request that waited at a home node was sent to the server after a suspension with seconds left that its client did not have any more, and so were fences, leases of notices and budgets older than they seemed.

Found by reading, for the operators' report of processes that act on a permission that had run out while they were paused. read_clock reads the boot time, and the virtual clock of the tests can be suspended. Timers still run on the steady clock; whatever they wake compares with read_clock.

Ruled out: detecting gaps between turns of the loop. A pause of the process alone, which the steady clock does count, looks alike.

The new test fails without the change, for orders and for safe requests.

--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -18,7 +18,12 @@
 from egretlever.relay._acceptor import RelayAcceptor
 from egretlever.relay._home import make_home_node
 from egretlever.relay._links import LinkPool
-from egretlever.testing import ServerExchange, answer, run_virtual
+from egretlever.testing import (
+    ServerExchange,
+    VirtualClock,
+    answer,
+    run_virtual,
+)
 from egretlever.testing._scripted_server import ScriptedServer
 from egretlever.testing.relay_builders import build_heartbeat, build_offer
 from egretlever.transport import open_listener, read_clock
@@ -120,12 +125,12 @@
         )
 
 
-def run_script(fixture, script):
+def run_script(fixture, script, clock=None):
     async def main():
         async with fixture.running():
             return await script()
 
-    return run_virtual(main())
+    return run_virtual(main(), clock)
 
 
 def test_answer_is_returned_complete_and_the_deadline_is_forwarded():
@@ -174,6 +179,30 @@
     assert len(fixture.server.heads) == 1
 
 
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_request_is_not_run_when_its_time_ran_out_in_a_suspension(idempotent):
+    # The steady clock does not count the time for which a host is suspended, so
+    # a waiting request was sent to the server with seconds left that it did not
+    # have any more.
+    clock = VirtualClock()
+    fixture = RelayFixture(serve(after=1.0), slots=1)
+
+    async def script():
+        first = await curio.spawn(fixture.offer, "r-1", daemon=True)
+        await curio.sleep(0.1)
+        second = await curio.spawn(
+            lambda: fixture.offer("r-2", idempotent=idempotent), daemon=True
+        )
+        await curio.sleep(0.1)
+        clock.suspend(20.0)
+        await first.join()
+        return await second.join()
+
+    reply = run_script(fixture, script, clock)
+    assert isinstance(reply, Refusal)
+    assert len(fixture.server.heads) == 1
+
+
 def test_order_on_a_lost_connection_is_answered_and_runs_once():
     fixture = RelayFixture(serve(b"once", after=1.0))
 
--- a/egretlever/testing/_clock.py
+++ b/egretlever/testing/_clock.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import selectors
+import time
 from collections.abc import Coroutine, Iterator
 from typing import Any, TypeVar
 
@@ -29,11 +30,25 @@
 
     def __init__(self, start: float = 1000.0) -> None:
         self._now = start
+        self._suspended = 0.0
 
     def monotonic(self) -> float:
         """Return the current reading in seconds."""
         return self._now
 
+    def clock_gettime(self, number: int) -> float:
+        """Return the reading of a clock, such as ``time.CLOCK_BOOTTIME``."""
+        if number == time.CLOCK_BOOTTIME:
+            return self._now + self._suspended
+        return time.clock_gettime(number)
+
+    def suspend(self, duration: float) -> None:
+        """Suspend the host for a duration in seconds.
+
+        Timeouts do not count this time, but ``time.CLOCK_BOOTTIME`` does.
+        """
+        self._suspended += duration
+
     def advance(self, duration: float) -> Seconds:
         """Advance by a duration in seconds and return the new reading."""
         self._now += duration
@@ -41,8 +56,6 @@
 
     def __getattr__(self, name: str) -> Any:
         # The clock replaces the time module in curio's kernel.
-        import time
-
         return getattr(time, name)
 
 
--- a/egretlever/transport/_sockets.py
+++ b/egretlever/transport/_sockets.py
@@ -3,6 +3,7 @@
 import select
 import socket as plain_socket
 import struct
+import time
 from typing import Any
 
 import curio
@@ -42,12 +43,17 @@
 
 
 def read_clock() -> Seconds:
-    """Read the clock that curio takes its timeouts from, in seconds.
+    """Read the clock by which deadlines and other permissions run out.
 
-    Tests replace this clock with a virtual one. Code that measures time with
-    it stays consistent with code that sleeps.
+    It runs like the clock that curio takes its timeouts from, but goes on while
+    the host is suspended. Tests replace both with a virtual clock.
+
+    Returns
+    -------
+    Seconds
+        Time since the host was started.
     """
-    return Seconds(curio.kernel.time.monotonic())
+    return Seconds(curio.kernel.time.clock_gettime(time.CLOCK_BOOTTIME))
 
 
 def _choose_family(ip: str) -> int:
