Give each service of a split its share from the first request on

Each version of the configuration begins a round anew on each node, so a storm of versions on hundreds of nodes kept the shares off their weights.

Each service but the last is now due its share of the requests that no service before it took, from a random point on. A request goes to a service with the probability of its share, and the count stays within a few requests of it.

Ruled out: starting rounds at a random step. It has to be simulated for each route at each reload.

--- a/egretlever/placement/_routes.py
+++ b/egretlever/placement/_routes.py
@@ -9,10 +9,10 @@
 class RouteTable:
     """Routes of one configuration, matched by host and longest prefix.
 
-    The services of a route are chosen by smooth weighted round robin, which
-    keeps the requests of each service within one of their exact share. Each
-    node begins at a random point of the round, so that nodes with little
-    traffic do not all send their first requests to the same service.
+    The services of a route are chosen in a weighted round, which keeps the
+    requests of each service close to their exact share. The round begins at a
+    random point, so that each request, even the first one of a new version,
+    goes to a service with the probability of its share.
 
     Parameters
     ----------
@@ -32,14 +32,12 @@
     ) -> None:
         self.configuration = configuration
         self._hosts: dict[str, dict[str, Route]] = {}
-        self._credits: dict[RouteId, list[float]] = {}
+        # For each service of a split route but the last one, the part of a
+        # request that it has been due since its latest one.
+        self._due: dict[RouteId, list[float]] = {}
         for route in configuration.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
-            if len(route.backends) > 1:
-                total = sum(backend.weight for backend in route.backends)
-                self._credits[route.id] = [
-                    rng.random() * total for _ in route.backends
-                ]
+            self._due[route.id] = [rng.random() for _ in route.backends[1:]]
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest that matches the path.
@@ -70,13 +68,13 @@
 
     def choose_service(self, route: Route) -> ServiceName:
         """Choose the service of a request by the weights of its route."""
-        credits = self._credits.get(route.id)
-        if credits is None:
-            return route.backends[0].service
-        total = 0.0
-        for index, backend in enumerate(route.backends):
-            credits[index] += backend.weight
-            total += backend.weight
-        best = max(range(len(credits)), key=credits.__getitem__)
-        credits[best] -= total
-        return route.backends[best].service
+        due = self._due[route.id]
+        rest = sum(backend.weight for backend in route.backends)
+        for index, backend in enumerate(route.backends[:-1]):
+            # The share of the requests that no service before this one took.
+            due[index] += backend.weight / rest
+            if due[index] >= 1.0:
+                due[index] -= 1.0
+                return backend.service
+            rest -= backend.weight
+        return route.backends[-1].service
--- a/egretlever/relay/tests/test_entry.py
+++ b/egretlever/relay/tests/test_entry.py
@@ -1,14 +1,22 @@
-"""Tests requests that arrive during the start of an entry node, and retries."""
+"""Tests requests during the start of an entry node, retries and splits."""
+
+import collections
+import dataclasses
 
 import curio
 
-from egretlever.core import Seconds, Version
-from egretlever.placement import HomeCondition, Refusal, RefusalReason
+from egretlever.core import Seconds, ServiceName, Version
+from egretlever.placement import (
+    Backend,
+    HomeCondition,
+    Refusal,
+    RefusalReason,
+)
 from egretlever.relay._entry import EntryNode
 from egretlever.testing import run_virtual
 from egretlever.testing._relay_fleet import RelayFleet
 from egretlever.testing.relay_builders import build_answer
-from egretlever.testing.relay_loads import DESK, build_pattern
+from egretlever.testing.relay_loads import DESK, HUB, build_pattern
 from egretlever.transport import read_clock
 
 
@@ -65,8 +73,10 @@
 
     def __init__(self, *replies):
         self.replies = list(replies)
+        self.services = []
 
     async def offer(self, relay, offer, follow=False):
+        self.services.append(offer.service)
         return self.replies.pop(0)
 
 
@@ -89,3 +99,107 @@
         return await host.send(kind, 5.0)
 
     assert run_virtual(main()) == 200
+
+
+def split_route(fleet, name, *backends):
+    """Return the fleet's configuration with a route split over services."""
+    routes = tuple(
+        dataclasses.replace(route, backends=backends)
+        if route.id == name
+        else route
+        for route in fleet.configuration.routes
+    )
+    return dataclasses.replace(fleet.configuration, routes=routes)
+
+
+def find_kind(fleet, name):
+    return next(kind for kind in fleet.pattern.kinds if kind.name == name)
+
+
+def test_retries_of_a_request_stay_with_the_service_of_its_split():
+    # A retry at another service of the split would shift its share.
+    async def main():
+        fleet = RelayFleet(build_pattern())
+        # The hosts of this service hold no server of the split's services.
+        host = next(one for one in fleet.hosts if one.server.service == DESK)
+        host.start()
+        other = ServiceName("hub-next")
+        rows = [
+            (
+                dataclasses.replace(
+                    one.server,
+                    service=HUB if number % 2 else other,
+                ),
+                Version(2),
+            )
+            for number, one in enumerate(fleet.hosts)
+            if one.server.service == HUB
+        ]
+        host.view.directory.replace(rows, Version(2))
+        refusal = Refusal(RefusalReason.SHED, HomeCondition())
+        services = collections.Counter()
+        for _ in range(20):
+            homes = ScriptedHomes(build_answer(500), refusal, build_answer(200))
+            entry = EntryNode(
+                host.server.service, host.view, host.home, homes, host.rng
+            )
+            entry.configure(
+                split_route(
+                    fleet, "list", Backend(HUB, 1.0), Backend(other, 1.0)
+                )
+            )
+            host.entry = entry
+            status = await host.send(find_kind(fleet, "list"), 5.0)
+            assert status == 200
+            assert len(homes.services) == 3
+            assert len(set(homes.services)) == 1
+            services[homes.services[0]] += 1
+        assert set(services) == {HUB, other}
+
+    run_virtual(main())
+
+
+def test_share_of_a_service_without_servers_is_rejected_and_not_moved():
+    # Such a service may be unknown, or all of its servers may have left.
+    async def main():
+        fleet = RelayFleet(build_pattern())
+        for host in fleet.hosts:
+            host.start()
+        host = fleet.hosts[0]
+        missing = Backend(ServiceName("missing"), 25.0)
+        host.entry.configure(
+            dataclasses.replace(
+                split_route(fleet, "view", Backend(HUB, 75.0), missing),
+                version=Version(2),
+            )
+        )
+        kind = find_kind(fleet, "view")
+        statuses = collections.Counter()
+        began = read_clock()
+        for _ in range(40):
+            statuses[await host.send(kind, 2.0)] += 1
+        assert abs(statuses[503] - 10) <= 1
+        assert not fleet.report.arrivals.get("missing")
+        return read_clock() - began
+
+    # A rejected request does not wait.
+    assert run_virtual(main()) < 30 * 0.5
+
+
+def test_reloaded_split_applies_to_the_next_request():
+    async def main():
+        fleet = RelayFleet(build_pattern())
+        for host in fleet.hosts:
+            host.start()
+        host = fleet.hosts[0]
+        kind = find_kind(fleet, "view")
+        assert await host.send(kind, 2.0) == 200
+        missing = Backend(ServiceName("missing"), 1.0)
+        host.entry.configure(
+            dataclasses.replace(
+                split_route(fleet, "view", missing), version=Version(2)
+            )
+        )
+        return await host.send(kind, 2.0)
+
+    assert run_virtual(main()) == 503
