Take no answer without an id on a connection that was used before

Cause: nodes of the direct topology compared the request's id only when a server named one. A late copy of an earlier answer that came without an id, after the next request had been sent on the kept connection, was passed on as the answer to that request.

An answer without the id now ends the use of a fresh connection, and is a cut answer on a used one: the request is retried or its outcome is unknown. Servers that name no request get a connection for each.

Ruled out for orders, which never use pooled connections, and for relay nodes, whose servers always name the request (relay/tests/test_relaying.py).

Found by reading, for the operators' report of late second answers. Both new tests fail without the change. Scripted servers of the tests name the request as the documented servers do, unless a test says otherwise.

--- a/egretlever/node/_exchange.py
+++ b/egretlever/node/_exchange.py
@@ -283,6 +283,17 @@
                 echoed,
             )
             return self.end(AttemptResult.CUT)
+        if echoed is None:
+            # On a connection that was used before, it may be a copy of an
+            # earlier response.
+            if not self._fresh:
+                _LOG.warning(
+                    "Server %s sent a response without the id of request %s.",
+                    self._server.id,
+                    request_id,
+                )
+                return self.end(AttemptResult.CUT)
+            self._connection.prevent_reuse()
         data, complete = self._connection.read_buffered_data()
         size = find_content_length(response.headers)
         if not complete and size is not None and size <= RESPONSE_BUFFER_LIMIT:
--- a/egretlever/node/tests/test_outcomes.py
+++ b/egretlever/node/tests/test_outcomes.py
@@ -8,7 +8,7 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 SHED_LINES = (b"egretlever-shed: 1", b"egretlever-request-id: $ID")
 SHED = answer(b"", 503, *SHED_LINES)
-SHED_WITHOUT_ID = answer(b"", 503, b"egretlever-shed: 1")
+SHED_WITHOUT_ID = answer(b"", 503, b"egretlever-shed: 1", echo=False)
 CROSSED = answer(b"ok", 200, b"egretlever-request-id: another")
 CUT_HELD = send_raw(OK + b"content-length: 9\r\n\r\nab")
 CUT_CHUNKED = send_raw(OK + b"transfer-encoding: chunked\r\n\r\n2\r\nab\r\n")
@@ -184,6 +184,33 @@
     assert run_with_proxy(scenario) == (b"second", 2)
 
 
+def test_a_late_copy_without_an_id_is_not_taken_for_the_next_response():
+    # The copy arrives after the next request was sent: the connection was clean
+    # when it was taken from the pool.
+    own, copy = answer(b"first"), answer(b"first", echo=False)
+
+    async def scenario(fixture):
+        await fixture.add_server(own, copy, answer(b"second"))
+        await fixture.call("GET", "/fabrics")
+        return (await fixture.call("GET", "/fabrics")).body
+
+    assert run_with_proxy(scenario) == b"second"
+
+
+@pytest.mark.parametrize(("echo", "connections"), [(False, 3), (True, 1)])
+def test_a_connection_is_reused_only_by_servers_that_name_the_request(
+    echo, connections
+):
+    # Without the id, a late copy of a response can't be told from the next one.
+    async def scenario(fixture):
+        server = await fixture.add_server(answer(echo=echo))
+        for _ in range(3):
+            await fixture.call("GET", "/fabrics")
+        return server.connections
+
+    assert run_with_proxy(scenario) == connections
+
+
 def test_a_draining_server_gets_no_further_requests():
     async def scenario(fixture):
         leaving = answer(b"a", 200, b"egretlever-draining: 1")
--- a/egretlever/testing/_scripted_server.py
+++ b/egretlever/testing/_scripted_server.py
@@ -18,6 +18,7 @@
     read_clock,
 )
 
+_ID_FIELD = headers.REQUEST_ID + b":"
 _DISCONNECT_POLL_INTERVAL = 0.01  # seconds between checks of a connection
 
 
@@ -68,9 +69,28 @@
 
 
 def answer(
-    body: bytes = b"ok", status: int = 200, *lines: bytes, after: float = 0.0
+    body: bytes = b"ok",
+    status: int = 200,
+    *lines: bytes,
+    after: float = 0.0,
+    echo: bool = True,
 ) -> Step:
-    """Make a step that sends a response and keeps the connection open."""
+    """Make a step that sends a response and keeps the connection open.
+
+    Parameters
+    ----------
+    body : bytes, default=b"ok"
+        Body of the response.
+    status : int, default=200
+        Status of the response.
+    *lines : bytes
+        Further header lines; ``$ID`` stands for the request id.
+    after : float, default=0.0
+        Processing time in seconds.
+    echo : bool, default=True
+        Whether the response names the request, unless a line does.
+    """
+    named = any(line.lower().startswith(_ID_FIELD) for line in lines)
 
     async def step(exchange: ServerExchange) -> bool:
         await exchange.read_body()
@@ -78,6 +98,8 @@
             await exchange.simulate_work(after)
         length = b"content-length: %d" % len(body)
         head = [b"HTTP/1.1 %d X" % status, length, *lines]
+        if echo and not named and exchange.head.find(headers.REQUEST_ID):
+            head.append(_ID_FIELD + b" $ID")
         await exchange.send(b"\r\n".join(head) + b"\r\n\r\n" + body)
         return True
 
