--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -7,6 +7,7 @@
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._changes import ChangeSubscriber, TableChange
 from egretlever.relay._links import LinkError, LinkPool, RelayLink
+from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock
 
 _LOG = make_log("store")
@@ -23,6 +24,11 @@
 _SILENCE_BEFORE_PING = Seconds(5.0)
 
 
+def _log(event: str, relay: Address) -> None:
+    """Log which node provides the changes of the directory."""
+    _LOG.event(logs_pb2.StateLine(event=event, address=str(relay)))
+
+
 class TableSharing:
     """Receives the changes of a table from another node, and passes them on.
 
@@ -104,8 +110,8 @@
                 metrics.SHARED_CHANGES.inc()
                 return change if change.base <= version else None
             cut_off += change is not None
-            _LOG.info("The node at %s sends no changes.", relay)
             await self._leave()
+            _log("reader-excluded", relay)
             self._readers.exclude(relay, read_clock())
         await self._leave()
         return None
@@ -120,6 +126,7 @@
         if link is not self._link:
             await self._leave()
             self._link = link
+            _log("reader-followed", relay)
             await link.follow_directory()
             async with curio.ignore_after(_FIRST_CHANGE_TIMEOUT):
                 return await link.read_change()
