Name the directory's current version in log lines

Cause: only a whole read of the table set the directory's version, so that each `offered` line named the version of the node's start as the state on which the choice was based. Found by reading; the new test fails without the change.

--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -344,6 +344,7 @@
             for row in rows
             if (event := apply_change(row)) is not None
         ]
+        directory.version = max(directory.version, version)
         if len(changes) > _MAX_LOGGED_SERVERS:
             log_state(
                 "servers-changed",
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -398,6 +398,19 @@
     assert len(caplog.records) < 20
 
 
+def test_version_of_the_directory_follows_its_changes():
+    # Log lines name it as the state on which a choice was based.
+    async def script(fixture):
+        await curio.sleep(0.5)
+        version = await fixture.store.put(
+            SERVER_TABLE, TWO.id, encode_row(TWO)
+        )
+        await curio.sleep(5.0)
+        assert fixture.directory.version == version
+
+    run_script(script)
+
+
 def test_follower_keeps_running_when_the_store_is_unreachable():
     client = make_row_store(Address("127.0.0.1", 1), Seconds(0.5))
     taken = []
