Hand the configuration and the directory over to a node that starts without the store

Cause: a node that starts while the store is unavailable knows neither a configuration nor another node, and answered 503 until the store was back.

Nodes that know its server connect to it. It asks one of them every half second until three have replied or the store was read, and the newest configuration and directory count, so that neither goes back. Then it is ready and serves.

Ruled out: a copy of the configuration in each row of the directory. It could not be read without the store either.

The process test in relay/tests/test_process.py fails without the change. It also shows that the store's configuration replaces the one handed over.

--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -9,12 +9,14 @@
 from egretlever.placement import HomeNotice
 from egretlever.relay._changes import TableChange
 from egretlever.relay._codec import (
+    decode_handover,
     decode_offer,
     encode_change,
     encode_notice,
     encode_reply,
 )
 from egretlever.relay._frames import FrameError, FrameStream
+from egretlever.relay._handover import HandoverExchange
 from egretlever.relay._home import HomeNode
 from egretlever.relay._jobs import Job
 from egretlever.relay._sharing import TableSharing
@@ -25,8 +27,8 @@
 _MAX_CONNECTIONS = 3000  # one for each node of the fleet, plus a reserve
 
 
-class _StreamSubscriber:
-    """Sends notices and changes to the node on one connection."""
+class _StreamPeer:
+    """Sends notices, changes and requests to the node on one connection."""
 
     def __init__(self, stream: FrameStream) -> None:
         self._stream = stream
@@ -39,6 +41,11 @@
         """Send a change; a closed connection ignores it."""
         await self._stream.post(_encode_shared_change(change))
 
+    async def request_handover(self) -> None:
+        """Ask for a handover; a closed connection ignores it."""
+        message = relay_pb2.HandoverRequest()
+        await self._stream.post(relay_pb2.RelayFrame(handover_request=message))
+
 
 @functools.lru_cache(maxsize=1)
 def _encode_shared_notice(notice: HomeNotice) -> bytes:
@@ -63,6 +70,8 @@
         Tells peers whether the process that accepted an offer still runs.
     sharing : TableSharing, optional
         Sends changes of the directory to the nodes that follow this one.
+    handovers : HandoverExchange, optional
+        Asks the nodes that connect for what the store holds.
     """
 
     def __init__(
@@ -70,10 +79,12 @@
         home: HomeNode,
         incarnation: Incarnation,
         sharing: TableSharing | None = None,
+        handovers: HandoverExchange | None = None,
     ) -> None:
         self._home = home
         self._incarnation = incarnation
         self._sharing = sharing
+        self._handovers = handovers
 
     async def serve_forever(self, listener: Any) -> None:
         """Accept connections of other nodes."""
@@ -83,20 +94,24 @@
 
     async def _serve(self, sock: Any) -> None:
         stream = FrameStream(sock)
-        subscriber = _StreamSubscriber(stream)
+        peer = _StreamPeer(stream)
         writer = await curio.spawn(stream.write_forever, daemon=True)
         jobs: dict[int, Job] = {}
         hello = relay_pb2.Hello(incarnation=self._incarnation)
+        if self._handovers is not None:
+            self._handovers.add_peer(peer)
         try:
             await stream.post(relay_pb2.RelayFrame(hello=hello))
             while (frame := await stream.read()) is not None:
-                await self._handle_frame(stream, subscriber, jobs, frame)
+                await self._handle_frame(stream, peer, jobs, frame)
         except FrameError as error:
             _LOG.warning("Invalid frame from a node: %s.", error)
         finally:
-            self._home.notice_publisher.unsubscribe(subscriber)
+            self._home.notice_publisher.unsubscribe(peer)
             if self._sharing is not None:
-                self._sharing.unsubscribe(subscriber)
+                self._sharing.unsubscribe(peer)
+            if self._handovers is not None:
+                self._handovers.remove_peer(peer)
             for job in jobs.values():
                 await self._home.jobs.detach(job, stream)
             await writer.cancel()
@@ -105,7 +120,7 @@
     async def _handle_frame(
         self,
         stream: FrameStream,
-        subscriber: _StreamSubscriber,
+        peer: _StreamPeer,
         jobs: dict[int, Job],
         frame: relay_pb2.RelayFrame,
     ) -> None:
@@ -114,12 +129,14 @@
             pong = relay_pb2.Pong(number=frame.ping.number)
             await stream.post(relay_pb2.RelayFrame(pong=pong))
         elif kind == "subscription":
-            await self._home.notice_publisher.subscribe(subscriber)
+            await self._home.notice_publisher.subscribe(peer)
         elif kind == "directory_subscription" and self._sharing is not None:
             if frame.directory_subscription.ended:
-                self._sharing.unsubscribe(subscriber)
+                self._sharing.unsubscribe(peer)
             else:
-                await self._sharing.subscribe(subscriber)
+                await self._sharing.subscribe(peer)
+        elif kind == "handover" and self._handovers is not None:
+            self._handovers.take(decode_handover(frame.handover))
         elif kind == "withdrawal":
             job = jobs.pop(frame.withdrawal.sequence, None)
             if job is not None:
--- a/egretlever/relay/_changes.py
+++ b/egretlever/relay/_changes.py
@@ -1,4 +1,4 @@
-"""Changes of the directory that one node reads for others."""
+"""What one node has read from the store and sends to others."""
 
 import dataclasses
 from typing import Protocol
@@ -30,6 +30,22 @@
     available: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Handover:
+    """All that a node needs from the store in order to serve.
+
+    Parameters
+    ----------
+    configuration : bytes
+        Configuration in force, as stored.
+    directory : TableChange
+        All rows of the directory.
+    """
+
+    configuration: bytes
+    directory: TableChange
+
+
 class ChangeSubscriber(Protocol):
     """Sends changes to a node that follows this one."""
 
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -30,7 +30,7 @@
 )
 from egretlever.placement import Failure as FailedAttempt
 from egretlever.platform import StoredRow
-from egretlever.relay._changes import TableChange
+from egretlever.relay._changes import Handover, TableChange
 from egretlever.schema import relay_pb2
 from egretlever.settings import parse_address
 
@@ -223,8 +223,7 @@
     return FailedAttempt(_decode_failure_reason(reply.reason), condition)
 
 
-def encode_change(change: TableChange) -> relay_pb2.RelayFrame:
-    """Encode a change of the directory."""
+def _encode_change(change: TableChange) -> relay_pb2.DirectoryChange:
     rows = [
         relay_pb2.DirectoryRow(
             key=row.key,
@@ -234,16 +233,19 @@
         )
         for row in change.rows
     ]
-    return relay_pb2.RelayFrame(
-        directory_change=relay_pb2.DirectoryChange(
-            base=change.base,
-            version=change.version,
-            rows=rows,
-            unavailable=not change.available,
-        )
+    return relay_pb2.DirectoryChange(
+        base=change.base,
+        version=change.version,
+        rows=rows,
+        unavailable=not change.available,
     )
 
 
+def encode_change(change: TableChange) -> relay_pb2.RelayFrame:
+    """Encode a change of the directory."""
+    return relay_pb2.RelayFrame(directory_change=_encode_change(change))
+
+
 def decode_change(change: relay_pb2.DirectoryChange) -> TableChange:
     """Decode a change of the directory."""
     rows = tuple(
@@ -258,6 +260,21 @@
     )
 
 
+def encode_handover(handover: Handover) -> relay_pb2.RelayFrame:
+    """Encode a handover."""
+    return relay_pb2.RelayFrame(
+        handover=relay_pb2.Handover(
+            configuration=handover.configuration,
+            directory=_encode_change(handover.directory),
+        )
+    )
+
+
+def decode_handover(handover: relay_pb2.Handover) -> Handover:
+    """Decode a handover."""
+    return Handover(handover.configuration, decode_change(handover.directory))
+
+
 def encode_row(server: HomeServer) -> bytes:
     """Encode a server's row in the platform's store."""
     return relay_pb2.ServerRow(
--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -1,7 +1,7 @@
 """Followers of tables in the platform's store."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import curio
 from returns.result import Failure, Success
@@ -252,6 +252,7 @@
     configure: Callable[[Configuration], bool],
     rng: random.Random,
     in_force_within: Seconds = _DEFAULT_IN_FORCE_WITHIN,
+    record: Callable[[StoredRow], None] = lambda row: None,
 ) -> TableFollower:
     """Make the follower that applies configurations.
 
@@ -265,14 +266,20 @@
         Source of jitter.
     in_force_within : Seconds, default=2
         Time in which a new configuration has to take effect.
+    record : callable, optional
+        Called with the row of each configuration that takes effect.
     """
 
     def apply_rows(
         rows: list[StoredRow] | tuple[StoredRow, ...], _: Version
     ) -> None:
         for row in rows:
-            if row.key == CONFIGURATION_KEY and not row.removed:
-                _apply_configuration(row, configure)
+            if (
+                row.key == CONFIGURATION_KEY
+                and not row.removed
+                and apply_configuration(row, configure)
+            ):
+                record(row)
 
     return TableFollower(
         store,
@@ -284,23 +291,26 @@
     )
 
 
-def _apply_configuration(
+def apply_configuration(
     row: StoredRow, configure: Callable[[Configuration], bool]
-) -> None:
+) -> bool:
+    """Apply a configuration; false when it is invalid or not newer."""
     result = decode_configuration(row.value)
     if isinstance(result, Failure):
         # The previous version stays in effect.
         for finding in result.failure():
             log_state("configuration-refused", row.key, reason=str(finding))
-        return
+        return False
     configuration = result.unwrap()
-    if configure(configuration):
-        metrics.CONFIGURATION_VERSION.set(configuration.version)
-        log_state(
-            "configuration-in-force",
-            row.key,
-            version=f"{configuration.version:08x}",
-        )
+    if not configure(configuration):
+        return False
+    metrics.CONFIGURATION_VERSION.set(configuration.version)
+    log_state(
+        "configuration-in-force",
+        row.key,
+        version=f"{configuration.version:08x}",
+    )
+    return True
 
 
 def make_directory_follower(
@@ -330,12 +340,7 @@
     """
 
     def replace(rows: list[StoredRow], version: Version) -> None:
-        found = []
-        for row in rows:
-            server = decode_server(row)
-            if server is not None:
-                found.append((server, row.version))
-        directory.replace(found, version)
+        directory.replace(decode_servers(rows), version)
         metrics.SERVERS.set(len(directory))
 
     def update(rows: tuple[StoredRow, ...], version: Version) -> None:
@@ -382,6 +387,17 @@
     )
 
 
+def decode_servers(
+    rows: Iterable[StoredRow],
+) -> list[tuple[HomeServer, Version]]:
+    """Decode rows of servers; invalid ones are logged and skipped."""
+    return [
+        (server, row.version)
+        for row in rows
+        if (server := decode_server(row)) is not None
+    ]
+
+
 def decode_server(row: StoredRow) -> HomeServer | None:
     """Decode the row of a server; an invalid one is logged and skipped."""
     result = decode_row(row.value)
--- a/egretlever/relay/_links.py
+++ b/egretlever/relay/_links.py
@@ -1,6 +1,7 @@
 """Connections of an entry node to home nodes."""
 
 import dataclasses
+from collections.abc import Callable
 
 import curio
 
@@ -19,11 +20,12 @@
     RefusalReason,
     Reply,
 )
-from egretlever.relay._changes import TableChange
+from egretlever.relay._changes import Handover, TableChange
 from egretlever.relay._codec import (
     decode_change,
     decode_notice,
     decode_reply,
+    encode_handover,
     encode_offer,
 )
 from egretlever.relay._fleet import NoticeObserver
@@ -75,6 +77,9 @@
         Distinguishes the home node's process from earlier and later ones.
     notices : NoticeObserver
         Receives the notices of the home node.
+    describe_handover : callable
+        Returns what this node can hand over to the home node, None when it has
+        nothing to hand over.
     """
 
     def __init__(
@@ -82,9 +87,11 @@
         stream: FrameStream,
         incarnation: Incarnation,
         notices: NoticeObserver,
+        describe_handover: Callable[[], Handover | None],
     ) -> None:
         self._stream = stream
         self._notices = notices
+        self._describe_handover = describe_handover
         self._subscribed_servers: set[ServerId] = set()
         self._subscribed = False
         # Changes of the directory, while they are followed; None is the end.
@@ -139,6 +146,10 @@
         elif kind == "directory_change":
             if self._changes is not None:
                 await self._changes.put(decode_change(frame.directory_change))
+        elif kind == "handover_request":
+            handover = self._describe_handover()
+            if handover is not None:
+                await self._stream.post(encode_handover(handover))
         elif kind == "accepted":
             exchange = self._exchanges.get(frame.accepted.sequence)
             if exchange is not None:
@@ -270,10 +281,17 @@
     ----------
     notices : NoticeObserver
         Receives the notices of home nodes.
+    describe_handover : callable, optional
+        Returns what this node can hand over, None when that is nothing.
     """
 
-    def __init__(self, notices: NoticeObserver) -> None:
+    def __init__(
+        self,
+        notices: NoticeObserver,
+        describe_handover: Callable[[], Handover | None] = lambda: None,
+    ) -> None:
         self._notices = notices
+        self._describe_handover = describe_handover
         self._links: dict[Address, RelayLink] = {}
         self._locks: dict[Address, curio.Lock] = {}
         self._failed_at: dict[Address, Seconds] = {}
@@ -325,7 +343,9 @@
             await stream.close()
             raise LinkError(f"{relay} sent no hello frame")
         incarnation = Incarnation(frame.hello.incarnation)
-        return RelayLink(stream, incarnation, self._notices)
+        return RelayLink(
+            stream, incarnation, self._notices, self._describe_handover
+        )
 
     async def offer(
         self, relay: Address, offer: Offer, follow: bool = False
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -19,7 +19,12 @@
     ServiceName,
     make_log,
 )
-from egretlever.placement import HomeSelector, HomeServer, ReaderSelector
+from egretlever.placement import (
+    Configuration,
+    HomeSelector,
+    HomeServer,
+    ReaderSelector,
+)
 from egretlever.platform import Bounds, make_row_store
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._acceptor import RelayAcceptor
@@ -31,6 +36,7 @@
     make_configuration_follower,
     make_directory_follower,
 )
+from egretlever.relay._handover import HandoverExchange
 from egretlever.relay._home import make_home_node
 from egretlever.relay._links import LinkPool
 from egretlever.relay._publishing import ServerPublisher
@@ -97,7 +103,11 @@
         self._home = make_home_node(
             bounds, self._fleet, settings.bounds.first_start
         )
-        self._links = LinkPool(self._fleet)
+        directory = self._fleet.directory
+        self._handovers = HandoverExchange(
+            directory, self._configure, self._is_synced, rng
+        )
+        self._links = LinkPool(self._fleet, self._handovers.describe)
         self._entry = EntryNode(
             ServiceName(settings.identity.service),
             self._fleet,
@@ -109,9 +119,12 @@
             parse_address(settings.store.address), _STORE_TIMEOUT
         )
         self._configuration = make_configuration_follower(
-            store, self._entry.configure, rng, bounds.configuration
+            store,
+            self._configure,
+            rng,
+            bounds.configuration,
+            self._handovers.record_configuration,
         )
-        directory = self._fleet.directory
         sharing = TableSharing(
             ReaderSelector(directory, failure_domain, self._relay), self._links
         )
@@ -132,11 +145,20 @@
             rng,
         )
         self._acceptor = RelayAcceptor(
-            self._home, Incarnation(time.time_ns() // 1000), sharing
+            self._home,
+            Incarnation(time.time_ns() // 1000),
+            sharing,
+            self._handovers,
         )
         self._stopping = False
         self._ended = curio.Event()
 
+    def _configure(self, configuration: Configuration) -> bool:
+        return self._entry.configure(configuration)
+
+    def _is_synced(self) -> bool:
+        return self._configuration.synced and self._directory.synced
+
     def _find_local(self) -> HomeServer | None:
         """Return the server on this host, None when it is leaving."""
         server = self._find_published()
@@ -205,6 +227,9 @@
             await curio.spawn(self._supervise, component, values, daemon=True)
             for component, values in components
         ]
+        tasks.append(
+            await curio.spawn(self._handovers.request_until_synced, daemon=True)
+        )
         await self._ended.wait()
         for task in tasks:
             await task.cancel()
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -402,9 +402,7 @@
     # Log lines name it as the state on which a choice was based.
     async def script(fixture):
         await curio.sleep(0.5)
-        version = await fixture.store.put(
-            SERVER_TABLE, TWO.id, encode_row(TWO)
-        )
+        version = await fixture.store.put(SERVER_TABLE, TWO.id, encode_row(TWO))
         await curio.sleep(5.0)
         assert fixture.directory.version == version
 
--- a/egretlever/relay/tests/test_process.py
+++ b/egretlever/relay/tests/test_process.py
@@ -1,5 +1,6 @@
 """Tests relay processes end to end, and the platform's settings template."""
 
+import itertools
 import json
 import pathlib
 import signal
@@ -17,7 +18,7 @@
 from egretlever.programs._early_listener import SETTINGS_VARIABLE
 from egretlever.schema import settings_pb2
 from egretlever.settings import parse_settings
-from egretlever.standins import RowsStandIn
+from egretlever.standins import RowsFault, RowsStandIn
 from egretlever.testing import Fleet, answer, reserve_addresses
 from egretlever.testing._platform_template import render_template
 from egretlever.testing._scripted_server import ScriptedServer
@@ -67,14 +68,22 @@
             },
         )
         self.path = path
+        self.fleet = fleet
+        self.start()
+
+    def start(self):
         # As the platform starts it.
-        self.running = fleet.start(
-            name,
+        self.running = self.fleet.start(
+            self.name,
             "relay",
             "run",
-            environment={SETTINGS_VARIABLE: str(path)},
+            environment={SETTINGS_VARIABLE: str(self.path)},
         )
 
+    def kill(self):
+        self.running.process.kill()
+        self.running.process.wait()
+
     async def announce(self, sequence=1, state="ready"):
         info = {
             "service": "ordering",
@@ -183,6 +192,50 @@
     run_script(script)
 
 
+def test_restarted_node_serves_while_the_store_is_unavailable():
+    # It knows neither a configuration nor another node. One that knows its
+    # server connects to it and hands over what it holds.
+    async def script(store, hosts):
+        near, far = hosts
+        await far.announce()
+
+        async def is_served():
+            reply = await near.order("first")
+            return reply is not None and reply.head.status == 200
+
+        await wait_for(is_served)
+        store.fault = RowsFault.BUSY
+        far.kill()
+        far.start()
+
+        async def is_heard():
+            return await far.announce(2) is not None
+
+        await wait_for(is_heard)
+        requests = itertools.count()
+
+        async def is_ready_again():
+            await near.order(f"near-{next(requests)}")
+            return await is_ready(far)
+
+        await wait_for(is_ready_again)
+        assert (await far.order("far-1")).head.status == 200
+        store.fault = RowsFault.NONE
+        await store.put("op", "config", build_newer_configuration())
+
+        async def has_new_configuration():
+            reply = await far.order(f"far-{next(requests)}")
+            return reply.head.status == 404
+
+        await wait_for(has_new_configuration)
+
+    run_script(script)
+
+
+def build_newer_configuration():
+    return build_configuration_body("00000008", prefix="/elsewhere/")
+
+
 def test_reload_keeps_the_node_running_and_stop_is_clean():
     async def script(store, hosts):
         near = hosts[0]
