--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -1,40 +1,25 @@
-"""Followers of tables in the platform's store."""
+"""Followers of the configuration and of the directory."""
 
 import random
 from collections.abc import Callable, Iterable
 
-import curio
 from returns.result import Failure, Success
 
-from egretlever.core import Seconds, ServerId, Version, make_log
+from egretlever.core import Seconds, ServerId, Version
 from egretlever.placement import Configuration, Directory, HomeServer
 from egretlever.platform import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
     RowStore,
     StoredRow,
-    StoreError,
-    StoreErrorKind,
     decode_configuration,
 )
 from egretlever.relay import _metrics as metrics
-from egretlever.relay._changes import TableChange
 from egretlever.relay._codec import decode_row
 from egretlever.relay._sharing import TableSharing
-from egretlever.schema import logs_pb2
+from egretlever.relay._table_follower import TableFollower, log_state
 
-_LOG = make_log("store")
 SERVER_TABLE = "egretlever-servers"
-# Duration of a long poll. Store calls are paid, and one change ends the polls
-# of all nodes. Keepalive probes detect a connection that stopped working
-# meanwhile.
-_LONG_POLL_TIME = Seconds(29.0)
-# Duration of a long poll of a node that others follow. An answer that the store
-# loses goes unnoticed until the end of the poll, and concerns all of them.
-_SHARED_POLL_TIME = Seconds(8.0)
-# Duration of a long poll after a failed call. A store can be silent on new
-# connections too, and a longer poll would delay the detection of its recovery.
-_RECOVERY_POLL_TIME = Seconds(0.5)
 # Changes of servers within this time are read together. The delay is harmless:
 # home nodes refuse requests for servers that have left, and new servers become
 # known before their slow start is over.
@@ -46,205 +31,6 @@
 # A batch of more changed servers has one log line. At the start of a fleet each
 # node learns of every server.
 _MAX_LOGGED_SERVERS = 8
-# Shortest and longest bound of the delay after a failed call. The delay is
-# random, so that nodes do not all retry at once.
-_MIN_BACKOFF = Seconds(0.2)
-_MAX_BACKOFF = Seconds(1.5)
-
-
-def log_state(
-    event: str, subject: str, version: str = "", reason: str = ""
-) -> None:
-    """Log an event about data read from or written to the store."""
-    _LOG.event(
-        logs_pb2.StateLine(
-            event=event, subject=subject, version=version, reason=reason
-        )
-    )
-
-
-class Backoff:
-    """Exponential backoff with jitter.
-
-    Parameters
-    ----------
-    rng : random.Random
-        Source of jitter.
-    """
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._bound = _MIN_BACKOFF
-
-    async def wait(self) -> None:
-        """Wait, and increase the bound of the next delay."""
-        await curio.sleep(self._bound * (0.5 + 0.5 * self._rng.random()))
-        self._bound = Seconds(min(_MAX_BACKOFF, 2 * self._bound))
-
-    def reset(self) -> None:
-        """Reset the bound to its minimum."""
-        self._bound = _MIN_BACKOFF
-
-
-class TableFollower:
-    """Follows the changes of one table in the store.
-
-    Parameters
-    ----------
-    store : RowStore
-        The store.
-    table : str
-        Table to follow.
-    replace : callable
-        Receives all rows of the table and the store version.
-    update : callable
-        Receives changed rows, in order, and the store version.
-    batch_time : Seconds
-        Delay after a call that returned rows.
-    rng : random.Random
-        Source of jitter.
-    leader : TableFollower, optional
-        Follower of another table in the same store. While both fail, only the
-        leader tries again, since refused calls are paid too.
-    sharing : TableSharing, optional
-        Provides changes that another node has read, and passes changes on.
-
-    Attributes
-    ----------
-    synced : bool
-        Whether the whole table was read at least once.
-    """
-
-    def __init__(
-        self,
-        store: RowStore,
-        table: str,
-        replace: Callable[[list[StoredRow], Version], None],
-        update: Callable[[tuple[StoredRow, ...], Version], None],
-        batch_time: Seconds,
-        rng: random.Random,
-        leader: "TableFollower | None" = None,
-        sharing: TableSharing | None = None,
-    ) -> None:
-        self._store = store
-        self._table = table
-        self._replace = replace
-        self._update = update
-        self._batch_time = batch_time
-        self._backoff = Backoff(rng)
-        self._leader = leader
-        self._sharing = sharing
-        # Delay before the next poll.
-        self._poll_delay = Seconds(0.0)
-        self._version: Version | None = None
-        self._failing = False
-        self._regained = curio.Event()
-        self.synced = False
-
-    async def follow_forever(self) -> None:
-        """Read the table, then follow its changes until cancelled."""
-        while True:
-            if self._version is None:
-                await self._read_all()
-            else:
-                await self._read_changes(self._version)
-
-    async def _read_all(self) -> None:
-        rows: list[StoredRow] = []
-        first = ""
-        while True:
-            result = await self._store.read(self._table, first)
-            if isinstance(result, Failure):
-                await self._handle_failure("read", result.failure())
-                return
-            page = result.unwrap()
-            rows.extend(page.rows)
-            if not page.more or not page.rows:
-                break
-            # The smallest key after the last one.
-            first = page.rows[-1].key + "\0"
-        await self._succeed("read")
-        self._replace(rows, page.version)
-        self.synced = True
-        # When many nodes start together, each one's row would end the poll.
-        self._poll_delay = self._batch_time
-        await self._advance(TableChange(page.version, page.version))
-
-    async def _read_changes(self, version: Version) -> None:
-        change = None
-        if self._sharing is not None:
-            change = await self._sharing.receive(version)
-        if change is None:
-            change = await self._poll(version)
-        elif self._failing:
-            await self._end_failure("changes come from another node")
-        if change is not None:
-            if change.rows:
-                self._update(change.rows, change.version)
-            await self._advance(change)
-
-    async def _poll(self, version: Version) -> TableChange | None:
-        await curio.sleep(self._poll_delay)
-        wait = self._find_poll_time()
-        result = await self._store.watch(self._table, version, wait)
-        if isinstance(result, Failure):
-            self._poll_delay = Seconds(0.0)
-            await self._handle_failure("follow", result.failure())
-            return None
-        page = result.unwrap()
-        await self._succeed("follow")
-        self._poll_delay = self._batch_time if page.rows else Seconds(0.0)
-        return TableChange(version, page.version, page.rows)
-
-    def _find_poll_time(self) -> Seconds:
-        if self._failing:
-            return _RECOVERY_POLL_TIME
-        if self._sharing is not None and self._sharing.has_subscribers:
-            return _SHARED_POLL_TIME
-        return _LONG_POLL_TIME
-
-    async def _advance(self, change: TableChange) -> None:
-        """Move on to the version of a change that was applied."""
-        self._version = max(self._version or Version(0), change.version)
-        if self._sharing is not None:
-            await self._sharing.publish(change)
-
-    async def wait_while_failing(self) -> None:
-        """Wait until the latest calls of the store have succeeded.
-
-        Those of the leader count too: a table that another node reads makes no
-        calls here.
-        """
-        while self._failing:
-            await self._regained.wait()
-        if self._leader is not None:
-            await self._leader.wait_while_failing()
-
-    async def _succeed(self, call: str) -> None:
-        metrics.STORE_CALLS.labels(call, "done").inc()
-        self._backoff.reset()
-        if self._failing:
-            await self._end_failure()
-
-    async def _end_failure(self, reason: str = "") -> None:
-        self._failing = False
-        await self._regained.set()
-        log_state("store-regained", self._table, reason=reason)
-
-    async def _handle_failure(self, call: str, error: StoreError) -> None:
-        metrics.STORE_CALLS.labels(call, error.kind.value).inc()
-        if error.kind is StoreErrorKind.HISTORY_LOST:
-            log_state("history-lost", self._table)
-            self._version = None
-        elif not self._failing:
-            self._failing = True
-            self._regained.clear()
-            log_state("store-lost", self._table, reason=error.message)
-            if self._sharing is not None:
-                await self._sharing.publish_failure()
-        await self._backoff.wait()
-        if self._leader is not None:
-            await self._leader.wait_while_failing()
 
 
 def make_configuration_follower(
--- a/egretlever/relay/_handover.py
+++ b/egretlever/relay/_handover.py
@@ -15,8 +15,8 @@
     SERVER_TABLE,
     apply_configuration,
     decode_servers,
-    log_state,
 )
+from egretlever.relay._table_follower import log_state
 
 # A node reads the store within some hundredths of a second after its start,
 # unless the store is unavailable.
--- a/egretlever/relay/_publishing.py
+++ b/egretlever/relay/_publishing.py
@@ -13,13 +13,8 @@
 from egretlever.platform import RowStore, StoreErrorKind
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._codec import encode_row
-from egretlever.relay._followers import (
-    SERVER_TABLE,
-    Backoff,
-    TableFollower,
-    decode_server,
-    log_state,
-)
+from egretlever.relay._followers import SERVER_TABLE, decode_server
+from egretlever.relay._table_follower import Backoff, TableFollower, log_state
 from egretlever.transport import read_clock
 
 _SYNC_POLL_INTERVAL = 0.2  # seconds between checks for the first table read
--- /dev/null
+++ b/egretlever/relay/_relay_link.py
@@ -0,0 +1,248 @@
+"""A connection of an entry node to a home node."""
+
+import dataclasses
+from collections.abc import Callable
+
+import curio
+
+from egretlever.core import Incarnation, Seconds, ServerId, make_log
+from egretlever.placement import Offer, Reply
+from egretlever.relay._changes import Handover, TableChange
+from egretlever.relay._codec import (
+    decode_change,
+    decode_notice,
+    decode_reply,
+    encode_handover,
+    encode_offer,
+)
+from egretlever.relay._fleet import NoticeObserver
+from egretlever.relay._frames import FrameError, FrameStream
+from egretlever.schema import relay_pb2
+from egretlever.transport import read_clock
+
+_LOG = make_log("relay")
+_ACCEPT_TIMEOUT = Seconds(0.35)
+_PING_TIMEOUT = Seconds(0.35)
+# A connection that received nothing for this time is checked by a ping. It can
+# stop working for good without being closed.
+_SILENCE_BEFORE_PING = Seconds(0.7)
+# A request that is not idempotent is sent only on a connection that received
+# data within this time; otherwise a ping has to be answered first.
+_RECENTLY_ACTIVE_TIME = Seconds(0.5)
+
+
+@dataclasses.dataclass(slots=True)
+class _Exchange:
+    """State of one offer that waits for its reply."""
+
+    accepted: curio.Event = dataclasses.field(default_factory=curio.Event)
+    done: curio.Event = dataclasses.field(default_factory=curio.Event)
+    reply: Reply | None = None  # None at the end: the connection was lost
+
+
+class RelayLink:
+    """A connection to a home node that multiplexes requests.
+
+    Parameters
+    ----------
+    stream : FrameStream
+        Connection on which the home node has sent its hello frame.
+    incarnation : Incarnation
+        Distinguishes the home node's process from earlier and later ones.
+    notices : NoticeObserver
+        Receives the notices of the home node.
+    describe_handover : callable
+        Returns what this node can hand over to the home node, None when it has
+        nothing to hand over.
+    """
+
+    def __init__(
+        self,
+        stream: FrameStream,
+        incarnation: Incarnation,
+        notices: NoticeObserver,
+        describe_handover: Callable[[], Handover | None],
+    ) -> None:
+        self._stream = stream
+        self._notices = notices
+        self._describe_handover = describe_handover
+        self._subscribed_servers: set[ServerId] = set()
+        self._subscribed = False
+        # Changes of the directory, while they are followed; None is the end.
+        self._changes: curio.Queue | None = None
+        self.incarnation = incarnation
+        self._exchanges: dict[int, _Exchange] = {}
+        self._pongs: dict[int, curio.Event] = {}
+        self._sequence = 0
+        self.used_at = read_clock()
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended."""
+        return self._stream.closed
+
+    @property
+    def busy(self) -> bool:
+        """Whether offers wait for replies, or the directory is followed."""
+        return bool(self._exchanges) or self._changes is not None
+
+    async def run(self) -> None:
+        """Read replies until the connection ends."""
+        writer = await curio.spawn(self._stream.write_forever, daemon=True)
+        try:
+            while (frame := await self._stream.read()) is not None:
+                await self._handle_frame(frame)
+        except (FrameError, KeyError, ValueError) as error:
+            _LOG.warning("Invalid frame from a home node: %s.", error)
+        finally:
+            await writer.cancel()
+            await self._stream.close()
+            for server_id in self._subscribed_servers:
+                self._notices.end_notices(server_id)
+            for exchange in list(self._exchanges.values()):
+                await exchange.accepted.set()
+                await exchange.done.set()
+            for pong in list(self._pongs.values()):
+                await pong.set()
+            if self._changes is not None:
+                await self._changes.put(None)
+
+    async def _handle_frame(self, frame: relay_pb2.RelayFrame) -> None:
+        kind = frame.WhichOneof("kind")
+        if kind == "pong":
+            pong = self._pongs.get(frame.pong.number)
+            if pong is not None:
+                await pong.set()
+        elif kind == "notice":
+            notice = decode_notice(frame.notice)
+            self._subscribed_servers.add(notice.server)
+            self._notices.observe(notice)
+        elif kind == "directory_change":
+            if self._changes is not None:
+                await self._changes.put(decode_change(frame.directory_change))
+        elif kind == "handover_request":
+            handover = self._describe_handover()
+            if handover is not None:
+                await self._stream.post(encode_handover(handover))
+        elif kind == "accepted":
+            exchange = self._exchanges.get(frame.accepted.sequence)
+            if exchange is not None:
+                await exchange.accepted.set()
+        elif kind in ("answer", "refusal", "failure"):
+            message = getattr(frame, kind)
+            exchange = self._exchanges.get(message.sequence)
+            if exchange is not None:
+                exchange.reply = decode_reply(message)
+                await exchange.accepted.set()
+                await exchange.done.set()
+
+    async def follow(self) -> None:
+        """Subscribe to the home node's notices, unless done before."""
+        if not self._subscribed:
+            self._subscribed = True
+            message = relay_pb2.Subscription()
+            await self._stream.post(relay_pb2.RelayFrame(subscription=message))
+
+    async def follow_directory(self) -> None:
+        """Subscribe to the changes of the directory that the node reads."""
+        self._changes = curio.Queue()
+        message = relay_pb2.DirectorySubscription()
+        await self._stream.post(
+            relay_pb2.RelayFrame(directory_subscription=message)
+        )
+
+    async def leave_directory(self) -> None:
+        """End the subscription to the changes of the directory."""
+        self._changes = None
+        message = relay_pb2.DirectorySubscription(ended=True)
+        await self._stream.post(
+            relay_pb2.RelayFrame(directory_subscription=message)
+        )
+
+    async def read_change(self) -> TableChange | None:
+        """Return the next change of the directory.
+
+        Returns
+        -------
+        TableChange or None
+            None when the connection has ended.
+        """
+        if self._changes is None or (self.closed and self._changes.empty()):
+            return None
+        change: TableChange | None = await self._changes.get()
+        return change
+
+    def is_silent(self, duration: Seconds) -> bool:
+        """Tell whether nothing was received for a duration."""
+        return read_clock() - self._stream.last_received_at >= duration
+
+    def is_recently_active(self) -> bool:
+        """Tell whether data was received recently."""
+        return not self.is_silent(_RECENTLY_ACTIVE_TIME)
+
+    async def ping(self) -> bool:
+        """Check the connection by a ping, and close it if no pong arrives."""
+        self._sequence += 1
+        number = self._sequence
+        pong = self._pongs[number] = curio.Event()
+        message = relay_pb2.Ping(number=number)
+        try:
+            await self._stream.post(relay_pb2.RelayFrame(ping=message))
+            async with curio.timeout_after(_PING_TIMEOUT):
+                await pong.wait()
+        except curio.TaskTimeout:
+            await self.shut_down()
+        finally:
+            del self._pongs[number]
+        return not self.closed
+
+    async def exchange(self, offer: Offer) -> Reply | None:
+        """Offer a request and wait for its reply.
+
+        Returns
+        -------
+        Answer, Refusal, Failure or None
+            None when the connection was lost before the reply.
+        """
+        self._sequence += 1
+        sequence = self._sequence
+        exchange = self._exchanges[sequence] = _Exchange()
+        self.used_at = read_clock()
+        try:
+            if self.closed:
+                return None
+            await self._stream.post(encode_offer(sequence, offer))
+            await self._await_accepted(exchange)
+            while not exchange.done.is_set():
+                await self._await_done(exchange)
+        except curio.CancelledError:
+            if not exchange.done.is_set():
+                message = relay_pb2.Withdrawal(sequence=sequence)
+                await self._stream.post(
+                    relay_pb2.RelayFrame(withdrawal=message)
+                )
+            raise
+        finally:
+            del self._exchanges[sequence]
+            self.used_at = read_clock()
+        return exchange.reply
+
+    async def _await_accepted(self, exchange: _Exchange) -> None:
+        try:
+            async with curio.timeout_after(_ACCEPT_TIMEOUT):
+                await exchange.accepted.wait()
+        except curio.TaskTimeout:
+            await self.shut_down()
+            await exchange.done.wait()
+
+    async def _await_done(self, exchange: _Exchange) -> None:
+        try:
+            async with curio.timeout_after(_SILENCE_BEFORE_PING):
+                await exchange.done.wait()
+        except curio.TaskTimeout:
+            if self.is_silent(_SILENCE_BEFORE_PING):
+                await self.ping()
+
+    async def shut_down(self) -> None:
+        """Close the connection."""
+        await self._stream.shut_down()
--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -6,7 +6,8 @@
 from egretlever.placement import ReaderSelector
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._changes import ChangeSubscriber, TableChange
-from egretlever.relay._links import LinkError, LinkPool, RelayLink
+from egretlever.relay._links import LinkError, LinkPool
+from egretlever.relay._relay_link import RelayLink
 from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock
 
