Follow the changes since the first page of a table that is read in pages

Cause: a table of more than 500 rows is read in pages, and the version of the last page was taken for all of them. A row that changed behind the page being read was missed until its next change: at 14,000 servers each start of a node reads 28 pages.

Found by reading; the new test plays a change between two pages and fails without the change.

--- a/egretlever/relay/_table_follower.py
+++ b/egretlever/relay/_table_follower.py
@@ -130,6 +130,9 @@
     async def _read_all(self) -> None:
         rows: list[StoredRow] = []
         first = ""
+        # Pages are read one after the other. Changes since the first one are
+        # followed.
+        version: Version | None = None
         while True:
             result = await self._store.read(self._table, first)
             if isinstance(result, Failure):
@@ -137,16 +140,17 @@
                 return
             page = result.unwrap()
             rows.extend(page.rows)
+            version = page.version if version is None else version
             if not page.more or not page.rows:
                 break
             # The smallest key after the last one.
             first = page.rows[-1].key + "\0"
         await self._succeed("read")
-        self._replace(rows, page.version)
+        self._replace(rows, version)
         self.synced = True
         # When many nodes start together, each one's row would end the poll.
         self._poll_delay = self._batch_time
-        await self._advance(TableChange(page.version, page.version))
+        await self._advance(TableChange(version, version))
 
     async def _read_changes(self, version: Version) -> None:
         change = None
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -409,6 +409,50 @@
     run_script(script)
 
 
+class ChangingStore:
+    """Client of a store in which a row changes after the first page read."""
+
+    def __init__(self, store, row):
+        self.client = make_row_store(store.address, Seconds(2.0))
+        self.store = store
+        self.row = row
+
+    async def read(self, table, first="", limit=500):
+        page = await self.client.read(table, first, limit)
+        if self.row is not None:
+            row, self.row = self.row, None
+            await self.store.put(SERVER_TABLE, row.id, encode_row(row))
+        return page
+
+    async def watch(self, table, after, wait):
+        return await self.client.watch(table, after, wait)
+
+
+def test_change_between_two_pages_of_a_large_table_is_not_missed():
+    # The row comes before the second page, whose version includes it.
+    changed = dataclasses.replace(build_home_server(100), slots=9)
+    directory = Directory()
+
+    async def main():
+        store = RowsStandIn()
+        for number in range(100, 701):
+            row = build_home_server(number)
+            await store.put(SERVER_TABLE, row.id, encode_row(row))
+        follower = make_directory_follower(
+            ChangingStore(store, changed),
+            directory,
+            lambda server_id: None,
+            random.Random(1),
+        )
+        for part in (store.run, follower.follow_forever):
+            await curio.spawn(part, daemon=True)
+        await curio.sleep(10.0)
+
+    run_virtual(main())
+    assert len(directory) == 601
+    assert directory.find(changed.id) == changed
+
+
 def test_follower_keeps_running_when_the_store_is_unreachable():
     client = make_row_store(Address("127.0.0.1", 1), Seconds(0.5))
     taken = []
