Remove the rows of hosts that are gone for good

Cause: a home node removes the row of its server, but a lost host leaves it behind, and all entry nodes keep trying its address.

The node that reads the directory for its failure domain knows the others, since they follow it. A node that does not follow for 10 minutes and can't be reached is taken for gone, unless fewer than half of the domain's hosts follow: then the reader itself is more likely cut off. A node whose row was removed while it was only cut off writes it again when the directory shows that.

Ruled out: rows that expire. The store would be written by the clock, 1,000 calls a minute at the design size.

--- a/egretlever/placement/__init__.py
+++ b/egretlever/placement/__init__.py
@@ -7,6 +7,7 @@
 
 from egretlever.placement._directory import Directory
 from egretlever.placement._groups import DistanceGroups, ServersByDistance
+from egretlever.placement._orphans import OrphanTracker
 from egretlever.placement._readers import ReaderSelector
 from egretlever.placement._records import (
     Answer,
@@ -48,6 +49,7 @@
     "HomeSelector",
     "HomeServer",
     "Offer",
+    "OrphanTracker",
     "ReaderSelector",
     "Refusal",
     "RefusalReason",
--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -131,10 +131,11 @@
         elif kind == "subscription":
             await self._home.notice_publisher.subscribe(peer)
         elif kind == "directory_subscription" and self._sharing is not None:
-            if frame.directory_subscription.ended:
+            subscription = frame.directory_subscription
+            if subscription.ended:
                 self._sharing.unsubscribe(peer)
             else:
-                await self._sharing.subscribe(peer)
+                await self._sharing.subscribe(peer, subscription.relay_address)
         elif kind == "handover" and self._handovers is not None:
             self._handovers.take(decode_handover(frame.handover))
         elif kind == "withdrawal":
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -39,6 +39,7 @@
 from egretlever.relay._handover import HandoverExchange
 from egretlever.relay._home import make_home_node
 from egretlever.relay._links import LinkPool
+from egretlever.relay._orphans import OrphanRemover
 from egretlever.relay._publishing import ServerPublisher
 from egretlever.relay._sharing import TableSharing
 from egretlever.schema import logs_pb2, settings_pb2
@@ -126,7 +127,9 @@
             self._handovers.record_configuration,
         )
         sharing = TableSharing(
-            ReaderSelector(directory, failure_domain, self._relay), self._links
+            self._relay,
+            ReaderSelector(directory, failure_domain, self._relay),
+            self._links,
         )
         self._directory = make_directory_follower(
             store,
@@ -144,6 +147,9 @@
             self._directory,
             rng,
         )
+        self._orphan_remover = OrphanRemover(
+            store, directory, failure_domain, self._relay, sharing, self._links
+        )
         self._acceptor = RelayAcceptor(
             self._home,
             Incarnation(time.time_ns() // 1000),
@@ -216,6 +222,7 @@
             (self._configuration.follow_forever, ()),
             (self._directory.follow_forever, ()),
             (self._publisher.publish_forever, ()),
+            (self._orphan_remover.remove_forever, ()),
             (self._home.expire_forever, ()),
             (self._home.notice_publisher.publish_forever, ()),
             (self._home.jobs.expire_forever, ()),
--- a/egretlever/relay/_publishing.py
+++ b/egretlever/relay/_publishing.py
@@ -30,6 +30,29 @@
 _DEPARTURE_WRITE_TIMEOUT = Seconds(0.5)
 
 
+async def remove_row(
+    store: RowStore, directory: Directory, server: HomeServer
+) -> bool:
+    """Remove a row as the directory shows it.
+
+    Returns
+    -------
+    bool
+        False when it has to be tried again.
+    """
+    version = directory.find_version(server.id)
+    result = await store.write(SERVER_TABLE, server.id, None, version)
+    kind = "done" if isinstance(result, Success) else "failed"
+    metrics.STORE_CALLS.labels("write", kind).inc()
+    if isinstance(result, Failure):
+        message = result.failure().message
+        log_state("row-not-removed", server.id, reason=message)
+        return result.failure().kind is StoreErrorKind.CONDITION_FAILED
+    log_state("row-removed", server.id, str(result.unwrap()))
+    directory.remove(server.id, result.unwrap())
+    return True
+
+
 class ServerPublisher:
     """Keeps the row of the server on this host up to date.
 
@@ -148,6 +171,8 @@
                 and not await self._remove(restored)
             ):
                 return False
+        if wanted is not None and self._was_removed(wanted):
+            self._written, self._version = None, Version(0)
         if wanted is None or wanted == self._written:
             return True
         # A former process of this node may have ended before its server left.
@@ -158,6 +183,17 @@
             return True
         return wanted == self._written or await self._write(wanted, wanted)
 
+    def _was_removed(self, server: HomeServer) -> bool:
+        """Tell whether another node has removed the row that was written.
+
+        It does so when it has not heard of this node for long.
+        """
+        return (
+            server == self._written
+            and self._directory.find(server.id) is None
+            and self._directory.version > self._version
+        )
+
     def _is_row_due(self, now: Seconds) -> bool:
         """Tell whether the row of a server that has left is to be removed."""
         if self._left_at is None:
@@ -166,17 +202,7 @@
 
     async def _remove(self, other: HomeServer) -> bool:
         """Remove the row of another server, as found in the directory."""
-        version = self._directory.find_version(other.id)
-        result = await self._store.write(SERVER_TABLE, other.id, None, version)
-        kind = "done" if isinstance(result, Success) else "failed"
-        metrics.STORE_CALLS.labels("write", kind).inc()
-        if isinstance(result, Failure):
-            message = result.failure().message
-            log_state("row-not-removed", other.id, reason=message)
-            return result.failure().kind is StoreErrorKind.CONDITION_FAILED
-        log_state("row-removed", other.id, str(result.unwrap()))
-        self._directory.remove(other.id, result.unwrap())
-        return True
+        return await remove_row(self._store, self._directory, other)
 
     def _adopt(self, wanted: HomeServer) -> bool:
         """Adopt the row that a former process has written.
--- a/egretlever/relay/_relay_link.py
+++ b/egretlever/relay/_relay_link.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from egretlever.core import Incarnation, Seconds, ServerId, make_log
+from egretlever.core import Address, Incarnation, Seconds, ServerId, make_log
 from egretlever.placement import Offer, Reply
 from egretlever.relay._changes import Handover, TableChange
 from egretlever.relay._codec import (
@@ -143,10 +143,16 @@
             message = relay_pb2.Subscription()
             await self._stream.post(relay_pb2.RelayFrame(subscription=message))
 
-    async def follow_directory(self) -> None:
-        """Subscribe to the changes of the directory that the node reads."""
+    async def follow_directory(self, own_relay: Address) -> None:
+        """Subscribe to the changes of the directory that the node reads.
+
+        Parameters
+        ----------
+        own_relay : Address
+            Relay address of this node.
+        """
         self._changes = curio.Queue()
-        message = relay_pb2.DirectorySubscription()
+        message = relay_pb2.DirectorySubscription(relay_address=str(own_relay))
         await self._stream.post(
             relay_pb2.RelayFrame(directory_subscription=message)
         )
--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -35,17 +35,24 @@
 
     Parameters
     ----------
+    own_relay : Address
+        Relay address of this node.
     readers : ReaderSelector
         Chooses the node to follow.
     links : LinkPool
         Connections to the other nodes.
     """
 
-    def __init__(self, readers: ReaderSelector, links: LinkPool) -> None:
+    def __init__(
+        self, own_relay: Address, readers: ReaderSelector, links: LinkPool
+    ) -> None:
+        self._own_relay = own_relay
         self._readers = readers
         self._links = links
         self._link: RelayLink | None = None
-        self._subscribers: list[ChangeSubscriber] = []
+        # Relay address of each node that follows this one; empty when a node
+        # of an earlier release has not named it.
+        self._subscribers: dict[ChangeSubscriber, str] = {}
         self._version = Version(0)
         self._available = False
 
@@ -54,16 +61,31 @@
         """Whether other nodes follow this one."""
         return bool(self._subscribers)
 
-    async def subscribe(self, subscriber: ChangeSubscriber) -> None:
-        """Add a subscriber and send it the store version known here."""
-        if subscriber not in self._subscribers:
-            self._subscribers.append(subscriber)
+    @property
+    def reads_store(self) -> bool:
+        """Whether this node reads the changes from the store by itself."""
+        return self._link is None and self._available
+
+    def list_subscribed_relays(self) -> set[str]:
+        """Return the relay addresses of the nodes that follow this one."""
+        return set(self._subscribers.values())
+
+    async def subscribe(self, subscriber: ChangeSubscriber, relay: str) -> None:
+        """Add a subscriber and send it the store version known here.
+
+        Parameters
+        ----------
+        subscriber : ChangeSubscriber
+            Sends changes to the node.
+        relay : str
+            Relay address of the node.
+        """
+        self._subscribers[subscriber] = relay
         await subscriber.send_change(self._describe())
 
     def unsubscribe(self, subscriber: ChangeSubscriber) -> None:
         """Remove a subscriber."""
-        if subscriber in self._subscribers:
-            self._subscribers.remove(subscriber)
+        self._subscribers.pop(subscriber, None)
 
     def _describe(self) -> TableChange:
         return TableChange(
@@ -128,7 +150,7 @@
             await self._leave()
             self._link = link
             _log("reader-followed", relay)
-            await link.follow_directory()
+            await link.follow_directory(self._own_relay)
             async with curio.ignore_after(_FIRST_CHANGE_TIMEOUT):
                 return await link.read_change()
             return None
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -298,6 +298,21 @@
     assert fixture.read_row(ONE) == ONE
 
 
+def test_row_that_another_node_has_removed_is_written_again():
+    # The node was cut off for so long that its host was taken for gone.
+    async def script(fixture):
+        await curio.sleep(0.5)
+        await fixture.publish(ONE)
+        await curio.sleep(30.0)
+        await fixture.store.put(SERVER_TABLE, ONE.id, None)
+        await curio.sleep(7.0)
+        assert fixture.read_row(ONE) == ONE
+        writes = [call for call in fixture.store.calls if "tx" in call]
+        assert len(writes) == 2
+
+    run_script(script)
+
+
 def test_lost_write_answer_leads_to_one_correct_row():
     async def script(fixture):
         await curio.sleep(0.5)
--- a/egretlever/relay/tests/test_sharing.py
+++ b/egretlever/relay/tests/test_sharing.py
@@ -14,12 +14,13 @@
 FOLLOWERS = NODES - 1
 NEWCOMER = build_home_server(999, failure_domain=FailureDomain("domain-1"))
 BATCH_TIME = 4.0  # seconds in which a reader collects changes
+ORPHAN_TIME = 600.0  # seconds after which a lost host counts as gone
 DETECTION_TIME = 5.5  # seconds after which a silent reader is left
 
 
-def run_script(script, **options):
+def run_script(script, count=NODES, **options):
     async def main():
-        fixture = DomainFixture(NODES, **options)
+        fixture = DomainFixture(count, **options)
         async with fixture.running():
             await script(fixture)
 
@@ -142,3 +143,38 @@
         assert fixture.count_informed(NEWCOMER) == FOLLOWERS
 
     run_script(script)
+
+
+def test_rows_of_hosts_that_are_gone_are_removed_by_the_reader():
+    # Entry nodes would keep trying their addresses.
+    async def script(fixture):
+        for node in fixture.followers[1:3]:
+            await node.kill()
+        await curio.sleep(ORPHAN_TIME - 60.0)
+        assert fixture.list_rows() == fixture.nodes
+        await curio.sleep(120.0)
+        lost = fixture.followers[1:3]
+        assert fixture.list_rows() == [
+            node for node in fixture.nodes if node not in lost
+        ]
+
+    run_script(script, count=8)
+
+
+def test_rows_of_hosts_that_do_not_follow_but_answer_stay():
+    # Processes of an earlier release, during an upgrade.
+    async def script(fixture):
+        await curio.sleep(2 * ORPHAN_TIME)
+        assert fixture.list_rows() == fixture.nodes
+
+    run_script(script, count=8, silent_followers=2)
+
+
+def test_reader_that_lost_most_of_its_followers_removes_no_rows():
+    async def script(fixture):
+        for node in fixture.followers[1:]:
+            await node.kill()
+        await curio.sleep(2 * ORPHAN_TIME)
+        assert fixture.list_rows() == fixture.nodes
+
+    run_script(script, count=8)
--- a/egretlever/testing/_failure_domain.py
+++ b/egretlever/testing/_failure_domain.py
@@ -3,7 +3,7 @@
 import contextlib
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import curio
 from returns.result import Failure, Result
@@ -30,6 +30,7 @@
 from egretlever.relay._frames import FrameStream
 from egretlever.relay._home import make_home_node
 from egretlever.relay._links import LinkPool
+from egretlever.relay._orphans import OrphanRemover
 from egretlever.relay._sharing import TableSharing
 from egretlever.schema import relay_pb2
 from egretlever.standins import RowsStandIn
@@ -37,6 +38,8 @@
 from egretlever.testing.relay_builders import build_home_server
 from egretlever.transport import accept_connections, open_listener
 
+_Value = TypeVar("_Value")
+
 DOMAIN = FailureDomain("domain-0")
 # Time after which the nodes know each other and follow the reader.
 _SETTLING_TIME = 10.0  # seconds
@@ -62,9 +65,15 @@
         """Wait for changes."""
         return self._check(await self._store.watch(table, after, wait))
 
+    async def write(
+        self, table: str, key: str, value: bytes | None, expected: Version
+    ) -> Result[Version, StoreError]:
+        """Write or remove a row."""
+        return self._check(await self._store.write(table, key, value, expected))
+
     def _check(
-        self, result: Result[RowPage, StoreError]
-    ) -> Result[RowPage, StoreError]:
+        self, result: Result[_Value, StoreError]
+    ) -> Result[_Value, StoreError]:
         if self.reachable:
             return result
         return Failure(StoreError(StoreErrorKind.UNAVAILABLE, "cut off"))
@@ -102,7 +111,9 @@
     async def start(self) -> None:
         """Follow the directory, and accept connections of other nodes."""
         sharing = TableSharing(
-            ReaderSelector(self.directory, DOMAIN, self.relay), self._links
+            self.relay,
+            ReaderSelector(self.directory, DOMAIN, self.relay),
+            self._links,
         )
         follower = make_directory_follower(
             self.store,  # type: ignore[arg-type]
@@ -117,6 +128,15 @@
         await self._spawn(lambda: acceptor.serve_forever(self._listener))
         await self._spawn(follower.follow_forever)
         await self._spawn(self._links.expire_forever)
+        remover = OrphanRemover(
+            self.store,  # type: ignore[arg-type]
+            self.directory,
+            DOMAIN,
+            self.relay,
+            sharing,
+            self._links,
+        )
+        await self._spawn(remover.remove_forever)
 
     async def start_silent(self, version: Version) -> None:
         """Accept subscriptions and send nothing but one store version."""
@@ -163,6 +183,8 @@
     silent_version : Version, optional
         Makes the reader a node that only acknowledges its subscribers, with
         this store version.
+    silent_followers : int, default=0
+        Number of nodes that accept connections and follow nobody.
 
     Attributes
     ----------
@@ -173,10 +195,14 @@
     """
 
     def __init__(
-        self, count: int, silent_version: Version | None = None
+        self,
+        count: int,
+        silent_version: Version | None = None,
+        silent_followers: int = 0,
     ) -> None:
         self.store = RowsStandIn()
         self._silent_version = silent_version
+        self._silent_followers = silent_followers
         self.nodes = sorted(
             (
                 FollowingNode(number, self.store.address)
@@ -194,6 +220,14 @@
         """Remove the row of a server."""
         await self.store.put(SERVER_TABLE, server.id, None)
 
+    def list_rows(self) -> list[FollowingNode]:
+        """List the nodes whose rows the store holds."""
+        return [
+            node
+            for node in self.nodes
+            if self.store.find(SERVER_TABLE, node.row.id) is not None
+        ]
+
     def count_polls(self) -> int:
         """Count the long polls since the fixture settled."""
         return sum("feed" in call for call in self.store.calls)
@@ -210,9 +244,12 @@
         store = await curio.spawn(self.store.run, daemon=True)
         for node in self.nodes:
             await self.put(node.row)
+        silent = self.nodes[len(self.nodes) - self._silent_followers :]
         for node in self.nodes:
             if node is self.reader and self._silent_version is not None:
                 await node.start_silent(self._silent_version)
+            elif node in silent:
+                await node.start_silent(Version(0))
             else:
                 await node.start()
         await curio.sleep(_SETTLING_TIME)
