--- a/egretlever/placement/_directory.py
+++ b/egretlever/placement/_directory.py
@@ -5,6 +5,10 @@
 from egretlever.core import Address, ServerId, ServiceName, Version
 from egretlever.placement._records import HomeServer
 
+# Removals that are remembered, so that delayed older rows have no effect. They
+# arrive within seconds, and a large fleet removes some rows a minute.
+_MAX_REMOVALS = 4096
+
 
 class Directory:
     """Index of the known servers by id and by service.
@@ -28,6 +32,7 @@
         self.revision = 0
         self._servers: dict[ServerId, HomeServer] = {}
         self._versions: dict[ServerId, Version] = {}
+        self._removals: dict[ServerId, Version] = {}  # the oldest come first
         self._services: dict[ServiceName, dict[ServerId, HomeServer]] = {}
 
     def replace(
@@ -45,9 +50,10 @@
 
     def update(self, server: HomeServer, version: Version) -> bool:
         """Apply a row; return false when it is not newer than the known one."""
-        if self._versions.get(server.id, -1) >= version:
+        if self._is_known(server.id, version):
             return False
         self.revision += 1
+        self._removals.pop(server.id, None)
         old = self._servers.get(server.id)
         if old is not None and old.service != server.service:
             self._services[old.service].pop(server.id, None)
@@ -58,24 +64,33 @@
 
     def remove(self, server_id: ServerId, version: Version) -> bool:
         """Apply the removal of a row; return whether a server was removed."""
-        if self._versions.get(server_id, -1) >= version:
+        if self._is_known(server_id, version):
             return False
         server = self._servers.pop(server_id, None)
-        self._versions[server_id] = version
+        self._versions.pop(server_id, None)
+        self._removals.pop(server_id, None)
+        self._removals[server_id] = version
+        if len(self._removals) > _MAX_REMOVALS:
+            del self._removals[next(iter(self._removals))]
         if server is not None:
             self.revision += 1
             self._services[server.service].pop(server_id, None)
         return server is not None
 
+    def _is_known(self, server_id: ServerId, version: Version) -> bool:
+        """Tell whether a version of a row, or a later one, was applied."""
+        known = self._versions.get(server_id)
+        if known is None:
+            known = self._removals.get(server_id)
+        return known is not None and known >= version
+
     def find(self, server_id: ServerId) -> HomeServer | None:
         """Return the server with an id, None when there is none."""
         return self._servers.get(server_id)
 
     def find_version(self, server_id: ServerId) -> Version:
         """Return the store version of a server's row, 0 when there is none."""
-        if server_id not in self._servers:
-            return Version(0)
-        return self._versions[server_id]
+        return self._versions.get(server_id, Version(0))
 
     def list_servers(self, service: ServiceName) -> list[HomeServer]:
         """Return the servers of a service that are not draining."""
--- a/egretlever/placement/tests/test_directory.py
+++ b/egretlever/placement/tests/test_directory.py
@@ -1,4 +1,6 @@
-"""Guards the directory against delayed answers of the store."""
+"""Guards the directory against delayed answers, and its size."""
+
+import tracemalloc
 
 from egretlever.core import Version
 from egretlever.placement import Directory
@@ -23,6 +25,21 @@
     assert directory.list_servers("ordering") == []
 
 
+def test_servers_that_come_and_go_leave_little_behind():
+    # A thousand hosts are replaced each day, and most servers have a new id
+    # after each start.
+    directory = Directory()
+    tracemalloc.start()
+    for number in range(30_000):
+        server = build_home_server(number)
+        directory.update(server, Version(2 * number))
+        directory.remove(server.id, Version(2 * number + 1))
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert size < 1_000_000  # bytes
+    assert not directory.update(server, Version(0))
+
+
 def test_a_stale_read_of_the_table_keeps_newer_rows():
     directory = Directory()
     directory.update(ONE, Version(3))
--- a/egretlever/relay/_links.py
+++ b/egretlever/relay/_links.py
@@ -171,6 +171,16 @@
                     del self._links[relay]
                 elif not link.busy and now - link.used_at > _IDLE_TIMEOUT:
                     await link.shut_down()
+            self._forget_unused(now)
+
+    def _forget_unused(self, now: Seconds) -> None:
+        """Drop the state of addresses that are not in use any more."""
+        for relay, failed_at in list(self._failed_at.items()):
+            if now - failed_at > _IDLE_TIMEOUT:
+                del self._failed_at[relay]
+        for relay, lock in list(self._locks.items()):
+            if not (lock.locked() or relay in self._links):
+                del self._locks[relay]
 
     async def close(self) -> None:
         """Close all connections."""
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -164,6 +164,23 @@
     assert fixture.directory.list_servers("ordering") == [TWO]
 
 
+def test_servers_missing_in_a_full_read_are_forgotten():
+    # What was known of them, such as their condition, would be kept forever.
+    async def script(fixture):
+        await fixture.store.put(SERVER_TABLE, ONE.id, encode_row(ONE))
+        await fixture.store.put(SERVER_TABLE, TWO.id, encode_row(TWO))
+        await curio.sleep(5.0)
+        fixture.store.fault = RowsFault.BUSY
+        await curio.sleep(1.0)
+        await fixture.store.put(SERVER_TABLE, ONE.id, None)
+        fixture.store.forget_history()
+        fixture.store.fault = RowsFault.NONE
+        await curio.sleep(10.0)
+        assert fixture.directory.list_all() == [TWO]
+
+    assert run_script(script).forgotten == [ONE.id]
+
+
 def test_invalid_configuration_does_not_replace_the_previous_one():
     async def script(fixture):
         await put_configuration(fixture, 7)
