Keep the reply of an order until it can't be resumed any more

Cause: a home node dropped the reply of a request 10 s after its end, and then took a resumed order for one that it had never got: it was reported as not run and offered to another server, though it had run. An entry node resumes an order until the order's time is up, so with routes of more than 10 s a home node that was silent for that long led to REFUSED or TWICE.

The reply of an order is kept for 10 s after its deadline. Idempotent requests are resumed at once or not at all, and their replies are dropped as before.

Found by reading. The silence of 25 s in an order's 30 s, a new case of test_order_at_a_home_node_that_is_silent_for_seconds_gets_its_answer, fails without the change.

--- a/egretlever/relay/_jobs.py
+++ b/egretlever/relay/_jobs.py
@@ -21,8 +21,9 @@
 # An entry node that lost its connection reconnects within this time, unless its
 # client has left. Clients expect their work to be cancelled within 0.5 s.
 _REATTACH_TIMEOUT = Seconds(0.4)
-# Replies and fences are kept for this time, so that a resumed request gets its
-# reply and is not run twice. Connection failures are detected within seconds.
+# Fences and replies are kept for this time, so that a resumed request gets its
+# reply and is not run twice. For orders it begins at the deadline, since they
+# may be resumed until then.
 _REPLY_RETENTION = Seconds(10.0)
 # Seconds between checks for detached jobs, while there are any, and for old
 # replies and fences.
@@ -180,10 +181,12 @@
 
     def _expire(self, now: Seconds) -> None:
         for job in list(self._jobs.values()):
-            if (
-                job.ended_at is not None
-                and now - job.ended_at > _REPLY_RETENTION
-            ):
+            if job.ended_at is None:
+                continue
+            needed_until = job.ended_at
+            if not job.offer.idempotent:
+                needed_until = max(needed_until, job.deadline)
+            if now - needed_until > _REPLY_RETENTION:
                 del self._jobs[job.offer.request_id]
         self._fences = {
             request_id: at
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -1,6 +1,7 @@
 """Tests requests between nodes: they run at most once, even when resumed."""
 
 import contextlib
+import functools
 
 import curio
 import pytest
@@ -192,17 +193,24 @@
     assert len(fixture.server.heads) == 1
 
 
-def test_order_at_a_home_node_that_is_silent_for_seconds_gets_its_answer():
+@pytest.mark.parametrize(("time_left", "silence"), [(4.0, 3.0), (30.0, 25.0)])
+def test_order_at_a_home_node_that_is_silent_for_seconds_gets_its_answer(
+    time_left, silence
+):
     # The order was given up after three attempts to reach the home node, about
-    # a second, although it ran to its end there.
+    # a second, although it ran to its end there. Later its reply was dropped
+    # 10 s after the end, and a resumed order was reported as not run.
     fixture = RelayFixture(serve(b"once", after=1.0))
 
     async def script():
-        order = await curio.spawn(fixture.offer, daemon=True)
+        order = await curio.spawn(
+            functools.partial(fixture.offer, time_left=Seconds(time_left)),
+            daemon=True,
+        )
         await curio.sleep(0.4)
         acceptor = fixture.tasks[1]
         await acceptor.cancel()
-        await curio.sleep(3.0)
+        await curio.sleep(silence)
         await fixture.start_home()
         return await order.join()
 
