Do not run requests whose connection ended before they were read

Cause: a process that was paused finds requests in its sockets that their senders gave up long ago. It read them as if they had just arrived, with all of their time left: a home node ran offers of connections that the entry node had closed for want of an acknowledgement, orders included, and an entry node served clients that had left. Nobody was told that they had not run, but they took slots, and orders were executed for no one.

A home node refuses an offer when its connection has ended before it is sent to the server, as one that it never got. An entry node does not start a request when the client's connection has ended behind it.

Ruled out: a process that notices its own pauses and shortens deadlines. Busy hosts look alike, and new requests right after a pause would be rejected.

Both new tests, with blocking calls that the node does not see, fail without the change.

--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -17,6 +17,7 @@
     SocketReader,
     check_raw_head,
     check_request,
+    is_closed_by_peer,
     read_clock,
 )
 
@@ -172,6 +173,10 @@
             if self._closing:
                 # It arrived after an answer that closes the connection.
                 return False
+            if is_closed_by_peer(self._sock):
+                # The client left before its request was read: this process may
+                # have been paused.
+                return True
             last = http.their_state is h11.MUST_CLOSE
             pending = _PendingAnswer(http, request.head.method, last)
             pending.task = await curio.spawn(
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -309,6 +309,10 @@
                 )
             ):
                 reason = RefusalReason.UNTRUSTED
+            if reason is None and job.detached_at is not None:
+                # Its entry node has closed the connection, perhaps long ago if
+                # this process was paused, and may have given the request up.
+                reason = RefusalReason.FENCED
             if reason is None and not self._retries.count_arrival(offer):
                 reason = RefusalReason.NO_BUDGET
             if reason is not None:
--- a/egretlever/relay/tests/test_clients.py
+++ b/egretlever/relay/tests/test_clients.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import curio
+import pytest
 from curio import socket
 
 from egretlever.core import Seconds
@@ -101,6 +102,23 @@
     assert fixture.cancelled == ["/slow", "/slow"]
 
 
+@pytest.mark.parametrize("line", [b"accept: x", b"connection: close"])
+def test_request_of_a_client_that_left_before_it_was_read_is_not_started(line):
+    # A paused process finds requests that were given up long ago.
+    fixture = ClientFixture({"/slow": 10.0})
+
+    async def main():
+        async with fixture.connect() as client:
+            # Blocking calls: the node does not run meanwhile.
+            with client.blocking() as blocking:
+                blocking.sendall(get(b"/slow", line) + get(b"/slow", line))
+                blocking.shutdown(socket.SHUT_RDWR)
+            await curio.sleep(1.0)
+
+    run_virtual(main())
+    assert fixture.started == []
+
+
 def test_last_request_of_a_disconnected_client_is_cancelled():
     fixture = ClientFixture({"/slow": 10.0})
 
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -2,6 +2,9 @@
 
 import contextlib
 import functools
+import socket
+import struct
+import zlib
 
 import curio
 import pytest
@@ -17,6 +20,7 @@
 )
 from egretlever.platform import Bounds
 from egretlever.relay._acceptor import RelayAcceptor
+from egretlever.relay._codec import encode_offer
 from egretlever.relay._home import make_home_node
 from egretlever.relay._links import LinkPool
 from egretlever.testing import (
@@ -219,6 +223,28 @@
     assert len(fixture.server.heads) == 1
 
 
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_offer_whose_connection_ended_before_it_was_read_is_not_run(idempotent):
+    # A paused process finds offers in its sockets that were given up long ago.
+    fixture = RelayFixture(serve(b"once"))
+
+    async def script():
+        offer = build_offer("r-1", idempotent=idempotent)
+        data = encode_offer(1, offer).SerializeToString()
+        compressor = zlib.compressobj(6, zlib.DEFLATED, -12, 4)
+        raw = compressor.compress(struct.pack(">I", len(data)) + data)
+        raw += compressor.flush(zlib.Z_SYNC_FLUSH)
+        # Blocking calls: the home node does not run meanwhile.
+        with socket.create_connection(
+            (fixture.relay.ip, fixture.relay.port)
+        ) as entry_node:
+            entry_node.sendall(raw)
+        await curio.sleep(2.0)
+
+    run_script(fixture, script)
+    assert not fixture.server.heads
+
+
 def test_order_resumed_at_a_restarted_home_node_is_not_reported_as_not_run():
     fixture = RelayFixture(serve(after=1.0))
 
