Name the deadline of an offer on the clock of the home node

Offers carried the time left when they were sent, and the home node counted it from the moment at which it read them. A paused home node does the same.

Hello and pong frames carry a reading of the home node's clock. Entry nodes estimate the difference from the least delayed readings of the last one to two minutes and send the deadline as a reading of the receiver's clock, which comes early rather than late. Nodes of earlier releases send no reading and get the time left only.

--- a/egretlever/placement/_records.py
+++ b/egretlever/placement/_records.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from egretlever.core import (
     Address,
@@ -281,6 +282,9 @@
         Whether it is a retry: another server was sent the request before.
     derived : bool
         Whether its caller may be running a retried request.
+    expires_at : Seconds
+        Clock time of the home node at which the client or the route gives up.
+        It also holds for an offer that was long on its way.
     """
 
     request_id: RequestId
@@ -301,6 +305,7 @@
     late: bool = False
     repeated: bool = False
     derived: bool = False
+    expires_at: Seconds = Seconds(math.inf)
 
     @property
     def may_be_trial(self) -> bool:
--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -12,7 +12,9 @@
     decode_handover,
     decode_offer,
     encode_change,
+    encode_hello,
     encode_notice,
+    encode_pong,
     encode_reply,
 )
 from egretlever.relay._frames import FrameError, FrameStream
@@ -21,7 +23,7 @@
 from egretlever.relay._jobs import Job
 from egretlever.relay._sharing import TableSharing
 from egretlever.schema import relay_pb2
-from egretlever.transport import accept_connections
+from egretlever.transport import accept_connections, read_clock
 
 _LOG = make_log("relay")
 _MAX_CONNECTIONS = 3000  # one for each node of the fleet, plus a reserve
@@ -97,11 +99,10 @@
         peer = _StreamPeer(stream)
         writer = await curio.spawn(stream.write_forever, daemon=True)
         jobs: dict[int, Job] = {}
-        hello = relay_pb2.Hello(incarnation=self._incarnation)
         if self._handovers is not None:
             self._handovers.add_peer(peer)
         try:
-            await stream.post(relay_pb2.RelayFrame(hello=hello))
+            await stream.post(encode_hello(self._incarnation, read_clock()))
             while (frame := await stream.read()) is not None:
                 await self._handle_frame(stream, peer, jobs, frame)
         except FrameError as error:
@@ -126,8 +127,7 @@
     ) -> None:
         kind = frame.WhichOneof("kind")
         if kind == "ping":
-            pong = relay_pb2.Pong(number=frame.ping.number)
-            await stream.post(relay_pb2.RelayFrame(pong=pong))
+            await stream.post(encode_pong(frame.ping.number, read_clock()))
         elif kind == "subscription":
             await self._home.notice_publisher.subscribe(peer)
         elif kind == "directory_subscription" and self._sharing is not None:
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -1,5 +1,6 @@
 """Conversion between records and protobuf messages of relay nodes."""
 
+import math
 from collections.abc import Iterable
 
 from google.protobuf import message
@@ -55,6 +56,11 @@
     return max(0, min(int(duration * 1000), 0xFFFFFFFF))
 
 
+def _to_clock_milliseconds(time: Seconds) -> int:
+    """Convert a clock reading; 0 stands for one that is never reached."""
+    return 0 if math.isinf(time) else max(1, int(time * 1000))
+
+
 def _to_seconds(milliseconds: int) -> Seconds:
     return Seconds(milliseconds / 1000)
 
@@ -92,6 +98,7 @@
             late=offer.late,
             repeated=offer.repeated,
             derived=offer.derived,
+            expires_at_ms=_to_clock_milliseconds(offer.expires_at),
         )
     )
 
@@ -117,6 +124,9 @@
         late=offer.late,
         repeated=offer.repeated,
         derived=offer.derived,
+        expires_at=Seconds(
+            offer.expires_at_ms / 1000 if offer.expires_at_ms else math.inf
+        ),
     )
 
 
@@ -149,6 +159,29 @@
     )
 
 
+def encode_hello(
+    incarnation: Incarnation, now: Seconds
+) -> relay_pb2.RelayFrame:
+    """Encode the first frame of a connection."""
+    return relay_pb2.RelayFrame(
+        hello=relay_pb2.Hello(
+            incarnation=incarnation, clock_ms=_to_clock_milliseconds(now)
+        )
+    )
+
+
+def encode_pong(number: int, now: Seconds) -> relay_pb2.RelayFrame:
+    """Encode the reply to a ping."""
+    return relay_pb2.RelayFrame(
+        pong=relay_pb2.Pong(number=number, clock_ms=_to_clock_milliseconds(now))
+    )
+
+
+def decode_clock(message: relay_pb2.Hello | relay_pb2.Pong) -> Seconds | None:
+    """Decode a clock reading; None when an earlier release sent none."""
+    return _to_seconds(message.clock_ms) if message.clock_ms else None
+
+
 def encode_notice(notice: HomeNotice) -> relay_pb2.RelayFrame:
     """Encode a notice of a home node."""
     return relay_pb2.RelayFrame(
--- a/egretlever/relay/_jobs.py
+++ b/egretlever/relay/_jobs.py
@@ -104,7 +104,7 @@
             job.owner = owner
             return job
         now = read_clock()
-        job = Job(offer, Seconds(now + offer.time_left))
+        job = Job(offer, min(Seconds(now + offer.time_left), offer.expires_at))
         if offer.resumed or offer.request_id in self._fences:
             self._fences[offer.request_id] = now
             job.reply = Refusal(RefusalReason.FENCED)
--- a/egretlever/relay/_links.py
+++ b/egretlever/relay/_links.py
@@ -7,7 +7,6 @@
 
 from egretlever.core import (
     Address,
-    Incarnation,
     Seconds,
     make_log,
 )
@@ -109,9 +108,8 @@
         if frame is None or frame.WhichOneof("kind") != "hello":
             await stream.close()
             raise LinkError(f"{relay} sent no hello frame")
-        incarnation = Incarnation(frame.hello.incarnation)
         return RelayLink(
-            stream, incarnation, self._notices, self._describe_handover
+            stream, frame.hello, self._notices, self._describe_handover
         )
 
     async def offer(
@@ -123,7 +121,7 @@
         new one. The home node runs each request id once, so this is safe for
         requests that are not idempotent, as long as the same process replies.
         """
-        deadline = read_clock() + offer.time_left
+        deadline = Seconds(read_clock() + offer.time_left)
         unreachable = Refusal(RefusalReason.HOME_UNREACHABLE)
         try:
             link = await self.acquire(relay)
@@ -137,7 +135,7 @@
         if follow:
             await link.follow()
         incarnation = link.incarnation
-        reply = await link.exchange(offer)
+        reply = await link.exchange(offer, deadline)
         resumes = 0
         while reply is None and not (
             offer.idempotent and resumes == _MAX_IDEMPOTENT_RESUMES
@@ -158,7 +156,7 @@
                 continue
             if link.incarnation != incarnation:
                 break
-            reply = await link.exchange(offer)
+            reply = await link.exchange(offer, deadline)
         return reply or Failure(FailureReason.HOME_LOST)
 
     async def expire_forever(self) -> None:
--- a/egretlever/relay/_relay_link.py
+++ b/egretlever/relay/_relay_link.py
@@ -10,6 +10,7 @@
 from egretlever.relay._changes import Handover, TableChange
 from egretlever.relay._codec import (
     decode_change,
+    decode_clock,
     decode_notice,
     decode_reply,
     encode_handover,
@@ -17,6 +18,7 @@
 )
 from egretlever.relay._fleet import NoticeObserver
 from egretlever.relay._frames import FrameError, FrameStream
+from egretlever.relay._remote_clock import RemoteClock
 from egretlever.schema import relay_pb2
 from egretlever.transport import read_clock
 
@@ -29,6 +31,7 @@
 # A request that is not idempotent is sent only on a connection that received
 # data within this time; otherwise a ping has to be answered first.
 _RECENTLY_ACTIVE_TIME = Seconds(0.5)
+_CLOCK_PING = 0  # number of pings whose replies only matter for the clock
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,20 +49,25 @@
     Parameters
     ----------
     stream : FrameStream
-        Connection on which the home node has sent its hello frame.
-    incarnation : Incarnation
-        Distinguishes the home node's process from earlier and later ones.
+        Connection to the home node.
+    hello : Hello
+        The first frame of the home node.
     notices : NoticeObserver
         Receives the notices of the home node.
     describe_handover : callable
         Returns what this node can hand over to the home node, None when it has
         nothing to hand over.
+
+    Attributes
+    ----------
+    incarnation : Incarnation
+        Distinguishes the home node's process from earlier and later ones.
     """
 
     def __init__(
         self,
         stream: FrameStream,
-        incarnation: Incarnation,
+        hello: relay_pb2.Hello,
         notices: NoticeObserver,
         describe_handover: Callable[[], Handover | None],
     ) -> None:
@@ -70,7 +78,9 @@
         self._subscribed = False
         # Changes of the directory, while they are followed; None is the end.
         self._changes: curio.Queue | None = None
-        self.incarnation = incarnation
+        self.incarnation = Incarnation(hello.incarnation)
+        self._clock = RemoteClock()
+        self._observe_clock(hello)
         self._exchanges: dict[int, _Exchange] = {}
         self._pongs: dict[int, curio.Event] = {}
         self._sequence = 0
@@ -110,6 +120,7 @@
     async def _handle_frame(self, frame: relay_pb2.RelayFrame) -> None:
         kind = frame.WhichOneof("kind")
         if kind == "pong":
+            self._observe_clock(frame.pong)
             pong = self._pongs.get(frame.pong.number)
             if pong is not None:
                 await pong.set()
@@ -136,6 +147,11 @@
                 await exchange.accepted.set()
                 await exchange.done.set()
 
+    def _observe_clock(self, frame: relay_pb2.Hello | relay_pb2.Pong) -> None:
+        reading = decode_clock(frame)
+        if reading is not None:
+            self._clock.observe(reading, read_clock())
+
     async def follow(self) -> None:
         """Subscribe to the home node's notices, unless done before."""
         if not self._subscribed:
@@ -191,9 +207,8 @@
         self._sequence += 1
         number = self._sequence
         pong = self._pongs[number] = curio.Event()
-        message = relay_pb2.Ping(number=number)
         try:
-            await self._stream.post(relay_pb2.RelayFrame(ping=message))
+            await self._post_ping(number)
             async with curio.timeout_after(_PING_TIMEOUT):
                 await pong.wait()
         except curio.TaskTimeout:
@@ -202,9 +217,21 @@
             del self._pongs[number]
         return not self.closed
 
-    async def exchange(self, offer: Offer) -> Reply | None:
+    async def _post_ping(self, number: int) -> None:
+        message = relay_pb2.Ping(number=number)
+        await self._stream.post(relay_pb2.RelayFrame(ping=message))
+
+    async def exchange(self, offer: Offer, deadline: Seconds) -> Reply | None:
         """Offer a request and wait for its reply.
 
+        Parameters
+        ----------
+        offer : Offer
+            The request.
+        deadline : Seconds
+            Clock time at which it expires. The home node gets it as a reading
+            of its own clock, since an offer can be on its way for seconds.
+
         Returns
         -------
         Answer, Refusal, Failure or None
@@ -217,7 +244,12 @@
         try:
             if self.closed:
                 return None
+            if self._clock.known:
+                expires_at = self._clock.convert(deadline)
+                offer = dataclasses.replace(offer, expires_at=expires_at)
             await self._stream.post(encode_offer(sequence, offer))
+            if self._clock.is_due(self.used_at):
+                await self._post_ping(_CLOCK_PING)
             await self._await_accepted(exchange)
             while not exchange.done.is_set():
                 await self._await_done(exchange)
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -223,6 +223,19 @@
     assert len(fixture.server.heads) == 1
 
 
+def send_blocking(fixture, offer):
+    """Send an offer while the home node does not run; return the socket."""
+    data = encode_offer(1, offer).SerializeToString()
+    compressor = zlib.compressobj(6, zlib.DEFLATED, -12, 4)
+    raw = compressor.compress(struct.pack(">I", len(data)) + data)
+    raw += compressor.flush(zlib.Z_SYNC_FLUSH)
+    entry_node = socket.create_connection(
+        (fixture.relay.ip, fixture.relay.port)
+    )
+    entry_node.sendall(raw)
+    return entry_node
+
+
 @pytest.mark.parametrize("idempotent", [False, True])
 def test_offer_whose_connection_ended_before_it_was_read_is_not_run(idempotent):
     # A paused process finds offers in its sockets that were given up long ago.
@@ -230,21 +243,54 @@
 
     async def script():
         offer = build_offer("r-1", idempotent=idempotent)
-        data = encode_offer(1, offer).SerializeToString()
-        compressor = zlib.compressobj(6, zlib.DEFLATED, -12, 4)
-        raw = compressor.compress(struct.pack(">I", len(data)) + data)
-        raw += compressor.flush(zlib.Z_SYNC_FLUSH)
-        # Blocking calls: the home node does not run meanwhile.
-        with socket.create_connection(
-            (fixture.relay.ip, fixture.relay.port)
-        ) as entry_node:
-            entry_node.sendall(raw)
+        send_blocking(fixture, offer).close()
         await curio.sleep(2.0)
 
     run_script(fixture, script)
     assert not fixture.server.heads
 
 
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_offer_that_was_on_its_way_for_longer_than_its_time_is_not_run(
+    idempotent,
+):
+    # An order was sent to a server 8 s after its client had got 504: a link was
+    # cut for 13 s, and the offer was delivered when it was whole again.
+    fixture = RelayFixture(serve(b"once"))
+    clock = VirtualClock()
+
+    async def script():
+        offer = build_offer(
+            "r-1",
+            idempotent=idempotent,
+            expires_at=Seconds(read_clock() + 4.0),
+        )
+        with send_blocking(fixture, offer):
+            clock.advance(13.0)
+            await curio.sleep(2.0)
+
+    run_script(fixture, script, clock)
+    assert not fixture.server.heads
+
+
+def test_offer_names_its_deadline_on_the_clock_of_the_home_node():
+    # Clocks of hosts differ by the times of their starts.
+    fixture = RelayFixture(serve(b"once"))
+    expected = []
+
+    async def script():
+        for _ in range(3):
+            expected.append(read_clock() + 4.0)
+            await fixture.offer(f"r-{len(expected)}")
+            await curio.sleep(1.0)
+        return [
+            job.offer.expires_at for job in fixture.home.jobs._jobs.values()
+        ]
+
+    deadlines = run_script(fixture, script)
+    assert deadlines == pytest.approx(expected, abs=0.01)
+
+
 def test_order_resumed_at_a_restarted_home_node_is_not_reported_as_not_run():
     fixture = RelayFixture(serve(after=1.0))
 
