Tolerate a quarter of a second on the way of an offer

Cause: a node that is busy at its start reads the first frame of a connection late, and took the other clock for that much behind until the next reading a minute later. Each request on the connection lost that time, which counts for calls that have a second.

Another reading is due after 1, 2, 4 seconds and so on up to a minute, and deadlines are sent with 0.25 s more. Lateness of seconds is what they guard against, and half a second more than the client has left is the platform's bound.

--- a/egretlever/relay/_relay_link.py
+++ b/egretlever/relay/_relay_link.py
@@ -32,6 +32,9 @@
 # data within this time; otherwise a ping has to be answered first.
 _RECENTLY_ACTIVE_TIME = Seconds(0.5)
 _CLOCK_PING = 0  # number of pings whose replies only matter for the clock
+# An offer that was on its way for less than this time does not expire sooner
+# for it. It covers the error of the estimated clock.
+_TRANSIT_TOLERANCE = Seconds(0.25)
 
 
 @dataclasses.dataclass(slots=True)
@@ -245,7 +248,9 @@
             if self.closed:
                 return None
             if self._clock.known:
-                expires_at = self._clock.convert(deadline)
+                expires_at = self._clock.convert(
+                    Seconds(deadline + _TRANSIT_TOLERANCE)
+                )
                 offer = dataclasses.replace(offer, expires_at=expires_at)
             await self._stream.post(encode_offer(sequence, offer))
             if self._clock.is_due(self.used_at):
--- a/egretlever/relay/_remote_clock.py
+++ b/egretlever/relay/_remote_clock.py
@@ -5,6 +5,9 @@
 # Time for which readings count. Clocks of hosts drift apart by up to 0.5 ms a
 # second while they are corrected.
 _WINDOW = Seconds(60.0)
+# Time after the first reading at which another one is due, doubled each time
+# until it reaches the window: a busy node reads its first frames late.
+_FIRST_INTERVAL = Seconds(1.0)
 
 
 class RemoteClock:
@@ -25,6 +28,8 @@
         self._offset = 0.0
         self._previous_offset = 0.0
         self._window_began_at = Seconds(0.0)
+        self._interval = _FIRST_INTERVAL
+        self._due_at = Seconds(0.0)
 
     def observe(self, reading: Seconds, now: Seconds) -> None:
         """Record a reading of the other clock that has just arrived.
@@ -37,6 +42,8 @@
             Local clock time.
         """
         offset = reading - now
+        self._due_at = Seconds(now + self._interval)
+        self._interval = Seconds(min(2 * self._interval, _WINDOW))
         if not self.known:
             self.known = True
             self._begin_window(offset, offset, now)
@@ -56,7 +63,7 @@
 
     def is_due(self, now: Seconds) -> bool:
         """Tell whether a new reading is needed."""
-        return self.known and now - self._window_began_at >= _WINDOW
+        return self.known and now >= self._due_at
 
     def convert(self, time: Seconds) -> Seconds:
         """Convert a local clock time to the other clock."""
