--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -179,9 +179,9 @@
     )
 
 
-def decode_clock(message: relay_pb2.Hello | relay_pb2.Pong) -> Seconds | None:
+def decode_clock(frame: relay_pb2.Hello | relay_pb2.Pong) -> Seconds | None:
     """Decode a clock reading; None when an earlier release sent none."""
-    return _to_seconds(message.clock_ms) if message.clock_ms else None
+    return _to_seconds(frame.clock_ms) if frame.clock_ms else None
 
 
 def encode_notice(notice: HomeNotice) -> relay_pb2.RelayFrame:
