Let servers of the relay soak write copies of answers and answers without end

Copies of earlier answers and refusals, and answers without end, are written for some seconds at a time, as the operators' reports have it.

--- a/benchmarks/_relay_soak.py
+++ b/benchmarks/_relay_soak.py
@@ -154,6 +154,10 @@
             host.gray = True
             await curio.sleep(event.duration)
             host.gray = False
+        elif event.kind is EventKind.BAD_ANSWERS:
+            host.bad_answers = True
+            await curio.sleep(event.duration)
+            host.bad_answers = False
         elif event.kind is EventKind.RELOAD:
             host.signal(signal.SIGHUP)
         else:
--- a/benchmarks/_relay_soak_hosts.py
+++ b/benchmarks/_relay_soak_hosts.py
@@ -42,6 +42,9 @@
 _GRAY_SHARE = 0.85  # of requests that a gray server fails immediately
 _ERROR_SHARE = 0.02  # of requests that a healthy server fails
 _SHED_SHARE = 0.03  # of requests that any server sheds
+_BAD_ANSWER_SHARE = 0.3  # of the answers of a server that writes bad ones
+_ENDLESS_LIMIT = 2000  # writes after which an endless answer is broken off
+_ENDLESS_INTERVAL = 0.002  # seconds between two of its writes
 _DRAIN_LINGER = 3.0  # seconds of serving after the node knows of the drain
 _MEAN_CALL_INTERVAL = 0.08  # seconds between two requests of a caller
 _DEADLINE_MS = 3000
@@ -76,6 +79,9 @@
         Proxy through which other nodes reach this one.
     gray : bool
         Whether the server has a gray failure and fails most requests.
+    bad_answers : bool
+        Whether the server writes copies of earlier answers and refusals, and
+        answers without end.
     """
 
     def __init__(
@@ -88,6 +94,8 @@
     ) -> None:
         self.name = f"host-{number}"
         self.gray = False
+        self.bad_answers = False
+        self._last_answer = b""
         self._fleet = fleet
         self._store = store
         self._records = records
@@ -181,16 +189,57 @@
             return await refusal(exchange)
         run = ServerRun(request, self.server_id, read_clock())
         self._records.runs.append(run)
+        bad = self.bad_answers and self._rng.random() < _BAD_ANSWER_SHARE
+        if bad and not await self._write_bad_answer(exchange):
+            return False
         server_headers = (name, headers.SIGNATURE + b": s")
         failure_share = _GRAY_SHARE if self.gray else _ERROR_SHARE
         if self._rng.random() < failure_share:
             return await answer(b"", 500, *server_headers)(exchange)
         body = f"{request} {run.server}".encode()
+        self._last_answer = (
+            b"HTTP/1.1 200 OK\r\n%s\r\n%s: s\r\ncontent-length: %d\r\n\r\n%s"
+            % (name, headers.SIGNATURE, len(body), body)
+        )
         service_time = self._rng.expovariate(1 / _MEAN_SERVICE_TIME)
         return await answer(body, 200, *server_headers, after=service_time)(
             exchange
         )
 
+    async def _write_bad_answer(self, exchange: ServerExchange) -> bool:
+        """Write bytes that are no answer to the request, which has run.
+
+        Returns
+        -------
+        bool
+            Whether the answer to the request follows.
+        """
+        refusal = (
+            b"HTTP/1.1 503 X\r\n"
+            + headers.NOT_RUN
+            + b": 1\r\ncontent-length: 0\r\n\r\n"
+        )
+        copy = self._rng.choice([self._last_answer, refusal, b""])
+        await exchange.read_body()
+        if copy:
+            await exchange.send(copy)
+            return True
+        start, part = self._rng.choice(
+            [
+                (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+                (
+                    b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n",
+                    b"1\r\nx\r\n" * 50,
+                ),
+                (b"HTTP/1.1 200 X\r\nx-filler: ", b"x" * 1000),
+            ]
+        )
+        await exchange.send(start)
+        for _ in range(_ENDLESS_LIMIT):
+            await exchange.send(part)
+            await curio.sleep(_ENDLESS_INTERVAL)
+        return False
+
     async def _send_heartbeats(self) -> None:
         sequence = 0
         while True:
--- a/benchmarks/_relay_soak_plan.py
+++ b/benchmarks/_relay_soak_plan.py
@@ -6,6 +6,7 @@
 
 # Mean rate for up to 8 hosts; events overlap, since they last 2 s on average.
 _EVENTS_PER_S = 0.8
+_BAD_ANSWERS_PER_S = 0.15
 _MEAN_DURATION_S = 2.0
 _MAX_DURATION_S = 6.0
 # Share of events that are repeated on the same host soon after.
@@ -33,6 +34,7 @@
     STORE_LATE = "store-late"
     STORE_GARBLED = "store-garbled"
     STORE_FORGETS = "store-forgets"
+    BAD_ANSWERS = "bad-answers"
 
     @property
     def is_store_event(self) -> bool:
@@ -62,17 +64,35 @@
     hosts : int
         Number of hosts.
     """
-    rng = random.Random(seed)
-    rate = _EVENTS_PER_S * max(1.0, hosts / 8)
+    # A schedule of its own keeps the other events of a seed as they are.
+    bad = (EventKind.BAD_ANSWERS,)
+    others = tuple(kind for kind in EventKind if kind not in bad)
+    schedule = _draw_events(
+        random.Random(seed), others, _EVENTS_PER_S, seconds, hosts
+    ) + _draw_events(
+        random.Random(f"bad-{seed}"), bad, _BAD_ANSWERS_PER_S, seconds, hosts
+    )
+    return sorted(schedule, key=lambda event: event.at)
+
+
+def _draw_events(
+    rng: random.Random,
+    kinds: tuple[EventKind, ...],
+    rate: float,
+    seconds: float,
+    hosts: int,
+) -> list[Event]:
+    """Draw events of some kinds, `rate` per second with up to 8 hosts."""
+    rate *= max(1.0, hosts / 8)
     schedule = []
     at = rng.expovariate(rate)
     while at < seconds:
         duration = min(_MAX_DURATION_S, rng.expovariate(1 / _MEAN_DURATION_S))
-        kind = rng.choice(list(EventKind))
+        kind = rng.choice(kinds)
         event = Event(at, duration, kind, rng.randrange(hosts))
         schedule.append(event)
         if rng.random() < _SERIES_SHARE:
             repetition = dataclasses.replace(event, at=at + _SERIES_INTERVAL_S)
             schedule.append(repetition)
         at += rng.expovariate(rate)
-    return sorted(schedule, key=lambda event: event.at)
+    return schedule
