Name a section that is missing once, not each of its required keys

Cause: a misspelled section gave one finding for itself and one for each required key of the section that was meant. The new test fails without the change.

--- a/egretlever/settings/_files.py
+++ b/egretlever/settings/_files.py
@@ -113,9 +113,12 @@
     for name in known_sections:
         section = getattr(settings, name)
         section.SetInParent()
-        findings.extend(
-            fill_message(section, sections.get(name, {}), f"{place} [{name}]")
-        )
+        location = f"{place} [{name}]"
+        found = fill_message(section, sections.get(name, {}), location)
+        if found and name not in sections:
+            # One finding for all of its required keys.
+            found = [Finding(location, "is missing")]
+        findings.extend(found)
     if findings:
         return Failure(tuple(findings))
     return Success(settings)
--- a/egretlever/settings/tests/test_settings.py
+++ b/egretlever/settings/tests/test_settings.py
@@ -58,6 +58,15 @@
     assert any(message in line for line in list_findings(text))
 
 
+def test_misnamed_section_has_two_findings():
+    # Each required key of the section had a finding besides.
+    findings = list_findings(VALID.replace("[backend]", "[backand]"))
+    assert findings == [
+        "backend.ini [backand]: is unknown; known: backend",
+        "backend.ini [backend]: is missing",
+    ]
+
+
 def test_missing_file_is_a_finding(tmp_path):
     result = read_settings(tmp_path / "no.ini", settings_pb2.NodeSettings)
     assert not is_successful(result)
