Answer invalid requests without Python's notation of bytes

Cause: the reason of a 400 was the parser's message, which quotes the received bytes as Python writes them ("illegal header line: bytearray(b'bad name: 1')"). The quotation is left out. The tests of both topologies fail without the change.

--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -18,6 +18,7 @@
     check_raw_head,
     check_request,
     is_closed_by_peer,
+    make_request_error,
     read_clock,
 )
 
@@ -233,7 +234,7 @@
         try:
             event = http.next_event()
         except h11.RemoteProtocolError as error:
-            raise RequestError(error.error_status_hint, str(error)) from None
+            raise make_request_error(error) from None
         if not isinstance(event, h11.Request):
             raise RequestError(400, "the request head can't be parsed")
         head = RequestHead(
@@ -294,7 +295,7 @@
             try:
                 event = http.next_event()
             except h11.RemoteProtocolError as error:
-                raise RequestError(400, str(error)) from None
+                raise make_request_error(error) from None
             if isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > limits.max_body_bytes:
--- a/egretlever/relay/tests/test_clients.py
+++ b/egretlever/relay/tests/test_clients.py
@@ -198,8 +198,12 @@
         (long_head, b"431"),
         (long_body, b"413"),
         (b"GET /a HTTP/1.1\r\nhost: a\nx: y\r\n\r\n", b"400"),
+        (get(b"/a", b"bad name: x"), b"400"),
+        (get(b"/a", b"transfer-encoding: chunked") + b"zz\r\n", b"400"),
     ):
-        assert run_virtual(main(raw)).startswith(b"HTTP/1.1 " + status)
+        answer = run_virtual(main(raw))
+        assert answer.startswith(b"HTTP/1.1 " + status)
+        assert b"bytearray" not in answer
     assert fixture.started == []
 
 
--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -40,6 +40,7 @@
     check_request,
     find_content_length,
     is_chunked,
+    make_request_error,
     remove_hop_by_hop,
 )
 from egretlever.transport._pool import ConnectionPool
@@ -97,6 +98,7 @@
     "is_chunked",
     "make_fault_injector",
     "is_closed_by_peer",
+    "make_request_error",
     "open_connection",
     "adopt_listener",
     "open_listener",
--- a/egretlever/transport/_callers.py
+++ b/egretlever/transport/_callers.py
@@ -13,6 +13,7 @@
     ResponseHead,
     check_raw_head,
     check_request,
+    make_request_error,
 )
 from egretlever.transport._sockets import (
     SocketReader,
@@ -119,7 +120,7 @@
         try:
             event = self._parser.next_event()
         except h11.RemoteProtocolError as error:
-            raise RequestError(error.error_status_hint, str(error)) from None
+            raise make_request_error(error) from None
         if not isinstance(event, h11.Request):
             raise RequestError(400, "the request head can't be parsed")
         head = RequestHead(
@@ -208,7 +209,7 @@
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
-                raise RequestError(400, str(error)) from None
+                raise make_request_error(error) from None
             if isinstance(event, h11.Data):
                 if event.data:
                     return bytes(event.data)
--- a/egretlever/transport/_heads.py
+++ b/egretlever/transport/_heads.py
@@ -3,6 +3,8 @@
 import dataclasses
 import re
 
+import h11
+
 Headers = list[tuple[bytes, bytes]]
 
 # Headers of a single connection, which are not forwarded (RFC 9110, 7.6.1).
@@ -22,6 +24,8 @@
 )
 _BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 _FOLDED_LINE = re.compile(rb"\r\n[ \t]")
+# The received bytes, in Python's notation, at the end of a message of h11.
+_QUOTED_BYTES = re.compile(r":? *(?:bytearray\()?b['\"].*", re.DOTALL)
 
 
 class RequestError(Exception):
@@ -40,6 +44,18 @@
         self.status = status
 
 
+def make_request_error(error: h11.RemoteProtocolError) -> RequestError:
+    """Make the error of a request that violates the protocol.
+
+    Parameters
+    ----------
+    error : RemoteProtocolError
+        Error of the parser, whose message may quote received bytes.
+    """
+    reason = _QUOTED_BYTES.sub("", str(error))
+    return RequestError(error.error_status_hint, reason)
+
+
 @dataclasses.dataclass(slots=True)
 class RequestHead:
     """Method, target and headers of a request.
--- a/egretlever/transport/tests/test_callers.py
+++ b/egretlever/transport/tests/test_callers.py
@@ -97,7 +97,10 @@
 def test_invalid_requests_are_rejected_with_a_specific_status(
     request_bytes, status
 ):
-    assert read_status(send(request_bytes, close_early=True)) == status
+    response = send(request_bytes, close_early=True)
+    assert read_status(response) == status
+    # The reason is for people who may not know Python.
+    assert b"bytearray" not in response and b"b'" not in response
 
 
 def test_pipelined_request_is_checked_like_the_first():
