Use what the directory, the publisher and the scripted servers already have

No change of behaviour. A full read of the directory returns the servers that it removes, instead of its caller comparing two lists; a method of one line around remove_row goes; and copies of answers in the soak are written by the scripted servers' own step, instead of heads put together by hand.

--- a/benchmarks/_relay_soak_hosts.py
+++ b/benchmarks/_relay_soak_hosts.py
@@ -22,7 +22,7 @@
     answer,
     reserve_addresses,
 )
-from egretlever.testing._scripted_server import ScriptedServer
+from egretlever.testing._scripted_server import ScriptedServer, Step
 from egretlever.transport import (
     BackendClosedError,
     BackendConnection,
@@ -95,7 +95,7 @@
         self.name = f"host-{number}"
         self.gray = False
         self.bad_answers = False
-        self._last_answer = b""
+        self._last_answer: Step | None = None
         self._fleet = fleet
         self._store = store
         self._records = records
@@ -197,10 +197,7 @@
         if self._rng.random() < failure_share:
             return await answer(b"", 500, *server_headers)(exchange)
         body = f"{request} {run.server}".encode()
-        self._last_answer = (
-            b"HTTP/1.1 200 OK\r\n%s\r\n%s: s\r\ncontent-length: %d\r\n\r\n%s"
-            % (name, headers.SIGNATURE, len(body), body)
-        )
+        self._last_answer = answer(body, 200, *server_headers)
         service_time = self._rng.expovariate(1 / _MEAN_SERVICE_TIME)
         return await answer(body, 200, *server_headers, after=service_time)(
             exchange
@@ -214,16 +211,11 @@
         bool
             Whether the answer to the request follows.
         """
-        refusal = (
-            b"HTTP/1.1 503 X\r\n"
-            + headers.NOT_RUN
-            + b": 1\r\ncontent-length: 0\r\n\r\n"
-        )
-        copy = self._rng.choice([self._last_answer, refusal, b""])
+        refusal = answer(b"", 503, headers.NOT_RUN + b": 1")
+        copy = self._rng.choice([self._last_answer, refusal, None])
+        if copy is not None:
+            return await copy(exchange)
         await exchange.read_body()
-        if copy:
-            await exchange.send(copy)
-            return True
         start, part = self._rng.choice(
             [
                 (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
--- a/egretlever/placement/_directory.py
+++ b/egretlever/placement/_directory.py
@@ -37,16 +37,25 @@
 
     def replace(
         self, rows: Iterable[tuple[HomeServer, Version]], version: Version
-    ) -> None:
-        """Replace the rows by a full read of the table at a store version."""
+    ) -> list[ServerId]:
+        """Replace the rows by a full read of the table at a store version.
+
+        Returns
+        -------
+        list of ServerId
+            Servers that were removed.
+        """
         found = {row[0].id: row for row in rows}
-        for server_id in list(self._servers):
-            if server_id not in found and self._versions[server_id] <= version:
-                self.remove(server_id, version)
+        removed = [
+            server_id
+            for server_id in list(self._servers)
+            if server_id not in found and self.remove(server_id, version)
+        ]
         for server, row_version in found.values():
             self.update(server, row_version)
         self.version = max(self.version, version)
         self.complete = True
+        return removed
 
     def update(self, server: HomeServer, version: Version) -> bool:
         """Apply a row; return false when it is not newer than the known one."""
--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -126,11 +126,8 @@
     """
 
     def replace(rows: list[StoredRow], version: Version) -> None:
-        known = {server.id for server in directory.list_all()}
-        directory.replace(decode_servers(rows), version)
-        for server_id in known:
-            if directory.find(server_id) is None:
-                forget(server_id)
+        for server_id in directory.replace(decode_servers(rows), version):
+            forget(server_id)
         metrics.SERVERS.set(len(directory))
 
     def update(rows: tuple[StoredRow, ...], version: Version) -> None:
--- a/egretlever/relay/_publishing.py
+++ b/egretlever/relay/_publishing.py
@@ -168,7 +168,7 @@
             if (
                 restored is not None
                 and not own
-                and not await self._remove(restored)
+                and not await remove_row(self._store, self._directory, restored)
             ):
                 return False
         if wanted is not None and self._was_removed(wanted):
@@ -177,7 +177,9 @@
             return True
         # A former process of this node may have ended before its server left.
         for other in self._directory.list_at(wanted.relay):
-            if other.id != wanted.id and not await self._remove(other):
+            if other.id != wanted.id and not await remove_row(
+                self._store, self._directory, other
+            ):
                 return False
         if self._written is None and self._adopt(wanted):
             return True
@@ -200,10 +202,6 @@
             self._left_at = now
         return now - self._left_at >= self._retention
 
-    async def _remove(self, other: HomeServer) -> bool:
-        """Remove the row of another server, as found in the directory."""
-        return await remove_row(self._store, self._directory, other)
-
     def _adopt(self, wanted: HomeServer) -> bool:
         """Adopt the row that a former process has written.
 
