Log the size and the transfer time of the store's answers

The incident of late configurations has three hypotheses: bytes on a shared link, order of the calls, processor time of decoding. The logs only told which version was in force from when. Lines rows-read now give the number of rows, the bytes and the time from the first to the last byte, configuration-in-force the number of routes and the time to decode and apply them; a counter holds the bytes by table. The stand-in of the store can send its answers over a link that all callers share.

--- a/egretlever/platform/_http.py
+++ b/egretlever/platform/_http.py
@@ -15,6 +15,7 @@
     ConnectionPool,
     RequestHead,
     read_body,
+    read_clock,
 )
 
 # Shorter than the time after which common middleboxes drop idle connections.
@@ -31,10 +32,13 @@
         Status code.
     body : bytes
         Complete body.
+    transfer_time : Seconds
+        Time between the head of the response and its last byte.
     """
 
     status: int
     body: bytes
+    transfer_time: Seconds = Seconds(0.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -155,10 +159,12 @@
         ]
         await connection.send_request(RequestHead(method, target, fields), body)
         response = await connection.read_response()
+        begun = read_clock()
         content = await read_body(connection, self._max_body)
+        transfer_time = Seconds(read_clock() - begun)
         in_use.remove(connection)
         await self._pool.release(self._address, connection)
-        return HttpReply(response.status, content)
+        return HttpReply(response.status, content, transfer_time)
 
     async def close(self) -> None:
         """Close all idle connections."""
--- a/egretlever/platform/_rows.py
+++ b/egretlever/platform/_rows.py
@@ -58,11 +58,17 @@
         Store version up to which the response is complete.
     more : bool
         Whether further rows follow the last key.
+    size : int
+        Size of the response's body in bytes.
+    transfer_time : Seconds
+        Time between the head of the response and its last byte.
     """
 
     rows: tuple[StoredRow, ...]
     version: Version
     more: bool = False
+    size: int = 0
+    transfer_time: Seconds = Seconds(0.0)
 
 
 class RowStore:
@@ -159,7 +165,11 @@
         if page is None:
             message = "the response of the row store cannot be decoded"
             return _make_failure(StoreErrorKind.UNAVAILABLE, message)
-        return Success(page)
+        return Success(
+            dataclasses.replace(
+                page, size=len(reply.body), transfer_time=reply.transfer_time
+            )
+        )
 
     async def write(
         self,
--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -5,7 +5,7 @@
 
 from returns.result import Failure, Success
 
-from egretlever.core import Seconds, ServerId, Version
+from egretlever.core import Seconds, ServerId, Version, make_log
 from egretlever.placement import Configuration, Directory, HomeServer
 from egretlever.platform import (
     CONFIGURATION_KEY,
@@ -18,7 +18,10 @@
 from egretlever.relay._codec import decode_row
 from egretlever.relay._sharing import TableSharing
 from egretlever.relay._table_follower import TableFollower, log_state
+from egretlever.schema import logs_pb2
+from egretlever.transport import read_clock
 
+_LOG = make_log("store")
 SERVER_TABLE = "egretlever-servers"
 # Changes of servers within this time are read together. The delay is harmless:
 # home nodes refuse requests for servers that have left, and new servers become
@@ -81,6 +84,7 @@
     row: StoredRow, configure: Callable[[Configuration], bool]
 ) -> bool:
     """Apply a configuration; false when it is invalid or not newer."""
+    begun = read_clock()
     result = decode_configuration(row.value)
     if isinstance(result, Failure):
         # The previous version stays in effect.
@@ -91,10 +95,14 @@
     if not configure(configuration):
         return False
     metrics.CONFIGURATION_VERSION.set(configuration.version)
-    log_state(
-        "configuration-in-force",
-        row.key,
-        version=f"{configuration.version:08x}",
+    _LOG.event(
+        logs_pb2.StateLine(
+            event="configuration-in-force",
+            subject=row.key,
+            version=f"{configuration.version:08x}",
+            count=len(configuration.routes),
+            took_s=round(read_clock() - begun, 4),
+        )
     )
     return True
 
--- a/egretlever/relay/_metrics.py
+++ b/egretlever/relay/_metrics.py
@@ -23,6 +23,11 @@
     "Calls of the platform's store by kind and result.",
     ["call", "result"],
 )
+STORE_BYTES = Counter(
+    "egretlever_relay_store_bytes",
+    "Bytes of the store's answers with rows, by table.",
+    ["table"],
+)
 SHARED_CHANGES = Counter(
     "egretlever_relay_shared_changes",
     "Changes of the directory received from another node.",
--- a/egretlever/relay/_table_follower.py
+++ b/egretlever/relay/_table_follower.py
@@ -7,7 +7,13 @@
 from returns.result import Failure
 
 from egretlever.core import Seconds, Version, make_log
-from egretlever.platform import RowStore, StoredRow, StoreError, StoreErrorKind
+from egretlever.platform import (
+    RowPage,
+    RowStore,
+    StoredRow,
+    StoreError,
+    StoreErrorKind,
+)
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._changes import TableChange
 from egretlever.relay._sharing import TableSharing
@@ -143,6 +149,7 @@
                 await self._handle_failure("read", result.failure())
                 return
             page = result.unwrap()
+            self._record_rows(page)
             rows.extend(page.rows)
             version = page.version if version is None else version
             if not page.more or not page.rows:
@@ -180,10 +187,27 @@
             await self._handle_failure("follow", result.failure())
             return None
         page = result.unwrap()
+        self._record_rows(page)
         await self._succeed("follow")
         self._poll_delay = self._batch_time if page.rows else Seconds(0.0)
         return TableChange(version, page.version, page.rows)
 
+    def _record_rows(self, page: RowPage) -> None:
+        """Count and log an answer with rows."""
+        if not page.rows:
+            return
+        metrics.STORE_BYTES.labels(self._table).inc(page.size)
+        _LOG.event(
+            logs_pb2.StateLine(
+                event="rows-read",
+                subject=self._table,
+                version=str(page.version),
+                count=len(page.rows),
+                bytes=page.size,
+                transfer_s=round(page.transfer_time, 4),
+            )
+        )
+
     def _find_timeout(self) -> Seconds | None:
         """Return the timeout of the next call, None for the usual one."""
         return _RECOVERY_TIMEOUT if self._failing else None
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -20,7 +20,7 @@
     make_directory_follower,
 )
 from egretlever.relay._publishing import ServerPublisher
-from egretlever.standins import RowsFault, RowsStandIn
+from egretlever.standins import RowsFault, RowsStandIn, SharedLink
 from egretlever.testing import run_virtual
 from egretlever.testing.relay_builders import build_home_server
 from egretlever.transport import read_clock
@@ -529,3 +529,23 @@
 
     assert run_virtual(main())
     assert not follower.synced
+
+
+def test_log_tells_the_transfer_of_a_configuration_from_its_decoding(caplog):
+    # A late configuration could be due to the link, the calls or the processor.
+    async def script(fixture):
+        fixture.store.link = SharedLink(1000.0)
+        await put_configuration(fixture, 7)
+        await curio.sleep(5.0)
+
+    with caplog.at_level("INFO"):
+        run_script(script)
+    lines = {
+        record.msg["event"]: record.msg
+        for record in caplog.records
+        if record.msg.get("subject") in ("op", "config")
+    }
+    assert lines["rows-read"]["count"] == 1
+    assert lines["rows-read"]["bytes"] > 700
+    assert lines["configuration-in-force"]["version"] == "00000007"
+    assert lines["configuration-in-force"]["count"] == 1
--- a/egretlever/standins/__init__.py
+++ b/egretlever/standins/__init__.py
@@ -20,7 +20,7 @@
     listen_platform,
     serve_platform,
 )
-from egretlever.standins._rows import RowsFault, RowsStandIn
+from egretlever.standins._rows import RowsFault, RowsStandIn, SharedLink
 from egretlever.standins._summary import RankSummary, summarize_results
 
 __all__ = [
@@ -31,6 +31,7 @@
     "RankSummary",
     "RowsFault",
     "RowsStandIn",
+    "SharedLink",
     "is_expected_body",
     "listen_platform",
     "make_backend",
--- a/egretlever/standins/_rows.py
+++ b/egretlever/standins/_rows.py
@@ -14,6 +14,7 @@
     Answer,
     RequestHead,
     open_listener,
+    read_clock,
     serve_requests,
 )
 
@@ -47,9 +48,41 @@
     removed: bool
 
 
+class SharedLink:
+    """Link of limited bandwidth that all answers of a store share.
+
+    Parameters
+    ----------
+    bytes_per_second : float
+        Bandwidth.
+
+    Attributes
+    ----------
+    carried_bytes : int
+        Bytes of all answers so far.
+    """
+
+    def __init__(self, bytes_per_second: float) -> None:
+        self._bytes_per_second = bytes_per_second
+        self._free_at = 0.0
+        self.carried_bytes = 0
+
+    async def carry(self, size: int) -> None:
+        """Wait until an answer of a size in bytes has passed the link."""
+        now = read_clock()
+        self._free_at = max(now, self._free_at) + size / self._bytes_per_second
+        self.carried_bytes += size
+        await curio.sleep(self._free_at - now)
+
+
 class RowsStandIn:
     """In-memory row store with the HTTP interface of the platform's.
 
+    Parameters
+    ----------
+    link : SharedLink, optional
+        Link over which the answers are sent; without one they take no time.
+
     Attributes
     ----------
     address : Address
@@ -60,9 +93,12 @@
         Delay of the transactions under ``RowsFault.LATE``, in seconds.
     calls : list of str
         Method and path of each call, in order of arrival.
+    link : SharedLink or None
+        The given link.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, link: SharedLink | None = None) -> None:
+        self.link = link
         self._listener = open_listener(Address("127.0.0.1", 0))
         self.address = Address(*self._listener.getsockname()[:2])
         self.fault = RowsFault.NONE
@@ -106,6 +142,12 @@
         self._dropped_version = self._version
 
     async def _handle(self, head: RequestHead, body: bytes) -> Answer:
+        reply = await self._execute(head, body)
+        if self.link is not None:
+            await self.link.carry(len(reply.body))
+        return reply
+
+    async def _execute(self, head: RequestHead, body: bytes) -> Answer:
         url = urllib.parse.urlsplit(head.target)
         query = dict(urllib.parse.parse_qsl(url.query))
         self.calls.append(f"{head.method} {url.path}")
