--- a/egretlever/platform/tests/wire_builders.py
+++ b/egretlever/platform/tests/wire_builders.py
@@ -50,6 +50,24 @@
     return json.dumps({"version": version, "resources": resources}).encode()
 
 
+def build_large_configuration(version: str, count: int, **spec: Any) -> bytes:
+    """Build a configuration with the route for orders and ``count`` more.
+
+    The others have the prefixes ``/more/0/``, ``/more/1/`` and so on.
+    """
+    fields = json.loads(build_configuration_body(version, **spec))
+    orders = fields["resources"][0]
+    fields["resources"] += [
+        {
+            **orders,
+            "metadata": {"name": f"orders-{number}"},
+            "spec": {**orders["spec"], "prefix": f"/more/{number}/"},
+        }
+        for number in range(count)
+    ]
+    return json.dumps(fields).encode()
+
+
 def build_soak_configuration(service: str) -> bytes:
     """Build a configuration with routes for reads and for orders, as JSON."""
     fields = json.loads(build_configuration_body(service=service))
--- /dev/null
+++ b/egretlever/testing/_relay_region.py
@@ -0,0 +1,183 @@
+"""Relay nodes of one region, whose way to the store is a shared link."""
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import curio
+from returns.result import Failure
+
+from egretlever.core import Address, FailureDomain, Seconds
+from egretlever.placement import HomeServer
+from egretlever.platform import Bounds
+from egretlever.relay import RelayNode, make_relay_node
+from egretlever.relay._codec import encode_row
+from egretlever.relay._followers import SERVER_TABLE
+from egretlever.schema import settings_pb2
+from egretlever.standins import RowsStandIn, SharedLink
+from egretlever.testing._fleet import reserve_addresses
+from egretlever.testing.relay_builders import build_home_server
+from egretlever.transport import send_request
+
+_REGION = "south"
+# Host of the requests that the fixture sends.
+CLIENT_HOST = "127.0.0.1"
+_NO_ROUTE = 404
+# Time after which all nodes have read the configuration and the directory.
+_SETTLING_TIME = 12.0  # seconds
+
+
+class RegionNode:
+    """A relay node and the row of its server.
+
+    Parameters
+    ----------
+    number : int
+        Number of the node's server.
+    failure_domain : FailureDomain
+        Failure domain of the node.
+    domains : tuple of FailureDomain
+        All failure domains of the region.
+    store : Address
+        Address of the store.
+    bounds : Bounds
+        Limits that the platform sets.
+
+    Attributes
+    ----------
+    row : HomeServer
+        The node's row in the directory.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        failure_domain: FailureDomain,
+        domains: tuple[FailureDomain, ...],
+        store: Address,
+        bounds: Bounds,
+    ) -> None:
+        self._bounds = bounds
+        clients, health, heartbeats, relay, metrics = reserve_addresses(5)
+        self._clients = clients
+        self.row: HomeServer = build_home_server(
+            number, failure_domain=failure_domain, relay=relay
+        )
+        self._settings = settings_pb2.RelaySettings(
+            identity=settings_pb2.RelayIdentitySection(
+                node=f"node-{number}",
+                failure_domain=failure_domain,
+                region=_REGION,
+                service=self.row.service,
+                regions=[f"{domain}:{_REGION}" for domain in domains],
+            ),
+            listen=settings_pb2.RelayListenSection(
+                clients=str(clients),
+                health=str(health),
+                announcements=str(heartbeats),
+                ip=relay.ip,
+                relay_port=relay.port,
+                metrics_port=metrics.port,
+            ),
+            store=settings_pb2.RelayStoreSection(address=str(store)),
+        )
+        self._task: Any = None
+
+    async def start(self) -> None:
+        """Start the node."""
+        node: RelayNode = make_relay_node(self._settings, self._bounds)
+        self._task = await curio.spawn(node.run, daemon=True)
+
+    async def kill(self) -> None:
+        """End the node; its connections are closed and refused."""
+        task, self._task = self._task, None
+        if task is not None:
+            await task.cancel()
+
+    async def knows_route(self, path: str) -> bool:
+        """Tell whether a request to a path is not answered with 404.
+
+        The host of the route has to be ``CLIENT_HOST``.
+        """
+        result = await send_request(
+            self._clients,
+            "GET",
+            path,
+            headers=(
+                (b"x-request-id", b"probe"),
+                (b"x-request-deadline", b"1"),
+            ),
+        )
+        if isinstance(result, Failure):
+            return False
+        reply = result.unwrap()
+        return reply.head.status != _NO_ROUTE
+
+
+class RegionFixture:
+    """A region of relay nodes in two failure domains, and the far store.
+
+    Parameters
+    ----------
+    count : int
+        Number of nodes.
+    bytes_per_second : float
+        Bandwidth of the link to the store, for all nodes together.
+    bounds : Bounds, optional
+        Limits that the platform sets.
+
+    Attributes
+    ----------
+    store : RowsStandIn
+        The store.
+    nodes : list of RegionNode
+        All nodes, by failure domain and relay address.
+    """
+
+    def __init__(
+        self, count: int, bytes_per_second: float, bounds: Bounds | None = None
+    ) -> None:
+        self.store = RowsStandIn(SharedLink(bytes_per_second))
+        domains = (FailureDomain("south-a"), FailureDomain("south-b"))
+        self.nodes = sorted(
+            (
+                RegionNode(
+                    number,
+                    domains[number % len(domains)],
+                    domains,
+                    self.store.address,
+                    bounds or Bounds(configuration=Seconds(3.0)),
+                )
+                for number in range(count)
+            ),
+            key=lambda node: (node.row.failure_domain, node.row.relay.port),
+        )
+
+    async def count_without(self, path: str) -> int:
+        """Count the nodes that do not know a route."""
+        known = [await node.knows_route(path) for node in self.nodes]
+        return known.count(False)
+
+    async def configure(self, body: bytes) -> None:
+        """Write a configuration as the operator would."""
+        await self.store.put("op", "config", body)
+
+    @contextlib.asynccontextmanager
+    async def running(self, body: bytes) -> AsyncIterator["RegionFixture"]:
+        """Run the store and all nodes with a first configuration."""
+        store = await curio.spawn(self.store.run, daemon=True)
+        await self.configure(body)
+        for node in self.nodes:
+            await self.store.put(
+                SERVER_TABLE, node.row.id, encode_row(node.row)
+            )
+        for node in self.nodes:
+            await node.start()
+        await curio.sleep(_SETTLING_TIME)
+        self.store.calls.clear()
+        try:
+            yield self
+        finally:
+            for node in self.nodes:
+                await node.kill()
+            await store.cancel()
