--- a/egretlever/placement/__init__.py
+++ b/egretlever/placement/__init__.py
@@ -8,7 +8,11 @@
 from egretlever.placement._directory import Directory
 from egretlever.placement._groups import DistanceGroups, ServersByDistance
 from egretlever.placement._orphans import OrphanTracker
-from egretlever.placement._readers import ReaderSelector
+from egretlever.placement._readers import (
+    ReaderSelector,
+    SourceSelector,
+    TreeSelector,
+)
 from egretlever.placement._records import (
     Answer,
     Backend,
@@ -58,7 +62,9 @@
     "RouteTable",
     "Search",
     "ServersByDistance",
+    "SourceSelector",
     "Stage",
+    "TreeSelector",
     "Trust",
     "count_relevant_slots",
 ]
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -129,11 +129,15 @@
         """Return the distance of the home node of a server."""
         if server.failure_domain == self._domain:
             return Distance.OWN_DOMAIN
-        own = self._regions.get(self._domain)
-        if own is not None and own == self._regions.get(server.failure_domain):
+        if self.is_in_own_region(server.failure_domain):
             return Distance.OWN_REGION
         return Distance.OTHER_REGION
 
+    def is_in_own_region(self, domain: FailureDomain) -> bool:
+        """Tell whether a failure domain is known to be in the own region."""
+        own = self._regions.get(self._domain)
+        return own is not None and own == self._regions.get(domain)
+
     def sample(
         self, groups: ServersByDistance, now: Seconds
     ) -> dict[Distance, list[HomeServer]]:
--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -1,14 +1,17 @@
 """Accepts connections of entry nodes to a home node."""
 
 import functools
+import types
+from collections.abc import Mapping
 from typing import Any
 
 import curio
 
-from egretlever.core import Incarnation, make_log
+from egretlever.core import Incarnation, Version, make_log
 from egretlever.placement import HomeNotice
-from egretlever.relay._changes import TableChange
+from egretlever.relay._changes import SharedTable, TableChange
 from egretlever.relay._codec import (
+    TABLES_BY_SUBSCRIPTION,
     decode_handover,
     decode_offer,
     encode_change,
@@ -39,9 +42,11 @@
         """Send a notice; a closed connection ignores it."""
         await self._stream.post(_encode_shared_notice(notice))
 
-    async def send_change(self, change: TableChange) -> None:
+    async def send_change(
+        self, table: SharedTable, change: TableChange
+    ) -> None:
         """Send a change; a closed connection ignores it."""
-        await self._stream.post(_encode_shared_change(change))
+        await self._stream.post(_encode_shared_change(table, change))
 
     async def request_handover(self) -> None:
         """Ask for a handover; a closed connection ignores it."""
@@ -56,9 +61,9 @@
 
 
 @functools.lru_cache(maxsize=1)
-def _encode_shared_change(change: TableChange) -> bytes:
+def _encode_shared_change(table: SharedTable, change: TableChange) -> bytes:
     """Encode a change once for all of its subscribers."""
-    return encode_change(change).SerializeToString()
+    return encode_change(table, change).SerializeToString()
 
 
 class RelayAcceptor:
@@ -70,8 +75,8 @@
         Runs the offers.
     incarnation : Incarnation
         Tells peers whether the process that accepted an offer still runs.
-    sharing : TableSharing, optional
-        Sends changes of the directory to the nodes that follow this one.
+    sharings : mapping of SharedTable to TableSharing, optional
+        Send the changes of tables to the nodes that follow this one.
     handovers : HandoverExchange, optional
         Asks the nodes that connect for what the store holds.
     """
@@ -80,12 +85,14 @@
         self,
         home: HomeNode,
         incarnation: Incarnation,
-        sharing: TableSharing | None = None,
+        sharings: Mapping[SharedTable, TableSharing] = types.MappingProxyType(
+            {}
+        ),
         handovers: HandoverExchange | None = None,
     ) -> None:
         self._home = home
         self._incarnation = incarnation
-        self._sharing = sharing
+        self._sharings = sharings
         self._handovers = handovers
 
     async def serve_forever(self, listener: Any) -> None:
@@ -109,8 +116,8 @@
             _LOG.warning("Invalid frame from a node: %s.", error)
         finally:
             self._home.notice_publisher.unsubscribe(peer)
-            if self._sharing is not None:
-                self._sharing.unsubscribe(peer)
+            for sharing in self._sharings.values():
+                sharing.unsubscribe(peer)
             if self._handovers is not None:
                 self._handovers.remove_peer(peer)
             for job in jobs.values():
@@ -130,12 +137,10 @@
             await stream.post(encode_pong(frame.ping.number, read_clock()))
         elif kind == "subscription":
             await self._home.notice_publisher.subscribe(peer)
-        elif kind == "directory_subscription" and self._sharing is not None:
-            subscription = frame.directory_subscription
-            if subscription.ended:
-                self._sharing.unsubscribe(peer)
-            else:
-                await self._sharing.subscribe(peer, subscription.relay_address)
+        elif kind in TABLES_BY_SUBSCRIPTION:
+            await self._handle_subscription(
+                peer, TABLES_BY_SUBSCRIPTION[kind], getattr(frame, kind)
+            )
         elif kind == "handover" and self._handovers is not None:
             self._handovers.take(decode_handover(frame.handover))
         elif kind == "withdrawal":
@@ -154,6 +159,24 @@
         else:
             _LOG.warning("Unexpected frame of kind %s from a node.", kind)
 
+    async def _handle_subscription(
+        self,
+        peer: _StreamPeer,
+        table: SharedTable,
+        subscription: relay_pb2.DirectorySubscription,
+    ) -> None:
+        sharing = self._sharings.get(table)
+        if sharing is None:
+            return
+        if subscription.ended:
+            sharing.unsubscribe(peer)
+        else:
+            await sharing.subscribe(
+                peer,
+                subscription.relay_address,
+                Version(subscription.known_version),
+            )
+
     async def _reply(
         self,
         stream: FrameStream,
--- a/egretlever/relay/_changes.py
+++ b/egretlever/relay/_changes.py
@@ -1,27 +1,38 @@
 """What one node has read from the store and sends to others."""
 
 import dataclasses
+import enum
 from typing import Protocol
 
 from egretlever.core import Version
 from egretlever.platform import StoredRow
 
 
+class SharedTable(enum.Enum):
+    """Table whose changes nodes pass on to each other."""
+
+    DIRECTORY = "directory"
+    CONFIGURATION = "configuration"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableChange:
-    """Rows of a table that have changed between two store versions.
+    """Rows of a table that have changed between two versions.
+
+    The versions of the directory are those of the store, the versions of the
+    configuration those of the operator.
 
     Parameters
     ----------
     base : Version
-        Store version after which the changes begin.
+        Version after which the changes begin; 0 when all rows are included.
     version : Version
-        Store version up to which they are complete.
+        Version up to which they are complete.
     rows : tuple of StoredRow
         Changed rows, in order.
     available : bool, default=True
-        Whether the sender can read the store. When it can't, it has no changes
-        to send until further notice.
+        Whether the sender gets the changes of the table. When it doesn't, it
+        has none to send until further notice.
     """
 
     base: Version
@@ -36,19 +47,21 @@
 
     Parameters
     ----------
-    configuration : bytes
-        Configuration in force, as stored.
+    configuration : TableChange
+        All rows of the configuration in force.
     directory : TableChange
         All rows of the directory.
     """
 
-    configuration: bytes
+    configuration: TableChange
     directory: TableChange
 
 
 class ChangeSubscriber(Protocol):
     """Sends changes to a node that follows this one."""
 
-    async def send_change(self, change: TableChange) -> None:
-        """Send a change; it may be lost with its connection."""
+    async def send_change(
+        self, table: SharedTable, change: TableChange
+    ) -> None:
+        """Send a change of a table; it may be lost with its connection."""
         ...
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -31,7 +31,7 @@
 )
 from egretlever.placement import Failure as FailedAttempt
 from egretlever.platform import StoredRow
-from egretlever.relay._changes import Handover, TableChange
+from egretlever.relay._changes import Handover, SharedTable, TableChange
 from egretlever.schema import relay_pb2
 from egretlever.settings import parse_address
 
@@ -258,6 +258,17 @@
     return FailedAttempt(_decode_failure_reason(reply.reason), condition)
 
 
+# Table of each kind of frame that holds a change or a subscription.
+TABLES_BY_CHANGE = {
+    "directory_change": SharedTable.DIRECTORY,
+    "configuration_change": SharedTable.CONFIGURATION,
+}
+TABLES_BY_SUBSCRIPTION = {
+    "directory_subscription": SharedTable.DIRECTORY,
+    "configuration_subscription": SharedTable.CONFIGURATION,
+}
+
+
 def _encode_change(change: TableChange) -> relay_pb2.DirectoryChange:
     rows = [
         relay_pb2.DirectoryRow(
@@ -276,13 +287,27 @@
     )
 
 
-def encode_change(change: TableChange) -> relay_pb2.RelayFrame:
-    """Encode a change of the directory."""
-    return relay_pb2.RelayFrame(directory_change=_encode_change(change))
+def encode_change(
+    table: SharedTable, change: TableChange
+) -> relay_pb2.RelayFrame:
+    """Encode a change of a shared table."""
+    encoded = _encode_change(change)
+    if table is SharedTable.DIRECTORY:
+        return relay_pb2.RelayFrame(directory_change=encoded)
+    return relay_pb2.RelayFrame(configuration_change=encoded)
+
+
+def encode_subscription(
+    table: SharedTable, subscription: relay_pb2.DirectorySubscription
+) -> relay_pb2.RelayFrame:
+    """Encode a subscription to the changes of a shared table, or its end."""
+    if table is SharedTable.DIRECTORY:
+        return relay_pb2.RelayFrame(directory_subscription=subscription)
+    return relay_pb2.RelayFrame(configuration_subscription=subscription)
 
 
 def decode_change(change: relay_pb2.DirectoryChange) -> TableChange:
-    """Decode a change of the directory."""
+    """Decode a change of a shared table."""
     rows = tuple(
         StoredRow(row.key, row.value, Version(row.version), row.removed)
         for row in change.rows
@@ -299,7 +324,7 @@
     """Encode a handover."""
     return relay_pb2.RelayFrame(
         handover=relay_pb2.Handover(
-            configuration=handover.configuration,
+            configuration=_encode_change(handover.configuration),
             directory=_encode_change(handover.directory),
         )
     )
@@ -307,7 +332,10 @@
 
 def decode_handover(handover: relay_pb2.Handover) -> Handover:
     """Decode a handover."""
-    return Handover(handover.configuration, decode_change(handover.directory))
+    return Handover(
+        decode_change(handover.configuration),
+        decode_change(handover.directory),
+    )
 
 
 def encode_row(server: HomeServer) -> bytes:
--- /dev/null
+++ b/egretlever/relay/_configuration_follower.py
@@ -0,0 +1,200 @@
+"""Follower of the configuration, from other nodes or from the store."""
+
+import random
+
+import curio
+from returns.result import Failure
+
+from egretlever.core import Address, Seconds, Version
+from egretlever.placement import SourceSelector
+from egretlever.platform import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    RowStore,
+    StoredRow,
+    decode_configuration,
+)
+from egretlever.relay._changes import SharedTable, TableChange
+from egretlever.relay._configuration import ConfigurationHolder
+from egretlever.relay._links import LinkPool
+from egretlever.relay._sharing import SharingLimits, TableSharing
+from egretlever.relay._table_follower import TableFollower, log_state
+
+# Shares of the time in which a configuration has to be in force:
+# Configurations that are written within this time are read together.
+_BATCH_SHARE = 0.35
+# Long poll of a node that others follow, and its timeout. An answer that the
+# store loses goes unnoticed until then.
+_POLL_SHARE = 0.35
+_POLL_TIMEOUT_SHARE = 0.75
+# Silence after which the node that is followed is checked, and the time in
+# which it has to acknowledge that it is followed.
+_SILENCE_SHARE = 0.25
+_FIRST_CHANGE_SHARE = 0.25
+# Nodes that are tried before the store is read.
+_MAX_SOURCES_TRIED = 2
+# Time in which a starting node reads the directory, unless the store is
+# unavailable.
+_DIRECTORY_TIMEOUT = Seconds(0.5)
+_SOURCE_CHECK_INTERVAL = 1.0  # seconds
+
+
+class ConfigurationFollower:
+    """Keeps the newest configuration in force.
+
+    The changes come from the node that this one follows, or from the store when
+    there is none. They are passed on to the nodes that follow this one.
+
+    Parameters
+    ----------
+    store : RowStore
+        The store.
+    holder : ConfigurationHolder
+        Holds the configuration in force.
+    sharing : TableSharing
+        Changes of the configuration from and for other nodes.
+    rng : random.Random
+        Source of jitter.
+    in_force_within : Seconds
+        Time in which a new configuration has to be in force.
+
+    Attributes
+    ----------
+    sharing : TableSharing
+        The given sharing.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        holder: ConfigurationHolder,
+        sharing: TableSharing,
+        rng: random.Random,
+        in_force_within: Seconds,
+    ) -> None:
+        self._holder = holder
+        self.sharing = sharing
+        self._poll_time = Seconds(_POLL_SHARE * in_force_within)
+        self._poll_timeout = Seconds(_POLL_TIMEOUT_SHARE * in_force_within)
+        # Changes that were read from the store and not passed on yet.
+        self._changes: list[TableChange] = []
+        self._table = TableFollower(
+            store,
+            CONFIGURATION_TABLE,
+            self._apply_rows,
+            self._apply_rows,
+            Seconds(_BATCH_SHARE * in_force_within),
+            rng,
+            report_failure=sharing.publish_failure,
+        )
+
+    @property
+    def synced(self) -> bool:
+        """Whether the store, or a node that follows it, was read once."""
+        return self._table.synced or self.sharing.received
+
+    async def wait_while_failing(self) -> None:
+        """Wait until the latest calls of the store have succeeded."""
+        await self._table.wait_while_failing()
+
+    async def follow_forever(self, directory: TableFollower) -> None:
+        """Follow the configuration until cancelled.
+
+        Parameters
+        ----------
+        directory : TableFollower
+            Follower of the directory, which names the nodes to follow.
+        """
+        await curio.ignore_after(_DIRECTORY_TIMEOUT, directory.wait_synced())
+        while True:
+            change = await self.sharing.receive(self._holder.version)
+            applied = None if change is None else self._holder.apply(change)
+            if applied is None:
+                await self._read_store()
+                continue
+            await self._table.end_failure("changes come from another node")
+            await self.sharing.publish(applied)
+
+    async def _read_store(self) -> None:
+        if self.sharing.has_source():
+            await self._table.follow_once(self._poll_time, self._poll_timeout)
+        else:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._poll_without_source)
+                await group.spawn(self._await_source)
+            if group.exception is not None:
+                raise group.exception
+        for change in self._changes:
+            await self.sharing.publish(change)
+        self._changes.clear()
+
+    async def _poll_without_source(self) -> None:
+        if self.sharing.has_subscribers:
+            await self._table.follow_once(self._poll_time, self._poll_timeout)
+        else:
+            await self._table.follow_once()
+
+    async def _await_source(self) -> None:
+        while not self.sharing.has_source():
+            await curio.sleep(_SOURCE_CHECK_INTERVAL)
+
+    def _apply_rows(
+        self, rows: list[StoredRow] | tuple[StoredRow, ...], _: Version
+    ) -> None:
+        for row in rows:
+            if row.key != CONFIGURATION_KEY or row.removed:
+                continue
+            result = decode_configuration(row.value)
+            if isinstance(result, Failure):
+                # The previous version stays in effect.
+                for finding in result.failure():
+                    log_state(
+                        "configuration-refused", row.key, reason=str(finding)
+                    )
+                continue
+            change = self._holder.replace(result.unwrap())
+            if change is not None:
+                self._changes.append(change)
+
+
+def make_configuration_follower(
+    store: RowStore,
+    holder: ConfigurationHolder,
+    own_relay: Address,
+    sources: SourceSelector,
+    links: LinkPool,
+    rng: random.Random,
+    in_force_within: Seconds,
+) -> ConfigurationFollower:
+    """Make the follower of the configuration, and its sharing.
+
+    Parameters
+    ----------
+    store : RowStore
+        The store.
+    holder : ConfigurationHolder
+        Holds the configuration in force.
+    own_relay : Address
+        Relay address of this node.
+    sources : SourceSelector
+        Chooses the node to follow.
+    links : LinkPool
+        Connections to the other nodes.
+    rng : random.Random
+        Source of jitter.
+    in_force_within : Seconds
+        Time in which a new configuration has to be in force.
+    """
+    sharing = TableSharing(
+        SharedTable.CONFIGURATION,
+        own_relay,
+        sources,
+        links,
+        holder.describe,
+        SharingLimits(
+            _MAX_SOURCES_TRIED,
+            Seconds(_FIRST_CHANGE_SHARE * in_force_within),
+            Seconds(_SILENCE_SHARE * in_force_within),
+        ),
+    )
+    return ConfigurationFollower(store, holder, sharing, rng, in_force_within)
--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -1,118 +1,38 @@
-"""Followers of the configuration and of the directory."""
+"""Follower of the directory."""
 
 import random
 from collections.abc import Callable, Iterable
 
-from returns.result import Failure, Success
+from returns.result import Success
 
-from egretlever.core import Seconds, ServerId, Version, make_log
-from egretlever.placement import Configuration, Directory, HomeServer
-from egretlever.platform import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_TABLE,
-    RowStore,
-    StoredRow,
-    decode_configuration,
-)
+from egretlever.core import Seconds, ServerId, Version
+from egretlever.placement import Directory, HomeServer
+from egretlever.platform import RowStore, StoredRow
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._codec import decode_row
 from egretlever.relay._sharing import TableSharing
-from egretlever.relay._table_follower import TableFollower, log_state
-from egretlever.schema import logs_pb2
-from egretlever.transport import read_clock
+from egretlever.relay._table_follower import (
+    FailureObserver,
+    TableFollower,
+    log_state,
+)
 
-_LOG = make_log("store")
 SERVER_TABLE = "egretlever-servers"
 # Changes of servers within this time are read together. The delay is harmless:
 # home nodes refuse requests for servers that have left, and new servers become
 # known before their slow start is over.
 _SERVER_BATCH_TIME = Seconds(4.0)
-# Configurations are read together within this share of the time in which they
-# have to take effect.
-_CONFIGURATION_BATCH_SHARE = 0.35
-_DEFAULT_IN_FORCE_WITHIN = Seconds(2.0)
 # A batch of more changed servers has one log line. At the start of a fleet each
 # node learns of every server.
 _MAX_LOGGED_SERVERS = 8
 
 
-def make_configuration_follower(
-    store: RowStore,
-    configure: Callable[[Configuration], bool],
-    rng: random.Random,
-    in_force_within: Seconds = _DEFAULT_IN_FORCE_WITHIN,
-    record: Callable[[StoredRow], None] = lambda row: None,
-) -> TableFollower:
-    """Make the follower that applies configurations.
-
-    Parameters
-    ----------
-    store : RowStore
-        The store.
-    configure : callable
-        Applies a configuration; returns false when it is not newer.
-    rng : random.Random
-        Source of jitter.
-    in_force_within : Seconds, default=2
-        Time in which a new configuration has to take effect.
-    record : callable, optional
-        Called with the row of each configuration that takes effect.
-    """
-
-    def apply_rows(
-        rows: list[StoredRow] | tuple[StoredRow, ...], _: Version
-    ) -> None:
-        for row in rows:
-            if (
-                row.key == CONFIGURATION_KEY
-                and not row.removed
-                and apply_configuration(row, configure)
-            ):
-                record(row)
-
-    return TableFollower(
-        store,
-        CONFIGURATION_TABLE,
-        apply_rows,
-        apply_rows,
-        Seconds(_CONFIGURATION_BATCH_SHARE * in_force_within),
-        rng,
-    )
-
-
-def apply_configuration(
-    row: StoredRow, configure: Callable[[Configuration], bool]
-) -> bool:
-    """Apply a configuration; false when it is invalid or not newer."""
-    begun = read_clock()
-    result = decode_configuration(row.value)
-    if isinstance(result, Failure):
-        # The previous version stays in effect.
-        for finding in result.failure():
-            log_state("configuration-refused", row.key, reason=str(finding))
-        return False
-    configuration = result.unwrap()
-    if not configure(configuration):
-        return False
-    metrics.CONFIGURATION_VERSION.set(configuration.version)
-    _LOG.event(
-        logs_pb2.StateLine(
-            event="configuration-in-force",
-            subject=row.key,
-            version=f"{configuration.version:08x}",
-            count=len(configuration.routes),
-            took_s=round(read_clock() - begun, 4),
-        )
-    )
-    return True
-
-
 def make_directory_follower(
     store: RowStore,
     directory: Directory,
     forget: Callable[[ServerId], None],
     rng: random.Random,
-    leader: TableFollower | None = None,
+    leader: FailureObserver | None = None,
     sharing: TableSharing | None = None,
 ) -> TableFollower:
     """Make the follower that updates the directory of servers.
@@ -127,7 +47,7 @@
         Called with the id of each server that has left.
     rng : random.Random
         Source of jitter.
-    leader : TableFollower, optional
+    leader : FailureObserver, optional
         Follower that tries alone while the store fails.
     sharing : TableSharing, optional
         Shares changes with the other nodes of the failure domain.
--- a/egretlever/relay/_handover.py
+++ b/egretlever/relay/_handover.py
@@ -7,15 +7,12 @@
 import curio
 
 from egretlever.core import Seconds, Version
-from egretlever.placement import Configuration, Directory
-from egretlever.platform import CONFIGURATION_KEY, StoredRow
+from egretlever.placement import Directory
+from egretlever.platform import StoredRow
 from egretlever.relay._changes import Handover, TableChange
 from egretlever.relay._codec import encode_row
-from egretlever.relay._followers import (
-    SERVER_TABLE,
-    apply_configuration,
-    decode_servers,
-)
+from egretlever.relay._configuration import ConfigurationHolder
+from egretlever.relay._followers import SERVER_TABLE, decode_servers
 from egretlever.relay._table_follower import log_state
 
 # A node reads the store within some hundredths of a second after its start,
@@ -45,8 +42,8 @@
     ----------
     directory : Directory
         Directory of this node.
-    configure : callable
-        Applies a configuration; returns false when it is not newer.
+    configuration : ConfigurationHolder
+        Configuration of this node.
     is_synced : callable
         Tells whether this node has read the store.
     rng : random.Random
@@ -56,22 +53,17 @@
     def __init__(
         self,
         directory: Directory,
-        configure: Callable[[Configuration], bool],
+        configuration: ConfigurationHolder,
         is_synced: Callable[[], bool],
         rng: random.Random,
     ) -> None:
         self._directory = directory
-        self._configure = configure
+        self._configuration = configuration
         self._is_synced = is_synced
         self._rng = rng
         self._peers: list[HandoverPeer] = []
-        self._configuration: StoredRow | None = None
         self._taken = 0
 
-    def record_configuration(self, row: StoredRow) -> None:
-        """Record the configuration in force, as stored."""
-        self._configuration = row
-
     def add_peer(self, peer: HandoverPeer) -> None:
         """Record that a node has connected to this one."""
         self._peers.append(peer)
@@ -82,7 +74,8 @@
 
     def describe(self) -> Handover | None:
         """Return what this node holds, None when that is not complete."""
-        if self._configuration is None or not self._directory.complete:
+        configuration = self._configuration.describe(Version(0))
+        if not configuration.rows or not self._directory.complete:
             return None
         rows = tuple(
             StoredRow(
@@ -93,7 +86,7 @@
             for server in self._directory.list_all()
         )
         return Handover(
-            self._configuration.value,
+            configuration,
             TableChange(Version(0), self._directory.version, rows),
         )
 
@@ -104,9 +97,7 @@
         self._taken += 1
         version = handover.directory.version
         log_state("handover-taken", SERVER_TABLE, str(version))
-        row = StoredRow(CONFIGURATION_KEY, handover.configuration, Version(0))
-        if apply_configuration(row, self._configure):
-            self._configuration = row
+        self._configuration.apply(handover.configuration)
         if not self._directory.complete or version > self._directory.version:
             # Older rows would bring back servers that have left.
             rows = decode_servers(handover.directory.rows)
--- a/egretlever/relay/_metrics.py
+++ b/egretlever/relay/_metrics.py
@@ -30,7 +30,8 @@
 )
 SHARED_CHANGES = Counter(
     "egretlever_relay_shared_changes",
-    "Changes of the directory received from another node.",
+    "Changes of a table received from another node.",
+    ["table"],
 )
 HEARTBEATS = Counter(
     "egretlever_relay_heartbeats",
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -24,18 +24,21 @@
     HomeSelector,
     HomeServer,
     ReaderSelector,
+    TreeSelector,
 )
 from egretlever.platform import Bounds, make_row_store
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._acceptor import RelayAcceptor
 from egretlever.relay._announcements import AnnouncementPage
+from egretlever.relay._changes import SharedTable
 from egretlever.relay._clients import ClientConnection
-from egretlever.relay._entry import EntryNode
-from egretlever.relay._fleet import FleetView
-from egretlever.relay._followers import (
+from egretlever.relay._configuration import ConfigurationHolder
+from egretlever.relay._configuration_follower import (
     make_configuration_follower,
-    make_directory_follower,
 )
+from egretlever.relay._entry import EntryNode
+from egretlever.relay._fleet import FleetView
+from egretlever.relay._followers import make_directory_follower
 from egretlever.relay._handover import HandoverExchange
 from egretlever.relay._home import make_home_node
 from egretlever.relay._links import LinkPool
@@ -105,8 +108,9 @@
             bounds, self._fleet, settings.bounds.first_start
         )
         directory = self._fleet.directory
+        configuration = ConfigurationHolder(self._configure)
         self._handovers = HandoverExchange(
-            directory, self._configure, self._is_synced, rng
+            directory, configuration, self._is_synced, rng
         )
         self._links = LinkPool(self._fleet, self._handovers.describe)
         self._entry = EntryNode(
@@ -119,17 +123,25 @@
         store = make_row_store(
             parse_address(settings.store.address), _STORE_TIMEOUT
         )
+        directory_sharing = TableSharing(
+            SharedTable.DIRECTORY,
+            self._relay,
+            ReaderSelector(directory, failure_domain, self._relay),
+            self._links,
+        )
         self._configuration = make_configuration_follower(
             store,
-            self._configure,
-            rng,
-            bounds.configuration,
-            self._handovers.record_configuration,
-        )
-        sharing = TableSharing(
+            configuration,
             self._relay,
-            ReaderSelector(directory, failure_domain, self._relay),
+            TreeSelector(
+                directory,
+                failure_domain,
+                self._relay,
+                selector.is_in_own_region,
+            ),
             self._links,
+            rng,
+            bounds.configuration,
         )
         self._directory = make_directory_follower(
             store,
@@ -137,7 +149,7 @@
             self._fleet.forget,
             rng,
             leader=self._configuration,
-            sharing=sharing,
+            sharing=directory_sharing,
         )
         self._publisher = ServerPublisher(
             store,
@@ -148,12 +160,20 @@
             rng,
         )
         self._orphan_remover = OrphanRemover(
-            store, directory, failure_domain, self._relay, sharing, self._links
+            store,
+            directory,
+            failure_domain,
+            self._relay,
+            directory_sharing,
+            self._links,
         )
         self._acceptor = RelayAcceptor(
             self._home,
             Incarnation(time.time_ns() // 1000),
-            sharing,
+            {
+                SharedTable.DIRECTORY: directory_sharing,
+                SharedTable.CONFIGURATION: self._configuration.sharing,
+            },
             self._handovers,
         )
         self._stopping = False
@@ -219,7 +239,7 @@
             (serve_requests, (heartbeats, page.handle)),
             (serve_requests, (metrics_listener, self._answer_metrics)),
             (self._acceptor.serve_forever, (relay,)),
-            (self._configuration.follow_forever, ()),
+            (self._configuration.follow_forever, (self._directory,)),
             (self._directory.follow_forever, ()),
             (self._publisher.publish_forever, ()),
             (self._orphan_remover.remove_forever, ()),
--- a/egretlever/relay/_relay_link.py
+++ b/egretlever/relay/_relay_link.py
@@ -5,16 +5,25 @@
 
 import curio
 
-from egretlever.core import Address, Incarnation, Seconds, ServerId, make_log
+from egretlever.core import (
+    Address,
+    Incarnation,
+    Seconds,
+    ServerId,
+    Version,
+    make_log,
+)
 from egretlever.placement import Offer, Reply
-from egretlever.relay._changes import Handover, TableChange
+from egretlever.relay._changes import Handover, SharedTable, TableChange
 from egretlever.relay._codec import (
+    TABLES_BY_CHANGE,
     decode_change,
     decode_clock,
     decode_notice,
     decode_reply,
     encode_handover,
     encode_offer,
+    encode_subscription,
 )
 from egretlever.relay._fleet import NoticeObserver
 from egretlever.relay._frames import FrameError, FrameStream
@@ -79,8 +88,8 @@
         self._describe_handover = describe_handover
         self._subscribed_servers: set[ServerId] = set()
         self._subscribed = False
-        # Changes of the directory, while they are followed; None is the end.
-        self._changes: curio.Queue | None = None
+        # Changes of each table that is followed; None is the end.
+        self._changes: dict[SharedTable, curio.Queue] = {}
         self.incarnation = Incarnation(hello.incarnation)
         self._clock = RemoteClock()
         self._observe_clock(hello)
@@ -96,8 +105,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether offers wait for replies, or the directory is followed."""
-        return bool(self._exchanges) or self._changes is not None
+        """Whether offers wait for replies, or a table is followed."""
+        return bool(self._exchanges) or bool(self._changes)
 
     async def run(self) -> None:
         """Read replies until the connection ends."""
@@ -117,8 +126,8 @@
                 await exchange.done.set()
             for pong in list(self._pongs.values()):
                 await pong.set()
-            if self._changes is not None:
-                await self._changes.put(None)
+            for changes in self._changes.values():
+                await changes.put(None)
 
     async def _handle_frame(self, frame: relay_pb2.RelayFrame) -> None:
         kind = frame.WhichOneof("kind")
@@ -131,9 +140,10 @@
             notice = decode_notice(frame.notice)
             self._subscribed_servers.add(notice.server)
             self._notices.observe(notice)
-        elif kind == "directory_change":
-            if self._changes is not None:
-                await self._changes.put(decode_change(frame.directory_change))
+        elif kind in TABLES_BY_CHANGE:
+            changes = self._changes.get(TABLES_BY_CHANGE[kind])
+            if changes is not None:
+                await changes.put(decode_change(getattr(frame, kind)))
         elif kind == "handover_request":
             handover = self._describe_handover()
             if handover is not None:
@@ -162,39 +172,44 @@
             message = relay_pb2.Subscription()
             await self._stream.post(relay_pb2.RelayFrame(subscription=message))
 
-    async def follow_directory(self, own_relay: Address) -> None:
-        """Subscribe to the changes of the directory that the node reads.
+    async def follow_table(
+        self, table: SharedTable, own_relay: Address, known: Version
+    ) -> None:
+        """Subscribe to the changes of a table that the node passes on.
 
         Parameters
         ----------
+        table : SharedTable
+            Table to follow.
         own_relay : Address
             Relay address of this node.
+        known : Version
+            Version that this node holds.
         """
-        self._changes = curio.Queue()
-        message = relay_pb2.DirectorySubscription(relay_address=str(own_relay))
-        await self._stream.post(
-            relay_pb2.RelayFrame(directory_subscription=message)
+        self._changes[table] = curio.Queue()
+        message = relay_pb2.DirectorySubscription(
+            relay_address=str(own_relay), known_version=known
         )
+        await self._stream.post(encode_subscription(table, message))
 
-    async def leave_directory(self) -> None:
-        """End the subscription to the changes of the directory."""
-        self._changes = None
+    async def leave_table(self, table: SharedTable) -> None:
+        """End the subscription to the changes of a table."""
+        self._changes.pop(table, None)
         message = relay_pb2.DirectorySubscription(ended=True)
-        await self._stream.post(
-            relay_pb2.RelayFrame(directory_subscription=message)
-        )
+        await self._stream.post(encode_subscription(table, message))
 
-    async def read_change(self) -> TableChange | None:
-        """Return the next change of the directory.
+    async def read_change(self, table: SharedTable) -> TableChange | None:
+        """Return the next change of a table.
 
         Returns
         -------
         TableChange or None
             None when the connection has ended.
         """
-        if self._changes is None or (self.closed and self._changes.empty()):
+        changes = self._changes.get(table)
+        if changes is None or (self.closed and changes.empty()):
             return None
-        change: TableChange | None = await self._changes.get()
+        change: TableChange | None = await changes.get()
         return change
 
     def is_silent(self, duration: Seconds) -> bool:
--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -1,60 +1,104 @@
-"""Sharing of the directory's changes among the nodes of a failure domain."""
+"""Sharing of a table's changes among the nodes of a region."""
+
+import dataclasses
+from collections.abc import Callable
 
 import curio
 
 from egretlever.core import Address, Seconds, Version, make_log
-from egretlever.placement import ReaderSelector
+from egretlever.placement import SourceSelector
 from egretlever.relay import _metrics as metrics
-from egretlever.relay._changes import ChangeSubscriber, TableChange
+from egretlever.relay._changes import (
+    ChangeSubscriber,
+    SharedTable,
+    TableChange,
+)
 from egretlever.relay._links import LinkError, LinkPool
 from egretlever.relay._relay_link import RelayLink
 from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock
 
 _LOG = make_log("store")
-# Nodes that are tried in turn before the store is asked. Several hosts may have
-# been lost together.
-_MAX_READERS_TRIED = 8
 # Nodes without access to the store that are found before the store is asked.
 # Most likely it is unavailable for all.
 _MAX_READERS_CUT_OFF = 2
-# Time in which a reader has to acknowledge that it is followed. A node of an
-# earlier release does not know the subscription.
-_FIRST_CHANGE_TIMEOUT = Seconds(1.0)
-# A reader from which nothing was received for this time is checked by a ping.
-_SILENCE_BEFORE_PING = Seconds(5.0)
 
 
-def _log(event: str, relay: Address) -> None:
-    """Log which node provides the changes of the directory."""
-    _LOG.event(logs_pb2.StateLine(event=event, address=str(relay)))
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharingLimits:
+    """How long a node waits for others before it asks the store.
+
+    Parameters
+    ----------
+    max_tried : int
+        Nodes that are tried in turn before the store is asked. Several hosts
+        may have been lost together.
+    first_change_timeout : Seconds
+        Time in which a node has to acknowledge that it is followed. A node of
+        an earlier release does not know the subscription.
+    silence_before_ping : Seconds
+        A node from which nothing was received for this time is checked by a
+        ping.
+    """
+
+    max_tried: int = 8
+    first_change_timeout: Seconds = Seconds(1.0)
+    silence_before_ping: Seconds = Seconds(5.0)
+
+
+def _log(event: str, table: SharedTable, relay: Address) -> None:
+    """Log which node provides the changes of a table."""
+    _LOG.event(
+        logs_pb2.StateLine(event=event, subject=table.value, address=str(relay))
+    )
 
 
 class TableSharing:
     """Receives the changes of a table from another node, and passes them on.
 
+    The changes flow along the sources that the nodes choose. A node that has no
+    source reads the store by itself.
+
     Parameters
     ----------
+    table : SharedTable
+        The table.
     own_relay : Address
         Relay address of this node.
-    readers : ReaderSelector
+    readers : SourceSelector
         Chooses the node to follow.
     links : LinkPool
         Connections to the other nodes.
+    describe : callable, optional
+        Returns the change that a new subscriber needs, by the version that it
+        holds. By default it is told the version known here, without rows.
+    limits : SharingLimits, optional
+        How long this node waits for others before it asks the store.
     """
 
     def __init__(
-        self, own_relay: Address, readers: ReaderSelector, links: LinkPool
+        self,
+        table: SharedTable,
+        own_relay: Address,
+        readers: SourceSelector,
+        links: LinkPool,
+        describe: Callable[[Version], TableChange] | None = None,
+        limits: SharingLimits = SharingLimits(),
     ) -> None:
+        self._table = table
         self._own_relay = own_relay
         self._readers = readers
         self._links = links
+        self._describe_rows = describe or self._describe_version
+        self._limits = limits
         self._link: RelayLink | None = None
         # Relay address of each node that follows this one; empty when a node
         # of an earlier release has not named it.
         self._subscribers: dict[ChangeSubscriber, str] = {}
         self._version = Version(0)
-        self._available = False
+        # A node that has just started is expected to get the table soon.
+        self._available = True
+        self._received = False
 
     @property
     def has_subscribers(self) -> bool:
@@ -66,12 +110,23 @@
         """Whether this node reads the changes from the store by itself."""
         return self._link is None and self._available
 
+    @property
+    def received(self) -> bool:
+        """Whether another node has sent a version of the table."""
+        return self._received
+
+    def has_source(self) -> bool:
+        """Tell whether there is a node to follow."""
+        return self._readers.choose(read_clock()) is not None
+
     def list_subscribed_relays(self) -> set[str]:
         """Return the relay addresses of the nodes that follow this one."""
         return set(self._subscribers.values())
 
-    async def subscribe(self, subscriber: ChangeSubscriber, relay: str) -> None:
-        """Add a subscriber and send it the store version known here.
+    async def subscribe(
+        self, subscriber: ChangeSubscriber, relay: str, known: Version
+    ) -> None:
+        """Add a subscriber and send it what it needs from here.
 
         Parameters
         ----------
@@ -79,18 +134,25 @@
             Sends changes to the node.
         relay : str
             Relay address of the node.
+        known : Version
+            Version that the node holds.
         """
         self._subscribers[subscriber] = relay
-        await subscriber.send_change(self._describe())
+        change = self._describe_rows(known)
+        if not self._available:
+            change = self._describe_failure()
+        await subscriber.send_change(self._table, change)
 
     def unsubscribe(self, subscriber: ChangeSubscriber) -> None:
         """Remove a subscriber."""
         self._subscribers.pop(subscriber, None)
 
-    def _describe(self) -> TableChange:
-        return TableChange(
-            self._version, self._version, available=self._available
-        )
+    def _describe_version(self, known: Version) -> TableChange:
+        del known
+        return TableChange(self._version, self._version)
+
+    def _describe_failure(self) -> TableChange:
+        return TableChange(self._version, self._version, available=False)
 
     async def publish(self, change: TableChange) -> None:
         """Pass a change on to the nodes that follow this one."""
@@ -99,13 +161,13 @@
         await self._send(change)
 
     async def publish_failure(self) -> None:
-        """Tell the nodes that follow this one that it can't read the store."""
+        """Tell the nodes that follow this one that it gets no changes."""
         self._available = False
-        await self._send(self._describe())
+        await self._send(self._describe_failure())
 
     async def _send(self, change: TableChange) -> None:
         for subscriber in list(self._subscribers):
-            await subscriber.send_change(change)
+            await subscriber.send_change(self._table, change)
 
     async def receive(self, version: Version) -> TableChange | None:
         """Wait for the next change from the node that is followed.
@@ -113,7 +175,7 @@
         Parameters
         ----------
         version : Version
-            Store version that this node has.
+            Version that this node has.
 
         Returns
         -------
@@ -123,23 +185,26 @@
             missing.
         """
         cut_off = 0
-        for _ in range(_MAX_READERS_TRIED):
+        for _ in range(self._limits.max_tried):
             relay = self._readers.choose(read_clock())
             if relay is None or cut_off == _MAX_READERS_CUT_OFF:
                 break
-            change = await self._receive_from(relay)
+            change = await self._receive_from(relay, version)
             if change is not None and change.available:
                 self._readers.observe_change(relay)
-                metrics.SHARED_CHANGES.inc()
+                self._received = self._received or change.version > 0
+                metrics.SHARED_CHANGES.labels(self._table.value).inc()
                 return change if change.base <= version else None
             cut_off += change is not None
             await self._leave()
-            _log("reader-excluded", relay)
+            _log("reader-excluded", self._table, relay)
             self._readers.exclude(relay, read_clock())
         await self._leave()
         return None
 
-    async def _receive_from(self, relay: Address) -> TableChange | None:
+    async def _receive_from(
+        self, relay: Address, version: Version
+    ) -> TableChange | None:
         """Return the next change of a node; None when it sends none."""
         try:
             link = await self._links.acquire(relay)
@@ -149,19 +214,20 @@
         if link is not self._link:
             await self._leave()
             self._link = link
-            _log("reader-followed", relay)
-            await link.follow_directory(self._own_relay)
-            async with curio.ignore_after(_FIRST_CHANGE_TIMEOUT):
-                return await link.read_change()
+            _log("reader-followed", self._table, relay)
+            await link.follow_table(self._table, self._own_relay, version)
+            async with curio.ignore_after(self._limits.first_change_timeout):
+                return await link.read_change(self._table)
             return None
+        silence = self._limits.silence_before_ping
         while True:
-            async with curio.ignore_after(_SILENCE_BEFORE_PING):
-                return await link.read_change()
-            if link.is_silent(_SILENCE_BEFORE_PING) and not await link.ping():
+            async with curio.ignore_after(silence):
+                return await link.read_change(self._table)
+            if link.is_silent(silence) and not await link.ping():
                 return None
 
     async def _leave(self) -> None:
         """End the subscription to the node that was followed."""
         link, self._link = self._link, None
         if link is not None:
-            await link.leave_directory()
+            await link.leave_table(self._table)
--- a/egretlever/relay/_table_follower.py
+++ b/egretlever/relay/_table_follower.py
@@ -1,7 +1,8 @@
 """Follower of a table in the platform's store."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import curio
 from returns.result import Failure
@@ -72,6 +73,14 @@
         self._bound = _MIN_BACKOFF
 
 
+class FailureObserver(Protocol):
+    """Knows whether the store can be read."""
+
+    async def wait_while_failing(self) -> None:
+        """Wait until the latest calls of the store have succeeded."""
+        ...
+
+
 class TableFollower:
     """Follows the changes of one table in the store.
 
@@ -89,16 +98,13 @@
         Delay after a call that returned rows.
     rng : random.Random
         Source of jitter.
-    leader : TableFollower, optional
+    leader : FailureObserver, optional
         Follower of another table in the same store. While both fail, only the
         leader tries again, since refused calls are paid too.
     sharing : TableSharing, optional
         Provides changes that another node has read, and passes changes on.
-
-    Attributes
-    ----------
-    synced : bool
-        Whether the whole table was read at least once.
+    report_failure : callable, optional
+        Called when the store can't be read any more.
     """
 
     def __init__(
@@ -109,8 +115,9 @@
         update: Callable[[tuple[StoredRow, ...], Version], None],
         batch_time: Seconds,
         rng: random.Random,
-        leader: "TableFollower | None" = None,
+        leader: FailureObserver | None = None,
         sharing: TableSharing | None = None,
+        report_failure: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self._store = store
         self._table = table
@@ -120,12 +127,24 @@
         self._backoff = Backoff(rng)
         self._leader = leader
         self._sharing = sharing
+        self._report_failure = report_failure
+        if report_failure is None and sharing is not None:
+            self._report_failure = sharing.publish_failure
         # Delay before the next poll.
         self._poll_delay = Seconds(0.0)
         self._version: Version | None = None
         self._failing = False
         self._regained = curio.Event()
-        self.synced = False
+        self._synced = curio.Event()
+
+    @property
+    def synced(self) -> bool:
+        """Whether the whole table was read at least once."""
+        return bool(self._synced.is_set())
+
+    async def wait_synced(self) -> None:
+        """Wait until the whole table was read."""
+        await self._synced.wait()
 
     async def follow_forever(self) -> None:
         """Read the table, then follow its changes until cancelled."""
@@ -135,6 +154,23 @@
             else:
                 await self._read_changes(self._version)
 
+    async def follow_once(
+        self, poll_time: Seconds | None = None, timeout: Seconds | None = None
+    ) -> None:
+        """Read the table, or its next changes, from the store.
+
+        Parameters
+        ----------
+        poll_time, timeout : Seconds, optional
+            Duration and timeout of a long poll.
+        """
+        if self._version is None:
+            await self._read_all()
+            return
+        change = await self._poll(self._version, poll_time, timeout)
+        if change is not None:
+            await self._apply(change)
+
     async def _read_all(self) -> None:
         rows: list[StoredRow] = []
         first = ""
@@ -158,7 +194,7 @@
             first = page.rows[-1].key + "\0"
         await self._succeed("read")
         self._replace(rows, version)
-        self.synced = True
+        await self._synced.set()
         # When many nodes start together, each one's row would end the poll.
         self._poll_delay = self._batch_time
         await self._advance(TableChange(version, version))
@@ -169,18 +205,27 @@
             change = await self._sharing.receive(version)
         if change is None:
             change = await self._poll(version)
-        elif self._failing:
-            await self._end_failure("changes come from another node")
+        else:
+            await self.end_failure("changes come from another node")
         if change is not None:
-            if change.rows:
-                self._update(change.rows, change.version)
-            await self._advance(change)
+            await self._apply(change)
 
-    async def _poll(self, version: Version) -> TableChange | None:
+    async def _apply(self, change: TableChange) -> None:
+        if change.rows:
+            self._update(change.rows, change.version)
+        await self._advance(change)
+
+    async def _poll(
+        self,
+        version: Version,
+        poll_time: Seconds | None = None,
+        timeout: Seconds | None = None,
+    ) -> TableChange | None:
         await curio.sleep(self._poll_delay)
-        wait = self._find_poll_time()
+        if poll_time is None or self._failing:
+            poll_time, timeout = self._find_poll_time(), self._find_timeout()
         result = await self._store.watch(
-            self._table, version, wait, timeout=self._find_timeout()
+            self._table, version, poll_time, timeout=timeout
         )
         if isinstance(result, Failure):
             self._poll_delay = Seconds(0.0)
@@ -239,10 +284,12 @@
     async def _succeed(self, call: str) -> None:
         metrics.STORE_CALLS.labels(call, "done").inc()
         self._backoff.reset()
-        if self._failing:
-            await self._end_failure()
+        await self.end_failure()
 
-    async def _end_failure(self, reason: str = "") -> None:
+    async def end_failure(self, reason: str = "") -> None:
+        """Record that the changes of the table arrive, if they did not."""
+        if not self._failing:
+            return
         self._failing = False
         await self._regained.set()
         log_state("store-regained", self._table, reason=reason)
@@ -256,8 +303,8 @@
             self._failing = True
             self._regained.clear()
             log_state("store-lost", self._table, reason=error.message)
-            if self._sharing is not None:
-                await self._sharing.publish_failure()
+            if self._report_failure is not None:
+                await self._report_failure()
         await self._backoff.wait()
         if self._leader is not None:
             await self._leader.wait_while_failing()
--- a/egretlever/relay/tests/test_configuration_sharing.py
+++ b/egretlever/relay/tests/test_configuration_sharing.py
@@ -1,11 +1,13 @@
 """Tests that a configuration reaches all nodes of a region in time."""
 
 import curio
+import pytest
 
 from egretlever.platform.tests.wire_builders import (
     build_configuration_body,
     build_large_configuration,
 )
+from egretlever.standins import RowsFault, RowsStandIn
 from egretlever.testing import run_virtual
 from egretlever.testing._relay_region import CLIENT_HOST, RegionFixture
 
@@ -35,3 +37,74 @@
         assert await fixture.count_without(LAST_ROUTE) == 0
 
     run_script(script)
+
+
+def test_region_reads_a_configuration_from_the_store_once():
+    async def script(fixture):
+        fixture.link.carried_bytes = 0
+        await fixture.configure(LARGE)
+        await curio.sleep(IN_FORCE_WITHIN)
+        assert await fixture.count_without(LAST_ROUTE) == 0
+        assert fixture.link.carried_bytes < 2 * len(LARGE)
+
+    run_script(script)
+
+
+def test_nodes_that_start_together_have_a_large_configuration_in_time():
+    # All of them read it from the store, and each read began anew after 2 s.
+    async def script(fixture):
+        await fixture.configure(LARGE)
+        await curio.sleep(10.0)
+        for node in fixture.nodes:
+            await node.kill()
+        for node in fixture.nodes:
+            await node.start()
+        await curio.sleep(IN_FORCE_WITHIN)
+        assert await fixture.count_without(LAST_ROUTE) == 0
+
+    run_script(script)
+
+
+@pytest.mark.parametrize("killed", [(0,), (0, 1), (0, 10), (1, 2, 3, 4)])
+def test_configuration_is_in_force_in_time_when_sources_were_killed(killed):
+    async def script(fixture):
+        await fixture.configure(LARGE)
+        for number in killed:
+            await fixture.nodes[number].kill()
+        await curio.sleep(IN_FORCE_WITHIN)
+        assert await fixture.count_without(LAST_ROUTE) == 0
+
+    run_script(script, count=20)
+
+
+def test_nodes_whose_source_cannot_read_the_store_go_on_without_it():
+    # Each node depends on others for the configuration, and on none for long.
+    async def script(fixture):
+        silent = RowsStandIn()
+        silent.fault = RowsFault.SILENT
+        await curio.spawn(silent.run, daemon=True)
+        first, *others = fixture.nodes
+        for node in fixture.nodes:
+            await node.kill()
+        first.read_store_at(silent.address)
+        for node in fixture.nodes:
+            await node.start()
+        await curio.sleep(5.0)
+        await fixture.configure(LARGE)
+        await curio.sleep(IN_FORCE_WITHIN)
+        assert all([await node.knows_route(LAST_ROUTE) for node in others])
+
+    run_script(script, count=20)
+
+
+def test_later_configuration_replaces_a_large_one():
+    async def script(fixture):
+        await fixture.configure(LARGE)
+        await curio.sleep(IN_FORCE_WITHIN)
+        await fixture.configure(
+            build_configuration_body("00000009", host=CLIENT_HOST)
+        )
+        await curio.sleep(IN_FORCE_WITHIN)
+        assert await fixture.count_without(LAST_ROUTE) == len(fixture.nodes)
+
+    run_script(script, count=20)
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -14,14 +14,16 @@
     build_configuration_body,
 )
 from egretlever.relay._codec import decode_row, encode_row
-from egretlever.relay._followers import (
-    SERVER_TABLE,
+from egretlever.relay._configuration import ConfigurationHolder
+from egretlever.relay._configuration_follower import (
     make_configuration_follower,
-    make_directory_follower,
 )
+from egretlever.relay._followers import SERVER_TABLE, make_directory_follower
+from egretlever.relay._links import LinkPool
 from egretlever.relay._publishing import ServerPublisher
 from egretlever.standins import RowsFault, RowsStandIn, SharedLink
 from egretlever.testing import run_virtual
+from egretlever.testing._relay_doubles import NoSource, NoticeRecorder
 from egretlever.testing.relay_builders import build_home_server
 from egretlever.transport import read_clock
 
@@ -29,6 +31,18 @@
 LEAVING = dataclasses.replace(ONE, draining=True)
 
 
+def make_lone_configuration_follower(client, configure, rng):
+    return make_configuration_follower(
+        client,
+        ConfigurationHolder(configure),
+        Address("127.0.0.1", 1),
+        NoSource(),
+        LinkPool(NoticeRecorder()),
+        rng,
+        Seconds(2.0),
+    )
+
+
 class StoreFixture:
     """A node's followers and its publisher, connected to a stand-in store."""
 
@@ -40,7 +54,7 @@
         self.forgotten = []
         self.local = None
         self.directory = Directory()
-        self.configuration = make_configuration_follower(
+        self.configuration = make_lone_configuration_follower(
             client, self.configure, rng
         )
         self.servers = make_directory_follower(
@@ -80,7 +94,7 @@
             await curio.spawn(part, daemon=True)
             for part in (
                 self.store.run,
-                self.configuration.follow_forever,
+                lambda: self.configuration.follow_forever(self.servers),
                 self.servers.follow_forever,
                 self.publisher.publish_forever,
             )
@@ -516,12 +530,12 @@
 def test_follower_keeps_running_when_the_store_is_unreachable():
     client = make_row_store(Address("127.0.0.1", 1), Seconds(0.5))
     taken = []
-    follower = make_configuration_follower(
-        client, taken.append, random.Random(1)
-    )
+    rng = random.Random(1)
+    follower = make_lone_configuration_follower(client, taken.append, rng)
+    servers = make_directory_follower(client, Directory(), taken.append, rng)
 
     async def main():
-        task = await curio.spawn(follower.follow_forever, daemon=True)
+        task = await curio.spawn(follower.follow_forever, servers, daemon=True)
         await curio.sleep(10.0)
         alive = not task.terminated
         await task.cancel()
--- a/egretlever/relay/tests/test_handover.py
+++ b/egretlever/relay/tests/test_handover.py
@@ -1,5 +1,6 @@
 """Tests handovers to a node that starts while the store is unavailable."""
 
+import dataclasses
 import random
 
 import curio
@@ -7,11 +8,15 @@
 
 from egretlever.core import Version
 from egretlever.placement import Directory
-from egretlever.platform import CONFIGURATION_KEY, StoredRow
-from egretlever.platform.tests.wire_builders import build_configuration_body
+from egretlever.platform import StoredRow
+from egretlever.relay._changes import TableChange
+from egretlever.relay._configuration import ConfigurationHolder
 from egretlever.relay._handover import HandoverExchange
 from egretlever.testing import run_virtual
-from egretlever.testing.relay_builders import build_home_server
+from egretlever.testing.relay_builders import (
+    build_configuration,
+    build_home_server,
+)
 
 ONE, TWO = build_home_server(1), build_home_server(2)
 
@@ -23,18 +28,18 @@
         self.directory = Directory()
         self.versions = []
         self.synced = False
+        self.configuration = ConfigurationHolder(self.configure)
         self.exchange = HandoverExchange(
             self.directory,
-            self.configure,
+            self.configuration,
             lambda: self.synced,
             random.Random(2),
         )
         if version is not None:
             rows = [(server, Version(version)) for server in servers]
             self.directory.replace(rows, Version(version))
-            body = build_configuration_body(f"{version:08x}")
-            self.exchange.record_configuration(
-                StoredRow(CONFIGURATION_KEY, body, Version(version))
+            self.configuration.replace(
+                build_configuration(version=Version(version))
             )
 
     def configure(self, configuration):
@@ -90,10 +95,11 @@
 
 def test_invalid_configuration_is_not_taken():
     holding, starting = ExchangeFixture(7, ONE), ExchangeFixture()
-    holding.exchange.record_configuration(
-        StoredRow(CONFIGURATION_KEY, b"{", Version(8))
+    handover = holding.exchange.describe()
+    invalid = TableChange(
+        Version(0), Version(8), (StoredRow("orders", b"{", Version(8)),)
     )
-    starting.exchange.take(holding.exchange.describe())
+    starting.exchange.take(dataclasses.replace(handover, configuration=invalid))
     assert not starting.versions
     assert starting.exchange.describe() is None
 
--- a/egretlever/testing/_failure_domain.py
+++ b/egretlever/testing/_failure_domain.py
@@ -25,6 +25,7 @@
     make_row_store,
 )
 from egretlever.relay._acceptor import RelayAcceptor
+from egretlever.relay._changes import SharedTable
 from egretlever.relay._codec import encode_row
 from egretlever.relay._followers import SERVER_TABLE, make_directory_follower
 from egretlever.relay._frames import FrameStream
@@ -117,6 +118,7 @@
     async def start(self) -> None:
         """Follow the directory, and accept connections of other nodes."""
         sharing = TableSharing(
+            SharedTable.DIRECTORY,
             self.relay,
             ReaderSelector(self.directory, DOMAIN, self.relay),
             self._links,
@@ -129,7 +131,9 @@
             sharing=sharing,
         )
         acceptor = RelayAcceptor(
-            make_home_node(Bounds(), SingleHome()), Incarnation(1), sharing
+            make_home_node(Bounds(), SingleHome()),
+            Incarnation(1),
+            {SharedTable.DIRECTORY: sharing},
         )
         await self._spawn(lambda: acceptor.serve_forever(self._listener))
         await self._spawn(follower.follow_forever)
--- a/egretlever/testing/_relay_doubles.py
+++ b/egretlever/testing/_relay_doubles.py
@@ -1,6 +1,6 @@
 """Doubles of what a home node and an entry node know of the fleet."""
 
-from egretlever.core import ServerId, ServiceName
+from egretlever.core import Address, Seconds, ServerId, ServiceName
 from egretlever.placement import HomeNotice
 
 
@@ -39,3 +39,18 @@
     def end_notices(self, server_id: ServerId) -> None:
         """Record that a home node sends no further notices."""
         self.lost.append(server_id)
+
+
+class NoSource:
+    """Chooses no node to follow, as on the only node of a region."""
+
+    def choose(self, now: Seconds) -> Address | None:
+        """Return None: this node reads the store itself."""
+        del now
+        return None
+
+    def exclude(self, relay: Address, now: Seconds) -> None:
+        """Ignore a node that failed."""
+
+    def observe_change(self, relay: Address) -> None:
+        """Ignore a change of a node."""
--- a/egretlever/testing/_relay_region.py
+++ b/egretlever/testing/_relay_region.py
@@ -83,6 +83,11 @@
         )
         self._task: Any = None
 
+    @property
+    def running(self) -> bool:
+        """Whether the node was started and not killed."""
+        return self._task is not None
+
     async def start(self) -> None:
         """Start the node."""
         node: RelayNode = make_relay_node(self._settings, self._bounds)
@@ -94,6 +99,10 @@
         if task is not None:
             await task.cancel()
 
+    def read_store_at(self, address: Address) -> None:
+        """Use another store from the next start on."""
+        self._settings.store.address = str(address)
+
     async def knows_route(self, path: str) -> bool:
         """Tell whether a request to a path is not answered with 404.
 
@@ -130,6 +139,8 @@
     ----------
     store : RowsStandIn
         The store.
+    link : SharedLink
+        Link of the nodes to the store.
     nodes : list of RegionNode
         All nodes, by failure domain and relay address.
     """
@@ -137,7 +148,8 @@
     def __init__(
         self, count: int, bytes_per_second: float, bounds: Bounds | None = None
     ) -> None:
-        self.store = RowsStandIn(SharedLink(bytes_per_second))
+        self.link = SharedLink(bytes_per_second)
+        self.store = RowsStandIn(self.link)
         domains = (FailureDomain("south-a"), FailureDomain("south-b"))
         self.nodes = sorted(
             (
@@ -155,7 +167,9 @@
 
     async def count_without(self, path: str) -> int:
         """Count the nodes that do not know a route."""
-        known = [await node.knows_route(path) for node in self.nodes]
+        known = [
+            await node.knows_route(path) for node in self.nodes if node.running
+        ]
         return known.count(False)
 
     async def configure(self, body: bytes) -> None:
