Bound the silence of a transfer from the store, not its length

A call of the store had 2 s for its whole response, 1.2 s after a failure. Behind a full link a large table or configuration took longer, was given up and begun anew, without end: with 51 hosts that start together 0.4 MB each take 6 s at 30 Mbit/s.

The timeout of a call now bounds the time until its response begins and each pause within it; a transfer whose bytes keep coming has 30 s. In the same way a subscription to another node's changes is acknowledged before all rows are sent.

test_slow_transfer_of_the_store_is_not_started_again failed before.

--- a/egretlever/platform/_http.py
+++ b/egretlever/platform/_http.py
@@ -20,6 +20,8 @@
 
 # Shorter than the time after which common middleboxes drop idle connections.
 _IDLE_TIMEOUT = Seconds(20.0)
+# Longest time of the body of a response whose bytes keep coming.
+_MAX_TRANSFER_TIME = Seconds(30.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,7 +110,8 @@
         body : bytes, optional
             Request body.
         timeout : Seconds, optional
-            Timeout of this request; by default the timeout of the client.
+            Time until the response begins, and without further bytes of it;
+            by default the timeout of the client, which also bounds the latter.
 
         Returns
         -------
@@ -125,10 +128,14 @@
         in_use: list[BackendConnection] = []
         limit = self._timeout if timeout is None else timeout
         try:
-            async with curio.timeout_after(limit), self._connection_slots:
+            async with curio.timeout_after(limit):
+                await self._connection_slots.acquire()
+            try:
                 return Success(
-                    await self._exchange(in_use, method, target, body)
+                    await self._exchange(in_use, method, target, body, limit)
                 )
+            finally:
+                await self._connection_slots.release()
         except curio.TaskTimeout:
             message = f"no complete response within {limit:g} s"
         except (
@@ -150,17 +157,27 @@
         method: str,
         target: str,
         body: bytes,
+        limit: Seconds,
     ) -> HttpReply:
-        connection = await self._pool.acquire(self._address)
-        in_use.append(connection)
         fields = [
             (b"host", str(self._address).encode()),
             (b"content-length", b"%d" % len(body)),
         ]
-        await connection.send_request(RequestHead(method, target, fields), body)
-        response = await connection.read_response()
+        head = RequestHead(method, target, fields)
+        async with curio.timeout_after(limit):
+            connection = await self._pool.acquire(self._address)
+            in_use.append(connection)
+            await connection.send_request(head, body)
+            response = await connection.read_response()
         begun = read_clock()
-        content = await read_body(connection, self._max_body)
+        # A large response may take long on a full link. If it were given up, it
+        # would begin anew and take as long again.
+        async with curio.timeout_after(_MAX_TRANSFER_TIME):
+            content = await read_body(
+                connection,
+                self._max_body,
+                part_timeout=Seconds(min(limit, self._timeout)),
+            )
         transfer_time = Seconds(read_clock() - begun)
         in_use.remove(connection)
         await self._pool.release(self._address, connection)
--- a/egretlever/platform/tests/test_clients.py
+++ b/egretlever/platform/tests/test_clients.py
@@ -11,6 +11,7 @@
 from egretlever.platform import (
     StoreErrorKind,
     make_object_store,
+    make_row_store,
     make_table_store,
 )
 from egretlever.platform import _table as table_module
@@ -20,6 +21,8 @@
     make_platform_stand_in,
     serve_platform,
 )
+from egretlever.testing import run_virtual
+from egretlever.testing._scripted_server import ScriptedServer
 
 # Timeout where a response is expected; sufficient on a loaded host.
 LONG_TIMEOUT = Seconds(20.0)
@@ -283,3 +286,49 @@
 def test_non_positive_timeout_is_rejected():
     with pytest.raises(FindingsError):
         make_table_store(Address("127.0.0.1", 1), Seconds(0))
+
+
+class SlowStore:
+    """A store whose response arrives in parts, with pauses between them."""
+
+    def __init__(self, pauses):
+        self.pauses = pauses
+        self.calls = 0
+
+    async def answer(self, exchange):
+        self.calls += 1
+        body = b'{"rows": [], "ver": 7}'
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+        await exchange.send(head)
+        for place, pause in enumerate(self.pauses):
+            await curio.sleep(pause)
+            await exchange.send(body[place : place + 1])
+        await exchange.send(body[len(self.pauses) :])
+        return True
+
+
+def read_slowly(pauses):
+    store = SlowStore(pauses)
+
+    async def main():
+        server = ScriptedServer(store.answer)
+        task = await curio.spawn(server.run, daemon=True)
+        client = make_row_store(server.address, Seconds(2.0))
+        result = await client.read("op")
+        await task.cancel()
+        return result
+
+    return run_virtual(main()), store
+
+
+def test_slow_transfer_of_the_store_is_not_started_again():
+    # Behind a full link a table took longer than the timeout of a call, and was
+    # read from its beginning again and again.
+    result, store = read_slowly([1.5] * 8)
+    assert result.unwrap().version == 7
+    assert store.calls == 1
+
+
+def test_transfer_of_the_store_that_stops_is_given_up():
+    result, _ = read_slowly([1.5, 10.0])
+    assert get_error_kind(result) is StoreErrorKind.UNAVAILABLE
--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -141,6 +141,9 @@
         change = self._describe_rows(known)
         if not self._available:
             change = self._describe_failure()
+        elif change.rows:
+            # Acknowledges the subscription, since all rows may take long.
+            await subscriber.send_change(self._table, TableChange(known, known))
         await subscriber.send_change(self._table, change)
 
     def unsubscribe(self, subscriber: ChangeSubscriber) -> None:
--- a/egretlever/relay/tests/test_sharing.py
+++ b/egretlever/relay/tests/test_sharing.py
@@ -5,9 +5,14 @@
 import curio
 
 from egretlever.core import FailureDomain, ServerId, Version
+from egretlever.platform import StoredRow
+from egretlever.relay._changes import SharedTable, TableChange
+from egretlever.relay._links import LinkPool
+from egretlever.relay._sharing import TableSharing
 from egretlever.standins import RowsFault
 from egretlever.testing import run_virtual
 from egretlever.testing._failure_domain import DomainFixture
+from egretlever.testing._relay_doubles import NoSource, NoticeRecorder
 from egretlever.testing.relay_builders import build_home_server
 
 NODES = 30
@@ -178,3 +183,30 @@
         assert fixture.list_rows() == fixture.nodes
 
     run_script(script, count=8)
+
+
+class ChangeRecorder:
+    """Records the changes that a subscriber is sent."""
+
+    def __init__(self):
+        self.changes = []
+
+    async def send_change(self, table, change):
+        self.changes.append(change)
+
+
+def test_subscription_is_acknowledged_before_all_rows_are_sent():
+    # On a narrow link the rows came after the time for the acknowledgement, and
+    # the source was taken for one that had failed.
+    row = StoredRow("orders", b"route", Version(7))
+    whole = TableChange(Version(0), Version(7), (row,))
+    sharing = TableSharing(
+        SharedTable.CONFIGURATION,
+        NEWCOMER.relay,
+        NoSource(),
+        LinkPool(NoticeRecorder()),
+        lambda known: whole,
+    )
+    recorder = ChangeRecorder()
+    run_virtual(sharing.subscribe(recorder, "127.0.0.1:1", Version(3)))
+    assert recorder.changes == [TableChange(Version(3), Version(3)), whole]
--- a/egretlever/transport/_exchanges.py
+++ b/egretlever/transport/_exchanges.py
@@ -153,10 +153,25 @@
         self.used -= size
 
 
+async def _read_part(
+    connection: BackendConnection, timeout: Seconds | None
+) -> tuple[bytes, bool]:
+    if timeout is None:
+        return await connection.read_data()
+    try:
+        async with curio.timeout_after(timeout):
+            return await connection.read_data()
+    except curio.TaskTimeout:
+        raise BackendClosedError(
+            f"no more of the response body within {timeout:g} s"
+        ) from None
+
+
 async def read_body(
     connection: BackendConnection,
     max_body: int = _MAX_BODY_BYTES,
     buffered: BufferLimit | None = None,
+    part_timeout: Seconds | None = None,
 ) -> bytes:
     """Read the complete body of a response.
 
@@ -168,11 +183,14 @@
         Largest accepted body, in bytes.
     buffered : BufferLimit, optional
         Bound that this body shares with others while it is received.
+    part_timeout : Seconds, optional
+        Time in which further bytes of the body have to be received.
 
     Raises
     ------
     BackendClosedError
-        When the connection ends within the body.
+        When the connection ends within the body, or no bytes of it are received
+        for `part_timeout`.
     BackendProtocolError
         When the framing of the body is invalid or the body is too large.
     """
@@ -185,7 +203,7 @@
         )
     try:
         while not ended:
-            data, ended = await connection.read_data()
+            data, ended = await _read_part(connection, part_timeout)
             body += data
             if len(body) > max_body:
                 raise BackendProtocolError(
