End what a relay node runs when its task is cancelled

Cancelling RelayNode.run left its listeners and components running, so that nodes which the tests of the configuration had killed served on, and those that were started in their place could not bind their ports: three tests passed for the wrong reason.

--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -257,9 +257,20 @@
         tasks.append(
             await curio.spawn(self._handovers.request_until_synced, daemon=True)
         )
-        await self._ended.wait()
-        for task in tasks:
-            await task.cancel()
+        try:
+            await self._ended.wait()
+        finally:
+            for task in tasks:
+                await task.cancel()
+            for listener in (
+                clients,
+                health,
+                heartbeats,
+                relay,
+                metrics_listener,
+            ):
+                await listener.close()
+            await self._links.close()
         self._log("stopped")
 
     def _log(self, event: str, reason: str = "", address: str = "") -> None:
--- a/egretlever/relay/tests/test_configuration_sharing.py
+++ b/egretlever/relay/tests/test_configuration_sharing.py
@@ -97,6 +97,21 @@
     run_script(script, count=20)
 
 
+@pytest.mark.parametrize("wait", [6.0, 7.0, 8.0, 9.0])
+def test_silent_source_holds_up_a_configuration_only_briefly(wait):
+    # A source that is frozen or cut off acknowledged the subscription before.
+    async def script(fixture):
+        first, *others = fixture.nodes
+        await first.kill()
+        await first.start_silent()
+        await curio.sleep(wait)
+        await fixture.configure(LARGE)
+        await curio.sleep(IN_FORCE_WITHIN)
+        assert all([await node.knows_route(LAST_ROUTE) for node in others])
+
+    run_script(script, count=20)
+
+
 def test_later_configuration_replaces_a_large_one():
     async def script(fixture):
         await fixture.configure(LARGE)
--- a/egretlever/testing/_failure_domain.py
+++ b/egretlever/testing/_failure_domain.py
@@ -28,16 +28,18 @@
 from egretlever.relay._changes import SharedTable
 from egretlever.relay._codec import encode_row
 from egretlever.relay._followers import SERVER_TABLE, make_directory_follower
-from egretlever.relay._frames import FrameStream
 from egretlever.relay._home import make_home_node
 from egretlever.relay._links import LinkPool
 from egretlever.relay._orphans import OrphanRemover
 from egretlever.relay._sharing import TableSharing
-from egretlever.schema import relay_pb2
 from egretlever.standins import RowsStandIn
-from egretlever.testing._relay_doubles import NoticeRecorder, SingleHome
+from egretlever.testing._relay_doubles import (
+    NoticeRecorder,
+    SingleHome,
+    serve_silently,
+)
 from egretlever.testing.relay_builders import build_home_server
-from egretlever.transport import accept_connections, open_listener
+from egretlever.transport import open_listener
 
 _Value = TypeVar("_Value")
 
@@ -150,24 +152,9 @@
 
     async def start_silent(self, version: Version) -> None:
         """Accept subscriptions and send nothing but one store version."""
-
-        async def serve(sock: Any) -> None:
-            stream = FrameStream(sock)
-            writer = await curio.spawn(stream.write_forever, daemon=True)
-            hello = relay_pb2.Hello(incarnation=1)
-            await stream.post(relay_pb2.RelayFrame(hello=hello))
-            change = relay_pb2.DirectoryChange(base=version, version=version)
-            while (frame := await stream.read()) is not None:
-                if frame.HasField("directory_subscription"):
-                    await stream.post(
-                        relay_pb2.RelayFrame(directory_change=change)
-                    )
-            await writer.cancel()
-            await stream.close()
-
         await self._spawn(
-            lambda: accept_connections(
-                self._listener, serve, 100, cancel_connections=True
+            lambda: serve_silently(
+                self._listener, SharedTable.DIRECTORY, version
             )
         )
 
--- a/egretlever/testing/_relay_doubles.py
+++ b/egretlever/testing/_relay_doubles.py
@@ -1,7 +1,16 @@
 """Doubles of what a home node and an entry node know of the fleet."""
 
-from egretlever.core import Address, Seconds, ServerId, ServiceName
+from typing import Any
+
+import curio
+
+from egretlever.core import Address, Seconds, ServerId, ServiceName, Version
 from egretlever.placement import HomeNotice
+from egretlever.relay._changes import SharedTable, TableChange
+from egretlever.relay._codec import TABLES_BY_SUBSCRIPTION, encode_change
+from egretlever.relay._frames import FrameStream
+from egretlever.schema import relay_pb2
+from egretlever.transport import accept_connections
 
 
 class SingleHome:
@@ -54,3 +63,33 @@
 
     def observe_change(self, relay: Address) -> None:
         """Ignore a change of a node."""
+
+
+async def serve_silently(
+    listener: Any, table: SharedTable, version: Version
+) -> None:
+    """Accept nodes that follow a table, and send them only a version of it.
+
+    Parameters
+    ----------
+    listener : curio.io.Socket
+        Listening socket.
+    table : SharedTable
+        Table that the nodes follow.
+    version : Version
+        Version by which each subscription is acknowledged.
+    """
+
+    async def serve(sock: Any) -> None:
+        stream = FrameStream(sock)
+        writer = await curio.spawn(stream.write_forever, daemon=True)
+        hello = relay_pb2.Hello(incarnation=1)
+        await stream.post(relay_pb2.RelayFrame(hello=hello))
+        while (frame := await stream.read()) is not None:
+            if TABLES_BY_SUBSCRIPTION.get(frame.WhichOneof("kind")) is table:
+                change = TableChange(version, version)
+                await stream.post(encode_change(table, change))
+        await writer.cancel()
+        await stream.close()
+
+    await accept_connections(listener, serve, 100, cancel_connections=True)
--- a/egretlever/testing/_relay_region.py
+++ b/egretlever/testing/_relay_region.py
@@ -7,17 +7,19 @@
 import curio
 from returns.result import Failure
 
-from egretlever.core import Address, FailureDomain, Seconds
+from egretlever.core import Address, FailureDomain, Seconds, Version
 from egretlever.placement import HomeServer
 from egretlever.platform import Bounds
 from egretlever.relay import RelayNode, make_relay_node
+from egretlever.relay._changes import SharedTable
 from egretlever.relay._codec import encode_row
 from egretlever.relay._followers import SERVER_TABLE
 from egretlever.schema import settings_pb2
 from egretlever.standins import RowsStandIn, SharedLink
 from egretlever.testing._fleet import reserve_addresses
+from egretlever.testing._relay_doubles import serve_silently
 from egretlever.testing.relay_builders import build_home_server
-from egretlever.transport import send_request
+from egretlever.transport import open_listener, send_request
 
 _REGION = "south"
 # Host of the requests that the fixture sends.
@@ -93,6 +95,16 @@
         node: RelayNode = make_relay_node(self._settings, self._bounds)
         self._task = await curio.spawn(node.run, daemon=True)
 
+    async def start_silent(self) -> None:
+        """Accept the nodes that follow this one, and send them nothing."""
+        self._task = await curio.spawn(
+            serve_silently,
+            open_listener(self.row.relay),
+            SharedTable.CONFIGURATION,
+            Version(1),
+            daemon=True,
+        )
+
     async def kill(self) -> None:
         """End the node; its connections are closed and refused."""
         task, self._task = self._task, None
