Log what a server says about itself in its answers

Server-Limit and Server-Leaving are decoded once, to ServerSignals; a home node logs them when they change, so that the rate of requests at a server can be compared with its limit. The fixture of a home node with a scripted server moves to a module of its own.

--- a/egretlever/platform/__init__.py
+++ b/egretlever/platform/__init__.py
@@ -26,6 +26,7 @@
     StoredRow,
     make_row_store,
 )
+from egretlever.platform._signals import decode_signals
 from egretlever.platform._table import make_table_store
 
 __all__ = [
@@ -44,6 +45,7 @@
     "decode_configuration",
     "decode_departure",
     "decode_heartbeat",
+    "decode_signals",
     "headers",
     "make_object_store",
     "make_row_store",
--- a/egretlever/platform/_headers.py
+++ b/egretlever/platform/_headers.py
@@ -16,3 +16,8 @@
 # Present in the response when the server did not run the request.
 NOT_RUN = b"x-not-executed"
 RETRY_AFTER = b"retry-after"
+# Requests per second that the server takes from all hosts together, as long as
+# its answers say so.
+SERVER_LIMIT = b"server-limit"
+# "1" in all answers of a server that is about to leave.
+SERVER_LEAVING = b"server-leaving"
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -10,6 +10,7 @@
     CircuitBreaker,
     Heartbeat,
     LocalServer,
+    ServerSignals,
     SlotQueue,
     SlotTicket,
 )
@@ -111,6 +112,7 @@
         self._expired: set[RequestId] = set()
         self._has_waiting = curio.Event()
         self._server_key: tuple[str, int] | None = None
+        self._signals = ServerSignals()
         self._sampler = RequestSampler()
 
     def apply_heartbeat(self) -> None:
@@ -123,6 +125,7 @@
             # Outcomes of the previous server do not apply to this one.
             self._server_key = key
             self._circuit_breaker = CircuitBreaker()
+            self._signals = ServerSignals()
             self._retries.identify(server.id)
         self._queue.resize(server.slots)
 
@@ -391,6 +394,11 @@
         ):
             # The client's deadline was too short to judge the server by it.
             result = dataclasses.replace(result, good=None)
+        if result.signals is not None and self._server_key == (
+            server.id,
+            server.incarnation,
+        ):
+            self._observe_signals(result.signals)
         if result.good is not None and self._server_key == (
             server.id,
             server.incarnation,
@@ -398,6 +406,22 @@
             self._record_outcome(offer, result, now)
         return result
 
+    def _observe_signals(self, signals: ServerSignals) -> None:
+        """Log what the server says about itself, when that has changed."""
+        before, self._signals = self._signals, signals
+        server = self.local.current
+        if signals == before or server is None:
+            return
+        limit = "none" if signals.limit is None else f"{signals.limit:g}/s"
+        leaving = ", leaving" if signals.leaving else ""
+        _LOG.event(
+            logs_pb2.StateLine(
+                event="server-signals",
+                subject=server.id,
+                outcome=f"limit {limit}{leaving}",
+            )
+        )
+
     def _record_outcome(
         self, offer: Offer, result: ServerResult, begun: Seconds
     ) -> None:
--- a/egretlever/relay/_server_client.py
+++ b/egretlever/relay/_server_client.py
@@ -5,7 +5,7 @@
 import curio
 
 from egretlever.core import Seconds, make_log
-from egretlever.home import Heartbeat
+from egretlever.home import Heartbeat, ServerSignals
 from egretlever.placement import (
     Answer,
     Failure,
@@ -16,7 +16,7 @@
     RefusalReason,
     Reply,
 )
-from egretlever.platform import headers
+from egretlever.platform import decode_signals, headers
 from egretlever.transport import (
     BackendClosedError,
     BackendConnection,
@@ -72,10 +72,13 @@
     good : bool or None
         Whether the outcome counts as a success of the server; None when it says
         nothing about the server.
+    signals : ServerSignals or None
+        What the server says about itself; None without an answer of it.
     """
 
     reply: Reply
     good: bool | None
+    signals: ServerSignals | None = None
 
 
 class ServerClient:
@@ -232,7 +235,9 @@
                 f"status {response.status} without confirmation that the"
                 " request was not run"
             )
-        return ServerResult(Refusal(RefusalReason.SHED), None)
+        return ServerResult(
+            Refusal(RefusalReason.SHED), None, decode_signals(response.find)
+        )
     successful = 200 <= response.status < 300
     if successful and response.find(headers.SIGNATURE) is None:
         raise BackendProtocolError("successful answer without a signature")
@@ -242,4 +247,6 @@
         if name != b"content-length"
     )
     answer = Answer(response.status, fields, body, HomeCondition())
-    return ServerResult(answer, response.status < _SERVER_ERROR)
+    return ServerResult(
+        answer, response.status < _SERVER_ERROR, decode_signals(response.find)
+    )
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -1,6 +1,5 @@
 """Tests requests between nodes: they run at most once, even when resumed."""
 
-import contextlib
 import functools
 import socket
 import struct
@@ -9,7 +8,7 @@
 import curio
 import pytest
 
-from egretlever.core import Address, Incarnation, Seconds
+from egretlever.core import Address, Seconds
 from egretlever.placement import (
     Answer,
     Failure,
@@ -19,97 +18,18 @@
     Trust,
 )
 from egretlever.platform import Bounds
-from egretlever.relay._acceptor import RelayAcceptor
 from egretlever.relay._codec import encode_offer
-from egretlever.relay._home import make_home_node
-from egretlever.relay._links import LinkPool
 from egretlever.testing import (
-    ServerExchange,
     VirtualClock,
-    answer,
-    run_virtual,
 )
-from egretlever.testing._relay_doubles import NoticeRecorder, SingleHome
-from egretlever.testing._scripted_server import ScriptedServer
-from egretlever.testing.relay_builders import build_heartbeat, build_offer
-from egretlever.transport import open_listener, read_clock
-
-
-def serve(body=b"ok", status=200, after=0.0, *lines):
-    """Make a step that answers like the platform's servers."""
-
-    async def step(exchange: ServerExchange) -> bool:
-        name = exchange.head.find(b"x-request-id").encode()
-        own = (b"x-request-id: " + name, b"x-response-signature: s", *lines)
-        return await answer(body, status, *own, after=after)(exchange)
-
-    return step
-
-
-def make_home(**bounds):
-    return make_home_node(Bounds(**bounds), SingleHome())
-
-
-class RelayFixture:
-    """A home node with a scripted server, and an entry node's connections."""
-
-    def __init__(self, *steps, slots=2, **bounds):
-        self.server = ScriptedServer(*(steps or (serve(),)))
-        self.bounds = bounds
-        self.home = None
-        self.notices = NoticeRecorder()
-        self.links = LinkPool(self.notices)
-        self.slots = slots
-        self.incarnation = 1
-        self.tasks = []
-
-    async def start_home(self):
-        acceptor = RelayAcceptor(self.home, Incarnation(self.incarnation))
-        for part in (
-            lambda: acceptor.serve_forever(self.listener),
-            self.home.expire_forever,
-            self.home.notice_publisher.publish_forever,
-            self.home.jobs.expire_forever,
-        ):
-            self.tasks.append(await curio.spawn(part, daemon=True))
-
-    def announce(self, **changes):
-        heartbeat = build_heartbeat(
-            address=self.server.address, slots=self.slots, **changes
-        )
-        self.home.local.observe(heartbeat, read_clock())
-        self.home.apply_heartbeat()
-
-    @contextlib.asynccontextmanager
-    async def running(self):
-        # Created here, so that it uses the virtual clock.
-        self.home = make_home(**self.bounds)
-        # Few retries are allowed within the first window.
-        await curio.sleep(20.0)
-        self.tasks.append(await curio.spawn(self.server.run, daemon=True))
-        self.listener = open_listener(Address("127.0.0.1", 0))
-        self.relay = Address(*self.listener.getsockname()[:2])
-        await self.start_home()
-        self.announce()
-        try:
-            yield self
-        finally:
-            for task in self.tasks:
-                await task.cancel()
-            await self.listener.close()
-
-    async def offer(self, request="r-1", **changes):
-        return await self.links.offer(
-            self.relay, build_offer(request, **changes)
-        )
-
-
-def run_script(fixture, script, clock=None):
-    async def main():
-        async with fixture.running():
-            return await script()
-
-    return run_virtual(main(), clock)
+from egretlever.testing._relay_fixture import (
+    RelayFixture,
+    make_home,
+    run_script,
+    serve,
+)
+from egretlever.testing.relay_builders import build_offer
+from egretlever.transport import read_clock
 
 
 def test_answer_is_returned_complete_and_the_deadline_is_forwarded():
