--- a/egretlever/relay/tests/test_server_signals.py
+++ b/egretlever/relay/tests/test_server_signals.py
@@ -1,5 +1,9 @@
 """Tests that a home node heeds what its server says in its answers."""
 
+import curio
+import pytest
+
+from egretlever.core import Seconds
 from egretlever.testing._relay_fixture import (
     RelayFixture,
     run_script,
@@ -32,3 +36,47 @@
     with caplog.at_level("INFO"):
         run_script(fixture, script)
     assert list_signals(caplog) == ["limit 2.5/s", "limit none"]
+
+
+CONTACT = 3.0  # seconds after the first limit
+WINDOW = 4.0  # seconds
+
+
+def find_busiest_window(times):
+    """Return the largest number of requests in a window."""
+    return max(
+        sum(begin <= time < begin + WINDOW for time in times) for begin in times
+    )
+
+
+async def offer_at_rate(fixture, rate, duration, **changes):
+    """Offer requests at a rate, and return the times of those that arrive."""
+    times = []
+    begun = await curio.clock()
+    async with curio.TaskGroup() as group:
+        for number in range(int(rate * duration)):
+            await curio.sleep(1 / rate)
+            await group.spawn(
+                lambda name=f"r-{number}": fixture.offer(name, **changes)
+            )
+            arrived = len(fixture.server.heads) - len(times)
+            times += [await curio.clock() - begun] * arrived
+    return times
+
+
+@pytest.mark.parametrize("rate", [0.5, 1.0, 4.8, 12.0])
+@pytest.mark.parametrize("max_wait", [0.0, 3.0])
+def test_server_gets_no_more_requests_than_its_limit_allows(rate, max_wait):
+    # A server with a limit of 1 a second got 13 requests in 4 s.
+    fixture = RelayFixture(limit_to(rate, after=0.1), slots=4)
+
+    async def script():
+        return await offer_at_rate(
+            fixture, 30.0, 20.0, max_wait=Seconds(max_wait)
+        )
+
+    times = run_script(fixture, script)
+    later = [time for time in times if time >= CONTACT]
+    assert find_busiest_window(later) <= 1.5 * WINDOW * rate + 5
+    # What the limit allows is used.
+    assert len(later) >= 0.75 * rate * (20.0 - CONTACT)
