Keep to the requests per second that a server takes

Cause: nobody read the limit. Ruled out: a limit that only some nodes know (all requests pass the home node, which hears every answer first), and bursts of a node that keeps to it.

A request waits for its turn as for a slot, so that forecast waits and free slots tell entry nodes before they offer, and what would wait too long is refused at once.

--- a/egretlever/home/_slots.py
+++ b/egretlever/home/_slots.py
@@ -11,6 +11,7 @@
     check_parameters,
     require,
 )
+from egretlever.home._rate_limit import RateLimit
 
 # Estimated service time before the first answer.
 INITIAL_SERVICE_TIME = Seconds(0.2)
@@ -86,6 +87,9 @@
     objective, only get slots that no other request waits for: in a lasting
     overload, a first-come, first-served queue would make all answers late.
 
+    A server may also limit the requests per second. A request then waits for
+    its turn as for a slot, so that the forecast waits tell entry nodes of it.
+
     Parameters
     ----------
     slots : int
@@ -123,6 +127,7 @@
         self._rank_shares: dict[int, float] = {}
         self._latest_routes: dict[int, RouteId] = {}
         self._arrivals = 0
+        self._limit: RateLimit | None = None
         self.service_time_ = INITIAL_SERVICE_TIME
 
     @property
@@ -135,10 +140,26 @@
         check_parameters("SlotQueue", {"slots": slots}, {"slots": Interval(1)})
         self._slots = slots
 
-    def count_free(self) -> int:
-        """Return the number of slots left by running and waiting requests."""
-        taken = len(self._running) + len(self._waiting)
-        return max(0, self._slots - taken)
+    def limit_rate(self, rate: float | None, now: Seconds) -> None:
+        """Limit the requests per second that start; None ends the limit."""
+        if rate is None:
+            self._limit = None
+        elif self._limit is None:
+            self._limit = RateLimit(rate, now)
+        else:
+            self._limit.change(rate, now)
+
+    @property
+    def limited(self) -> bool:
+        """Whether the requests per second are limited."""
+        return self._limit is not None
+
+    def count_free(self, now: Seconds) -> int:
+        """Return the number of requests that could start at once."""
+        free = self._slots - len(self._running)
+        if self._limit is not None:
+            free = min(free, self._limit.count_allowed(now))
+        return max(0, free - len(self._waiting))
 
     def count_waiting(self) -> int:
         """Return the number of waiting requests."""
@@ -176,14 +197,18 @@
         while len(ends) < usable:
             ends.insert(0, 0.0)
         ends = ends[-usable:]
+        ahead = 0
         for other in self._waiting:
             if (other.late, other.rank) > (late, rank):
                 break
+            ahead += 1
             first = ends.pop(0)
             bisect.insort(
                 ends, first + self.estimate_service_time(other.ticket.route)
             )
-        return Seconds(ends[0])
+        if self._limit is None:
+            return Seconds(ends[0])
+        return max(Seconds(ends[0]), self._limit.measure_wait(now, ahead))
 
     def _forecast_remaining(self, now: Seconds) -> list[float]:
         ends = []
@@ -226,13 +251,17 @@
         """Start waiting requests in free slots and return them."""
         started = []
         for entry in list(self._waiting):
-            if len(self._running) >= self._slots:
+            if len(self._running) >= self._slots or (
+                self._limit is not None and not self._limit.count_allowed(now)
+            ):
                 break
             ticket = entry.ticket
             usable = self._count_usable(ticket.route, ticket.rank)
             if len(self._running) < usable:
                 self._waiting.remove(entry)
                 self._running[ticket.request_id] = (ticket, now)
+                if self._limit is not None:
+                    self._limit.take(now)
                 started.append(ticket)
         return started
 
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -126,6 +126,7 @@
             self._server_key = key
             self._circuit_breaker = CircuitBreaker()
             self._signals = ServerSignals()
+            self._queue.limit_rate(None, read_clock())
             self._retries.identify(server.id)
         self._queue.resize(server.slots)
 
@@ -170,7 +171,7 @@
                 self._queue.forecast_wait(route, rank, now)
                 for rank in range(_REPORTED_RANKS)
             ),
-            free_slots=self._queue.count_free(),
+            free_slots=self._queue.count_free(now),
             trust=self._circuit_breaker.describe(),
             service_time=self._queue.service_time_,
             route_time=self._queue.find_mean_service_time(route),
@@ -362,7 +363,10 @@
         await self.notice_publisher.mark_changed()
 
     async def expire_forever(self) -> None:
-        """Refuse queued requests that could no longer finish in time."""
+        """Refuse queued requests that could no longer finish in time.
+
+        Those whose turn comes by the limit of the server are started.
+        """
         while True:
             await self._has_waiting.wait()
             self._has_waiting.clear()
@@ -371,6 +375,8 @@
                 for ticket in self._queue.expire(read_clock()):
                     self._expired.add(ticket.request_id)
                     await self._slot_events[ticket.request_id].set()
+                if self._queue.limited:
+                    await self._start_ready()
 
     async def _dispatch(self, job: Job) -> ServerResult:
         server = self.local.current
@@ -407,11 +413,12 @@
         return result
 
     def _observe_signals(self, signals: ServerSignals) -> None:
-        """Log what the server says about itself, when that has changed."""
+        """Apply what the server says about itself, and log its changes."""
         before, self._signals = self._signals, signals
         server = self.local.current
         if signals == before or server is None:
             return
+        self._queue.limit_rate(signals.limit, read_clock())
         limit = "none" if signals.limit is None else f"{signals.limit:g}/s"
         leaving = ", leaving" if signals.leaving else ""
         _LOG.event(
