Send nothing to a server whose answers say that it leaves

A server that leaves says so in all its answers (Server-Leaving), and a request must not reach it later than drain after a host has passed such an answer on. Only heartbeats and departures were heeded: when they were lost or late, the server got requests until it ended.

The home node treats such an answer, also a refusal, like a draining heartbeat of that incarnation: it refuses further requests, those that wait too, and has the row of the server say that it leaves, which outlasts a restart.

--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from collections.abc import Awaitable, Callable
 
 import curio
 
@@ -66,6 +67,10 @@
 _NO_ROUTE = RouteId("")
 
 
+async def _ignore() -> None:
+    """Do nothing; default of the callbacks."""
+
+
 class HomeNode:
     """Runs requests at the server of its host, each within a slot.
 
@@ -79,6 +84,9 @@
         Runs requests at the server.
     first_start : bool, default=False
         Whether the whole fleet starts for the first time.
+    report_leaving : callable, optional
+        Coroutine function that is called when the server says in its answers
+        that it leaves.
 
     Attributes
     ----------
@@ -97,7 +105,9 @@
         neighbours: Neighbours,
         client: ServerRunner,
         first_start: bool = False,
+        report_leaving: Callable[[], Awaitable[None]] = _ignore,
     ) -> None:
+        self._report_leaving = report_leaving
         self._retries = RetryCounter(bounds, neighbours, first_start)
         self._retries_until: dict[RequestId, Seconds] = {}
         self.local = LocalServer()
@@ -404,7 +414,7 @@
             server.id,
             server.incarnation,
         ):
-            self._observe_signals(result.signals)
+            await self._observe_signals(result.signals)
         if result.good is not None and self._server_key == (
             server.id,
             server.incarnation,
@@ -412,7 +422,7 @@
             self._record_outcome(offer, result, now)
         return result
 
-    def _observe_signals(self, signals: ServerSignals) -> None:
+    async def _observe_signals(self, signals: ServerSignals) -> None:
         """Apply what the server says about itself, and log its changes."""
         before, self._signals = self._signals, signals
         server = self.local.current
@@ -428,6 +438,8 @@
                 outcome=f"limit {limit}{leaving}",
             )
         )
+        if signals.leaving and self.local.drain(server.id, server.incarnation):
+            await self._report_leaving()
 
     def _record_outcome(
         self, offer: Offer, result: ServerResult, begun: Seconds
@@ -532,7 +544,10 @@
 
 
 def make_home_node(
-    bounds: Bounds, neighbours: Neighbours, first_start: bool = False
+    bounds: Bounds,
+    neighbours: Neighbours,
+    first_start: bool = False,
+    report_leaving: Callable[[], Awaitable[None]] = _ignore,
 ) -> HomeNode:
     """Make a home node that reaches its server over HTTP.
 
@@ -544,8 +559,13 @@
         Reports of the other home nodes, which share the retry budget.
     first_start : bool, default=False
         Whether the whole fleet starts for the first time.
+    report_leaving : callable, optional
+        Coroutine function that is called when the server says in its answers
+        that it leaves.
     """
-    return HomeNode(bounds, neighbours, ServerClient(), first_start)
+    return HomeNode(
+        bounds, neighbours, ServerClient(), first_start, report_leaving
+    )
 
 
 def _is_stopped_at_deadline(reply: Reply) -> bool:
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -105,7 +105,10 @@
         )
         self._fleet = FleetView(selector, self._find_local, rng)
         self._home = make_home_node(
-            bounds, self._fleet, settings.bounds.first_start
+            bounds,
+            self._fleet,
+            settings.bounds.first_start,
+            self._publish_leaving,
         )
         directory = self._fleet.directory
         configuration = ConfigurationHolder(self._configure)
@@ -209,6 +212,10 @@
             draining=server.draining,
         )
 
+    async def _publish_leaving(self) -> None:
+        """Write to the server's row that it leaves, without waiting for it."""
+        await self._publisher.notify()
+
     def _mark_leaving(
         self, server_id: ServerId, incarnation: Incarnation
     ) -> None:
--- a/egretlever/relay/tests/test_process.py
+++ b/egretlever/relay/tests/test_process.py
@@ -16,6 +16,8 @@
     build_heartbeat_body,
 )
 from egretlever.programs._early_listener import SETTINGS_VARIABLE
+from egretlever.relay._codec import decode_row
+from egretlever.relay._followers import SERVER_TABLE
 from egretlever.schema import settings_pb2
 from egretlever.settings import parse_settings
 from egretlever.standins import RowsFault, RowsStandIn
@@ -28,10 +30,10 @@
 TEMPLATE = pathlib.Path(__file__).parents[3] / "deploy" / "relay.ini"
 
 
-def serve(status=200, body=b"done"):
+def serve(status=200, body=b"done", *lines):
     async def step(exchange):
         name = exchange.head.find(b"x-request-id").encode()
-        own = (b"x-request-id: " + name, b"x-response-signature: s")
+        own = (b"x-request-id: " + name, b"x-response-signature: s", *lines)
         return await answer(body, status, *own)(exchange)
 
     return step
@@ -192,6 +194,28 @@
     run_script(script)
 
 
+def test_row_says_that_a_server_leaves_when_its_answers_do():
+    # A restarted node and the other nodes have to know it too.
+    async def script(store, hosts):
+        host = hosts[0]
+        host.server.replace_steps(serve(200, b"done", b"server-leaving: 1"))
+        await host.announce()
+
+        async def is_served():
+            reply = await host.order("first")
+            return reply is not None and reply.head.status == 200
+
+        async def is_marked():
+            value = store.find(SERVER_TABLE, host.name)
+            return value is not None and decode_row(value).unwrap().draining
+
+        await wait_for(is_served)
+        await wait_for(is_marked)
+        assert (await host.order("r-2")).head.status == 503
+
+    run_script(script)
+
+
 def test_restarted_node_serves_while_the_store_is_unavailable():
     # It knows neither a configuration nor another node. One that knows its
     # server connects to it and hands over what it holds.
--- a/egretlever/relay/tests/test_server_signals.py
+++ b/egretlever/relay/tests/test_server_signals.py
@@ -3,7 +3,8 @@
 import curio
 import pytest
 
-from egretlever.core import Seconds
+from egretlever.core import Incarnation, Seconds
+from egretlever.placement import Answer, RefusalReason
 from egretlever.testing._relay_fixture import (
     RelayFixture,
     run_script,
@@ -80,3 +81,71 @@
     assert find_busiest_window(later) <= 1.5 * WINDOW * rate + 5
     # What the limit allows is used.
     assert len(later) >= 0.75 * rate * (20.0 - CONTACT)
+
+
+LEAVING = serve(b"ok", 200, 0.0, b"server-leaving: 1")
+
+
+@pytest.mark.parametrize("status", [200, 500])
+def test_server_that_leaves_by_its_answers_gets_no_further_request(status):
+    # Only heartbeats were heeded, and they may be lost or come late.
+    fixture = RelayFixture(serve(b"ok", status, 0.0, b"server-leaving: 1"))
+
+    async def script():
+        await fixture.offer("r-1")
+        return [await fixture.offer(f"r-{number}") for number in range(2, 5)]
+
+    replies = run_script(fixture, script)
+    assert [reply.reason for reply in replies] == [RefusalReason.LEAVING] * 3
+    assert len(fixture.server.heads) == 1
+
+
+def test_refusal_of_a_leaving_server_says_so_too():
+    shed = (b"x-not-executed: 1", b"server-leaving: 1")
+    fixture = RelayFixture(serve(b"", 503, 0.0, *shed))
+
+    async def script():
+        return [await fixture.offer(f"r-{number}") for number in range(2)]
+
+    reasons = [reply.reason for reply in run_script(fixture, script)]
+    assert reasons == [RefusalReason.SHED, RefusalReason.LEAVING]
+
+
+def test_later_heartbeat_does_not_bring_a_leaving_server_back():
+    fixture = RelayFixture(LEAVING)
+
+    async def script():
+        await fixture.offer("r-1")
+        fixture.announce(sequence=9)
+        return await fixture.offer("r-2")
+
+    assert run_script(fixture, script).reason is RefusalReason.LEAVING
+
+
+def test_next_incarnation_of_a_server_has_neither_limit_nor_leaves():
+    both = (b"server-leaving: 1", b"server-limit: 0.5")
+    fixture = RelayFixture(serve(b"ok", 200, 0.0, *both), serve())
+
+    async def script():
+        await fixture.offer("r-1")
+        fixture.announce(incarnation=Incarnation(1_800_000_000_000))
+        return [await fixture.offer(f"r-{number}") for number in range(2, 8)]
+
+    replies = run_script(fixture, script)
+    assert all(isinstance(reply, Answer) for reply in replies)
+
+
+def test_entry_nodes_are_told_when_a_server_says_that_it_leaves():
+    reported = []
+
+    async def report():
+        reported.append(True)
+
+    fixture = RelayFixture(LEAVING, report_leaving=report)
+
+    async def script():
+        for number in range(3):
+            await fixture.offer(f"r-{number}")
+
+    run_script(fixture, script)
+    assert reported == [True]
--- a/egretlever/testing/_relay_fixture.py
+++ b/egretlever/testing/_relay_fixture.py
@@ -37,9 +37,17 @@
     return step
 
 
-def make_home(**bounds: Any) -> HomeNode:
+async def _ignore() -> None:
+    """Ignore that the server says that it leaves."""
+
+
+def make_home(
+    report_leaving: Callable[[], Awaitable[None]] = _ignore, **bounds: Any
+) -> HomeNode:
     """Make a home node of a fleet without others."""
-    return make_home_node(Bounds(**bounds), SingleHome())
+    return make_home_node(
+        Bounds(**bounds), SingleHome(), report_leaving=report_leaving
+    )
 
 
 class RelayFixture:
@@ -51,13 +59,13 @@
         Script of the server.
     slots : int, default=2
         Slots of the server.
-    **bounds
-        Limits that the platform sets.
+    **options
+        Parameters of `make_home`.
     """
 
-    def __init__(self, *steps: Step, slots: int = 2, **bounds: Any) -> None:
+    def __init__(self, *steps: Step, slots: int = 2, **options: Any) -> None:
         self.server = ScriptedServer(*(steps or (serve(),)))
-        self.bounds = bounds
+        self.options = options
         self.home: Any = None
         self.notices = NoticeRecorder()
         self.links = LinkPool(self.notices)
@@ -88,7 +96,7 @@
     async def running(self) -> AsyncIterator["RelayFixture"]:
         """Run the home node and its server."""
         # Created here, so that it uses the virtual clock.
-        self.home = make_home(**self.bounds)
+        self.home = make_home(**self.options)
         # Few retries are allowed within the first window.
         await curio.sleep(20.0)
         self.tasks.append(await curio.spawn(self.server.run, daemon=True))
--- a/egretlever/testing/_scripted_server.py
+++ b/egretlever/testing/_scripted_server.py
@@ -152,6 +152,11 @@
         self.cancelled_count = 0
         self.connections = 0
 
+    def replace_steps(self, *steps: Step) -> None:
+        """Run another script from the next request on."""
+        self._steps = steps
+        self.heads.clear()
+
     async def run(self) -> None:
         """Serve until cancelled."""
         try:
