Lose only the odd row of an answer of the store

Other operators reported that one odd entry among the servers, nested deeply, with a number too large or a port out of range, ended the nodes that read it, or stopped them. An infinite version raised OverflowError, a row that is no object AttributeError, a key with half of a surrogate pair UnicodeEncodeError in the log; a missing key, a value that is not base64, deep nesting and an integer of more than 4,300 digits made the whole answer invalid, and the next one too. A row under another key replaced a server. Ports out of range were refused before.

Rows are decoded one by one, odd ones are left out with a log line.

--- a/egretlever/platform/__init__.py
+++ b/egretlever/platform/__init__.py
@@ -7,7 +7,9 @@
     CONFIGURATION_TABLE,
     decode_configuration,
 )
+from egretlever.platform._decoding import MAX_NAME_BYTES
 from egretlever.platform._heartbeats import (
+    MAX_SLOTS,
     decode_departure,
     decode_heartbeat,
     parse_server_path,
@@ -32,6 +34,8 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
+    "MAX_NAME_BYTES",
+    "MAX_SLOTS",
     "Bounds",
     "ObjectStore",
     "Row",
--- a/egretlever/platform/_configuration.py
+++ b/egretlever/platform/_configuration.py
@@ -1,5 +1,6 @@
 """Decoding of the operator's configuration, ``op/config`` in the store."""
 
+import re
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -12,6 +13,7 @@
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 
+_VERSION = re.compile("[0-9A-Fa-f]{1,8}")
 _MAX_BYTES = 1 << 30  # largest accepted value of a size limit
 _MAX_RANK = 1000
 _MAX_ATTEMPTS = 100
@@ -61,11 +63,10 @@
 
 def _decode_version(reader: FieldReader) -> Version:
     text = reader.read_text("version")
-    try:
-        return Version(int(text, 16))
-    except ValueError:
+    if not _VERSION.fullmatch(text):
         reader.report("version", f"{text!r} is not hexadecimal")
         return Version(0)
+    return Version(int(text, 16))
 
 
 def _decode_route(entry: FieldReader) -> Route:
--- a/egretlever/platform/_heartbeats.py
+++ b/egretlever/platform/_heartbeats.py
@@ -22,7 +22,7 @@
 
 _PATH = "/instances/"
 _STATES = {"ready": False, "draining": True}
-_MAX_SLOTS = 100_000
+MAX_SLOTS = 100_000
 _MAX_NUMBER = 1 << 53  # integers up to this are exact in JSON numbers
 
 
@@ -77,7 +77,7 @@
         address=reader.read_address("address"),
         service=ServiceName(info.read_text("service")),
         failure_domain=FailureDomain(info.read_text("zone")),
-        slots=info.read_integer("slots", 1, _MAX_SLOTS),
+        slots=info.read_integer("slots", 1, MAX_SLOTS),
         draining=_STATES.get(state, False),
         sequence=status.read_integer("sequence", 0, _MAX_NUMBER),
         incarnation=_read_incarnation(reader),
--- a/egretlever/platform/_rows.py
+++ b/egretlever/platform/_rows.py
@@ -1,7 +1,6 @@
 """Client of the platform's row store: JSON over HTTP."""
 
 import base64
-import binascii
 import dataclasses
 import json
 import urllib.parse
@@ -9,10 +8,17 @@
 
 from returns.result import Failure, Result, Success
 
-from egretlever.core import Address, Seconds, Version
+from egretlever.core import Address, Seconds, Version, make_log
+from egretlever.platform._decoding import (
+    MAX_NAME_BYTES,
+    measure_text,
+    parse_json,
+)
 from egretlever.platform._http import HttpClient
 from egretlever.platform._interfaces import StoreError, StoreErrorKind
 
+_LOG = make_log("store")
+_MAX_VERSION = (1 << 63) - 1
 # A request or response has at most 1 MB of rows; base64 and JSON add less than
 # another 1 MB.
 _MAX_BODY_BYTES = 4 << 20
@@ -62,6 +68,8 @@
         Size of the response's body in bytes.
     transfer_time : Seconds
         Time between the head of the response and its last byte.
+    last_key : str
+        Last key of the response, also of a row that was skipped.
     """
 
     rows: tuple[StoredRow, ...]
@@ -69,6 +77,7 @@
     more: bool = False
     size: int = 0
     transfer_time: Seconds = Seconds(0.0)
+    last_key: str = ""
 
 
 class RowStore:
@@ -236,39 +245,70 @@
     if status in _REJECTION_STATUSES:
         message = f"the row store returned status {status}"
         return _make_failure(StoreErrorKind.UNAVAILABLE, message)
-    version = _decode_version(body) if status == 200 else None
+    version = _read_version(_parse_fields(body)) if status == 200 else None
     if version is None:
         message = f"the row store returned status {status} without a version"
         return _make_failure(StoreErrorKind.UNKNOWN_EFFECT, message)
     return Success(version)
 
 
-def _decode_version(body: bytes) -> Version | None:
-    try:
-        return Version(int(json.loads(body)["ver"]))
-    except (ValueError, KeyError, TypeError):
-        return None
+def _parse_fields(body: bytes) -> dict[str, Any]:
+    """Parse a JSON object; empty when the body is none."""
+    parsed = parse_json(body, "response")
+    fields = None if isinstance(parsed, Failure) else parsed.unwrap()
+    return fields if isinstance(fields, dict) else {}
 
 
-def _decode_page(body: bytes) -> RowPage | None:
-    try:
-        fields = json.loads(body)
-        rows = tuple(_decode_row(row) for row in fields["rows"])
-        more = bool(fields.get("hasMore", False))
-        return RowPage(rows, Version(int(fields["ver"])), more)
-    except (ValueError, KeyError, TypeError, binascii.Error):
-        return None
+def _read_version(fields: dict[str, Any]) -> Version | None:
+    version = fields.get("ver")
+    if type(version) is int and 0 <= version <= _MAX_VERSION:
+        return Version(version)
+    return None
 
 
-def _decode_row(fields: Any) -> StoredRow:
-    removed = bool(fields.get("tombstone", False))
-    text = "" if removed else fields["value"]
-    return StoredRow(
-        str(fields["key"]),
-        base64.b64decode(text, validate=True),
-        Version(int(fields["ver"])),
-        removed,
-    )
+def _decode_page(body: bytes) -> RowPage | None:
+    """Decode a page; rows that another writer left in no format are skipped."""
+    fields = _parse_fields(body)
+    version, found = _read_version(fields), fields.get("rows")
+    if version is None or not isinstance(found, list):
+        return None
+    rows = []
+    for row in found:
+        decoded = _decode_row(row)
+        if isinstance(decoded, Failure):
+            _LOG.warning("Skipped a row: %s.", decoded.failure())
+        else:
+            rows.append(decoded.unwrap())
+    more = fields.get("hasMore") is True
+    return RowPage(tuple(rows), version, more, last_key=_find_last_key(found))
+
+
+def _find_last_key(found: list[Any]) -> str:
+    """Return the key of the last row that has one, after which a page ends."""
+    for row in reversed(found):
+        key = row.get("key") if isinstance(row, dict) else None
+        if isinstance(key, str) and measure_text(key) <= MAX_NAME_BYTES:
+            return key
+    return ""
+
+
+def _decode_row(fields: Any) -> Result[StoredRow, str]:
+    if not isinstance(fields, dict):
+        return Failure("it is not an object")
+    key, version = fields.get("key"), _read_version(fields)
+    if not isinstance(key, str) or not 0 < measure_text(key) <= MAX_NAME_BYTES:
+        return Failure("its key is not a text of 1 to 200 bytes")
+    if version is None:
+        return Failure(f"the version of {key!r} is not a number in range")
+    removed = fields.get("tombstone") is True
+    text = "" if removed else fields.get("value")
+    if not isinstance(text, str):
+        return Failure(f"the value of {key!r} is not a text")
+    try:
+        value = base64.b64decode(text, validate=True)
+    except ValueError:
+        return Failure(f"the value of {key!r} is not in base64")
+    return Success(StoredRow(key, value, version, removed))
 
 
 def make_row_store(address: Address, timeout: Seconds) -> RowStore:
--- a/egretlever/platform/tests/test_decoding.py
+++ b/egretlever/platform/tests/test_decoding.py
@@ -13,6 +13,7 @@
     decode_heartbeat,
     parse_server_path,
 )
+from egretlever.platform._decoding import parse_json
 from egretlever.platform.tests.wire_builders import (
     build_configuration_body,
     build_heartbeat_body,
@@ -120,3 +121,66 @@
     # They were ignored, so that a node ran with defaults for all bounds.
     lines = ['{"grace":"7s"', '"budgetSlack":430}']
     assert len(decode_bounds(lines).failure()) == 2
+
+
+ODD_VALUES = {
+    "nested for the parser": "[" * 5000 + "]" * 5000,
+    "nested for the notation": "[" * 900 + "]" * 900,
+    "objects": '{"a":' * 5000 + "1" + "}" * 5000,
+    "infinite": "1e999",
+    "many digits": "9" * 5000,
+    "half of a surrogate pair": '"\\ud800"',
+    "long duration": '"' + "9" * 400 + 's"',
+}
+FIELDS = ["address", "service", "slots", "state", "sequence", "born"]
+
+
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
+@pytest.mark.parametrize("field", FIELDS)
+def test_odd_value_in_a_heartbeat_is_a_finding(field, value):
+    # Some of them raised exceptions that nobody expected.
+    text = json.dumps(build_heartbeat_body())
+    old = json.dumps(find_value(json.loads(text), field))
+    body = text.replace(f'"{field}": {old}', f'"{field}": {value}').encode()
+    assert body != text.encode()
+    result = decode_heartbeat("i-1", body)
+    assert isinstance(result, Failure)
+    assert all(len(str(finding)) < 500 for finding in result.failure())
+
+
+@pytest.mark.parametrize("port", ["70000", "0", "9" * 5000, "8080 "])
+def test_address_with_an_odd_port_is_a_finding(port):
+    result = decode(build_heartbeat_body(address=f"127.0.0.1:{port}"))
+    assert isinstance(result, Failure)
+
+
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
+@pytest.mark.parametrize("field", ["timeout", "priority", "prefix", "version"])
+def test_odd_value_in_a_configuration_is_a_finding(field, value):
+    text = build_configuration_body().decode()
+    old = json.dumps(find_value(json.loads(text), field))
+    body = text.replace(f'"{field}": {old}', f'"{field}": {value}').encode()
+    assert body != text.encode()
+    assert isinstance(decode_configuration(body), Failure)
+
+
+def find_value(fields, name):
+    """Find the value of a field in nested objects and lists."""
+    found = [fields]
+    while found:
+        value = found.pop()
+        if isinstance(value, dict):
+            if name in value:
+                return value[name]
+            found += value.values()
+        elif isinstance(value, list):
+            found += value
+    raise KeyError(name)
+
+
+def test_values_beside_one_that_is_nested_too_deeply_are_read():
+    body = b'{"a": %s, "b": "]}\\\\\\"[", "c": [1]}' % (
+        b"[" * 9999 + b"]" * 9999
+    )
+    fields = parse_json(body, "test").unwrap()
+    assert (fields["b"], fields["c"]) == (']}\\"[', [1])
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -30,7 +30,7 @@
     Trust,
 )
 from egretlever.placement import Failure as FailedAttempt
-from egretlever.platform import StoredRow
+from egretlever.platform import MAX_NAME_BYTES, MAX_SLOTS, StoredRow
 from egretlever.relay._changes import Handover, SharedTable, TableChange
 from egretlever.schema import relay_pb2
 from egretlever.settings import parse_address
@@ -358,8 +358,11 @@
         relay = parse_address(row.relay_address)
     except (message.DecodeError, ValueError) as error:
         return Failure(str(error))
-    if not row.server or not row.service or row.slots < 1:
-        return Failure("server, service or slots are missing")
+    names = (row.server, row.service, row.failure_domain)
+    if not all(0 < len(name.encode()) <= MAX_NAME_BYTES for name in names):
+        return Failure("a name is missing or too long")
+    if not 1 <= row.slots <= MAX_SLOTS:
+        return Failure(f"{row.slots} slots are not in the allowed range")
     return Success(
         HomeServer(
             id=ServerId(row.server),
--- a/egretlever/relay/_followers.py
+++ b/egretlever/relay/_followers.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Iterable
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from egretlever.core import Seconds, ServerId, Version
 from egretlever.placement import Directory, HomeServer
@@ -116,7 +116,10 @@
 def decode_server(row: StoredRow) -> HomeServer | None:
     """Decode the row of a server; an invalid one is logged and skipped."""
     result = decode_row(row.value)
-    if isinstance(result, Success):
+    if isinstance(result, Success) and result.unwrap().id == row.key:
         return result.unwrap()
-    log_state("row-refused", row.key, reason=result.failure())
+    reason = "it names another server"
+    if isinstance(result, Failure):
+        reason = result.failure()
+    log_state("row-refused", row.key, reason=reason)
     return None
--- a/egretlever/relay/_table_follower.py
+++ b/egretlever/relay/_table_follower.py
@@ -188,10 +188,10 @@
             self._record_rows(page)
             rows.extend(page.rows)
             version = page.version if version is None else version
-            if not page.more or not page.rows:
+            if not page.more or not page.last_key:
                 break
             # The smallest key after the last one.
-            first = page.rows[-1].key + "\0"
+            first = page.last_key + "\0"
         await self._succeed("read")
         self._replace(rows, version)
         await self._synced.set()
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -1,5 +1,6 @@
 """Tests followers and the publisher against an unreliable store."""
 
+import base64
 import contextlib
 import dataclasses
 import random
@@ -563,3 +564,66 @@
     assert lines["rows-read"]["bytes"] > 700
     assert lines["configuration-in-force"]["version"] == "00000007"
     assert lines["configuration-in-force"]["count"] == 1
+
+
+def build_odd_row(**changes):
+    fields = {"key": '"odd"', "value": '"AA=="', "ver": "5", **changes}
+    members = ", ".join(f'"{name}": {text}' for name, text in fields.items())
+    return f"{{{members}}}"
+
+
+def build_foreign_row(**changes):
+    server = dataclasses.replace(build_home_server(7), **changes)
+    value = base64.b64encode(encode_row(server)).decode()
+    return build_odd_row(key=f'"{server.id}"', value=f'"{value}"')
+
+
+ODD_ROWS = {
+    "deep list": build_odd_row(value="[" * 5000 + "]" * 5000),
+    "deep object": build_odd_row(more='{"a":' * 5000 + "1" + "}" * 5000),
+    "deep text": build_odd_row(value='"[[[["'),
+    "large version": build_odd_row(ver="9" * 400),
+    "infinite version": build_odd_row(ver="1e999"),
+    "version of many digits": build_odd_row(ver="9" * 5000),
+    "negative version": build_odd_row(ver="-1"),
+    "version beyond 64 bits": build_odd_row(ver=str(1 << 64)),
+    "version as text": build_odd_row(ver='"5"'),
+    "no key": '{"value": "AA==", "ver": 5}',
+    "key that can't be encoded": build_odd_row(key='"\\ud800"'),
+    "no base64": build_odd_row(value='"?"'),
+    "no object": "[]",
+    "null": "null",
+    "port out of range": build_foreign_row(relay=Address("10.0.0.1", 70000)),
+    "no address": build_foreign_row(relay=Address("nowhere", 1)),
+    "too many slots": build_foreign_row(slots=4_000_000_000),
+    "no service": build_foreign_row(service=""),
+    "name of 60,000 bytes": build_foreign_row(service="s" * 60_000),
+}
+
+
+@pytest.mark.parametrize("row", ODD_ROWS.values(), ids=ODD_ROWS)
+def test_odd_row_of_another_writer_hides_no_server(row):
+    # Nodes that read the list ended, or stopped to follow it.
+    async def script(fixture):
+        fixture.store.odd_rows.append(row)
+        await fixture.store.put(SERVER_TABLE, ONE.id, encode_row(ONE))
+        await put_configuration(fixture, 7)
+        await curio.sleep(5.0)
+        await fixture.store.put(SERVER_TABLE, TWO.id, encode_row(TWO))
+        await put_configuration(fixture, 8)
+        await curio.sleep(5.0)
+        assert fixture.directory.list_all() == [ONE, TWO]
+
+    assert run_script(script).versions == [7, 8]
+
+
+def test_row_under_another_key_does_not_replace_a_server():
+    # Its removal would not have brought the server back.
+    async def script(fixture):
+        await fixture.store.put(SERVER_TABLE, ONE.id, encode_row(ONE))
+        foreign = dataclasses.replace(ONE, relay=Address("10.0.0.9", 9))
+        await fixture.store.put(SERVER_TABLE, "other", encode_row(foreign))
+        await curio.sleep(5.0)
+        assert fixture.directory.list_all() == [ONE]
+
+    run_script(script)
--- a/egretlever/settings/_fields.py
+++ b/egretlever/settings/_fields.py
@@ -1,6 +1,7 @@
 """Conversion of text values to fields of a generated message."""
 
 import ipaddress
+import math
 import re
 from collections.abc import Mapping
 from typing import Any
@@ -84,7 +85,10 @@
     match = _DURATION.fullmatch(text)
     if match is None:
         raise ValueError(f"{text!r} is not a duration such as 1500ms or 2.5s")
-    return Seconds(float(match[1]) * _UNITS[match[2]])
+    duration = float(match[1]) * _UNITS[match[2]]
+    if not math.isfinite(duration):
+        raise ValueError(f"{text!r} is too long a duration")
+    return Seconds(duration)
 
 
 def _check_kind(kind: int, text: str) -> None:
--- a/egretlever/standins/_rows.py
+++ b/egretlever/standins/_rows.py
@@ -95,6 +95,8 @@
         Method and path of each call, in order of arrival.
     link : SharedLink or None
         The given link.
+    odd_rows : list of str
+        Rows as JSON text that another writer left in all tables.
     """
 
     def __init__(self, link: SharedLink | None = None) -> None:
@@ -104,6 +106,7 @@
         self.fault = RowsFault.NONE
         self.delay = 0.0
         self.calls: list[str] = []
+        self.odd_rows: list[str] = []
         self._rows: dict[tuple[str, str], _Change] = {}
         self._history: list[_Change] = []
         self._version = 1
@@ -221,5 +224,9 @@
             }
             for row in rows
         ]
-        fields = {"rows": found, "hasMore": has_more, "ver": self._version}
-        return Answer(200, json.dumps(fields).encode(), "application/json")
+        rows_text = ", ".join([*self.odd_rows, *map(json.dumps, found)])
+        text = (
+            f'{{"rows": [{rows_text}], "hasMore": {json.dumps(has_more)},'
+            f' "ver": {self._version}}}'
+        )
+        return Answer(200, text.encode(), "application/json")
