Test that an answer which ends within its head is none

Other operators reported servers that stopped in the middle of an answer's head and closed, after which clients got a 200 with an empty body, framed as whole.

--- a/egretlever/node/tests/test_outcomes.py
+++ b/egretlever/node/tests/test_outcomes.py
@@ -156,6 +156,15 @@
     assert complete is not None and complete not in received
 
 
+@pytest.mark.parametrize("size", [1, 12, 16, 17, 30, 35, 36])
+def test_a_response_that_ends_within_its_head_is_none(size):
+    # Callers got a 200 with an empty body, framed as whole.
+    head = OK + b"content-length: 0\r\n\r\n"
+    assert len(head) == 38
+    reply, _ = call(send_raw(head[:size]), send_raw(head[:size]))
+    assert (reply.status, reply.outcome) == (502, "unknown")
+
+
 def test_an_http_1_0_request_without_host_is_served():
     async def scenario(fixture):
         await fixture.add_server(answer(b"whole"))
