Take no order that can't end before a planned stop

Other operators reported that requests which came late in the grace of a planned stop, in calm, were passed on and cut off at its end, among them requests that may not be repeated. It could happen here: an entry node took requests for 3 s, however little of the grace was left, and ended them with 504 shortly before the process ended, with their servers at work.

--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -61,6 +61,11 @@
 # unless the store is unavailable.
 _STARTUP_TIMEOUT = Seconds(0.3)
 _STARTUP_POLL_INTERVAL = 0.01  # seconds
+# During a planned stop, a request is offered only while this multiple of its
+# route's usual service time is left. One that can't be retried must not be cut
+# off at a server; few answers take four times as long as usual.
+_STOP_TIME_FACTOR = 4.0
+_IDEMPOTENT_STOP_TIME_FACTOR = 2.0
 # An attempt has to end this long before the client's deadline, so that its
 # answer still arrives in time.
 _RETURN_MARGIN = Seconds(0.02)
@@ -255,6 +260,8 @@
 
     async def _serve(self, task: _RequestTask) -> ClientAnswer:
         while True:
+            if not self._may_finish(task):
+                return self._give_up(task, GiveUpReason.STOPPING)
             choice = self._selector.decide(
                 task.search,
                 self._fleet.sample_servers(task.service),
@@ -293,6 +300,24 @@
             if task.history.attempts >= task.route.max_attempts:
                 return self._give_up(task, GiveUpReason.ATTEMPTS_USED)
 
+    def _may_finish(self, task: _RequestTask) -> bool:
+        """Tell whether an attempt is likely to end before a planned stop."""
+        if self._ends_at is None:
+            return True
+        factor = (
+            _IDEMPOTENT_STOP_TIME_FACTOR
+            if task.route.idempotent
+            else _STOP_TIME_FACTOR
+        )
+        needed = factor * self._estimate_usual_time(task.route)
+        return read_clock() + needed <= self._ends_at
+
+    def _estimate_usual_time(self, route: Route) -> Seconds:
+        """Return the usual service time of a route at all servers."""
+        return self._service_times.get(
+            route.id, Seconds(route.objective * _SERVICE_SHARE_OF_OBJECTIVE)
+        )
+
     def _is_budget_used(self, task: _RequestTask) -> bool:
         """Tell whether the fleet has most likely no retry budget left."""
         most = max(
@@ -322,10 +347,7 @@
             late=choice.late,
             repeated=task.history.attempts > 0,
             derived=task.derived,
-            usual_time=self._service_times.get(
-                task.route.id,
-                Seconds(task.route.objective * _SERVICE_SHARE_OF_OBJECTIVE),
-            ),
+            usual_time=self._estimate_usual_time(task.route),
         )
         self._selector.start_offer(choice.server)
         reply: Reply | None = None
--- a/egretlever/relay/_outcomes.py
+++ b/egretlever/relay/_outcomes.py
@@ -41,6 +41,7 @@
     ATTEMPTS_USED = "attempts-used"
     MAY_HAVE_RUN = "may-have-run"
     NO_BUDGET = "no-budget"
+    STOPPING = "node-stops"
 
 
 @dataclasses.dataclass(slots=True)
--- a/egretlever/relay/tests/test_entry.py
+++ b/egretlever/relay/tests/test_entry.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 import curio
+import pytest
 
 from egretlever.core import Seconds, ServiceName, Version
 from egretlever.placement import (
@@ -203,3 +204,48 @@
         return await host.send(kind, 2.0)
 
     assert run_virtual(main()) == 503
+
+
+def stop_under_orders(grace):
+    """Send orders to a node that stops; return when they came, and how."""
+
+    async def main():
+        fleet = RelayFleet(build_pattern())
+        for host in fleet.hosts:
+            host.start()
+            await curio.spawn(host.home.expire_forever, daemon=True)
+        host, kind = fleet.hosts[0], find_kind(fleet, "order")
+        for _ in range(30):
+            await host.send(kind, kind.timeout)
+        begun = read_clock()
+        host.entry.stop(Seconds(begun + 3.0), Seconds(begun + grace))
+        outcomes = []
+
+        async def send():
+            sent = read_clock() - begun
+            status = await host.send(kind, kind.timeout)
+            outcomes.append((sent, status, read_clock() - begun - sent))
+
+        async with curio.TaskGroup() as group:
+            while read_clock() < begun + grace:
+                await group.spawn(send)
+                await curio.sleep(0.05)
+        return kind, outcomes
+
+    return run_virtual(main())
+
+
+@pytest.mark.parametrize("grace", [2.0, 2.6, 3.45, 5.45])
+def test_orders_that_a_stopping_node_takes_end_before_it(grace):
+    # Orders that came late in the grace were sent to servers and cut off there.
+    kind, outcomes = stop_under_orders(grace)
+    statuses = collections.Counter(status for _, status, _ in outcomes)
+    assert set(statuses) <= {200, 500, 503}
+    # What can't be served is rejected at once, and the rest is served.
+    assert all(took < 0.2 for _, status, took in outcomes if status == 503)
+    early = [
+        status
+        for sent, status, _ in outcomes
+        if sent < min(3.0, grace - 5 * kind.work)
+    ]
+    assert early.count(200) >= 0.9 * len(early) > 0
