Tell followers soon when a node has lost its source

A node acknowledges subscribers only once it is known to get the changes: from a source that said so, or by a call of the store, which is probed by a small answer first. When it has lost its source for a tenth of the bound it tells its followers, who go on to others or to the store. The delay between two reads counts from the last answer with rows.

--- a/egretlever/relay/_configuration_follower.py
+++ b/egretlever/relay/_configuration_follower.py
@@ -31,6 +31,8 @@
 # which it has to acknowledge that it is followed.
 _SILENCE_SHARE = 0.25
 _FIRST_CHANGE_SHARE = 0.25
+# Time after which a node without a source tells its followers.
+_DOUBT_SHARE = 0.1
 # Nodes that are tried before the store is read.
 _MAX_SOURCES_TRIED = 2
 # Time in which a starting node reads the directory, unless the store is
@@ -116,6 +118,12 @@
             await self.sharing.publish(applied)
 
     async def _read_store(self) -> None:
+        if not self.sharing.confirmed:
+            # The nodes that follow this one wait to hear whether it can.
+            await self._table.probe()
+            if self._table.failing:
+                return
+            await self.sharing.confirm()
         if self.sharing.has_source():
             await self._table.follow_once(self._poll_time, self._poll_timeout)
         else:
@@ -195,6 +203,7 @@
             _MAX_SOURCES_TRIED,
             Seconds(_FIRST_CHANGE_SHARE * in_force_within),
             Seconds(_SILENCE_SHARE * in_force_within),
+            Seconds(_DOUBT_SHARE * in_force_within),
         ),
     )
     return ConfigurationFollower(store, holder, sharing, rng, in_force_within)
--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -1,7 +1,8 @@
 """Sharing of a table's changes among the nodes of a region."""
 
 import dataclasses
-from collections.abc import Callable
+import enum
+from collections.abc import Callable, Collection
 
 import curio
 
@@ -39,11 +40,24 @@
     silence_before_ping : Seconds
         A node from which nothing was received for this time is checked by a
         ping.
+    doubt_time : Seconds, optional
+        Time after which a node that has lost its source, and found no other
+        one, tells this to the nodes that follow it. Without it they are told
+        when a call of the store fails.
     """
 
     max_tried: int = 8
     first_change_timeout: Seconds = Seconds(1.0)
     silence_before_ping: Seconds = Seconds(5.0)
+    doubt_time: Seconds | None = None
+
+
+class _Access(enum.Enum):
+    """Whether this node gets the changes of the table."""
+
+    CONFIRMED = "confirmed"
+    PENDING = "pending"
+    FAILED = "failed"
 
 
 def _log(event: str, table: SharedTable, relay: Address) -> None:
@@ -96,8 +110,11 @@
         # of an earlier release has not named it.
         self._subscribers: dict[ChangeSubscriber, str] = {}
         self._version = Version(0)
-        # A node that has just started is expected to get the table soon.
-        self._available = True
+        self._access = _Access.CONFIRMED
+        if limits.doubt_time is not None:
+            self._access = _Access.PENDING
+        # Version that each subscriber held which is not answered yet.
+        self._unanswered: dict[ChangeSubscriber, Version] = {}
         self._received = False
 
     @property
@@ -108,7 +125,12 @@
     @property
     def reads_store(self) -> bool:
         """Whether this node reads the changes from the store by itself."""
-        return self._link is None and self._available
+        return self._link is None and self.confirmed
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether this node is known to get the changes of the table."""
+        return self._access is _Access.CONFIRMED
 
     @property
     def received(self) -> bool:
@@ -138,10 +160,18 @@
             Version that the node holds.
         """
         self._subscribers[subscriber] = relay
+        if self._access is _Access.PENDING:
+            self._unanswered[subscriber] = known
+        elif self._access is _Access.FAILED:
+            await subscriber.send_change(self._table, self._describe_failure())
+        else:
+            await self._answer(subscriber, known)
+
+    async def _answer(
+        self, subscriber: ChangeSubscriber, known: Version
+    ) -> None:
         change = self._describe_rows(known)
-        if not self._available:
-            change = self._describe_failure()
-        elif change.rows:
+        if change.rows:
             # Acknowledges the subscription, since all rows may take long.
             await subscriber.send_change(self._table, TableChange(known, known))
         await subscriber.send_change(self._table, change)
@@ -149,6 +179,7 @@
     def unsubscribe(self, subscriber: ChangeSubscriber) -> None:
         """Remove a subscriber."""
         self._subscribers.pop(subscriber, None)
+        self._unanswered.pop(subscriber, None)
 
     def _describe_version(self, known: Version) -> TableChange:
         del known
@@ -160,17 +191,42 @@
     async def publish(self, change: TableChange) -> None:
         """Pass a change on to the nodes that follow this one."""
         self._version = max(self._version, change.version)
-        self._available = True
-        await self._send(change)
+        unanswered = set(self._unanswered)
+        await self.confirm()
+        await self._send(change, unanswered)
+
+    async def confirm(self) -> None:
+        """Record that this node gets the changes of the table."""
+        self._access = _Access.CONFIRMED
+        while self._unanswered:
+            await self._answer(*self._unanswered.popitem())
 
     async def publish_failure(self) -> None:
         """Tell the nodes that follow this one that it gets no changes."""
-        self._available = False
+        self._access = _Access.FAILED
+        self._unanswered.clear()
         await self._send(self._describe_failure())
 
-    async def _send(self, change: TableChange) -> None:
+    async def _send(
+        self, change: TableChange, but: Collection[ChangeSubscriber] = ()
+    ) -> None:
         for subscriber in list(self._subscribers):
-            await subscriber.send_change(self._table, change)
+            if subscriber not in but:
+                await subscriber.send_change(self._table, change)
+
+    async def _doubt(self) -> None:
+        """Record that the source was lost, and report it after a while."""
+        if self._limits.doubt_time is None or not self.confirmed:
+            return
+        self._access = _Access.PENDING
+        await curio.spawn(
+            self._report_doubt, self._limits.doubt_time, daemon=True
+        )
+
+    async def _report_doubt(self, doubt_time: Seconds) -> None:
+        await curio.sleep(doubt_time)
+        if self._access is _Access.PENDING:
+            await self.publish_failure()
 
     async def receive(self, version: Version) -> TableChange | None:
         """Wait for the next change from the node that is followed.
@@ -200,6 +256,7 @@
                 return change if change.base <= version else None
             cut_off += change is not None
             await self._leave()
+            await self._doubt()
             _log("reader-excluded", self._table, relay)
             self._readers.exclude(relay, read_clock())
         await self._leave()
--- a/egretlever/relay/_table_follower.py
+++ b/egretlever/relay/_table_follower.py
@@ -19,6 +19,7 @@
 from egretlever.relay._changes import TableChange
 from egretlever.relay._sharing import TableSharing
 from egretlever.schema import logs_pb2
+from egretlever.transport import read_clock
 
 _LOG = make_log("store")
 # Duration of a long poll. Store calls are paid, and one change ends the polls
@@ -33,6 +34,8 @@
 # configuration has to take effect within seconds of it. Slow calls take 0.4 s.
 _RECOVERY_POLL_TIME = Seconds(0.5)
 _RECOVERY_TIMEOUT = Seconds(1.2)
+# Greater than all keys of the tables that are followed.
+_AFTER_ALL_KEYS = "\U0010ffff"
 # Shortest and longest bound of the delay after a failed call. The delay is
 # random, so that nodes do not all retry at once.
 _MIN_BACKOFF = Seconds(0.2)
@@ -130,8 +133,8 @@
         self._report_failure = report_failure
         if report_failure is None and sharing is not None:
             self._report_failure = sharing.publish_failure
-        # Delay before the next poll.
-        self._poll_delay = Seconds(0.0)
+        # Clock time before which the store is not polled again.
+        self._polls_from = read_clock()
         self._version: Version | None = None
         self._failing = False
         self._regained = curio.Event()
@@ -171,6 +174,21 @@
         if change is not None:
             await self._apply(change)
 
+    @property
+    def failing(self) -> bool:
+        """Whether the latest call of the store has failed."""
+        return self._failing
+
+    async def probe(self) -> None:
+        """Find out by a small answer whether the store can be read."""
+        result = await self._store.read(
+            self._table, _AFTER_ALL_KEYS, limit=1, timeout=self._find_timeout()
+        )
+        if isinstance(result, Failure):
+            await self._handle_failure("probe", result.failure())
+        else:
+            await self._succeed("probe")
+
     async def _read_all(self) -> None:
         rows: list[StoredRow] = []
         first = ""
@@ -196,7 +214,7 @@
         self._replace(rows, version)
         await self._synced.set()
         # When many nodes start together, each one's row would end the poll.
-        self._poll_delay = self._batch_time
+        self._polls_from = Seconds(read_clock() + self._batch_time)
         await self._advance(TableChange(version, version))
 
     async def _read_changes(self, version: Version) -> None:
@@ -221,20 +239,21 @@
         poll_time: Seconds | None = None,
         timeout: Seconds | None = None,
     ) -> TableChange | None:
-        await curio.sleep(self._poll_delay)
+        await curio.sleep(max(0.0, self._polls_from - read_clock()))
         if poll_time is None or self._failing:
             poll_time, timeout = self._find_poll_time(), self._find_timeout()
         result = await self._store.watch(
             self._table, version, poll_time, timeout=timeout
         )
         if isinstance(result, Failure):
-            self._poll_delay = Seconds(0.0)
+            self._polls_from = read_clock()
             await self._handle_failure("follow", result.failure())
             return None
         page = result.unwrap()
         self._record_rows(page)
         await self._succeed("follow")
-        self._poll_delay = self._batch_time if page.rows else Seconds(0.0)
+        if page.rows:
+            self._polls_from = Seconds(read_clock() + self._batch_time)
         return TableChange(version, page.version, page.rows)
 
     def _record_rows(self, page: RowPage) -> None:
--- a/egretlever/relay/tests/test_configuration_sharing.py
+++ b/egretlever/relay/tests/test_configuration_sharing.py
@@ -1,8 +1,12 @@
 """Tests that a configuration reaches all nodes of a region in time."""
 
+import random
+
 import curio
 import pytest
 
+from egretlever.core import Seconds
+from egretlever.platform import Bounds
 from egretlever.platform.tests.wire_builders import (
     build_configuration_body,
     build_large_configuration,
@@ -123,3 +127,32 @@
         assert await fixture.count_without(LAST_ROUTE) == len(fixture.nodes)
 
     run_script(script, count=20)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_nodes_that_the_store_turns_away_hold_up_no_other_node(seed):
+    # A node waited 2.4 s for others that had lost the store one after another.
+    rng = random.Random(seed)
+    others = [*range(1, 10), *range(11, 20)]
+    turned_away = [0, 10, *rng.sample(others, 5)]
+    wait = rng.uniform(0.2, 1.6)
+
+    async def script(fixture):
+        fixture.door.busy = True
+        await curio.sleep(wait)
+        await fixture.configure(LARGE)
+        await curio.sleep(2.0)
+        late = [
+            place
+            for place, node in enumerate(fixture.nodes)
+            if place not in turned_away
+            and not await node.knows_route(LAST_ROUTE)
+        ]
+        assert late == []
+
+    run_script(
+        script,
+        count=20,
+        bounds=Bounds(configuration=Seconds(2.0)),
+        turned_away=turned_away,
+    )
--- a/egretlever/relay/tests/test_sharing.py
+++ b/egretlever/relay/tests/test_sharing.py
@@ -4,11 +4,17 @@
 
 import curio
 
-from egretlever.core import FailureDomain, ServerId, Version
+from egretlever.core import (
+    Address,
+    FailureDomain,
+    Seconds,
+    ServerId,
+    Version,
+)
 from egretlever.platform import StoredRow
 from egretlever.relay._changes import SharedTable, TableChange
 from egretlever.relay._links import LinkPool
-from egretlever.relay._sharing import TableSharing
+from egretlever.relay._sharing import SharingLimits, TableSharing
 from egretlever.standins import RowsFault
 from egretlever.testing import run_virtual
 from egretlever.testing._failure_domain import DomainFixture
@@ -210,3 +216,69 @@
     recorder = ChangeRecorder()
     run_virtual(sharing.subscribe(recorder, "127.0.0.1:1", Version(3)))
     assert recorder.changes == [TableChange(Version(3), Version(3)), whole]
+
+
+class DeadSource(NoSource):
+    """Chooses a node that does not run."""
+
+    def choose(self, now):
+        return Address("127.0.0.1", 1)
+
+
+def make_pending_sharing(selector):
+    return TableSharing(
+        SharedTable.CONFIGURATION,
+        NEWCOMER.relay,
+        selector,
+        LinkPool(NoticeRecorder()),
+        limits=SharingLimits(max_tried=2, doubt_time=Seconds(0.2)),
+    )
+
+
+def test_node_that_lost_its_source_soon_tells_its_followers():
+    # They waited for it while it looked for another source for 2 s.
+    recorder = ChangeRecorder()
+
+    async def main():
+        sharing = make_pending_sharing(DeadSource())
+        await sharing.confirm()
+        await sharing.subscribe(recorder, "127.0.0.1:2", Version(0))
+        assert await sharing.receive(Version(0)) is None
+        await curio.sleep(0.1)
+        told = [change.available for change in recorder.changes]
+        await curio.sleep(0.2)
+        return told
+
+    assert run_virtual(main()) == [True]
+    assert [change.available for change in recorder.changes] == [True, False]
+
+
+def test_node_that_finds_another_source_in_time_keeps_its_followers():
+    recorder = ChangeRecorder()
+
+    async def main():
+        sharing = make_pending_sharing(DeadSource())
+        await sharing.confirm()
+        await sharing.subscribe(recorder, "127.0.0.1:2", Version(0))
+        await sharing.receive(Version(0))
+        await sharing.confirm()
+        await curio.sleep(1.0)
+
+    run_virtual(main())
+    assert [change.available for change in recorder.changes] == [True]
+
+
+def test_subscription_is_answered_once_the_node_gets_the_changes():
+    # A node that could not read the store either seemed to be a source.
+    recorder = ChangeRecorder()
+
+    async def main():
+        sharing = make_pending_sharing(NoSource())
+        await sharing.subscribe(recorder, "127.0.0.1:2", Version(0))
+        assert recorder.changes == []
+        change = TableChange(Version(0), Version(3))
+        await sharing.publish(change)
+
+    run_virtual(main())
+    assert len(recorder.changes) == 1
+    assert recorder.changes[0].version == 3
--- a/egretlever/standins/_rows.py
+++ b/egretlever/standins/_rows.py
@@ -12,6 +12,7 @@
 from egretlever.core import Address
 from egretlever.transport import (
     Answer,
+    Handler,
     RequestHead,
     open_listener,
     read_clock,
@@ -144,6 +145,10 @@
         self._history.clear()
         self._dropped_version = self._version
 
+    def open_door(self) -> "StoreDoor":
+        """Open another address of this store, with faults of its own."""
+        return StoreDoor(self._handle)
+
     async def _handle(self, head: RequestHead, body: bytes) -> Answer:
         reply = await self._execute(head, body)
         if self.link is not None:
@@ -230,3 +235,36 @@
             f' "ver": {self._version}}}'
         )
         return Answer(200, text.encode(), "application/json")
+
+
+class StoreDoor:
+    """Another address of a store, which may turn its callers away.
+
+    Parameters
+    ----------
+    handle : Handler
+        Handles the calls in the store.
+
+    Attributes
+    ----------
+    address : Address
+        Listening address.
+    busy : bool
+        Whether calls are answered with 503 from now on.
+    """
+
+    def __init__(self, handle: Handler) -> None:
+        self._handle = handle
+        self._listener = open_listener(Address("127.0.0.1", 0))
+        self.address = Address(*self._listener.getsockname()[:2])
+        self.busy = False
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        try:
+            await serve_requests(self._listener, self._answer)
+        finally:
+            await self._listener.close()
+
+    async def _answer(self, head: RequestHead, body: bytes) -> Answer:
+        return Answer(503) if self.busy else await self._handle(head, body)
--- a/egretlever/testing/_relay_region.py
+++ b/egretlever/testing/_relay_region.py
@@ -1,7 +1,7 @@
 """Relay nodes of one region, whose way to the store is a shared link."""
 
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 from typing import Any
 
 import curio
@@ -25,8 +25,11 @@
 # Host of the requests that the fixture sends.
 CLIENT_HOST = "127.0.0.1"
 _NO_ROUTE = 404
-# Time after which all nodes have read the configuration and the directory.
-_SETTLING_TIME = 12.0  # seconds
+# Time after which servers announce themselves at the first start.
+_HEARTBEAT_TIME = 1.0  # seconds
+# Time after which all nodes have read the configuration and the directory, and
+# the store has ended the long polls that they have given up.
+_SETTLING_TIME = 40.0  # seconds
 
 
 class RegionNode:
@@ -146,11 +149,15 @@
         Bandwidth of the link to the store, for all nodes together.
     bounds : Bounds, optional
         Limits that the platform sets.
+    turned_away : collection of int, optional
+        Places of the nodes in `nodes` that reach the store by `door`.
 
     Attributes
     ----------
     store : RowsStandIn
         The store.
+    door : StoreDoor
+        Address of the store that may turn nodes away.
     link : SharedLink
         Link of the nodes to the store.
     nodes : list of RegionNode
@@ -158,7 +165,11 @@
     """
 
     def __init__(
-        self, count: int, bytes_per_second: float, bounds: Bounds | None = None
+        self,
+        count: int,
+        bytes_per_second: float,
+        bounds: Bounds | None = None,
+        turned_away: Collection[int] = (),
     ) -> None:
         self.link = SharedLink(bytes_per_second)
         self.store = RowsStandIn(self.link)
@@ -176,6 +187,9 @@
             ),
             key=lambda node: (node.row.failure_domain, node.row.relay.port),
         )
+        self.door = self.store.open_door()
+        for place in turned_away:
+            self.nodes[place].read_store_at(self.door.address)
 
     async def count_without(self, path: str) -> int:
         """Count the nodes that do not know a route."""
@@ -191,14 +205,19 @@
     @contextlib.asynccontextmanager
     async def running(self, body: bytes) -> AsyncIterator["RegionFixture"]:
         """Run the store and all nodes with a first configuration."""
-        store = await curio.spawn(self.store.run, daemon=True)
+        stores = [
+            await curio.spawn(part.run, daemon=True)
+            for part in (self.store, self.door)
+        ]
         await self.configure(body)
+        # At the first start of a fleet the store knows no server yet.
+        for node in self.nodes:
+            await node.start()
+        await curio.sleep(_HEARTBEAT_TIME)
         for node in self.nodes:
             await self.store.put(
                 SERVER_TABLE, node.row.id, encode_row(node.row)
             )
-        for node in self.nodes:
-            await node.start()
         await curio.sleep(_SETTLING_TIME)
         self.store.calls.clear()
         try:
@@ -206,4 +225,5 @@
         finally:
             for node in self.nodes:
                 await node.kill()
-            await store.cancel()
+            for store in stores:
+                await store.cancel()
