Poll the store often as soon as other nodes follow

A node that began a long poll of 29 s as the only one of its region kept to it when others had begun to follow it. Had the store fallen silent in that time, all of them would have been late by up to 27 s, where one node was before. Found by reading the change; test_node_that_gets_followers_soon_notices_a_silent_store failed before.

The poll ends now when the node gets its first follower, as it does when a node to follow appears. The two selectors share what leaves failed nodes alone.

--- a/egretlever/placement/_readers.py
+++ b/egretlever/placement/_readers.py
@@ -77,7 +77,31 @@
         self._exclusions.pop(relay, None)
 
 
-class ReaderSelector:
+class _ExcludingSelector:
+    """Leaves nodes alone for a while that failed."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        failure_domain: FailureDomain,
+        own_relay: Address,
+        exclusion_time: Seconds,
+    ) -> None:
+        self._directory = directory
+        self._failure_domain = failure_domain
+        self._own_key = _make_key(own_relay)
+        self._exclusions = _Exclusions(exclusion_time)
+
+    def exclude(self, relay: Address, now: Seconds) -> None:
+        """Do not choose a node for a while, since it failed."""
+        self._exclusions.add(relay, now)
+
+    def observe_change(self, relay: Address) -> None:
+        """Record that a node has sent a change."""
+        self._exclusions.remove(relay)
+
+
+class ReaderSelector(_ExcludingSelector):
     """Chooses the node of a failure domain that reads the store for the others.
 
     Load pattern: hundreds of nodes, and a server that starts or leaves every
@@ -105,10 +129,9 @@
         failure_domain: FailureDomain,
         own_relay: Address,
     ) -> None:
-        self._directory = directory
-        self._failure_domain = failure_domain
-        self._own_key = _make_key(own_relay)
-        self._exclusions = _Exclusions(_READER_EXCLUSION_TIME)
+        super().__init__(
+            directory, failure_domain, own_relay, _READER_EXCLUSION_TIME
+        )
 
     def choose(self, now: Seconds) -> Address | None:
         """Choose the node to follow.
@@ -133,16 +156,8 @@
         )
         return min(candidates, key=_make_key, default=None)
 
-    def exclude(self, relay: Address, now: Seconds) -> None:
-        """Do not choose a node for a while, since it failed as a reader."""
-        self._exclusions.add(relay, now)
 
-    def observe_change(self, relay: Address) -> None:
-        """Record that a node has sent a change."""
-        self._exclusions.remove(relay)
-
-
-class TreeSelector:
+class TreeSelector(_ExcludingSelector):
     """Chooses the source of a node in a tree over the nodes of its region.
 
     Load pattern: a configuration of thousands of routes, and hosts whose own
@@ -182,12 +197,11 @@
         check_parameters(
             "TreeSelector", {"fan_out": fan_out}, {"fan_out": Interval(1)}
         )
-        self._directory = directory
-        self._failure_domain = failure_domain
-        self._own_key = _make_key(own_relay)
+        super().__init__(
+            directory, failure_domain, own_relay, _SOURCE_EXCLUSION_TIME
+        )
         self._is_near = is_near
         self._fan_out = fan_out
-        self._exclusions = _Exclusions(_SOURCE_EXCLUSION_TIME)
 
     def choose(self, now: Seconds) -> Address | None:
         """Choose the node to follow.
@@ -226,14 +240,6 @@
                 return min(usable[domain], key=_make_key)
         return None
 
-    def exclude(self, relay: Address, now: Seconds) -> None:
-        """Do not choose a node for a while, since it failed as a source."""
-        self._exclusions.add(relay, now)
-
-    def observe_change(self, relay: Address) -> None:
-        """Record that a node has sent a change."""
-        self._exclusions.remove(relay)
-
 
 def _make_key(relay: Address) -> tuple[str, int]:
     return relay.ip, relay.port
--- a/egretlever/relay/_configuration_follower.py
+++ b/egretlever/relay/_configuration_follower.py
@@ -38,7 +38,7 @@
 # Time in which a starting node reads the directory, unless the store is
 # unavailable.
 _DIRECTORY_TIMEOUT = Seconds(0.5)
-_SOURCE_CHECK_INTERVAL = 1.0  # seconds
+_OTHERS_CHECK_INTERVAL = 1.0  # seconds
 
 
 class ConfigurationFollower:
@@ -127,24 +127,28 @@
         if self.sharing.has_source():
             await self._table.follow_once(self._poll_time, self._poll_timeout)
         else:
+            followed = self.sharing.has_subscribers
             async with curio.TaskGroup(wait=any) as group:
-                await group.spawn(self._poll_without_source)
-                await group.spawn(self._await_source)
+                await group.spawn(self._poll_without_source, followed)
+                await group.spawn(self._await_others, followed)
             if group.exception is not None:
                 raise group.exception
         for change in self._changes:
             await self.sharing.publish(change)
         self._changes.clear()
 
-    async def _poll_without_source(self) -> None:
-        if self.sharing.has_subscribers:
+    async def _poll_without_source(self, followed: bool) -> None:
+        if followed:
             await self._table.follow_once(self._poll_time, self._poll_timeout)
         else:
             await self._table.follow_once()
 
-    async def _await_source(self) -> None:
-        while not self.sharing.has_source():
-            await curio.sleep(_SOURCE_CHECK_INTERVAL)
+    async def _await_others(self, followed: bool) -> None:
+        """Wait for a node to follow, or for one that follows this one."""
+        while not self.sharing.has_source() and (
+            followed or not self.sharing.has_subscribers
+        ):
+            await curio.sleep(_OTHERS_CHECK_INTERVAL)
 
     def _apply_rows(
         self, rows: list[StoredRow] | tuple[StoredRow, ...], _: Version
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -8,7 +8,7 @@
 import curio
 import pytest
 
-from egretlever.core import Address, Incarnation, Seconds
+from egretlever.core import Address, Incarnation, Seconds, Version
 from egretlever.placement import Directory
 from egretlever.platform import make_row_store
 from egretlever.platform.tests.wire_builders import (
@@ -24,7 +24,11 @@
 from egretlever.relay._publishing import ServerPublisher
 from egretlever.standins import RowsFault, RowsStandIn, SharedLink
 from egretlever.testing import run_virtual
-from egretlever.testing._relay_doubles import NoSource, NoticeRecorder
+from egretlever.testing._relay_doubles import (
+    ChangeRecorder,
+    NoSource,
+    NoticeRecorder,
+)
 from egretlever.testing.relay_builders import build_home_server
 from egretlever.transport import read_clock
 
@@ -627,3 +631,21 @@
         assert fixture.directory.list_all() == [ONE]
 
     run_script(script)
+
+
+def test_node_that_gets_followers_soon_notices_a_silent_store():
+    # It waited for its own long poll, and they waited with it.
+    recorder = ChangeRecorder()
+
+    async def script(fixture):
+        await put_configuration(fixture, 7)
+        await curio.sleep(5.0)
+        await fixture.configuration.sharing.subscribe(
+            recorder, "127.0.0.1:2", Version(7)
+        )
+        await curio.sleep(3.0)
+        fixture.store.fault = RowsFault.SILENT
+        await curio.sleep(3.0)
+
+    run_script(script)
+    assert [change.available for change in recorder.changes] == [True, False]
--- a/egretlever/relay/tests/test_sharing.py
+++ b/egretlever/relay/tests/test_sharing.py
@@ -18,7 +18,11 @@
 from egretlever.standins import RowsFault
 from egretlever.testing import run_virtual
 from egretlever.testing._failure_domain import DomainFixture
-from egretlever.testing._relay_doubles import NoSource, NoticeRecorder
+from egretlever.testing._relay_doubles import (
+    ChangeRecorder,
+    NoSource,
+    NoticeRecorder,
+)
 from egretlever.testing.relay_builders import build_home_server
 
 NODES = 30
@@ -191,16 +195,6 @@
     run_script(script, count=8)
 
 
-class ChangeRecorder:
-    """Records the changes that a subscriber is sent."""
-
-    def __init__(self):
-        self.changes = []
-
-    async def send_change(self, table, change):
-        self.changes.append(change)
-
-
 def test_subscription_is_acknowledged_before_all_rows_are_sent():
     # On a narrow link the rows came after the time for the acknowledgement, and
     # the source was taken for one that had failed.
--- a/egretlever/testing/_relay_doubles.py
+++ b/egretlever/testing/_relay_doubles.py
@@ -50,6 +50,20 @@
         self.lost.append(server_id)
 
 
+class ChangeRecorder:
+    """Records the changes that a subscriber is sent."""
+
+    def __init__(self) -> None:
+        self.changes: list[TableChange] = []
+
+    async def send_change(
+        self, table: SharedTable, change: TableChange
+    ) -> None:
+        """Record a change."""
+        del table
+        self.changes.append(change)
+
+
 class NoSource:
     """Chooses no node to follow, as on the only node of a region."""
 
