Drop the limits that the configuration's holder kept and never read

The rows hold them, and apply decodes them from there. Behaviour is unchanged; the tests of the configuration and of handovers, formatter, linter and type checker pass. The whole suite was not run again on this commit.

--- a/egretlever/relay/_configuration.py
+++ b/egretlever/relay/_configuration.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result
 
 from egretlever.core import Version, make_log
-from egretlever.placement import ClientLimits, Configuration, Route
+from egretlever.placement import Configuration, Route
 from egretlever.platform import StoredRow
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._changes import TableChange
@@ -57,7 +57,6 @@
         self._configure = configure
         self._values: dict[str, bytes] = {}
         self._routes: dict[str, Route] = {}
-        self._limits = ClientLimits()
         self.version = _NONE
 
     def replace(self, configuration: Configuration) -> TableChange | None:
@@ -77,7 +76,6 @@
             encode_routes(configuration), configuration.version
         )
         self._routes = {route.id: route for route in configuration.routes}
-        self._limits = configuration.limits
         self._log_in_force(begun, "the store")
         return change
 
@@ -114,7 +112,7 @@
         if not self._configure(configuration):
             return None
         effective = self._replace_values(values, change.version)
-        self._routes, self._limits = routes, limits
+        self._routes = routes
         self._log_in_force(begun, "another node")
         return effective
 
