Remember the departure of a server that was not heard from

Cause: LocalServer.depart knew only the current server. After a restart there is none, so the departure was answered with 200, but neither remembered nor written to the server's row, which still said that it serves. The heartbeat that came later started the server anew. A departure of a newer incarnation than the current one was recorded for the older one.

Change: a departure is remembered for any server and incarnation, and its row is written before the acknowledgement, from the row that a former process has left, or anew when there is none. The publisher gets the server that leaves and treats it as the wanted content of the row until its retention ends. A draining heartbeat that arrives after a later one counts, too.

--- a/egretlever/home/_lifecycle.py
+++ b/egretlever/home/_lifecycle.py
@@ -102,11 +102,13 @@
             self._departed[current.id] = (current.incarnation, now)
             self.current = heartbeat
             return HeartbeatEffect.STARTED
-        if heartbeat.sequence < current.sequence:
-            return HeartbeatEffect.STALE
-        # Draining is final within an incarnation: the first draining heartbeat
-        # has been confirmed to its sender.
+        # Draining is final within an incarnation, also when the draining
+        # heartbeat arrives late: it is confirmed to its sender.
         draining = current.draining or heartbeat.draining
+        if heartbeat.sequence < current.sequence:
+            if draining is current.draining:
+                return HeartbeatEffect.STALE
+            heartbeat = current
         self.current = dataclasses.replace(heartbeat, draining=draining)
         changed = (draining, heartbeat.slots, heartbeat.address) != (
             current.draining,
@@ -123,6 +125,9 @@
     ) -> HeartbeatEffect:
         """Process the departure of a server.
 
+        It is remembered for servers without a heartbeat, too: this process may
+        have started after the latest one, or a delayed one may still arrive.
+
         Parameters
         ----------
         server_id : ServerId
@@ -130,17 +135,29 @@
         now : Seconds
             Current time.
         incarnation : Incarnation, optional
-            Incarnation that departs. The departure is stale when a newer one
-            has replaced it.
+            Latest incarnation that departs, by default that of the current
+            server. The departure is stale when a newer one has replaced it.
         """
         current = self.current
-        if current is None or current.id != server_id:
+        if incarnation is None:
+            if current is None or current.id != server_id:
+                return HeartbeatEffect.STALE
+            incarnation = current.incarnation
+        departed = self._departed.get(server_id)
+        if departed is not None and incarnation <= departed[0]:
             return HeartbeatEffect.STALE
-        if incarnation is None or incarnation >= current.incarnation:
-            self._departed[server_id] = (current.incarnation, now)
-            self.current = None
+        self._departed[server_id] = (incarnation, now)
+        if current is None:
             return HeartbeatEffect.DEPARTED
-        return HeartbeatEffect.STALE
+        if incarnation < current.incarnation or (
+            current.id != server_id and incarnation == current.incarnation
+        ):
+            return HeartbeatEffect.STALE
+        if current.id != server_id:
+            # The departed server had replaced the current one.
+            self._departed[current.id] = (current.incarnation, now)
+        self.current = None
+        return HeartbeatEffect.DEPARTED
 
     def drain(self, server_id: ServerId, incarnation: Incarnation) -> bool:
         """Mark the current server as leaving, as an earlier process knew.
--- a/egretlever/relay/_announcements.py
+++ b/egretlever/relay/_announcements.py
@@ -1,10 +1,11 @@
 """HTTP endpoint for heartbeats and departures of the server on the host."""
 
+import time
 from collections.abc import Awaitable, Callable
 
 from returns.result import Failure
 
-from egretlever.core import make_log
+from egretlever.core import Incarnation, ServerId, make_log
 from egretlever.home import Heartbeat, HeartbeatEffect
 from egretlever.platform import (
     decode_departure,
@@ -17,6 +18,7 @@
 from egretlever.transport import Answer, RequestHead, read_clock
 
 _LOG = make_log("home")
+_NANOSECONDS_PER_MILLISECOND = 1_000_000
 _JSON = "application/json"
 _ACKNOWLEDGED = Answer(200, b"{}", _JSON)
 _CHANGE_EFFECTS = frozenset(
@@ -33,32 +35,39 @@
 
     When a server announces that it leaves, new requests are stopped before the
     acknowledgement, which promises that the server gets none afterwards, also
-    when this process is restarted.
+    when this process is restarted. The promise holds for a server that this
+    process has not heard from.
 
     Parameters
     ----------
     home : HomeNode
         Home node of the server.
     notify : callable
-        Coroutine function that is called when the server has changed, with
-        whether it is leaving.
+        Coroutine function that is called when the server has changed.
+    record_leaving : callable
+        Coroutine function that is called with the id and the incarnation of a
+        server that leaves.
     """
 
     def __init__(
-        self, home: HomeNode, notify: Callable[[bool], Awaitable[None]]
+        self,
+        home: HomeNode,
+        notify: Callable[[], Awaitable[None]],
+        record_leaving: Callable[[ServerId, Incarnation], Awaitable[bool]],
     ) -> None:
         self._home = home
         self._notify = notify
+        self._record_leaving = record_leaving
 
     async def handle(self, head: RequestHead, body: bytes) -> Answer:
         """Answer a heartbeat (PUT) or a departure (DELETE)."""
         server_id = parse_server_path(head.target)
         if server_id is None:
             return Answer(404, b"{}", _JSON)
+        leaving: Incarnation | None = None
         if head.method == "DELETE":
-            effect = self._home.local.depart(
-                server_id, read_clock(), decode_departure(body)
-            )
+            leaving = self._find_departing(body)
+            effect = self._home.local.depart(server_id, read_clock(), leaving)
         elif head.method == "PUT":
             result = decode_heartbeat(server_id, body)
             if isinstance(result, Failure):
@@ -66,7 +75,10 @@
                 for finding in result.failure():
                     _LOG.warning("%s: %s.", server_id, finding)
                 return Answer(400, b"{}", _JSON)
-            effect = self._home.local.observe(result.unwrap(), read_clock())
+            heartbeat = result.unwrap()
+            if heartbeat.draining:
+                leaving = heartbeat.incarnation
+            effect = self._home.local.observe(heartbeat, read_clock())
         else:
             return Answer(405, b"{}", _JSON)
         metrics.HEARTBEATS.labels(effect.value).inc()
@@ -80,9 +92,25 @@
                     outcome=_describe(server),
                 )
             )
-            await self._notify(server is None or server.draining)
+            await self._notify()
+        if leaving is not None:
+            await self._record_leaving(server_id, leaving)
         return _ACKNOWLEDGED
 
+    def _find_departing(self, body: bytes) -> Incarnation:
+        """Return the latest incarnation that a departure stands for.
+
+        A departure may not name it. It is then at most that of the current
+        server, and without one any incarnation that has started so far.
+        """
+        named = decode_departure(body)
+        if named is not None:
+            return named
+        current = self._home.local.current
+        if current is not None:
+            return current.incarnation
+        return Incarnation(time.time_ns() // _NANOSECONDS_PER_MILLISECOND)
+
 
 def _describe(server: Heartbeat | None) -> str:
     if server is None:
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -216,6 +216,23 @@
         """Write to the server's row that it leaves, without waiting for it."""
         await self._publisher.notify()
 
+    async def _record_leaving(
+        self, server_id: ServerId, incarnation: Incarnation
+    ) -> bool:
+        """Write to the row of a server that it leaves."""
+        identity = self._settings.identity
+        return await self._publisher.record_leaving(
+            HomeServer(
+                id=server_id,
+                service=ServiceName(identity.service),
+                failure_domain=FailureDomain(identity.failure_domain),
+                relay=self._relay,
+                slots=1,
+                incarnation=incarnation,
+                draining=True,
+            )
+        )
+
     def _mark_leaving(
         self, server_id: ServerId, incarnation: Incarnation
     ) -> None:
@@ -226,7 +243,9 @@
     async def run(self) -> None:
         """Run until the planned stop is complete."""
         listen = self._settings.listen
-        page = AnnouncementPage(self._home, self._publisher.notify)
+        page = AnnouncementPage(
+            self._home, self._publisher.notify, self._record_leaving
+        )
         clients = (
             open_listener(parse_address(listen.clients))
             if self._listener is None
--- a/egretlever/relay/_publishing.py
+++ b/egretlever/relay/_publishing.py
@@ -27,7 +27,7 @@
 _LEFT_ROW_RETENTION = Seconds(10.0)
 # Time for which the acknowledgement of a departure waits for the row. Servers
 # call again when they have no acknowledgement after a second.
-_DEPARTURE_WRITE_TIMEOUT = Seconds(0.5)
+_LEAVING_WRITE_TIMEOUT = Seconds(0.5)
 
 
 async def remove_row(
@@ -101,6 +101,7 @@
         self._wake = curio.Event()
         self._published = curio.Event()
         self._written: HomeServer | None = None
+        self._leaving: HomeServer | None = None
         self._left_at: Seconds | None = None
         self._retention = _LEFT_ROW_RETENTION
         self._version = Version(0)
@@ -108,21 +109,53 @@
             maxlen=_MAX_WRITTEN_IDS
         )
 
-    async def notify(self, leaving: bool = False) -> None:
-        """Signal that the server on this host may have changed.
+    async def notify(self) -> None:
+        """Signal that the server on this host may have changed."""
+        await self._wake.set()
+
+    async def record_leaving(self, server: HomeServer) -> bool:
+        """Write to the row of a server that it leaves.
 
         Parameters
         ----------
-        leaving : bool, default=False
-            Whether the server leaves, which is to be acknowledged to it. The
-            call then returns when the row says so, or after half a second: the
-            store may be unavailable.
+        server : HomeServer
+            The server, with the latest incarnation that leaves. Its other
+            fields count only if it has no row: this process may not have heard
+            from it.
+
+        Returns
+        -------
+        bool
+            Whether the row says so within half a second. The write goes on.
         """
+        if self._is_recorded(server):
+            return True
+        row = self._directory.find(server.id)
+        if self._written is not None and self._written.id == server.id:
+            row = self._written
+        if row is None:
+            row = server
+        self._leaving = dataclasses.replace(
+            row,
+            relay=server.relay,
+            incarnation=max(row.incarnation, server.incarnation),
+            draining=True,
+        )
+        self._left_at = None
         self._published.clear()
         await self._wake.set()
-        if leaving:
-            async with curio.ignore_after(_DEPARTURE_WRITE_TIMEOUT):
-                await self._published.wait()
+        async with curio.ignore_after(_LEAVING_WRITE_TIMEOUT):
+            await self._published.wait()
+        return self._is_recorded(server)
+
+    def _is_recorded(self, server: HomeServer) -> bool:
+        """Tell whether the store says that a server leaves or was replaced."""
+        written = self._written
+        if written is None:
+            return False
+        if written.id == server.id and not written.draining:
+            return written.incarnation > server.incarnation
+        return written.incarnation >= server.incarnation
 
     async def stop(self) -> None:
         """Remove the row of a server that has left: it has ended by now."""
@@ -150,18 +183,12 @@
 
     async def _publish(self) -> bool:
         """Update the row; false when that failed."""
-        wanted = self._find_local()
+        wanted = self._decide_wanted(read_clock())
         old = self._written
-        if wanted is not None:
-            self._left_at = None
         if old is not None and (wanted is None or wanted.id != old.id):
-            if wanted is None and not self._is_row_due(read_clock()):
-                leaving = dataclasses.replace(old, draining=True)
-                return old.draining or await self._write(old, leaving)
             if not await self._write(old, None):
                 return False
             self._written, self._version = None, Version(0)
-            self._left_at = None
         for server_id in self._written_ids:
             restored = self._directory.find(server_id)
             own = wanted is not None and wanted.id == server_id
@@ -175,16 +202,32 @@
             self._written, self._version = None, Version(0)
         if wanted is None or wanted == self._written:
             return True
+        if self._written is None and self._adopt(wanted):
+            return True
         # A former process of this node may have ended before its server left.
         for other in self._directory.list_at(wanted.relay):
             if other.id != wanted.id and not await remove_row(
                 self._store, self._directory, other
             ):
                 return False
-        if self._written is None and self._adopt(wanted):
-            return True
         return wanted == self._written or await self._write(wanted, wanted)
 
+    def _decide_wanted(self, now: Seconds) -> HomeServer | None:
+        """Return what the row is to say, None when there is to be none."""
+        server = self._find_local()
+        if server is not None:
+            self._leaving = self._left_at = None
+            return server
+        if self._leaving is None and self._left_at is None and self._written:
+            self._leaving = dataclasses.replace(self._written, draining=True)
+        if self._leaving is None:
+            return None
+        if self._left_at is None:
+            self._left_at = now
+        if now - self._left_at >= self._retention:
+            self._leaving = None
+        return self._leaving
+
     def _was_removed(self, server: HomeServer) -> bool:
         """Tell whether another node has removed the row that was written.
 
@@ -196,12 +239,6 @@
             and self._directory.version > self._version
         )
 
-    def _is_row_due(self, now: Seconds) -> bool:
-        """Tell whether the row of a server that has left is to be removed."""
-        if self._left_at is None:
-            self._left_at = now
-        return now - self._left_at >= self._retention
-
     def _adopt(self, wanted: HomeServer) -> bool:
         """Adopt the row that a former process has written.
 
--- /dev/null
+++ b/egretlever/relay/tests/test_departures.py
@@ -0,0 +1,89 @@
+"""Guards against servers that are in use again after their departure."""
+
+import curio
+import pytest
+
+from egretlever.platform.tests.wire_builders import build_heartbeat_body
+from egretlever.testing._relay_host import run_on_host
+
+BORN = build_heartbeat_body()["born"]
+
+
+@pytest.mark.parametrize("born", [None, BORN])
+def test_departure_of_a_server_that_was_not_heard_from_is_kept(born):
+    # The node had restarted, acknowledged the departure, and then took a late
+    # heartbeat for that of a new server.
+    async def script(host):
+        await host.announce(1)
+        await curio.sleep(1.0)
+        assert await host.serves()
+        await host.restart()
+        await curio.sleep(1.0)
+        assert await host.depart(born) == 200
+        assert host.is_marked_leaving()
+        await host.announce(2)
+        assert not await host.serves()
+        # Nor does the next process take it back.
+        await host.restart()
+        await curio.sleep(1.0)
+        await host.announce(3)
+        assert not await host.serves()
+
+    run_on_host(script)
+
+
+def test_departure_of_a_server_without_a_row_outlasts_the_process():
+    async def script(host):
+        await curio.sleep(1.0)
+        assert await host.depart() == 200
+        await host.restart()
+        await curio.sleep(1.0)
+        await host.announce(1)
+        assert not await host.serves()
+        # The next incarnation under the same id is another server.
+        await host.announce(1, born=BORN + 10**12)
+        assert await host.serves()
+
+    run_on_host(script)
+
+
+def test_departure_of_an_incarnation_that_was_not_heard_from_is_kept():
+    # Only the incarnation before it was remembered as departed.
+    async def script(host):
+        await host.announce(5)
+        await curio.sleep(1.0)
+        assert await host.depart(BORN + 9) == 200
+        await host.announce(1, born=BORN + 9)
+        assert not await host.serves()
+        await host.restart()
+        await curio.sleep(1.0)
+        await host.announce(2, born=BORN + 9)
+        assert not await host.serves()
+
+    run_on_host(script)
+
+
+def test_departure_of_an_earlier_incarnation_is_acknowledged_at_once():
+    async def script(host):
+        await host.announce(1, born=BORN + 9)
+        await curio.sleep(1.0)
+        begun = await curio.clock()
+        assert await host.depart(BORN) == 200
+        assert await curio.clock() - begun < 0.1
+        assert await host.serves()
+        assert not host.is_marked_leaving()
+
+    run_on_host(script)
+
+
+def test_server_starts_again_under_its_id_after_its_departure():
+    async def script(host):
+        await host.announce(1)
+        await curio.sleep(1.0)
+        assert await host.depart(BORN) == 200
+        await host.announce(1, born=BORN + 9)
+        assert await host.serves()
+        await curio.sleep(1.0)
+        assert not host.is_marked_leaving()
+
+    run_on_host(script)
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -87,7 +87,8 @@
 
     async def publish(self, server, leaving=False):
         self.local = server
-        await self.publisher.notify(leaving)
+        await self.publisher.notify()
+        return leaving and await self.publisher.record_leaving(server)
 
     def read_row(self, server):
         value = self.store.find(SERVER_TABLE, server.id)
