Acknowledge a server's leaving only once the store has it

Cause: the acknowledgement is a promise that has to outlast the process, and nothing but the store outlasts it. Ruled out: keeping the promise by other nodes' copies of the directory, which hold rows only, and by the server's cadence, since delayed heartbeats can come in series.

Change: a draining heartbeat or a departure gets 200 when its row is written, and 503 otherwise; the server stops getting requests at once in both cases and asks again. A counter and a log line tell the ones that wait.

test_departure_is_acknowledged_soon_while_the_store_is_unavailable asked for the fault itself. test_departure_is_not_recorded_while_the_store_is_unavailable replaces it with the same time limits and also asks for the answer, before and after the store is back.

--- a/egretlever/relay/_announcements.py
+++ b/egretlever/relay/_announcements.py
@@ -21,6 +21,7 @@
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 _JSON = "application/json"
 _ACKNOWLEDGED = Answer(200, b"{}", _JSON)
+_NOT_ACKNOWLEDGED = Answer(503, b"{}", _JSON)
 _CHANGE_EFFECTS = frozenset(
     {
         HeartbeatEffect.STARTED,
@@ -33,10 +34,11 @@
 class AnnouncementPage:
     """Handles the announcements of the server on the host.
 
-    When a server announces that it leaves, new requests are stopped before the
-    acknowledgement, which promises that the server gets none afterwards, also
-    when this process is restarted. The promise holds for a server that this
-    process has not heard from.
+    When a server announces that it leaves, new requests are stopped at once.
+    The acknowledgement promises that the server gets none afterwards, also when
+    this process is restarted, so it waits for the store. The promise holds for
+    a server that this process has not heard from, too. A server that gets no
+    acknowledgement asks again.
 
     Parameters
     ----------
@@ -46,7 +48,7 @@
         Coroutine function that is called when the server has changed.
     record_leaving : callable
         Coroutine function that is called with the id and the incarnation of a
-        server that leaves.
+        server that leaves, and tells whether the store has it.
     """
 
     def __init__(
@@ -93,9 +95,18 @@
                 )
             )
             await self._notify()
-        if leaving is not None:
-            await self._record_leaving(server_id, leaving)
-        return _ACKNOWLEDGED
+        if leaving is None or await self._record_leaving(server_id, leaving):
+            return _ACKNOWLEDGED
+        metrics.HEARTBEATS.labels("not-recorded").inc()
+        _LOG.event(
+            logs_pb2.StateLine(
+                event="server-leaving-not-recorded",
+                subject=server_id,
+                version=str(leaving),
+                reason="the store does not have it yet",
+            )
+        )
+        return _NOT_ACKNOWLEDGED
 
     def _find_departing(self, body: bytes) -> Incarnation:
         """Return the latest incarnation that a departure stands for.
--- a/egretlever/relay/_publishing.py
+++ b/egretlever/relay/_publishing.py
@@ -25,8 +25,8 @@
 # The row of a server that has left says so for this time. A delayed heartbeat
 # of it may reach the next process of this node while it still runs.
 _LEFT_ROW_RETENTION = Seconds(10.0)
-# Time for which the acknowledgement of a departure waits for the row. Servers
-# call again when they have no acknowledgement after a second.
+# Time for which the reply to a departure waits for the row. Servers call again
+# when they have no reply after a second.
 _LEAVING_WRITE_TIMEOUT = Seconds(0.5)
 
 
--- a/egretlever/relay/tests/test_departures.py
+++ b/egretlever/relay/tests/test_departures.py
@@ -4,6 +4,7 @@
 import pytest
 
 from egretlever.platform.tests.wire_builders import build_heartbeat_body
+from egretlever.standins import RowsFault
 from egretlever.testing._relay_host import run_on_host
 
 BORN = build_heartbeat_body()["born"]
@@ -87,3 +88,31 @@
         assert not host.is_marked_leaving()
 
     run_on_host(script)
+
+
+@pytest.mark.parametrize("fault", [RowsFault.BUSY, RowsFault.SILENT])
+@pytest.mark.parametrize("announces", [False, True])
+def test_leaving_is_acknowledged_only_when_the_store_has_it(fault, announces):
+    # The next process knows nothing but the row, and took the server back.
+    async def script(host):
+        async def leave():
+            if announces:
+                return await host.announce(2, "draining")
+            return await host.depart()
+
+        await host.announce(1)
+        await curio.sleep(1.0)
+        host.store.fault = fault
+        assert await leave() == 503
+        assert not await host.serves()
+        await host.restart()
+        assert await leave() == 503
+        host.store.fault = RowsFault.NONE
+        await curio.sleep(4.0)
+        assert await leave() == 200
+        await host.restart()
+        await curio.sleep(1.0)
+        await host.announce(1)
+        assert not await host.serves()
+
+    run_on_host(script)
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -305,23 +305,26 @@
     async def script(fixture):
         await fixture.publish(ONE)
         await curio.sleep(1.0)
-        await fixture.publish(LEAVING, leaving=True)
+        assert await fixture.publish(LEAVING, leaving=True)
         assert fixture.read_row(ONE) == LEAVING
 
     run_script(script)
 
 
-def test_departure_is_acknowledged_soon_while_the_store_is_unavailable():
+def test_departure_is_not_recorded_while_the_store_is_unavailable():
     async def script(fixture):
         await fixture.publish(ONE)
         await curio.sleep(1.0)
         fixture.store.fault = RowsFault.BUSY
         begun = await curio.clock()
-        await fixture.publish(LEAVING, leaving=True)
+        assert not await fixture.publish(LEAVING, leaving=True)
         assert 0.4 < await curio.clock() - begun < 0.6
         fixture.store.fault = RowsFault.NONE
         await curio.sleep(4.0)
         assert fixture.read_row(ONE) == LEAVING
+        begun = await curio.clock()
+        assert await fixture.publish(LEAVING, leaving=True)
+        assert await curio.clock() == begun
 
     run_script(script)
 
