Keep the row of a departed server that serves on in a planned stop

Callers' orders could reach a server after its departure had been confirmed (rule DRAIN): its home node was stopped and started on its own within 10 s of the departure, and a delayed heartbeat arrived at the next process.

Cause: the stop removed the row of a server that had left, in the belief that it had ended. That holds for a server that drains first. One that only departs serves on for its drain time, beside the next process of the node, which found no row and took the heartbeat for that of a new server.

Ruled out: the retention of 10 s, which is longer than heartbeats are delayed; only the stop cut it short.

Change: in a stop, the row goes only if it said that the server drains before the server departed. Otherwise it stays for its retention, the next server of the host or the removal of orphans.

Measured: test_stop_keeps_the_row_of_a_server_that_serves_on_after_its_departure fails on the parent commit and passes here; the row of a drained server still goes with the node.

--- a/egretlever/relay/_publishing.py
+++ b/egretlever/relay/_publishing.py
@@ -63,7 +63,8 @@
     directory shows it.
 
     That a server is leaving must outlast this process once it has been
-    acknowledged, so its row says so until the server has ended.
+    acknowledged, so its row says so until the server has ended, or for as long
+    as a delayed heartbeat of it may arrive.
 
     Parameters
     ----------
@@ -103,7 +104,8 @@
         self._written: HomeServer | None = None
         self._leaving: HomeServer | None = None
         self._left_at: Seconds | None = None
-        self._retention = _LEFT_ROW_RETENTION
+        self._left_drained = False
+        self._stopping = False
         self._version = Version(0)
         self._written_ids: collections.deque[ServerId] = collections.deque(
             maxlen=_MAX_WRITTEN_IDS
@@ -158,8 +160,12 @@
         return written.incarnation >= server.incarnation
 
     async def stop(self) -> None:
-        """Remove the row of a server that has left: it has ended by now."""
-        self._retention = Seconds(0.0)
+        """Remove the row of a server that has ended.
+
+        A server that drains first ends with its departure. Another one serves
+        on for a while, beside the next process of this node.
+        """
+        self._stopping = True
         await self._wake.set()
 
     async def publish_forever(self) -> None:
@@ -224,7 +230,11 @@
             return None
         if self._left_at is None:
             self._left_at = now
-        if now - self._left_at >= self._retention:
+            self._left_drained = (
+                self._written is not None and self._written.draining
+            )
+        has_ended = self._stopping and self._left_drained
+        if has_ended or now - self._left_at >= _LEFT_ROW_RETENTION:
             self._leaving = None
         return self._leaving
 
--- a/egretlever/relay/tests/test_departures.py
+++ b/egretlever/relay/tests/test_departures.py
@@ -116,3 +116,31 @@
         assert not await host.serves()
 
     run_on_host(script)
+
+
+def test_stop_keeps_the_row_of_a_server_that_serves_on_after_its_departure():
+    # A server that does not drain first departs, serves on and then exits. Its
+    # row went with the node, and the next process took the server back.
+    async def script(host):
+        await host.announce(1)
+        await curio.sleep(1.0)
+        assert await host.depart() == 200
+        await host.stop()
+        await host.start()
+        await curio.sleep(1.0)
+        await host.announce(2)
+        assert not await host.serves()
+
+    run_on_host(script)
+
+
+def test_stop_removes_the_row_of_a_server_that_drained_before_it_departed():
+    async def script(host):
+        await host.announce(1)
+        await curio.sleep(1.0)
+        assert await host.announce(2, "draining") == 200
+        assert await host.depart() == 200
+        await host.stop()
+        assert not host.is_marked_leaving()
+
+    run_on_host(script)
