Take no server by one heartbeat before its departure can be known

Callers' orders could reach a departed server (rule DRAIN) when its home node was restarted while the store could not be read: the departure is in the store, and a delayed heartbeat at the new process was taken for that of a server in use until the store was back.

Cause: the process decided on memory that its restart had emptied. Ruled out: waiting for the store, since a node has to serve its server without it, and the handover of other nodes, which comes later or not at all.

Change: a node that has not read the directory gives the store half a second after its start. Without it, the first heartbeat of a server gets 503 and the server is taken by its second one; a server that runs asks again within 0.1 s, one that has departed does not. The first start of the whole fleet is exempt. The publisher marks an adopted server as soon as the directory is read, and not up to 0.2 s later.

Also here: a test of random series of heartbeats (on time and late), draining, departures, next servers, kills, stops and outages of the store against the promise of the acknowledgement.

Left: two delayed heartbeats of a departed server that arrive in order, at a node that was restarted and can't read the store, are taken for a live one.

--- a/egretlever/home/_lifecycle.py
+++ b/egretlever/home/_lifecycle.py
@@ -62,6 +62,7 @@
     REPEATED = "repeated"
     STALE = "stale"
     DEPARTED = "departed"
+    UNCONFIRMED = "unconfirmed"
 
 
 class LocalServer:
@@ -81,25 +82,40 @@
     def __init__(self) -> None:
         self.current: Heartbeat | None = None
         self._departed: dict[ServerId, tuple[Incarnation, Seconds]] = {}
+        self._unconfirmed: Heartbeat | None = None
 
-    def observe(self, heartbeat: Heartbeat, now: Seconds) -> HeartbeatEffect:
-        """Process a heartbeat and return its effect."""
+    def observe(
+        self,
+        heartbeat: Heartbeat,
+        now: Seconds,
+        departures_known: bool = True,
+    ) -> HeartbeatEffect:
+        """Process a heartbeat and return its effect.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            The heartbeat.
+        now : Seconds
+            Current time.
+        departures_known : bool, default=True
+            Whether the departures that former processes have acknowledged are
+            known. Otherwise the first heartbeat of a new server may be a
+            delayed one of a server that has departed, and it takes a second
+            one, which only a server that runs sends after a rejection.
+        """
         self._expire_departed(now)
         departed = self._departed.get(heartbeat.id)
         if departed is not None and heartbeat.incarnation <= departed[0]:
             return HeartbeatEffect.STALE
         current = self.current
-        if current is None:
-            self.current = heartbeat
-            return HeartbeatEffect.STARTED
-        same = (current.id, current.incarnation) == (
-            heartbeat.id,
-            heartbeat.incarnation,
-        )
-        if not same:
-            if heartbeat.incarnation < current.incarnation:
+        if current is None or not _is_same_server(current, heartbeat):
+            if current and heartbeat.incarnation < current.incarnation:
                 return HeartbeatEffect.STALE
-            self._departed[current.id] = (current.incarnation, now)
+            if not departures_known and not self._confirm(heartbeat):
+                return HeartbeatEffect.UNCONFIRMED
+            if current is not None:
+                self._departed[current.id] = (current.incarnation, now)
             self.current = heartbeat
             return HeartbeatEffect.STARTED
         # Draining is final within an incarnation, also when the draining
@@ -117,6 +133,15 @@
         )
         return HeartbeatEffect.CHANGED if changed else HeartbeatEffect.REPEATED
 
+    def _confirm(self, heartbeat: Heartbeat) -> bool:
+        """Tell whether a heartbeat follows one of the same server."""
+        first, self._unconfirmed = self._unconfirmed, heartbeat
+        return heartbeat.draining or (
+            first is not None
+            and _is_same_server(first, heartbeat)
+            and first.sequence < heartbeat.sequence
+        )
+
     def depart(
         self,
         server_id: ServerId,
@@ -191,3 +216,7 @@
             for server_id, entry in self._departed.items()
             if now - entry[1] < _DEPARTED_RETENTION
         }
+
+
+def _is_same_server(one: Heartbeat, other: Heartbeat) -> bool:
+    return (one.id, one.incarnation) == (other.id, other.incarnation)
--- a/egretlever/home/tests/test_lifecycle.py
+++ b/egretlever/home/tests/test_lifecycle.py
@@ -47,3 +47,32 @@
     old = build_heartbeat(sequence=99)
     assert server.observe(old, NOW) is HeartbeatEffect.STALE
     assert server.current == new
+
+
+def test_delayed_heartbeat_revives_no_server_whose_departure_is_not_known():
+    # A node that started while the store was unavailable took it at once.
+    server = LocalServer()
+    for delayed in (build_heartbeat(sequence=5), build_heartbeat(sequence=4)):
+        effect = server.observe(delayed, NOW, departures_known=False)
+        assert effect is HeartbeatEffect.UNCONFIRMED
+    assert server.current is None
+    live = build_heartbeat(sequence=6)
+    effect = server.observe(live, NOW, departures_known=False)
+    assert effect is HeartbeatEffect.STARTED
+    assert server.current == live
+
+
+def test_draining_server_needs_no_second_heartbeat():
+    server = LocalServer()
+    leaving = build_heartbeat(draining=True)
+    effect = server.observe(leaving, NOW, departures_known=False)
+    assert effect is HeartbeatEffect.STARTED
+    assert server.current.draining
+
+
+def test_late_draining_heartbeat_counts_within_its_incarnation():
+    server = LocalServer()
+    server.observe(build_heartbeat(sequence=5), NOW)
+    late = build_heartbeat(sequence=4, draining=True)
+    assert server.observe(late, NOW) is HeartbeatEffect.CHANGED
+    assert (server.current.draining, server.current.sequence) == (True, 5)
--- a/egretlever/relay/_announcements.py
+++ b/egretlever/relay/_announcements.py
@@ -29,6 +29,7 @@
         HeartbeatEffect.DEPARTED,
     }
 )
+_LOGGED_EFFECTS = _CHANGE_EFFECTS | {HeartbeatEffect.UNCONFIRMED}
 
 
 class AnnouncementPage:
@@ -49,6 +50,9 @@
     record_leaving : callable
         Coroutine function that is called with the id and the incarnation of a
         server that leaves, and tells whether the store has it.
+    learn_departures : callable
+        Coroutine function that tells whether this process knows the departures
+        that former processes have acknowledged.
     """
 
     def __init__(
@@ -56,56 +60,66 @@
         home: HomeNode,
         notify: Callable[[], Awaitable[None]],
         record_leaving: Callable[[ServerId, Incarnation], Awaitable[bool]],
+        learn_departures: Callable[[], Awaitable[bool]],
     ) -> None:
         self._home = home
         self._notify = notify
         self._record_leaving = record_leaving
+        self._learn_departures = learn_departures
 
     async def handle(self, head: RequestHead, body: bytes) -> Answer:
         """Answer a heartbeat (PUT) or a departure (DELETE)."""
         server_id = parse_server_path(head.target)
         if server_id is None:
             return Answer(404, b"{}", _JSON)
-        leaving: Incarnation | None = None
+        if head.method == "PUT":
+            return await self._observe(server_id, body)
         if head.method == "DELETE":
-            leaving = self._find_departing(body)
-            effect = self._home.local.depart(server_id, read_clock(), leaving)
-        elif head.method == "PUT":
-            result = decode_heartbeat(server_id, body)
-            if isinstance(result, Failure):
-                metrics.HEARTBEATS.labels("malformed").inc()
-                for finding in result.failure():
-                    _LOG.warning("%s: %s.", server_id, finding)
-                return Answer(400, b"{}", _JSON)
-            heartbeat = result.unwrap()
-            if heartbeat.draining:
-                leaving = heartbeat.incarnation
-            effect = self._home.local.observe(heartbeat, read_clock())
-        else:
-            return Answer(405, b"{}", _JSON)
+            return await self._depart(server_id, body)
+        return Answer(405, b"{}", _JSON)
+
+    async def _observe(self, server_id: ServerId, body: bytes) -> Answer:
+        result = decode_heartbeat(server_id, body)
+        if isinstance(result, Failure):
+            metrics.HEARTBEATS.labels("malformed").inc()
+            for finding in result.failure():
+                _LOG.warning("%s: %s.", server_id, finding)
+            return Answer(400, b"{}", _JSON)
+        heartbeat = result.unwrap()
+        known = heartbeat.draining or await self._learn_departures()
+        effect = self._home.local.observe(heartbeat, read_clock(), known)
+        await self._apply(server_id, effect)
+        if effect is HeartbeatEffect.UNCONFIRMED:
+            return _NOT_ACKNOWLEDGED
+        if heartbeat.draining:
+            return await self._confirm_leaving(server_id, heartbeat.incarnation)
+        return _ACKNOWLEDGED
+
+    async def _depart(self, server_id: ServerId, body: bytes) -> Answer:
+        incarnation = self._find_departing(body)
+        effect = self._home.local.depart(server_id, read_clock(), incarnation)
+        await self._apply(server_id, effect)
+        return await self._confirm_leaving(server_id, incarnation)
+
+    async def _apply(
+        self, server_id: ServerId, effect: HeartbeatEffect
+    ) -> None:
+        """Count and log an effect, and let the others know of a change."""
         metrics.HEARTBEATS.labels(effect.value).inc()
+        if effect in _LOGGED_EFFECTS:
+            _log(server_id, effect.value, _describe(self._home.local.current))
         if effect in _CHANGE_EFFECTS:
             self._home.apply_heartbeat()
-            server = self._home.local.current
-            _LOG.event(
-                logs_pb2.StateLine(
-                    event=f"server-{effect.value}",
-                    subject=server_id,
-                    outcome=_describe(server),
-                )
-            )
             await self._notify()
-        if leaving is None or await self._record_leaving(server_id, leaving):
+
+    async def _confirm_leaving(
+        self, server_id: ServerId, incarnation: Incarnation
+    ) -> Answer:
+        """Acknowledge that a server leaves, if the store has it."""
+        if await self._record_leaving(server_id, incarnation):
             return _ACKNOWLEDGED
         metrics.HEARTBEATS.labels("not-recorded").inc()
-        _LOG.event(
-            logs_pb2.StateLine(
-                event="server-leaving-not-recorded",
-                subject=server_id,
-                version=str(leaving),
-                reason="the store does not have it yet",
-            )
-        )
+        _log(server_id, "leaving-not-recorded", "not acknowledged")
         return _NOT_ACKNOWLEDGED
 
     def _find_departing(self, body: bytes) -> Incarnation:
@@ -123,6 +137,14 @@
         return Incarnation(time.time_ns() // _NANOSECONDS_PER_MILLISECOND)
 
 
+def _log(server_id: ServerId, event: str, outcome: str) -> None:
+    _LOG.event(
+        logs_pb2.StateLine(
+            event=f"server-{event}", subject=server_id, outcome=outcome
+        )
+    )
+
+
 def _describe(server: Heartbeat | None) -> str:
     if server is None:
         return "gone"
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -59,6 +59,9 @@
 
 _LOG = make_log("node")
 _STORE_TIMEOUT = Seconds(2.0)  # of one call; a slow store takes 0.4 s
+# Time within which a node has read the directory after its start, unless the
+# store is unavailable. Servers wait for a reply to a heartbeat for a second.
+_FIRST_READ_TIME = Seconds(0.5)
 _MAX_CLIENTS = 2000  # client connections open at once
 _RESTART_DELAY = 0.5  # seconds before a component that ended runs again
 # Clients stop using the node after two failed readiness checks, one per second.
@@ -179,6 +182,7 @@
             },
             self._handovers,
         )
+        self._started_at = read_clock()
         self._stopping = False
         self._ended = curio.Event()
 
@@ -233,6 +237,19 @@
             )
         )
 
+    async def _learn_departures(self) -> bool:
+        """Tell whether the departures that the fleet acknowledged are known.
+
+        Right after the start, it waits for the store.
+        """
+        if self._settings.bounds.first_start:
+            return True
+        left = self._started_at + _FIRST_READ_TIME - read_clock()
+        if left > 0:
+            async with curio.ignore_after(left):
+                await self._directory.wait_synced()
+        return self._directory.synced
+
     def _mark_leaving(
         self, server_id: ServerId, incarnation: Incarnation
     ) -> None:
@@ -244,7 +261,10 @@
         """Run until the planned stop is complete."""
         listen = self._settings.listen
         page = AnnouncementPage(
-            self._home, self._publisher.notify, self._record_leaving
+            self._home,
+            self._publisher.notify,
+            self._record_leaving,
+            self._learn_departures,
         )
         clients = (
             open_listener(parse_address(listen.clients))
--- a/egretlever/relay/_publishing.py
+++ b/egretlever/relay/_publishing.py
@@ -17,7 +17,6 @@
 from egretlever.relay._table_follower import Backoff, TableFollower, log_state
 from egretlever.transport import read_clock
 
-_SYNC_POLL_INTERVAL = 0.2  # seconds between checks for the first table read
 # Time between checks of the local directory for rows that reappeared. The check
 # makes no store call.
 _CHECK_INTERVAL = Seconds(2.0)
@@ -178,8 +177,7 @@
                 # Nothing was signalled; check for rows that reappeared.
                 pass
             self._wake.clear()
-            while not self._follower.synced:
-                await curio.sleep(_SYNC_POLL_INTERVAL)
+            await self._follower.wait_synced()
             while not await self._publish():
                 await self._backoff.wait()
                 await self._follower.wait_while_failing()
--- a/egretlever/relay/tests/test_departures.py
+++ b/egretlever/relay/tests/test_departures.py
@@ -1,13 +1,105 @@
 """Guards against servers that are in use again after their departure."""
 
+import enum
+
 import curio
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from egretlever.platform.tests.wire_builders import build_heartbeat_body
 from egretlever.standins import RowsFault
 from egretlever.testing._relay_host import run_on_host
 
 BORN = build_heartbeat_body()["born"]
+MAX_DELAY = 6.0  # seconds for which a heartbeat may be delayed
+
+
+class Event(enum.Enum):
+    """What may happen on a host."""
+
+    HEARTBEAT = "heartbeat"
+    DELAYED_HEARTBEAT = "delayed heartbeat"
+    DRAINING = "draining"
+    DEPARTURE = "departure"
+    NEXT_SERVER = "next server"
+    KILL = "kill"
+    STOP = "stop"
+    STORE_DOWN = "store down"
+    STORE_BACK = "store back"
+    PAUSE = "pause"
+
+
+class Announcer:
+    """Sends what a server says of itself, on time and late, with its promises.
+
+    Attributes
+    ----------
+    left : bool
+        Whether the leaving of the latest incarnation was acknowledged.
+    runs : bool
+        Whether it runs. One that has drained exits when it has departed.
+    """
+
+    def __init__(self, host):
+        self.host = host
+        self.left = False
+        self.drained = False
+        self.runs = True
+        self.born = BORN
+        self.sequence = 0
+        self.sent = []
+
+    async def play(self, event):
+        host = self.host
+        match event:
+            case Event.HEARTBEAT if self.runs:
+                await self.announce("draining" if self.left else "ready")
+            case Event.DELAYED_HEARTBEAT:
+                oldest = await curio.clock() - MAX_DELAY
+                for at, sequence, born in self.sent[-1:]:
+                    if at >= oldest:
+                        await host.announce(sequence, born=born)
+            case Event.DRAINING if self.runs:
+                self.drained |= await self.announce("draining") == 200
+                self.left |= self.drained
+            case Event.DEPARTURE if self.runs:
+                self.left |= await host.depart(self.born) == 200
+                self.runs = not (self.left and self.drained)
+            case Event.NEXT_SERVER:
+                self.born, self.sequence = self.born + 1, 0
+                self.left, self.drained, self.runs = False, False, True
+            case Event.KILL:
+                await host.restart()
+            case Event.STOP:
+                await host.stop()
+                await host.start()
+            case Event.STORE_DOWN:
+                host.store.fault = RowsFault.SILENT
+            case Event.STORE_BACK:
+                host.store.fault = RowsFault.NONE
+            case Event.PAUSE:
+                await curio.sleep(1.0)
+
+    async def announce(self, state):
+        self.sequence += 1
+        if state == "ready":
+            self.sent.append((await curio.clock(), self.sequence, self.born))
+        return await self.host.announce(self.sequence, state, born=self.born)
+
+
+@settings(max_examples=120)
+@given(events=st.lists(st.sampled_from(Event), min_size=4, max_size=14))
+def test_server_whose_leaving_was_acknowledged_is_never_in_use_again(events):
+    async def script(host):
+        announcer = Announcer(host)
+        await announcer.play(Event.HEARTBEAT)
+        for event in events:
+            await announcer.play(event)
+            if announcer.left and announcer.runs:
+                assert not await host.serves()
+
+    run_on_host(script)
 
 
 @pytest.mark.parametrize("born", [None, BORN])
@@ -144,3 +236,15 @@
         assert not host.is_marked_leaving()
 
     run_on_host(script)
+
+
+def test_node_that_cannot_read_the_store_takes_a_server_that_asks_again():
+    async def script(host):
+        host.store.fault = RowsFault.SILENT
+        await host.restart()
+        begun = await curio.clock()
+        assert await host.announce(1) == 503
+        assert await curio.clock() - begun < 1.0
+        assert await host.announce(2) == 200
+
+    run_on_host(script)
--- a/egretlever/relay/tests/test_process.py
+++ b/egretlever/relay/tests/test_process.py
@@ -232,10 +232,13 @@
         far.kill()
         far.start()
 
-        async def is_heard():
-            return await far.announce(2) is not None
+        sequences = itertools.count(2)
 
-        await wait_for(is_heard)
+        async def is_taken():
+            reply = await far.announce(next(sequences))
+            return reply is not None and reply.head.status == 200
+
+        await wait_for(is_taken)
         requests = itertools.count()
 
         async def is_ready_again():
