Leave turns to other tasks while a body in small chunks is parsed

Cause: one receive of 64 KiB holds 10,000 such chunks, and the parsers of clients' bodies took all of them without a turn of the loop, 0.2 s each time. The client of the servers already counts events; the two of the callers, in relay nodes and in the direct topology, did not.

Change: one counter of events gives other tasks a turn after 256 of them, and lets a timeout that expired meanwhile through, since entering a further timeout would discard it.

Measured: the two new tests of chunks fail without the change.

--- a/egretlever/platform/tests/test_clients.py
+++ b/egretlever/platform/tests/test_clients.py
@@ -332,3 +332,54 @@
 def test_transfer_of_the_store_that_stops_is_given_up():
     result, _ = read_slowly([1.5, 10.0])
     assert get_error_kind(result) is StoreErrorKind.UNAVAILABLE
+
+
+OK = b"HTTP/1.1 200 OK\r\n"
+# The store's client accepts 4 MiB; the rest is in the buffers of sockets.
+MAX_ENDLESS_BYTES = 24 << 20
+
+
+@pytest.mark.parametrize(
+    ("first", "repeated"),
+    [
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (OK, b"x: 1\r\n"),
+        (b"", b"garbage"),
+        (OK + b"content-length: 1000000000000\r\n\r\n", b"x"),
+        (OK + b"\r\n", b"x"),
+        (OK + b"transfer-encoding: chunked\r\n\r\n", b"1\r\nx\r\n"),
+    ],
+    ids=[
+        "interim",
+        "head",
+        "no-answer",
+        "huge-length",
+        "until-close",
+        "chunks",
+    ],
+)
+def test_endless_answer_of_the_store_is_given_up(first, repeated):
+    # Kept until the memory was used up, it would end the process.
+    sent = 0
+
+    async def send_without_end(exchange):
+        nonlocal sent
+        await exchange.read_body()
+        await exchange.send(first)
+        part = repeated * ((1 << 16) // len(repeated))
+        while True:
+            try:
+                await exchange.sock.sendall(part)
+            except OSError:
+                return False
+            sent += len(part)
+
+    async def main():
+        server = ScriptedServer(send_without_end)
+        await curio.spawn(server.run, daemon=True)
+        store = make_row_store(server.address, LONG_TIMEOUT)
+        result = await store.read("egretlever-servers")
+        return get_error_kind(result)
+
+    assert run_virtual(main()) is StoreErrorKind.UNAVAILABLE
+    assert sent <= MAX_ENDLESS_BYTES
--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -12,6 +12,7 @@
 from egretlever.core import Seconds, make_log
 from egretlever.placement import ClientLimits, HeaderFields
 from egretlever.transport import (
+    ParsingTurns,
     RequestError,
     RequestHead,
     SocketReader,
@@ -115,6 +116,7 @@
     ) -> None:
         self._sock = sock
         self._reader = SocketReader(sock)
+        self._turns = ParsingTurns()
         self._handle = handle
         self._read_limits = read_limits
         self._is_stopping = is_stopping
@@ -292,6 +294,7 @@
         """Receive a complete body; None when the client disconnects first."""
         body = bytearray()
         while True:
+            await self._turns.count_event()
             try:
                 event = http.next_event()
             except h11.RemoteProtocolError as error:
--- a/egretlever/relay/tests/test_clients.py
+++ b/egretlever/relay/tests/test_clients.py
@@ -9,7 +9,8 @@
 from egretlever.core import Seconds
 from egretlever.placement import ClientLimits
 from egretlever.relay._clients import ClientAnswer, ClientConnection
-from egretlever.testing import run_virtual
+from egretlever.testing import VirtualClock, run_virtual
+from egretlever.testing._endless_socket import EndlessSocket
 
 
 class ClientFixture:
@@ -228,3 +229,25 @@
             return await curio.clock() - start
 
     assert 15.0 < run_virtual(main()) < 20.0
+
+
+def test_upload_in_small_chunks_leaves_turns_to_other_tasks():
+    # Other requests of the node took up to 5.9 s, and questions for its
+    # readiness a second.
+    clock = VirtualClock()
+    head = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+    sock = EndlessSocket(clock, head, b"1\r\nx\r\n")
+
+    async def handle(request):
+        raise AssertionError("the body never ends")
+
+    async def main():
+        limits = ClientLimits(max_body_bytes=1 << 16)
+        connection = ClientConnection(
+            sock, handle, lambda: limits, lambda: False
+        )
+        await curio.spawn(sock.observe_turns, daemon=True)
+        await connection.run()
+
+    run_virtual(main(), clock)
+    assert sock.turns >= (1 << 16) / 500
--- a/egretlever/testing/_endless_socket.py
+++ b/egretlever/testing/_endless_socket.py
@@ -35,6 +35,8 @@
         Number of bytes received.
     longest_turn : int
         Largest number of bytes received without any other task running.
+    turns : int
+        Number of times that another task has run.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self._turn_began_at = 0
         self.received = 0
         self.longest_turn = 0
+        self.turns = 0
 
     async def recv(self, size: int) -> bytes:
         """Return up to `size` bytes without waiting."""
@@ -71,6 +74,9 @@
     async def sendall(self, data: bytes) -> None:
         """Accept the bytes."""
 
+    async def shutdown(self, how: int) -> None:
+        """Do nothing."""
+
     async def close(self) -> None:
         """Do nothing."""
 
@@ -78,4 +84,5 @@
         """Record that another task runs, until cancelled."""
         while True:
             self._turn_began_at = self.received
+            self.turns += 1
             await curio.sleep(0)
--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -53,6 +53,7 @@
 )
 from egretlever.transport._sockets import (
     ConnectError,
+    ParsingTurns,
     SocketReader,
     adopt_listener,
     is_closed_by_peer,
@@ -84,6 +85,7 @@
     "InjectedFaults",
     "LinkFaultInjector",
     "NoFaults",
+    "ParsingTurns",
     "Reply",
     "RequestError",
     "RequestHead",
--- a/egretlever/transport/_backends.py
+++ b/egretlever/transport/_backends.py
@@ -13,6 +13,7 @@
     is_chunked,
 )
 from egretlever.transport._sockets import (
+    MAX_EVENTS_PER_TURN,
     SocketReader,
     is_open_and_empty,
     read_clock,
@@ -24,8 +25,6 @@
 # Chunk headers, chunk extensions and trailers of a response may take this many
 # bytes in addition to as many bytes as the body itself.
 _MAX_FRAMING_BYTES = 65536
-# Parsing one chunk takes some 20 us, and one read may hold thousands of them.
-_MAX_EVENTS_PER_TURN = 256
 _LENGTH = b"content-length"
 _SEND_TIMEOUT = 3600.0  # seconds; the longest timeout of a request
 
@@ -194,7 +193,7 @@
         parts: list[bytes] = []
         self._unparsed = False
         while not self._ended:
-            if len(parts) >= _MAX_EVENTS_PER_TURN:
+            if len(parts) >= MAX_EVENTS_PER_TURN:
                 self._unparsed = True
                 break
             event = self._next_event()
--- a/egretlever/transport/_callers.py
+++ b/egretlever/transport/_callers.py
@@ -16,6 +16,7 @@
     make_request_error,
 )
 from egretlever.transport._sockets import (
+    ParsingTurns,
     SocketReader,
     has_unread_data,
     is_closed_by_peer,
@@ -67,6 +68,7 @@
     ) -> None:
         self._sock = sock
         self._reader = SocketReader(sock)
+        self._turns = ParsingTurns()
         self._max_head = max_head
         self._head_timeout = head_timeout
         self._body_timeout = body_timeout
@@ -206,6 +208,7 @@
             When the connection ended before the body was complete.
         """
         while not self._body_ended:
+            await self._turns.count_event()
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
--- a/egretlever/transport/_sockets.py
+++ b/egretlever/transport/_sockets.py
@@ -24,6 +24,8 @@
 # Receiving available data does not suspend a task, so a peer that never stops
 # sending would keep the only loop. A reader yields after this many calls.
 _RECEIVES_PER_TURN = 4
+# Parsing one chunk takes some 20 us, and one read may hold thousands of them.
+MAX_EVENTS_PER_TURN = 256
 
 
 class ConnectError(Exception):
@@ -305,6 +307,25 @@
         return data
 
 
+class ParsingTurns:
+    """Lets other tasks run while the events of a parser are taken one by one.
+
+    One receive may hold thousands of chunks.
+    """
+
+    def __init__(self) -> None:
+        self._events = 0
+
+    async def count_event(self) -> None:
+        """Count an event; after some of them other tasks run."""
+        self._events += 1
+        if self._events % MAX_EVENTS_PER_TURN == 0:
+            await curio.sleep(0)
+            # A timeout that expired in the first call is raised by the second
+            # one. Entering another timeout would discard it.
+            await curio.sleep(0)
+
+
 def reset_on_close(sock: Any) -> None:
     """Make the next close of the socket reset the connection."""
     linger = struct.pack("ii", 1, 0)
--- a/egretlever/transport/tests/test_endless_input.py
+++ b/egretlever/transport/tests/test_endless_input.py
@@ -19,6 +19,7 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 MAX_BODY = 1 << 20
 MAX_TURN = 512 << 10  # bytes received between turns of other tasks
+MAX_CHUNKS_PER_TURN = 500
 HEADER = b"x: 1\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
@@ -129,3 +130,18 @@
     with pytest.raises(curio.TaskTimeout):
         run()
     assert sock.longest_turn <= MAX_TURN
+
+
+def test_small_chunks_of_a_caller_leave_turns_to_other_tasks():
+    # One receive holds 10,000 chunks, which took 0.2 s without a turn.
+    async def receive(sock):
+        connection = CallerConnection(sock)
+        await connection.read_request()
+        while await connection.read_body():
+            if sock.received > MAX_BODY:
+                break
+
+    head = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+    sock, run = receive_endless(head, b"1\r\nx\r\n", receive)
+    run()
+    assert sock.turns >= MAX_BODY / len(b"1\r\nx\r\n") / MAX_CHUNKS_PER_TURN
