Do not take a reset for the end of an answer without a length

Cause: the system reports the reset of a connection once. While a long upload was sent, the task that sends took the report and dropped it, and the next read of the answer found an orderly end, which ends a body without a length.

Ruled out: h11 (with the report it ends in an error) and the relaying between nodes (the home node's own result was whole already).

Change: a connection whose sending has failed does not complete a body that ends with the connection. Bodies with a length or in chunks tell their end themselves and are not concerned.

--- a/egretlever/transport/_backends.py
+++ b/egretlever/transport/_backends.py
@@ -68,6 +68,8 @@
         self._request: h11.Request | None = None
         self._reusable = True
         self._ended = False
+        self._ends_with_connection = False
+        self._send_failed = False
         self._unparsed = False
         self._received_bytes = 0
         self._body_bytes = 0
@@ -133,6 +135,7 @@
         try:
             await send_all(self._sock, data, timeout)
         except OSError as error:
+            self._send_failed = True
             raise BackendClosedError(str(error)) from None
 
     async def read_response(self) -> ResponseHead:
@@ -150,10 +153,14 @@
             event = await self._read_event()
             if isinstance(event, h11.Response):
                 fields = list(event.headers)
-                if is_chunked(fields):
+                chunked = is_chunked(fields)
+                if chunked:
                     # Chunked framing overrides a length (RFC 9112, 6.3).
                     fields = [field for field in fields if field[0] != _LENGTH]
                 self.declared_length = find_content_length(fields)
+                self._ends_with_connection = (
+                    self.declared_length is None and not chunked
+                )
                 self._received_bytes = len(self._parser.trailing_data[0])
                 self._body_bytes = 0
                 return ResponseHead(event.status_code, fields)
@@ -200,6 +207,7 @@
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
+                self._check_end()
                 self._ended = True
             elif event is h11.NEED_DATA:
                 break
@@ -213,6 +221,23 @@
             self._check_framing()
         return data, self._ended
 
+    def _check_end(self) -> None:
+        """Check that the connection did not end the body by a reset.
+
+        The system reports a reset once. A task that sends the request's body
+        may take the report, and the end then looks orderly to the reader.
+
+        Raises
+        ------
+        BackendClosedError
+            When the body ends with a connection that was reset.
+        """
+        _, closed = self._parser.trailing_data
+        if self._ends_with_connection and closed and self._send_failed:
+            raise BackendClosedError(
+                "the connection was reset within the response body"
+            )
+
     def _check_framing(self) -> None:
         """Check that most of the parsed bytes belong to the body.
 
--- a/egretlever/transport/tests/test_backends.py
+++ b/egretlever/transport/tests/test_backends.py
@@ -7,12 +7,14 @@
 from egretlever.testing import run_virtual
 from egretlever.transport import (
     BackendClosedError,
+    BackendConnection,
     BackendProtocolError,
     ConnectError,
     ConnectionPool,
     RequestHead,
     open_connection,
     open_listener,
+    read_body,
     remove_hop_by_hop,
 )
 
@@ -173,3 +175,50 @@
         (b"content-length", b"3"),
         (b"x-kept", b"1"),
     ]
+
+
+class ResetSocket:
+    """Socket whose peer resets it; the first sender after that is told."""
+
+    def __init__(self, *received):
+        self._received = list(received)
+        self._socket = self
+        self.reset = False
+
+    def send(self, data):
+        if self.reset:
+            raise ConnectionResetError
+        return len(data)
+
+    async def recv(self, size):
+        return self._received.pop(0) if self._received else b""
+
+
+@pytest.mark.parametrize(
+    ("framing", "whole"),
+    [(b"connection: close", False), (b"content-length: 5", True)],
+)
+def test_answer_that_ends_with_a_reset_told_to_the_sender_is_not_whole(
+    framing, whole
+):
+    # Clients got the part before the reset, framed as whole.
+    head = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n"
+    sock = ResetSocket(head, b"first")
+
+    async def main():
+        connection = BackendConnection(sock)
+        request = RequestHead(
+            "POST", "/", [(b"host", b"x"), (b"content-length", b"9")]
+        )
+        await connection.send_request(request, b"part", ended=False)
+        await connection.read_response()
+        sock.reset = True
+        with pytest.raises(BackendClosedError):
+            await connection.send_data(b"other", ended=True)
+        return await read_body(connection)
+
+    if whole:
+        assert run_virtual(main()) == b"first"
+    else:
+        with pytest.raises(BackendClosedError):
+            run_virtual(main())
