Wait in a planned stop for answers that are being sent

Cause: the stop waited for requests without an answer and for jobs without a reply, but an answer counted as done before its bytes were written. The same held for replies to other nodes.

Ruled out: the end of the grace (half of it was left) and the timeout of a write (10 s).

Change: the stop also waits for client connections with answers that are not sent completely and for connections of other nodes with queued frames, until 0.4 s before the end of the grace as before.

--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -94,6 +94,12 @@
         self._incarnation = incarnation
         self._sharings = sharings
         self._handovers = handovers
+        self._streams: set[FrameStream] = set()
+
+    @property
+    def has_unsent_replies(self) -> bool:
+        """Whether other nodes are still being sent what they wait for."""
+        return any(stream.has_unsent_frames for stream in self._streams)
 
     async def serve_forever(self, listener: Any) -> None:
         """Accept connections of other nodes."""
@@ -106,6 +112,7 @@
         peer = _StreamPeer(stream)
         writer = await curio.spawn(stream.write_forever, daemon=True)
         jobs: dict[int, Job] = {}
+        self._streams.add(stream)
         if self._handovers is not None:
             self._handovers.add_peer(peer)
         try:
@@ -115,6 +122,7 @@
         except FrameError as error:
             _LOG.warning("Invalid frame from a node: %s.", error)
         finally:
+            self._streams.remove(stream)
             self._home.notice_publisher.unsubscribe(peer)
             for sharing in self._sharings.values():
                 sharing.unsubscribe(peer)
--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -127,6 +127,11 @@
         self._input_ended = False
         self._closing = False
 
+    @property
+    def has_unsent_answers(self) -> bool:
+        """Whether requests were read whose answers are not sent completely."""
+        return bool(self._pending)
+
     async def run(self) -> None:
         """Serve the connection until it ends."""
         writer = await curio.spawn(self._write_forever, daemon=True)
--- a/egretlever/relay/_frames.py
+++ b/egretlever/relay/_frames.py
@@ -68,6 +68,11 @@
         """Whether the connection was closed."""
         return self._closed
 
+    @property
+    def has_unsent_frames(self) -> bool:
+        """Whether queued frames are not sent completely."""
+        return self._queued_bytes > 0 and not self._closed
+
     async def post(self, frame: relay_pb2.RelayFrame | bytes) -> None:
         """Queue a frame for sending; a closed stream ignores it.
 
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -182,6 +182,7 @@
             },
             self._handovers,
         )
+        self._client_connections: set[ClientConnection] = set()
         self._started_at = read_clock()
         self._stopping = False
         self._ended = curio.Event()
@@ -348,12 +349,17 @@
         )
 
     async def _serve_client(self, sock: Any) -> None:
-        await ClientConnection(
+        connection = ClientConnection(
             sock,
             self._entry.handle,
             self._entry.read_limits,
             lambda: self._stopping,
-        ).run()
+        )
+        self._client_connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._client_connections.remove(connection)
 
     async def _answer_health(self, head: RequestHead, body: bytes) -> Answer:
         del body
@@ -405,16 +411,29 @@
         self._entry.stop(leaves_at, Seconds(ends_at - _ANSWER_MARGIN))
         self._home.stop(leaves_at, Seconds(ends_at - _ANSWER_MARGIN))
         await curio.sleep(leaves_at - now)
-        while read_clock() < ends_at and (
-            self._entry.in_flight or self._home.jobs.count_running()
-        ):
+        while read_clock() < ends_at and self._has_unfinished_work():
             await curio.sleep(_DRAIN_POLL_INTERVAL)
-        # The last answers and replies are still being written to the sockets.
+        # The peers still read the last answers and replies.
         await curio.sleep(_FLUSH_TIME)
         await self._links.close()
         await self._home.close()
         await self._ended.set()
 
+    def _has_unfinished_work(self) -> bool:
+        """Tell whether a request has no answer, or one that is not sent yet.
+
+        A large answer takes seconds to send to a slow client.
+        """
+        return bool(
+            self._entry.in_flight
+            or self._home.jobs.count_running()
+            or self._acceptor.has_unsent_replies
+            or any(
+                connection.has_unsent_answers
+                for connection in self._client_connections
+            )
+        )
+
 
 def _parse_regions(
     settings: settings_pb2.RelaySettings,
--- a/egretlever/testing/_relay_host.py
+++ b/egretlever/testing/_relay_host.py
@@ -39,15 +39,16 @@
         The store.
     server : ScriptedServer
         The server; it runs all requests with success.
+    clients : Address
+        Address of the node for clients.
     """
 
     def __init__(self) -> None:
         self.store = RowsStandIn()
         self.server = ScriptedServer(serve())
-        clients, health, self._announcements, relay, metrics = (
+        self.clients, health, self._announcements, relay, metrics = (
             reserve_addresses(5)
         )
-        self._clients = clients
         self._settings = settings_pb2.RelaySettings(
             identity=settings_pb2.RelayIdentitySection(
                 node="host-1",
@@ -57,7 +58,7 @@
                 regions=["domain-1:north"],
             ),
             listen=settings_pb2.RelayListenSection(
-                clients=str(clients),
+                clients=str(self.clients),
                 health=str(health),
                 announcements=str(self._announcements),
                 ip=relay.ip,
@@ -123,7 +124,7 @@
         """Tell whether an order of a client runs at the server."""
         self._requests += 1
         reply = await _ask(
-            self._clients,
+            self.clients,
             "POST",
             "/orders/1",
             b"silk",
