Bound the bytes that a home node keeps of ended requests

Cause: each request was kept for at least 10 s after its end with its whole body and its whole answer, so that a resumed request finds its reply. Nothing bounded the bytes.

Ruled out: the requests in flight (eight of 2 MiB, some copies each) and the bound of the answers that are being received (12 MiB together).

Change: a job drops the body of its request at its end, which nothing reads any more. Answers are kept up to 16 MiB in all; older ones than half a second are dropped first.

--- a/egretlever/relay/_jobs.py
+++ b/egretlever/relay/_jobs.py
@@ -1,5 +1,6 @@
 """Deduplication of requests at a home node, by request id."""
 
+import collections
 import dataclasses
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -8,6 +9,7 @@
 
 from egretlever.core import RequestId, Seconds, make_log
 from egretlever.placement import (
+    Answer,
     Failure,
     FailureReason,
     Offer,
@@ -25,6 +27,11 @@
 # reply and is not run twice. For orders it begins at the deadline, since they
 # may be resumed until then.
 _REPLY_RETENTION = Seconds(10.0)
+# Bodies of answers are kept up to this many bytes in all, the latest ones. A
+# request that is resumed later gets no answer, and is not run again.
+_MAX_KEPT_BYTES = 16 << 20
+# A reply stays at least for this time, in which it is sent.
+_MIN_REPLY_RETENTION = Seconds(0.5)
 # Seconds between checks for detached jobs, while there are any, and for old
 # replies and fences.
 _DETACHED_CHECK_INTERVAL = 0.1
@@ -38,7 +45,7 @@
     Parameters
     ----------
     offer : Offer
-        The request.
+        The request; without its body at the end.
     deadline : Seconds
         Clock time at which the client's or the route's timeout ends.
 
@@ -84,6 +91,9 @@
         self._run = run
         self._jobs: dict[RequestId, Job] = {}
         self._fences: dict[RequestId, Seconds] = {}
+        # Jobs whose answers are kept, the oldest first.
+        self._kept: collections.deque[Job] = collections.deque()
+        self._kept_bytes = 0
         self._has_detached = curio.Event()
 
     async def submit(self, offer: Offer, owner: object = None) -> Job:
@@ -129,7 +139,29 @@
             )
         finally:
             job.ended_at = read_clock()
+            # Only the reply is needed from now on.
+            job.offer = dataclasses.replace(job.offer, body=b"")
             await job.done.set()
+            self._keep(job)
+
+    def _keep(self, job: Job) -> None:
+        """Keep a reply, and drop old ones that take too much memory."""
+        assert job.ended_at is not None  # set at the end
+        if isinstance(job.reply, Answer):
+            self._kept.append(job)
+            self._kept_bytes += len(job.reply.body)
+        while self._kept and self._kept_bytes > _MAX_KEPT_BYTES:
+            oldest = self._kept[0]
+            assert oldest.ended_at is not None  # set before it is kept
+            if job.ended_at - oldest.ended_at < _MIN_REPLY_RETENTION:
+                break
+            self._release(self._kept.popleft())
+
+    def _release(self, job: Job) -> None:
+        """Drop the answer of a job; that it has run is still known."""
+        if isinstance(job.reply, Answer):
+            self._kept_bytes -= len(job.reply.body)
+            job.reply = Failure(FailureReason.CUT_OFF)
 
     async def withdraw(self, job: Job) -> None:
         """Cancel a job whose client has disconnected.
@@ -188,6 +220,9 @@
                 needed_until = max(needed_until, job.deadline)
             if now - needed_until > _REPLY_RETENTION:
                 del self._jobs[job.offer.request_id]
+                self._release(job)
+        while self._kept and not isinstance(self._kept[0].reply, Answer):
+            self._kept.popleft()
         self._fences = {
             request_id: at
             for request_id, at in self._fences.items()
--- a/egretlever/relay/tests/test_jobs.py
+++ b/egretlever/relay/tests/test_jobs.py
@@ -1,5 +1,7 @@
 """Tests that a job is reported as "not run" only when it was not dispatched."""
 
+import dataclasses
+
 import curio
 
 from egretlever.placement import Answer, Failure, Refusal, RefusalReason
@@ -86,3 +88,33 @@
         return table._jobs
 
     assert run_script(run_job, script) == {}
+
+
+def test_ended_jobs_do_not_fill_the_memory():
+    # Bodies of ended requests and their answers were kept for up to 14 s and
+    # more: uploads of 2 MiB ended the process within 7 s.
+    large = b"x" * (1 << 20)
+    runs = []
+
+    async def run(job):
+        runs.append(job.offer.request_id)
+        job.dispatched = True
+        return dataclasses.replace(build_answer(), body=large)
+
+    async def script(table):
+        jobs = []
+        for number in range(100):
+            offer = build_offer(request_id=f"r-{number}", body=large)
+            jobs.append(await table.submit(offer))
+            await curio.sleep(0.1)
+        assert not any(job.offer.body for job in jobs)
+        kept = sum(isinstance(job.reply, Answer) for job in jobs)
+        assert kept <= 16
+        assert isinstance(jobs[-1].reply, Answer)
+        again = await table.submit(
+            build_offer(request_id="r-50", resumed=True, body=large)
+        )
+        assert isinstance(again.reply, Failure)
+
+    run_script(run, script)
+    assert len(runs) == 100
