--- a/egretlever/relay/tests/test_departures.py
+++ b/egretlever/relay/tests/test_departures.py
@@ -1,7 +1,5 @@
 """Guards against servers that are in use again after their departure."""
 
-import enum
-
 import curio
 import pytest
 from hypothesis import given, settings
@@ -9,83 +7,10 @@
 
 from egretlever.platform.tests.wire_builders import build_heartbeat_body
 from egretlever.standins import RowsFault
+from egretlever.testing._announcer import Announcer, Event
 from egretlever.testing._relay_host import run_on_host
 
 BORN = build_heartbeat_body()["born"]
-MAX_DELAY = 6.0  # seconds for which a heartbeat may be delayed
-
-
-class Event(enum.Enum):
-    """What may happen on a host."""
-
-    HEARTBEAT = "heartbeat"
-    DELAYED_HEARTBEAT = "delayed heartbeat"
-    DRAINING = "draining"
-    DEPARTURE = "departure"
-    NEXT_SERVER = "next server"
-    KILL = "kill"
-    STOP = "stop"
-    STORE_DOWN = "store down"
-    STORE_BACK = "store back"
-    PAUSE = "pause"
-
-
-class Announcer:
-    """Sends what a server says of itself, on time and late, with its promises.
-
-    Attributes
-    ----------
-    left : bool
-        Whether the leaving of the latest incarnation was acknowledged.
-    runs : bool
-        Whether it runs. One that has drained exits when it has departed.
-    """
-
-    def __init__(self, host):
-        self.host = host
-        self.left = False
-        self.drained = False
-        self.runs = True
-        self.born = BORN
-        self.sequence = 0
-        self.sent = []
-
-    async def play(self, event):
-        host = self.host
-        match event:
-            case Event.HEARTBEAT if self.runs:
-                await self.announce("draining" if self.left else "ready")
-            case Event.DELAYED_HEARTBEAT:
-                oldest = await curio.clock() - MAX_DELAY
-                for at, sequence, born in self.sent[-1:]:
-                    if at >= oldest:
-                        await host.announce(sequence, born=born)
-            case Event.DRAINING if self.runs:
-                self.drained |= await self.announce("draining") == 200
-                self.left |= self.drained
-            case Event.DEPARTURE if self.runs:
-                self.left |= await host.depart(self.born) == 200
-                self.runs = not (self.left and self.drained)
-            case Event.NEXT_SERVER:
-                self.born, self.sequence = self.born + 1, 0
-                self.left, self.drained, self.runs = False, False, True
-            case Event.KILL:
-                await host.restart()
-            case Event.STOP:
-                await host.stop()
-                await host.start()
-            case Event.STORE_DOWN:
-                host.store.fault = RowsFault.SILENT
-            case Event.STORE_BACK:
-                host.store.fault = RowsFault.NONE
-            case Event.PAUSE:
-                await curio.sleep(1.0)
-
-    async def announce(self, state):
-        self.sequence += 1
-        if state == "ready":
-            self.sent.append((await curio.clock(), self.sequence, self.born))
-        return await self.host.announce(self.sequence, state, born=self.born)
 
 
 @settings(max_examples=120)
