Let a repeated departure stand for the same incarnation

Cause: a departure names no incarnation. The first one stands for the current server's. Its repetition found no current server any more and stood for all incarnations until then, a later one each time. The row had to be written again, and was late again when a write takes longer than half a second.

Change: the page remembers a departure until it is acknowledged.

Measured: the new test fails without the change (one more write for the repetition) and passes with it.

--- a/egretlever/relay/_announcements.py
+++ b/egretlever/relay/_announcements.py
@@ -66,6 +66,8 @@
         self._notify = notify
         self._record_leaving = record_leaving
         self._learn_departures = learn_departures
+        # Departure that was not acknowledged; the server repeats it.
+        self._pending: tuple[ServerId, Incarnation] | None = None
 
     async def handle(self, head: RequestHead, body: bytes) -> Answer:
         """Answer a heartbeat (PUT) or a departure (DELETE)."""
@@ -96,10 +98,14 @@
         return _ACKNOWLEDGED
 
     async def _depart(self, server_id: ServerId, body: bytes) -> Answer:
-        incarnation = self._find_departing(body)
+        incarnation = self._find_departing(server_id, body)
+        self._pending = server_id, incarnation
         effect = self._home.local.depart(server_id, read_clock(), incarnation)
         await self._apply(server_id, effect)
-        return await self._confirm_leaving(server_id, incarnation)
+        answer = await self._confirm_leaving(server_id, incarnation)
+        if answer is _ACKNOWLEDGED:
+            self._pending = None
+        return answer
 
     async def _apply(
         self, server_id: ServerId, effect: HeartbeatEffect
@@ -122,11 +128,12 @@
         _log(server_id, "leaving-not-recorded", "not acknowledged")
         return _NOT_ACKNOWLEDGED
 
-    def _find_departing(self, body: bytes) -> Incarnation:
+    def _find_departing(self, server_id: ServerId, body: bytes) -> Incarnation:
         """Return the latest incarnation that a departure stands for.
 
         A departure may not name it. It is then at most that of the current
-        server, and without one any incarnation that has started so far.
+        server, and without one any incarnation that has started so far. A
+        repetition stands for the same one.
         """
         named = decode_departure(body)
         if named is not None:
@@ -134,6 +141,8 @@
         current = self._home.local.current
         if current is not None:
             return current.incarnation
+        if self._pending is not None and self._pending[0] == server_id:
+            return self._pending[1]
         return Incarnation(time.time_ns() // _NANOSECONDS_PER_MILLISECOND)
 
 
--- a/egretlever/relay/tests/test_departures.py
+++ b/egretlever/relay/tests/test_departures.py
@@ -135,6 +135,24 @@
     run_on_host(script)
 
 
+def test_repeated_departure_waits_for_the_same_row():
+    # Each repetition counted as a later incarnation, which a slow store never
+    # had in time.
+    async def script(host):
+        await host.announce(1)
+        await curio.sleep(1.0)
+        host.store.fault = RowsFault.BUSY
+        assert await host.depart() == 503
+        assert await host.depart() == 503
+        host.store.fault = RowsFault.NONE
+        await curio.sleep(4.0)
+        writes = host.store.calls.count("POST /rows-tx")
+        assert await host.depart() == 200
+        assert host.store.calls.count("POST /rows-tx") == writes
+
+    run_on_host(script)
+
+
 def test_stop_keeps_the_row_of_a_server_that_serves_on_after_its_departure():
     # A server that does not drain first departs, serves on and then exits. Its
     # row went with the node, and the next process took the server back.
