Tell a drained predecessor from the server that departs in a planned stop

Cause: the stop removes the row of a server that had drained before its departure. It looked at the row only, which may be that of the incarnation before, so that the row of a server that serves on went with the node.

Change: the row counts only if it said the same before the departure.

Measured: the new test fails without the change and passes with it.

--- a/egretlever/relay/_publishing.py
+++ b/egretlever/relay/_publishing.py
@@ -228,9 +228,8 @@
             return None
         if self._left_at is None:
             self._left_at = now
-            self._left_drained = (
-                self._written is not None and self._written.draining
-            )
+            # The row has said so before the departure.
+            self._left_drained = self._leaving == self._written
         has_ended = self._stopping and self._left_drained
         if has_ended or now - self._left_at >= _LEFT_ROW_RETENTION:
             self._leaving = None
--- a/egretlever/relay/tests/test_departures.py
+++ b/egretlever/relay/tests/test_departures.py
@@ -169,6 +169,22 @@
     run_on_host(script)
 
 
+def test_stop_keeps_the_row_of_a_server_whose_predecessor_had_drained():
+    # Found by random series, seed 7.
+    async def script(host):
+        await host.announce(1)
+        await curio.sleep(1.0)
+        assert await host.announce(2, "draining") == 200
+        assert await host.depart(BORN + 9) == 200
+        await host.stop()
+        await host.start()
+        await curio.sleep(1.0)
+        await host.announce(1)
+        assert not await host.serves()
+
+    run_on_host(script)
+
+
 def test_stop_removes_the_row_of_a_server_that_drained_before_it_departed():
     async def script(host):
         await host.announce(1)
