--- a/egretlever/relay/_configuration_follower.py
+++ b/egretlever/relay/_configuration_follower.py
@@ -38,6 +38,7 @@
 # Time in which a starting node reads the directory, unless the store is
 # unavailable.
 _DIRECTORY_TIMEOUT = Seconds(0.5)
+_SOURCE_CHECK_INTERVAL = 1.0  # seconds
 
 
 class ConfigurationFollower:
@@ -127,11 +128,26 @@
             if self._table.failing:
                 return
             await self.sharing.confirm()
-        await self._table.follow_once(self._poll_time, self._poll_timeout)
+        if self.sharing.has_source():
+            await self._poll()
+        else:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._poll)
+                await group.spawn(self._await_source)
+            if group.exception is not None:
+                raise group.exception
         for change in self._changes:
             await self.sharing.publish(change)
         self._changes.clear()
 
+    async def _poll(self) -> None:
+        await self._table.follow_once(self._poll_time, self._poll_timeout)
+
+    async def _await_source(self) -> None:
+        """Wait for a node to follow."""
+        while not self.sharing.has_source():
+            await curio.sleep(_SOURCE_CHECK_INTERVAL)
+
     def _apply_rows(
         self, rows: list[StoredRow] | tuple[StoredRow, ...], _: Version
     ) -> None:
