Let simulated nested calls expire with their parent

The second call of a simulated request expired later than its parent, by the time that the first call took, so that its home node did not take it for a call of a retried request.

--- a/egretlever/testing/_relay_fleet.py
+++ b/egretlever/testing/_relay_fleet.py
@@ -111,10 +111,11 @@
         kind = self._fleet.kinds[offer.route]
         mean = math.log(kind.work) - _WORK_TIME_SIGMA**2 / 2
         work = self._rng.lognormvariate(mean, _WORK_TIME_SIGMA)
+        expires_at = Seconds(read_clock() + time_left)
         try:
             async with curio.timeout_after(time_left):
                 await curio.sleep(work)
-                succeeded = await self._call(kind, offer, time_left - work)
+                succeeded = await self._call(kind, offer, expires_at)
         except curio.TaskTimeout:
             return _fail(504)
         if not succeeded:
@@ -122,7 +123,9 @@
         answer = Answer(200, (), b"", HomeCondition())
         return ServerResult(answer, True)
 
-    async def _call(self, kind: RequestKind, offer: Offer, left: float) -> bool:
+    async def _call(
+        self, kind: RequestKind, offer: Offer, expires_at: Seconds
+    ) -> bool:
         """Make the nested calls of a request; false when one of them fails."""
         if kind.calls is None:
             return True
@@ -131,7 +134,9 @@
         count = int(whole) + (self._rng.random() < part)
         for _ in range(count):
             status = await self._host.send(
-                self._fleet.kinds[RouteId(call_route)], left, offer.repeated
+                self._fleet.kinds[RouteId(call_route)],
+                expires_at - read_clock(),
+                offer.repeated,
             )
             if status != 200:
                 return False
