Log and count what a home node charges to the retry budget

Neither a log line nor a metric told retries from nested calls of retried requests, or named the part of the budget that a home node had and the size of the service that it rests on. No decision changes. Test: test_log_tells_retries_from_calls_of_retried_requests.

--- a/egretlever/home/__init__.py
+++ b/egretlever/home/__init__.py
@@ -7,7 +7,7 @@
 from egretlever.home._circuit_breaker import CircuitBreaker
 from egretlever.home._lifecycle import Heartbeat, HeartbeatEffect, LocalServer
 from egretlever.home._rate_limit import RateLimit
-from egretlever.home._retry_budget import WindowRetryBudget
+from egretlever.home._retry_budget import RetryCounts, WindowRetryBudget
 from egretlever.home._signals import ServerSignals
 from egretlever.home._slots import INITIAL_SERVICE_TIME, SlotQueue, SlotTicket
 
@@ -18,6 +18,7 @@
     "HeartbeatEffect",
     "LocalServer",
     "RateLimit",
+    "RetryCounts",
     "ServerSignals",
     "SlotQueue",
     "SlotTicket",
--- a/egretlever/home/_retry_budget.py
+++ b/egretlever/home/_retry_budget.py
@@ -1,6 +1,7 @@
 """Fleet-wide retry budget that home nodes enforce without coordination."""
 
 import collections
+import dataclasses
 
 from egretlever.core import Interval, Seconds, check_parameters
 
@@ -23,6 +24,31 @@
 _MAX_POOLED_USAGE = 0.9
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryCounts:
+    """Arrivals at one server in the window of its retry budget.
+
+    Parameters
+    ----------
+    requests : int
+        Arrivals that are no retries.
+    client_requests : int
+        Those of them that are known to come from clients.
+    retries : int
+        Retries.
+    calls : int
+        Nested calls of retried requests.
+    allowance : float
+        Retries and such calls that are this home node's part of the budget.
+    """
+
+    requests: int
+    client_requests: int
+    retries: int
+    calls: int
+    allowance: float
+
+
 class WindowRetryBudget:
     """Limits the retries that one server gets in a sliding window.
 
@@ -79,6 +105,7 @@
         self._requests: collections.deque[Seconds] = collections.deque()
         self._client_requests: collections.deque[Seconds] = collections.deque()
         self._retries: collections.deque[Seconds] = collections.deque()
+        self._calls: collections.deque[Seconds] = collections.deque()
 
     def observe(
         self, now: Seconds, derived: bool = False, from_client: bool = False
@@ -96,7 +123,7 @@
             Whether the request is known to come from a client: it began on a
             host of the same service, and servers call other services only.
         """
-        (self._retries if derived else self._requests).append(now)
+        (self._calls if derived else self._requests).append(now)
         if from_client and not derived:
             self._client_requests.append(now)
         self._expire(now)
@@ -135,11 +162,12 @@
     ) -> bool:
         """Return whether the budget allows a retry."""
         part = self._measure_part(now, home_count, host_share)
+        used = len(self._retries) + len(self._calls)
         if pooled_usage is None:
-            return len(self._retries) + 1 <= part + self.rounding
+            return used + 1 <= part + self.rounding
         return (
             pooled_usage < _MAX_POOLED_USAGE
-            and len(self._retries) + 1 <= _MAX_POOLED_PARTS * part
+            and used + 1 <= _MAX_POOLED_PARTS * part
         )
 
     def measure_usage(
@@ -147,7 +175,21 @@
     ) -> float:
         """Return the used share of this home node's part of the budget."""
         part = self._measure_part(now, home_count, host_share)
-        return len(self._retries) / part if part > 0 else 1.0
+        used = len(self._retries) + len(self._calls)
+        return used / part if part > 0 else 1.0
+
+    def describe(
+        self, now: Seconds, home_count: int, host_share: float = 1.0
+    ) -> RetryCounts:
+        """Return the counts of the window and the part of the budget."""
+        part = self._measure_part(now, home_count, host_share)
+        return RetryCounts(
+            len(self._requests),
+            len(self._client_requests),
+            len(self._retries),
+            len(self._calls),
+            part,
+        )
 
     def _measure_part(
         self, now: Seconds, home_count: int, host_share: float
@@ -176,6 +218,11 @@
         return min(float(len(self._requests)), estimate)
 
     def _expire(self, now: Seconds) -> None:
-        for times in (self._requests, self._client_requests, self._retries):
+        for times in (
+            self._requests,
+            self._client_requests,
+            self._retries,
+            self._calls,
+        ):
             while times and times[0] <= now - self._window:
                 times.popleft()
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -251,6 +251,8 @@
         )
 
     def _refuse(self, reason: RefusalReason, offer: Offer) -> Refusal:
+        if reason is RefusalReason.NO_BUDGET:
+            self._retries.count_refusal()
         return Refusal(reason, self.describe(offer.route))
 
     def _find_refusal_reason(self, offer: Offer) -> RefusalReason | None:
@@ -533,10 +535,13 @@
         return job.reply or Failure(FailureReason.HOME_LOST)
 
     async def maintain_forever(self) -> None:
-        """Close idle connections to the server."""
+        """Close idle connections to the server, and report retries."""
         while True:
             await curio.sleep(1.0)
             await self._client.expire(read_clock())
+            server = self.local.current
+            if server is not None:
+                self._retries.report(server.id, server.service)
 
     async def close(self) -> None:
         """Close the connections to the server."""
--- a/egretlever/relay/_metrics.py
+++ b/egretlever/relay/_metrics.py
@@ -38,6 +38,23 @@
     "Heartbeats and departures by effect.",
     ["effect"],
 )
+ARRIVALS = Counter(
+    "egretlever_relay_arrivals",
+    "Requests for the own server by what they count as in the retry budget.",
+    ["kind"],
+)
+RETRIES_REFUSED = Counter(
+    "egretlever_relay_retries_refused",
+    "Offers refused for want of retry budget.",
+)
+RETRY_ALLOWANCE = Gauge(
+    "egretlever_relay_retry_allowance",
+    "The home node's part of the retry budget, in retries per window.",
+)
+RETRIES_IN_WINDOW = Gauge(
+    "egretlever_relay_retries_in_window",
+    "Retries, and nested calls of retried requests, in the current window.",
+)
 CONFIGURATION_VERSION = Gauge(
     "egretlever_relay_configuration_version",
     "Version of the configuration in force.",
--- a/egretlever/relay/_retries.py
+++ b/egretlever/relay/_retries.py
@@ -4,13 +4,16 @@
 import math
 import zlib
 
-from egretlever.core import Seconds, ServerId, ServiceName
+from egretlever.core import Seconds, ServerId, ServiceName, make_log
 from egretlever.home import WindowRetryBudget
 from egretlever.placement import Offer
 from egretlever.platform import Bounds
+from egretlever.relay import _metrics as metrics
 from egretlever.relay._fleet import Neighbours
+from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock
 
+_LOG = make_log("home")
 # Usage of the retry budget from which trials of broken servers become rare.
 _LOW_BUDGET_USAGE = 0.5
 
@@ -38,6 +41,7 @@
         self._bounds = bounds
         started_at = Seconds(-math.inf) if first_start else read_clock()
         self._budget = _make_budget(bounds, started_at)
+        self._refused = 0
 
     def reload(self, bounds: Bounds) -> None:
         """Apply limits of the retry budget; unchanged ones keep the counts."""
@@ -91,13 +95,48 @@
         if offer.repeated:
             usage = self._read_usage(offer.service, now)
             pooled = self._measure_pooled(offer.service, usage)
+            metrics.ARRIVALS.labels("retry").inc()
             return self._budget.take(now, usage.homes, pooled, usage.host_share)
+        metrics.ARRIVALS.labels(
+            "call-of-retry" if offer.derived else "request"
+        ).inc()
         # Servers call other services only, so a request that began on a host of
         # the same service comes from a client.
         from_client = offer.caller_service == offer.service
         self._budget.observe(now, offer.derived, from_client)
         return True
 
+    def count_refusal(self) -> None:
+        """Count an offer that was refused for want of budget."""
+        self._refused += 1
+        metrics.RETRIES_REFUSED.inc()
+
+    def report(self, server_id: ServerId, service: ServiceName) -> None:
+        """Write the counts of the window to the log if any were retries."""
+        homes = self._neighbours.count_homes(service)
+        host_share = self._neighbours.measure_host_share(service)
+        counts = self._budget.describe(read_clock(), homes, host_share)
+        metrics.RETRY_ALLOWANCE.set(counts.allowance)
+        metrics.RETRIES_IN_WINDOW.set(counts.retries + counts.calls)
+        if not (counts.retries or counts.calls or self._refused):
+            return
+        _LOG.event(
+            logs_pb2.RetryBudgetLine(
+                event="retry-budget",
+                server=server_id,
+                service=service,
+                requests=counts.requests,
+                client_requests=counts.client_requests,
+                retries=counts.retries,
+                calls=counts.calls,
+                refused=self._refused,
+                allowance=round(counts.allowance, 2),
+                homes=homes,
+                host_share=round(host_share, 3),
+            )
+        )
+        self._refused = 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Usage:
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -318,6 +318,25 @@
     assert replies[-1].reason is RefusalReason.NO_BUDGET
 
 
+def test_log_tells_retries_from_calls_of_retried_requests(caplog):
+    # Only the sum was known, and to nobody but the home node.
+    fixture = RelayFixture(retry_ratio=0.0, retry_slack=2.0)
+
+    async def script():
+        await fixture.offer("r-1", repeated=True)
+        await fixture.offer("r-2", derived=True)
+        await fixture.offer("r-3", repeated=True)
+        await curio.spawn(fixture.home.maintain_forever, daemon=True)
+        await curio.sleep(1.5)
+
+    caplog.set_level("INFO")
+    run_script(fixture, script)
+    lines = [record.msg for record in caplog.records]
+    line = next(one for one in lines if one.get("event") == "retry-budget")
+    assert (line["retries"], line["calls"], line["refused"]) == (1, 1, 1)
+    assert line["homes"] == 1
+
+
 def test_reload_of_unchanged_bounds_keeps_the_retry_counts():
     fixture = RelayFixture(retry_ratio=0.0, retry_slack=4.0)
 
