--- a/egretlever/relay/tests/test_loads.py
+++ b/egretlever/relay/tests/test_loads.py
@@ -32,6 +32,14 @@
     assert report.find_retry_excess(pattern) <= 0
 
 
+def test_calls_of_retried_requests_keep_the_retry_budget():
+    # They were counted but not limited: retried requests of one service made
+    # more calls of another one than its retry budget allows.
+    outages = (Outage(5.0, 60.0, 0.6, 4.0),)
+    pattern = build_pattern(size=2, length=16.0, outages=outages)
+    assert replay_load(pattern).find_retry_excess(pattern) <= 0
+
+
 def test_few_requests_are_rejected_while_a_server_nearby_is_free():
     # In a large fleet an entry node gets a report of a home node only every few
     # seconds, and spent its offers on busy or gray ones. The target is that at
