Limit the calls of retried requests by the budget of the called service

Cause: such calls were counted as retries and never limited, and nobody who retried their parents knew of the called service's budget. Class of fault: amplification of retries across services.

Change: a home node refuses calls that its part does not allow; they use half of it at most, since one retry of the service itself costs less than a retried parent with its calls. A host whose calls find no budget refuses retries of the routes that make them for a second. Requests of clients that are taken for calls by their time alone are still served: only routes are limited that get requests and none from the hosts of their own service.

--- a/egretlever/home/__init__.py
+++ b/egretlever/home/__init__.py
@@ -4,6 +4,7 @@
 guards it, and the budget of retries that it may be sent.
 """
 
+from egretlever.home._call_routes import CallRoutes
 from egretlever.home._circuit_breaker import CircuitBreaker
 from egretlever.home._lifecycle import Heartbeat, HeartbeatEffect, LocalServer
 from egretlever.home._rate_limit import RateLimit
@@ -13,6 +14,7 @@
 
 __all__ = [
     "INITIAL_SERVICE_TIME",
+    "CallRoutes",
     "CircuitBreaker",
     "Heartbeat",
     "HeartbeatEffect",
--- a/egretlever/home/_retry_budget.py
+++ b/egretlever/home/_retry_budget.py
@@ -16,6 +16,9 @@
 # window it uses the remaining share, since it does not know how much its
 # predecessor has used; together they keep the bound.
 _SLACK_SHARE = 0.9
+# Nested calls of retried requests use this share of a home node's part at most.
+# The retries of the service itself need fewer requests for each one served.
+_CALLS_SHARE = 0.5
 # A home node may use this multiple of its own part while it and its neighbours
 # use less than this share of theirs on average. When a few servers have gray
 # failures, few home nodes get all the retries. The share is below 1 because the
@@ -107,24 +110,19 @@
         self._retries: collections.deque[Seconds] = collections.deque()
         self._calls: collections.deque[Seconds] = collections.deque()
 
-    def observe(
-        self, now: Seconds, derived: bool = False, from_client: bool = False
-    ) -> None:
+    def observe(self, now: Seconds, from_client: bool = False) -> None:
         """Count an arrival that is not limited by the budget.
 
         Parameters
         ----------
         now : Seconds
             Current time.
-        derived : bool, default=False
-            Whether the caller may be running a retried request. Such a call
-            counts as a retry at the called service.
         from_client : bool, default=False
             Whether the request is known to come from a client: it began on a
             host of the same service, and servers call other services only.
         """
-        (self._calls if derived else self._requests).append(now)
-        if from_client and not derived:
+        self._requests.append(now)
+        if from_client:
             self._client_requests.append(now)
         self._expire(now)
 
@@ -134,6 +132,7 @@
         home_count: int,
         pooled_usage: float | None = None,
         host_share: float = 1.0,
+        call: bool = False,
     ) -> bool:
         """Count a retry and return true if the budget allows it.
 
@@ -147,21 +146,36 @@
             Mean usage of this home node and its neighbours, None when unknown.
         host_share : float, default=1
             Share of the fleet's hosts that have a server of this service.
+        call : bool, default=False
+            Whether it is a nested call whose caller may be running a retried
+            request. It counts as a retry at the called service.
         """
-        if not self.has_room(now, home_count, pooled_usage, host_share):
+        if not self.has_room(now, home_count, pooled_usage, host_share, call):
             return False
-        self._retries.append(now)
+        (self._calls if call else self._retries).append(now)
         return True
 
+    def observe_call(self, now: Seconds) -> None:
+        """Count an arrival that may be a nested call of a retried request.
+
+        It is not limited, since it may also be a request of a client.
+        """
+        self._calls.append(now)
+        self._expire(now)
+
     def has_room(
         self,
         now: Seconds,
         home_count: int,
         pooled_usage: float | None = None,
         host_share: float = 1.0,
+        call: bool = False,
     ) -> bool:
-        """Return whether the budget allows a retry."""
+        """Return whether the budget allows a retry or a call of one."""
         part = self._measure_part(now, home_count, host_share)
+        calls = len(self._calls) + 1
+        if call and calls > _CALLS_SHARE * part + self.rounding:
+            return False
         used = len(self._retries) + len(self._calls)
         if pooled_usage is None:
             return used + 1 <= part + self.rounding
--- a/egretlever/home/tests/test_retry_budget.py
+++ b/egretlever/home/tests/test_retry_budget.py
@@ -58,10 +58,10 @@
 def test_calls_of_retried_requests_use_the_budget():
     # They arrive like first requests but must count as retries.
     budget = build_budget(slack=20.0)
-    for number in range(10):
-        budget.observe(Seconds(number / 10), derived=True)
+    for number in range(9):
+        assert budget.take(Seconds(number / 10), home_count=1, call=True)
     unused = exhaust(build_budget(slack=20.0), 1.0)
-    assert exhaust(budget, 1.0) == unused - 10
+    assert exhaust(budget, 1.0) == unused - 9
 
 
 def test_a_restart_of_all_processes_keeps_the_bound():
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -82,6 +82,7 @@
     deadline: Seconds
     search: Search
     history: AttemptHistory
+    expires_at: Seconds
     derived: bool
 
 
@@ -255,6 +256,7 @@
             deadline,
             search,
             AttemptHistory(),
+            expires_at,
             self._home.may_be_derived(service, expires_at),
         )
 
@@ -294,6 +296,8 @@
                 task.search.excluded.add(choice.server.id)
                 task.search.may_be_trial = False
             if self._is_budget_used(task):
+                if task.derived:
+                    self._home.observe_call_without_budget(task.expires_at)
                 return self._give_up(task, GiveUpReason.NO_BUDGET)
             if task.history.may_have_run and not task.route.idempotent:
                 return self._give_up(task, GiveUpReason.MAY_HAVE_RUN)
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -32,6 +32,7 @@
 from egretlever.relay._interfaces import ServerRunner
 from egretlever.relay._jobs import Job, JobTable
 from egretlever.relay._notices import NoticePublisher
+from egretlever.relay._retried_runs import RetriedRuns
 from egretlever.relay._retries import RetryCounter
 from egretlever.relay._sampling import RequestSampler
 from egretlever.relay._server_client import ServerClient, ServerResult
@@ -58,9 +59,6 @@
 # During a planned stop, a request is accepted only when this multiple of its
 # route's mean service time is left.
 _STOP_TIME_FACTOR = 3.0
-# Nested calls arrive some milliseconds after their parent's time left was
-# rounded.
-_EXPIRY_TOLERANCE = Seconds(0.05)
 # Waits are reported for this many ranks; the last one also covers all further
 # ranks.
 _REPORTED_RANKS = 3
@@ -109,7 +107,7 @@
     ) -> None:
         self._report_leaving = report_leaving
         self._retries = RetryCounter(bounds, neighbours, first_start)
-        self._retries_until: dict[RequestId, Seconds] = {}
+        self._retried_runs = RetriedRuns()
         self.local = LocalServer()
         self.jobs = JobTable(self._run_logged)
         self.notice_publisher = NoticePublisher(self._make_notice)
@@ -162,10 +160,20 @@
         server = self.local.current
         if server is None or server.service == service:
             return False
-        return any(
-            expires_at <= until + _EXPIRY_TOLERANCE
-            for until in self._retries_until.values()
-        )
+        return self._retried_runs.may_have_made(expires_at)
+
+    def observe_call_without_budget(self, expires_at: Seconds) -> None:
+        """Record that a nested call of a retried request found no budget.
+
+        Retries that would make such calls are refused for a while: they would
+        fail with their calls.
+
+        Parameters
+        ----------
+        expires_at : Seconds
+            Clock time at which the call expires.
+        """
+        self._retried_runs.pause(expires_at, read_clock())
 
     def describe(self, route: RouteId = _NO_ROUTE) -> HomeCondition:
         """Return the condition that is attached to replies and notices.
@@ -292,7 +300,9 @@
         if reason is not None:
             return self._refuse(reason, offer)
         now = read_clock()
-        if offer.repeated and not self._retries.has_room(offer.service, now):
+        if not self._retries.has_room(
+            offer, now
+        ) or self._retried_runs.is_paused(offer, now):
             return self._refuse(RefusalReason.NO_BUDGET, offer)
         may_be_trial = offer.may_be_trial
         trial = not self._circuit_breaker.allows_without_trial(
@@ -339,7 +349,7 @@
             try:
                 result = await self._dispatch(job)
             finally:
-                self._retries_until.pop(offer.request_id, None)
+                self._retried_runs.end(offer.request_id)
             answered = result.good is True
         finally:
             self._queue.finish(offer.request_id, read_clock(), answered)
@@ -401,8 +411,8 @@
         overdue = self._find_overdue_time(offer, left)
         job.dispatched = True
         time_left = Seconds(min(left, overdue)) if offer.idempotent else left
-        if offer.repeated:
-            self._retries_until[offer.request_id] = Seconds(now + time_left)
+        if offer.repeated or offer.derived:
+            self._retried_runs.begin(offer, Seconds(now + time_left))
         if offer.idempotent:
             result = await self._client.exchange(server, offer, time_left)
         else:
--- a/egretlever/relay/_retries.py
+++ b/egretlever/relay/_retries.py
@@ -1,11 +1,12 @@
 """Retry budget of one home node, as its share of the fleet's budget."""
 
 import dataclasses
+import enum
 import math
 import zlib
 
 from egretlever.core import Seconds, ServerId, ServiceName, make_log
-from egretlever.home import WindowRetryBudget
+from egretlever.home import CallRoutes, WindowRetryBudget
 from egretlever.placement import Offer
 from egretlever.platform import Bounds
 from egretlever.relay import _metrics as metrics
@@ -18,6 +19,20 @@
 _LOW_BUDGET_USAGE = 0.5
 
 
+class _ArrivalKind(enum.Enum):
+    """What an attempt at the server counts as."""
+
+    REQUEST = "request"
+    RETRY = "retry"
+    CALL = "call-of-retry"
+    POSSIBLE_CALL = "possible-call-of-retry"
+
+    @property
+    def limited(self) -> bool:
+        """Whether it needs room in the budget."""
+        return self in (_ArrivalKind.RETRY, _ArrivalKind.CALL)
+
+
 class RetryCounter:
     """Counts attempts at one server and limits retries.
 
@@ -41,6 +56,7 @@
         self._bounds = bounds
         started_at = Seconds(-math.inf) if first_start else read_clock()
         self._budget = _make_budget(bounds, started_at)
+        self._call_routes = CallRoutes()
         self._refused = 0
 
     def reload(self, bounds: Bounds) -> None:
@@ -70,11 +86,27 @@
     ) -> float | None:
         return self._neighbours.measure_retry_usage(service, usage.own)
 
-    def has_room(self, service: ServiceName, now: Seconds) -> bool:
-        """Tell whether a retry is allowed."""
-        usage = self._read_usage(service, now)
-        pooled = self._measure_pooled(service, usage)
-        return self._budget.has_room(now, usage.homes, pooled, usage.host_share)
+    def has_room(self, offer: Offer, now: Seconds) -> bool:
+        """Tell whether the budget allows an offer."""
+        kind = self._classify(offer)
+        if not kind.limited:
+            return True
+        usage = self._read_usage(offer.service, now)
+        pooled = self._measure_pooled(offer.service, usage)
+        call = kind is _ArrivalKind.CALL
+        return self._budget.has_room(
+            now, usage.homes, pooled, usage.host_share, call
+        )
+
+    def _classify(self, offer: Offer) -> "_ArrivalKind":
+        if offer.repeated:
+            return _ArrivalKind.RETRY
+        if not offer.derived:
+            return _ArrivalKind.REQUEST
+        host_share = self._neighbours.measure_host_share(offer.service)
+        if self._call_routes.decide(offer.route, host_share):
+            return _ArrivalKind.CALL
+        return _ArrivalKind.POSSIBLE_CALL
 
     def has_low_retry_budget(self, service: ServiceName, now: Seconds) -> bool:
         """Tell whether the retry budget is too low for frequent trials.
@@ -90,20 +122,27 @@
         return used >= _LOW_BUDGET_USAGE or not room
 
     def count_arrival(self, offer: Offer) -> bool:
-        """Count an attempt at the server; false for a retry without budget."""
+        """Count an attempt at the server; false when the budget forbids it."""
         now = read_clock()
-        if offer.repeated:
-            usage = self._read_usage(offer.service, now)
-            pooled = self._measure_pooled(offer.service, usage)
-            metrics.ARRIVALS.labels("retry").inc()
-            return self._budget.take(now, usage.homes, pooled, usage.host_share)
-        metrics.ARRIVALS.labels(
-            "call-of-retry" if offer.derived else "request"
-        ).inc()
+        kind = self._classify(offer)
         # Servers call other services only, so a request that began on a host of
         # the same service comes from a client.
         from_client = offer.caller_service == offer.service
-        self._budget.observe(now, offer.derived, from_client)
+        if kind.limited:
+            usage = self._read_usage(offer.service, now)
+            pooled = self._measure_pooled(offer.service, usage)
+            call = kind is _ArrivalKind.CALL
+            if not self._budget.take(
+                now, usage.homes, pooled, usage.host_share, call
+            ):
+                return False
+        elif kind is _ArrivalKind.POSSIBLE_CALL:
+            self._budget.observe_call(now)
+        else:
+            self._budget.observe(now, from_client)
+        if not offer.repeated:
+            self._call_routes.observe(offer.route, from_client)
+        metrics.ARRIVALS.labels(kind.value).inc()
         return True
 
     def count_refusal(self) -> None:
