Recognise calls of a retried request after its home node gave it up

The mark of a retried request ended with the exchange, also when that ended without an answer: a client that left, an overdue answer, a cut connection. Some servers work on until the time that they were given, and the calls that they made then counted as first requests at the called service. The mark stays until that time now.

What remains: a process that starts anew doesn't know the marks of the one before it.

--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -346,9 +346,9 @@
                 reason = RefusalReason.NO_BUDGET
             if reason is not None:
                 return self._refuse(reason, offer)
-            try:
-                result = await self._dispatch(job)
-            finally:
+            result = await self._dispatch(job)
+            if not isinstance(result.reply, Failure):
+                # Without an answer, the server may still be at work on it.
                 self._retried_runs.end(offer.request_id)
             answered = result.good is True
         finally:
@@ -412,7 +412,7 @@
         job.dispatched = True
         time_left = Seconds(min(left, overdue)) if offer.idempotent else left
         if offer.repeated or offer.derived:
-            self._retried_runs.begin(offer, Seconds(now + time_left))
+            self._retried_runs.begin(offer, now, Seconds(now + time_left))
         if offer.idempotent:
             result = await self._client.exchange(server, offer, time_left)
         else:
--- a/egretlever/relay/_retried_runs.py
+++ b/egretlever/relay/_retried_runs.py
@@ -41,8 +41,23 @@
         self._runs: dict[RequestId, _Run] = {}
         self._paused_until: dict[RouteId, Seconds] = {}
 
-    def begin(self, offer: Offer, ends_at: Seconds) -> None:
-        """Record that a retried request, or a call of one, is sent."""
+    def begin(self, offer: Offer, now: Seconds, ends_at: Seconds) -> None:
+        """Record that a retried request, or a call of one, is sent.
+
+        Parameters
+        ----------
+        offer : Offer
+            The request.
+        now : Seconds
+            Current clock time.
+        ends_at : Seconds
+            Clock time at which the server stops working on it.
+        """
+        self._runs = {
+            request_id: run
+            for request_id, run in self._runs.items()
+            if now <= run.ends_at + _EXPIRY_TOLERANCE
+        }
         self._runs[offer.request_id] = _Run(offer.route, ends_at)
 
     def end(self, request_id: RequestId) -> None:
