Take no slack of the retry budget while the size of a service is unknown

A home node that had not read the directory took itself for the only one of its service and the whole slack for its part; so did, in part, one whose directory missed rows for a while. Class of fault: an unknown number taken for its smallest value. The slack is left alone now while the number of home nodes is unknown, and the largest number of the last window counts.

--- a/egretlever/home/_retry_budget.py
+++ b/egretlever/home/_retry_budget.py
@@ -105,6 +105,8 @@
         self._window = window
         self._started_at = started_at
         self.rounding = 0.0
+        self._largest_count = 1
+        self._largest_at = started_at
         self._requests: collections.deque[Seconds] = collections.deque()
         self._client_requests: collections.deque[Seconds] = collections.deque()
         self._retries: collections.deque[Seconds] = collections.deque()
@@ -129,7 +131,7 @@
     def take(
         self,
         now: Seconds,
-        home_count: int,
+        home_count: int | None,
         pooled_usage: float | None = None,
         host_share: float = 1.0,
         call: bool = False,
@@ -140,8 +142,9 @@
         ----------
         now : Seconds
             Current time.
-        home_count : int
-            Number of home nodes that share the slack, at least 1.
+        home_count : int or None
+            Number of home nodes that share the slack. While it is unknown, this
+            home node uses none of it.
         pooled_usage : float, optional
             Mean usage of this home node and its neighbours, None when unknown.
         host_share : float, default=1
@@ -166,7 +169,7 @@
     def has_room(
         self,
         now: Seconds,
-        home_count: int,
+        home_count: int | None,
         pooled_usage: float | None = None,
         host_share: float = 1.0,
         call: bool = False,
@@ -185,7 +188,7 @@
         )
 
     def measure_usage(
-        self, now: Seconds, home_count: int, host_share: float = 1.0
+        self, now: Seconds, home_count: int | None, host_share: float = 1.0
     ) -> float:
         """Return the used share of this home node's part of the budget."""
         part = self._measure_part(now, home_count, host_share)
@@ -193,7 +196,7 @@
         return used / part if part > 0 else 1.0
 
     def describe(
-        self, now: Seconds, home_count: int, host_share: float = 1.0
+        self, now: Seconds, home_count: int | None, host_share: float = 1.0
     ) -> RetryCounts:
         """Return the counts of the window and the part of the budget."""
         part = self._measure_part(now, home_count, host_share)
@@ -206,20 +209,36 @@
         )
 
     def _measure_part(
-        self, now: Seconds, home_count: int, host_share: float
+        self, now: Seconds, home_count: int | None, host_share: float
     ) -> float:
         """Return the retries per window that are this home node's part."""
         self._expire(now)
         share = _SLACK_SHARE
         if now - self._started_at < self._window:
             share = 1 - _SLACK_SHARE
-        slack = share * self._slack / max(1, home_count)
+        slack = 0.0
+        if home_count is not None:
+            slack = share * self._slack / self._find_largest(home_count, now)
         counted = max(
             _ARRIVALS_RATIO_SHARE * len(self._requests),
             _CLIENTS_RATIO_SHARE * self._estimate_clients(host_share),
         )
         return self._ratio * counted + slack
 
+    def _find_largest(self, home_count: int, now: Seconds) -> int:
+        """Return the largest number of home nodes within the last window.
+
+        When rows are missing from the directory for a while, their home nodes
+        still use their parts.
+        """
+        if (
+            home_count >= self._largest_count
+            or now - self._largest_at > self._window
+        ):
+            self._largest_count = home_count
+            self._largest_at = now
+        return self._largest_count
+
     def _estimate_clients(self, host_share: float) -> float:
         """Estimate the requests of clients among those in the window.
 
--- a/egretlever/home/tests/test_retry_budget.py
+++ b/egretlever/home/tests/test_retry_budget.py
@@ -103,6 +103,20 @@
     assert used >= 3 * alone
 
 
+def test_a_home_node_of_an_unknown_service_size_leaves_the_slack_alone():
+    # A process that had not read the directory took itself for the only one of
+    # its service, and the whole slack for its part.
+    assert exhaust(build_budget(), 1.0, home_count=None) == 0
+
+
+def test_rows_missing_for_a_while_do_not_raise_the_allowance():
+    budget = build_budget()
+    before = exhaust(budget, 1.0, home_count=12)
+    assert before == 4
+    assert exhaust(budget, 3.0, home_count=2) == 0
+    assert exhaust(budget, 20.0, home_count=2) > before
+
+
 @hypothesis.given(st.lists(st.integers(0, 6), max_size=200))
 def test_home_nodes_that_pool_their_parts_keep_the_bound(takers):
     home_count = 7
--- a/egretlever/relay/_fleet.py
+++ b/egretlever/relay/_fleet.py
@@ -27,8 +27,8 @@
 class Neighbours(Protocol):
     """Provides a home node with information about the other home nodes."""
 
-    def count_homes(self, service: ServiceName) -> int:
-        """Count the home nodes of a service."""
+    def count_homes(self, service: ServiceName) -> int | None:
+        """Count the home nodes of a service, None while they are unknown."""
         ...
 
     def measure_host_share(self, service: ServiceName) -> float:
@@ -131,9 +131,17 @@
         """Record that a home node will send no further notices."""
         self.selector.end_notices(server_id)
 
-    def count_homes(self, service: ServiceName) -> int:
-        """Count the home nodes of a service, at least 1."""
-        return max(1, self._groups.count(service))
+    def count_homes(self, service: ServiceName) -> int | None:
+        """Count the home nodes of a service.
+
+        Returns
+        -------
+        int or None
+            None while the directory was not read or names none of them.
+        """
+        if not self.directory.complete:
+            return None
+        return self._groups.count(service) or None
 
     def count_domains(self, service: ServiceName) -> int:
         """Count the failure domains with servers of a service."""
--- a/egretlever/relay/_retries.py
+++ b/egretlever/relay/_retries.py
@@ -170,7 +170,7 @@
                 calls=counts.calls,
                 refused=self._refused,
                 allowance=round(counts.allowance, 2),
-                homes=homes,
+                homes=homes or 0,
                 host_share=round(host_share, 3),
             )
         )
@@ -181,7 +181,7 @@
 class _Usage:
     """Use of a home node's retry budget, and what its part depends on."""
 
-    homes: int
+    homes: int | None
     host_share: float
     own: float
 
