Keep the counts of the retry budget when its limits change

Changed limits began a new count, so that the retries of the window were allowed once more. The counts are kept; a longer window is treated as begun where the counts begin. The test could not run before, since there was nothing to call.

--- a/egretlever/home/_retry_budget.py
+++ b/egretlever/home/_retry_budget.py
@@ -91,6 +91,17 @@
     def __init__(
         self, ratio: float, slack: float, window: Seconds, started_at: Seconds
     ) -> None:
+        self._started_at = started_at
+        self._set_limits(ratio, slack, window)
+        self.rounding = 0.0
+        self._largest_count = 1
+        self._largest_at = started_at
+        self._requests: collections.deque[Seconds] = collections.deque()
+        self._client_requests: collections.deque[Seconds] = collections.deque()
+        self._retries: collections.deque[Seconds] = collections.deque()
+        self._calls: collections.deque[Seconds] = collections.deque()
+
+    def _set_limits(self, ratio: float, slack: float, window: Seconds) -> None:
         check_parameters(
             "WindowRetryBudget",
             {"ratio": ratio, "slack": slack, "window": window},
@@ -103,14 +114,24 @@
         self._ratio = ratio
         self._slack = slack
         self._window = window
-        self._started_at = started_at
-        self.rounding = 0.0
-        self._largest_count = 1
-        self._largest_at = started_at
-        self._requests: collections.deque[Seconds] = collections.deque()
-        self._client_requests: collections.deque[Seconds] = collections.deque()
-        self._retries: collections.deque[Seconds] = collections.deque()
-        self._calls: collections.deque[Seconds] = collections.deque()
+
+    def reload(
+        self, now: Seconds, ratio: float, slack: float, window: Seconds
+    ) -> None:
+        """Replace the limits; what was counted still counts.
+
+        Parameters
+        ----------
+        now : Seconds
+            Current time.
+        ratio, slack, window
+            As in the constructor.
+        """
+        if window > self._window:
+            # Nothing is known from before the old window.
+            known_since = Seconds(now - self._window)
+            self._started_at = max(self._started_at, known_since)
+        self._set_limits(ratio, slack, window)
 
     def observe(self, now: Seconds, from_client: bool = False) -> None:
         """Count an arrival that is not limited by the budget.
--- a/egretlever/home/tests/test_retry_budget.py
+++ b/egretlever/home/tests/test_retry_budget.py
@@ -117,6 +117,18 @@
     assert exhaust(budget, 20.0, home_count=2) > before
 
 
+def test_changed_limits_do_not_forget_what_was_used():
+    # The counts were dropped, so that each change of the settings allowed the
+    # retries of the window once more.
+    budget = build_budget(slack=20.0)
+    used = exhaust(budget, 1.0)
+    budget.reload(Seconds(2.0), RATIO, 24.0, WINDOW)
+    assert used + exhaust(budget, 3.0) <= 24
+    # A longer window reaches back to times that were not counted.
+    budget.reload(Seconds(4.0), RATIO, 24.0, Seconds(30.0))
+    assert exhaust(budget, 16.0) <= 24 * 0.1
+
+
 @hypothesis.given(st.lists(st.integers(0, 6), max_size=200))
 def test_home_nodes_that_pool_their_parts_keep_the_bound(takers):
     home_count = 7
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -139,7 +139,7 @@
         self._queue.resize(server.slots)
 
     def reload(self, bounds: Bounds) -> None:
-        """Apply limits of the retry budget; unchanged ones keep the counts."""
+        """Apply limits of the retry budget; the counts are kept."""
         self._retries.reload(bounds)
 
     def may_be_derived(self, service: ServiceName, expires_at: Seconds) -> bool:
--- a/egretlever/relay/_retries.py
+++ b/egretlever/relay/_retries.py
@@ -53,19 +53,23 @@
         first_start: bool = False,
     ) -> None:
         self._neighbours = neighbours
-        self._bounds = bounds
-        started_at = Seconds(-math.inf) if first_start else read_clock()
-        self._budget = _make_budget(bounds, started_at)
+        self._budget = WindowRetryBudget(
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window,
+            Seconds(-math.inf) if first_start else read_clock(),
+        )
         self._call_routes = CallRoutes()
         self._refused = 0
 
     def reload(self, bounds: Bounds) -> None:
-        """Apply limits of the retry budget; unchanged ones keep the counts."""
-        if bounds != self._bounds:
-            rounding = self._budget.rounding
-            self._bounds = bounds
-            self._budget = _make_budget(bounds, read_clock())
-            self._budget.rounding = rounding
+        """Apply limits of the retry budget; the counts are kept."""
+        self._budget.reload(
+            read_clock(),
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window,
+        )
 
     def identify(self, server_id: ServerId) -> None:
         """Derive the rounding of this home node's part from its server's id."""
@@ -184,12 +188,3 @@
     homes: int | None
     host_share: float
     own: float
-
-
-def _make_budget(bounds: Bounds, started_at: Seconds) -> WindowRetryBudget:
-    return WindowRetryBudget(
-        bounds.retry_ratio,
-        bounds.retry_slack,
-        bounds.retry_window,
-        started_at,
-    )
