Keep the retry budget over any number of restarts in a row

What callers saw: nothing yet; the rule BUDGET breaks in the model of the test. Cause: a new process did not know the retries of the processes before it and still took a tenth of the slack and the whole part of the ratio at once, each time. Class of fault: an allowance that every restart grants anew.

Change: a process gains 8% of its part evenly over its first window, and uses 90% of it afterwards. The gains of successive processes add up to what one process would gain in the same time, so that their number does not matter. A store for the counts was ruled out: a write for every retry is paid, and the store may be away.

What it costs: after a restart of a whole fleet, few retries are left for one window.

--- a/egretlever/home/_retry_budget.py
+++ b/egretlever/home/_retry_budget.py
@@ -9,13 +9,12 @@
 # arrive like other requests but may not count as requests for the service; half
 # of the ratio keeps the bound for services with as many calls as requests.
 _ARRIVALS_RATIO_SHARE = 0.5
-# Share of the ratio that home nodes use for arrivals that are no calls. It is
-# below 1 because their number is an estimate.
-_CLIENTS_RATIO_SHARE = 0.9
-# Share of the slack that a process uses after its first window. Within that
-# window it uses the remaining share, since it does not know how much its
-# predecessor has used; together they keep the bound.
-_SLACK_SHARE = 0.9
+# Share of its part that a process uses once it knows a whole window.
+_KNOWN_SHARE = 0.9
+# Share that a process gains evenly over its first window, in which the retries
+# of its predecessors still count. Each gains it for its own time only, so that
+# any number of them in a row stays within the rest of the part.
+_UNKNOWN_SHARE = 0.08
 # Nested calls of retried requests use this share of a home node's part at most.
 # The retries of the service itself need fewer requests for each one served.
 _CALLS_SHARE = 0.5
@@ -234,17 +233,19 @@
     ) -> float:
         """Return the retries per window that are this home node's part."""
         self._expire(now)
-        share = _SLACK_SHARE
-        if now - self._started_at < self._window:
-            share = 1 - _SLACK_SHARE
-        slack = 0.0
-        if home_count is not None:
-            slack = share * self._slack / self._find_largest(home_count, now)
         counted = max(
             _ARRIVALS_RATIO_SHARE * len(self._requests),
-            _CLIENTS_RATIO_SHARE * self._estimate_clients(host_share),
+            self._estimate_clients(host_share),
         )
-        return self._ratio * counted + slack
+        slack = 0.0
+        if home_count is not None:
+            slack = self._slack / self._find_largest(home_count, now)
+        known_for = now - self._started_at
+        if known_for >= self._window:
+            return _KNOWN_SHARE * (self._ratio * counted + slack)
+        # The counted requests grow with the time since the start by themselves.
+        slack *= known_for / self._window
+        return _UNKNOWN_SHARE * (self._ratio * counted + slack)
 
     def _find_largest(self, home_count: int, now: Seconds) -> int:
         """Return the largest number of home nodes within the last window.
--- a/egretlever/home/tests/test_retry_budget.py
+++ b/egretlever/home/tests/test_retry_budget.py
@@ -1,5 +1,6 @@
 """Guards the fleet-wide bound on retries that each home node enforces alone."""
 
+import itertools
 import math
 
 import hypothesis
@@ -77,6 +78,34 @@
             assert sum(at > now - WINDOW for at in times) <= SLACK
 
 
+@hypothesis.given(st.lists(st.floats(0.2, 14), max_size=8))
+@hypothesis.example([15.0, 3.0])
+@hypothesis.example([15.0, 2.0, 2.0, 2.0])
+def test_restarts_in_a_row_keep_the_bound(lifetimes):
+    # Each process began with a part of the slack and with the whole ratio,
+    # although the retries of the processes before it were still in the window.
+    home_count, slack, rate = 8, 40.0, 2.0
+    budgets = []
+    for home in range(home_count):
+        budgets.append(build_budget(slack))
+        budgets[-1].rounding = home / home_count
+    restarts = list(itertools.accumulate(lifetimes))
+    times = []
+    for step in range(250):
+        now = step / 5
+        if restarts and now >= restarts[0]:
+            restarts.pop(0)
+            for home in range(home_count):
+                budgets[home] = build_budget(slack, Seconds(now))
+                budgets[home].rounding = home / home_count
+        for budget in budgets:
+            if step % 5 in (0, 3):
+                budget.observe(Seconds(now), from_client=True)
+            times += [now] * exhaust(budget, now, home_count)
+        used = sum(at > now - WINDOW for at in times)
+        assert used <= RATIO * rate * home_count * WINDOW + slack
+
+
 def test_the_first_process_may_use_the_slack_at_once():
     # Gray servers are found in the first second of a fleet, when most of the
     # slack was held back for an earlier process that had never run.
