Estimate which calls come from retried requests

Cause: every request for another service from a host that ran one retried request counted as a call of it, and so used the budget: calls of first runs, and requests of clients. Ruled out: parts that are too small (the parts of the called service were 87% used by count, its servers saw half of that).

Change: a call is taken for one of a retried request with the share of these among the running requests of their routes. On routes that clients use too, the share that can't be theirs is counted, by the requests from the hosts of the service. Calls of calls are not marked: the rule names calls of repeated runs.

The tests of marks ask for the probabilities 0 and 1 now.

--- a/egretlever/home/_retry_budget.py
+++ b/egretlever/home/_retry_budget.py
@@ -110,6 +110,7 @@
         self._largest_at = started_at
         self._requests: collections.deque[Seconds] = collections.deque()
         self._client_requests: collections.deque[Seconds] = collections.deque()
+        self._possible_calls = 0.0
         self._used: dict[RetryKind, collections.deque[Seconds]] = {
             kind: collections.deque() for kind in RetryKind
         }
@@ -206,12 +207,25 @@
     def _count_used(self) -> int:
         return sum(map(len, self._used.values()))
 
-    def observe_call(self, now: Seconds) -> None:
+    def observe_possible_call(self, now: Seconds, probability: float) -> None:
         """Count an arrival that may be a nested call of a retried request.
 
         It is not limited, since it may also be a request of a client.
+
+        Parameters
+        ----------
+        now : Seconds
+            Current time.
+        probability : float
+            Probability that it is such a call. It is counted as one when these
+            add up to 1, and as a request otherwise.
         """
-        self._used[RetryKind.CALL].append(now)
+        self._possible_calls += probability
+        if self._possible_calls >= 1:
+            self._possible_calls -= 1
+            self._used[RetryKind.CALL].append(now)
+        else:
+            self._requests.append(now)
         self._expire(now)
 
     def measure_usage(
--- a/egretlever/placement/_records.py
+++ b/egretlever/placement/_records.py
@@ -277,7 +277,8 @@
     repeated : bool
         Whether it is a retry: another server was sent the request before.
     derived : bool
-        Whether its caller may be running a retried request.
+        Whether it counts as a nested call of a retried request. The sender
+        decides it by chance, with the probability that it is one.
     retriable : bool
         Whether another server may get it if this one does not run it, or fails
         it and it is idempotent.
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -259,7 +259,8 @@
             search,
             AttemptHistory(),
             expires_at,
-            self._home.may_be_derived(service, expires_at),
+            self._rng.random()
+            < self._home.estimate_derived_share(service, expires_at),
         )
 
     async def _serve(self, task: _RequestTask) -> ClientAnswer:
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -32,10 +32,10 @@
 from egretlever.relay._interfaces import ServerRunner
 from egretlever.relay._jobs import Job, JobTable
 from egretlever.relay._notices import NoticePublisher
-from egretlever.relay._retried_runs import RetriedRuns
 from egretlever.relay._retries import RetryCounter
 from egretlever.relay._sampling import RequestSampler
 from egretlever.relay._server_client import ServerClient, ServerResult
+from egretlever.relay._server_runs import ServerRuns
 from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock
 
@@ -114,7 +114,7 @@
     ) -> None:
         self._report_leaving = report_leaving
         self._retries = RetryCounter(bounds, neighbours, first_start)
-        self._retried_runs = RetriedRuns()
+        self._server_runs = ServerRuns()
         self.local = LocalServer()
         self.jobs = JobTable(self._run_logged)
         self.notice_publisher = NoticePublisher(self._make_notice)
@@ -149,12 +149,12 @@
         """Apply limits of the retry budget; the counts are kept."""
         self._retries.reload(bounds)
 
-    def may_be_derived(self, service: ServiceName, expires_at: Seconds) -> bool:
-        """Tell whether a request may be a nested call of a retried request.
+    def estimate_derived_share(
+        self, service: ServiceName, expires_at: Seconds
+    ) -> float:
+        """Return the probability that a request is a call of a retried one.
 
-        Nested calls of the server are not marked. While the server runs a
-        retried request, each request from this host for another service that
-        expires no later is therefore counted as one.
+        Nested calls of the server are not marked.
 
         Parameters
         ----------
@@ -166,8 +166,8 @@
         """
         server = self.local.current
         if server is None or server.service == service:
-            return False
-        return self._retried_runs.may_have_made(expires_at)
+            return 0.0
+        return self._server_runs.estimate_retried_share(expires_at)
 
     def observe_call_without_budget(self, expires_at: Seconds) -> None:
         """Record that a nested call of a retried request found no budget.
@@ -180,7 +180,7 @@
         expires_at : Seconds
             Clock time at which the call expires.
         """
-        self._retried_runs.pause(expires_at, read_clock())
+        self._server_runs.pause(expires_at, read_clock())
 
     def describe(self, route: RouteId = _NO_ROUTE) -> HomeCondition:
         """Return the condition that is attached to replies and notices.
@@ -304,7 +304,7 @@
         now = read_clock()
         if not self._retries.has_room(
             offer, now
-        ) or self._retried_runs.is_paused(offer, now):
+        ) or self._server_runs.is_paused(offer, now):
             return self._refuse(RefusalReason.NO_BUDGET, offer)
         may_be_trial = offer.may_be_trial
         trial = not self._circuit_breaker.allows_without_trial(
@@ -354,7 +354,7 @@
             result = await self._dispatch(job)
             if not isinstance(result.reply, Failure):
                 # Without an answer, the server may still be at work on it.
-                self._retried_runs.end(offer.request_id)
+                self._server_runs.end(offer.request_id)
             answered = result.good is True
         finally:
             self._queue.finish(offer.request_id, read_clock(), answered)
@@ -431,8 +431,7 @@
         overdue = self._find_overdue_time(offer, left)
         job.dispatched = True
         time_left = Seconds(min(left, overdue)) if offer.idempotent else left
-        if offer.repeated or offer.derived:
-            self._retried_runs.begin(offer, now, Seconds(now + time_left))
+        self._server_runs.begin(offer, now, Seconds(now + time_left))
         if offer.idempotent:
             result = await self._client.exchange(server, offer, time_left)
         else:
--- a/egretlever/relay/_retries.py
+++ b/egretlever/relay/_retries.py
@@ -134,11 +134,15 @@
             if not self._take(offer.service, now, kind.charged_as):
                 return False
         elif kind is _ArrivalKind.POSSIBLE_CALL:
-            self._budget.observe_call(now)
+            size = self._find_size(offer.service)
+            share = self._call_routes.estimate_call_share(
+                offer.route, size.host_share
+            )
+            self._budget.observe_possible_call(now, share)
         elif kind is _ArrivalKind.REQUEST:
             self._budget.observe(now, from_client)
         if not offer.repeated:
-            self._call_routes.observe(offer.route, from_client)
+            self._call_routes.observe(offer.route, from_client, offer.derived)
         metrics.ARRIVALS.labels(kind.value).inc()
         return True
 
--- a/egretlever/relay/_retried_runs.py
+++ b/egretlever/relay/_server_runs.py
@@ -1,4 +1,4 @@
-"""Retried requests that run at the server of this host, and their calls."""
+"""Requests that run at the server of this host, and their nested calls."""
 
 import dataclasses
 
@@ -21,20 +21,25 @@
     ----------
     route : RouteId
         Route of the request.
+    repeated : bool
+        Whether it is a retry.
     ends_at : Seconds
         Clock time at which the server stops working on it.
     """
 
     route: RouteId
+    repeated: bool
     ends_at: Seconds
 
 
-class RetriedRuns:
-    """Finds the nested calls of retried requests, which carry no mark.
+class ServerRuns:
+    """Tells how likely a call was made by a retried request.
 
-    Calls of a retried request count as retries at the called service. They are
-    told by their time: they begin while the request runs and expire with it, or
-    sooner.
+    Calls of a retried request count as retries at the called service, and carry
+    no mark. Requests of one route are expected to make the same calls whether
+    they are retried or not, so that a call comes from a retried one with the
+    share of these among the running requests of their routes. A call expires
+    with the request that made it, or sooner.
     """
 
     def __init__(self) -> None:
@@ -42,7 +47,7 @@
         self._paused_until: dict[RouteId, Seconds] = {}
 
     def begin(self, offer: Offer, now: Seconds, ends_at: Seconds) -> None:
-        """Record that a retried request, or a call of one, is sent.
+        """Record that a request is sent to the server.
 
         Parameters
         ----------
@@ -53,20 +58,38 @@
         ends_at : Seconds
             Clock time at which the server stops working on it.
         """
-        self._runs = {
-            request_id: run
-            for request_id, run in self._runs.items()
-            if now <= run.ends_at + _EXPIRY_TOLERANCE
-        }
-        self._runs[offer.request_id] = _Run(offer.route, ends_at)
+        self._expire(now)
+        self._runs[offer.request_id] = _Run(
+            offer.route, offer.repeated, ends_at
+        )
 
     def end(self, request_id: RequestId) -> None:
         """Record that a request makes no more calls."""
         self._runs.pop(request_id, None)
 
-    def may_have_made(self, expires_at: Seconds) -> bool:
-        """Tell whether a call that expires at a time may come from a run."""
-        return bool(self._find_callers(expires_at))
+    def _expire(self, now: Seconds) -> None:
+        ended = [
+            request_id
+            for request_id, run in self._runs.items()
+            if now > run.ends_at + _EXPIRY_TOLERANCE
+        ]
+        for request_id in ended:
+            del self._runs[request_id]
+
+    def estimate_retried_share(self, expires_at: Seconds) -> float:
+        """Return the probability that a retried request made a call.
+
+        Parameters
+        ----------
+        expires_at : Seconds
+            Clock time at which the call expires.
+        """
+        callers = self._find_callers(expires_at)
+        retried = [run for run in callers if run.repeated]
+        if not retried:
+            return 0.0
+        routes = {run.route for run in retried}
+        return len(retried) / sum(run.route in routes for run in callers)
 
     def _find_callers(self, expires_at: Seconds) -> list[_Run]:
         return [
@@ -86,7 +109,8 @@
             Current clock time.
         """
         for run in self._find_callers(expires_at):
-            self._paused_until[run.route] = Seconds(now + _PAUSE_TIME)
+            if run.repeated:
+                self._paused_until[run.route] = Seconds(now + _PAUSE_TIME)
 
     def is_paused(self, offer: Offer, now: Seconds) -> bool:
         """Tell whether an offer is a retry that is refused for its calls."""
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -588,7 +588,8 @@
 
     def ask(service, time_left=0.3):
         expires_at = Seconds(read_clock() + time_left)
-        seen.append(fixture.home.may_be_derived(service, expires_at))
+        share = fixture.home.estimate_derived_share(service, expires_at)
+        seen.append({0.0: False, 1.0: True}[share])
 
     async def script():
         for repeated in (False, True):
@@ -621,7 +622,10 @@
         await curio.sleep(0.1)
         now = read_clock()
         found = [
-            fixture.home.may_be_derived("catalogue", Seconds(now + left))
+            fixture.home.estimate_derived_share(
+                "catalogue", Seconds(now + left)
+            )
+            == 1
             for left in (1.0, 20.0)
         ]
         await task.join()
--- a/egretlever/relay/tests/test_retried_runs.py
+++ b/egretlever/relay/tests/test_server_runs.py
@@ -4,8 +4,8 @@
 
 import curio
 
-from egretlever.core import RequestId, Seconds, ServiceName
-from egretlever.relay._retried_runs import RetriedRuns
+from egretlever.core import RequestId, RouteId, Seconds, ServiceName
+from egretlever.relay._server_runs import ServerRuns
 from egretlever.testing._relay_fixture import RelayFixture, run_script, serve
 from egretlever.testing.relay_builders import build_offer
 from egretlever.transport import read_clock
@@ -15,17 +15,28 @@
 
 
 def build_runs():
-    runs = RetriedRuns()
+    runs = ServerRuns()
     runs.begin(RETRY, NOW, Seconds(NOW + 2.0))
     return runs
 
 
 def test_a_call_within_the_time_of_a_retried_request_may_be_of_it():
     runs = build_runs()
-    assert runs.may_have_made(Seconds(NOW + 0.8))
-    assert not runs.may_have_made(Seconds(NOW + 3.0))
+    assert runs.estimate_retried_share(Seconds(NOW + 0.8)) == 1
+    assert runs.estimate_retried_share(Seconds(NOW + 3.0)) == 0
     runs.end(RequestId("r-1"))
-    assert not runs.may_have_made(Seconds(NOW + 0.8))
+    assert runs.estimate_retried_share(Seconds(NOW + 0.8)) == 0
+
+
+def test_calls_of_first_runs_are_not_all_taken_for_calls_of_retries():
+    # Each call from a host that ran one retried request counted as a retry at
+    # the called service, which then refused most of the real ones.
+    runs = build_runs()
+    for number in range(3):
+        runs.begin(build_offer(f"f-{number}"), NOW, Seconds(NOW + 2.0))
+    other = build_offer("o-1", route=RouteId("other"))
+    runs.begin(other, NOW, Seconds(NOW + 2.0))
+    assert runs.estimate_retried_share(Seconds(NOW + 0.8)) == 1 / 4
 
 
 def test_a_call_of_a_retry_without_an_answer_is_still_recognised():
@@ -45,9 +56,11 @@
         await task.cancel()
         await curio.sleep(0.2)
         expires_at = Seconds(read_clock() + 0.8)
-        return fixture.home.may_be_derived(ServiceName("hub"), expires_at)
+        return fixture.home.estimate_derived_share(
+            ServiceName("hub"), expires_at
+        )
 
-    assert run_script(fixture, script)
+    assert run_script(fixture, script) == 1
 
 
 def test_retries_whose_calls_find_no_budget_are_refused_for_a_while():
