--- a/egretlever/home/tests/test_retry_budget.py
+++ b/egretlever/home/tests/test_retry_budget.py
@@ -58,6 +58,51 @@
         assert used <= RATIO * recent + SLACK
 
 
+@st.composite
+def draw_events(draw):
+    """Draw a number of home nodes and what happens to them by steps."""
+    home_count = draw(st.sampled_from([1, 3, 8, 40]))
+    homes = st.integers(0, home_count - 1)
+    event = st.tuples(
+        st.sampled_from(["restart", "restart-all", "lose", "find"]),
+        homes,
+    )
+    steps = st.dictionaries(st.integers(0, 119), event, max_size=12)
+    return home_count, draw(steps)
+
+
+@hypothesis.settings(max_examples=30)
+@hypothesis.given(draw_events())
+@hypothesis.example((8, {60: ("restart-all", 0), 68: ("restart-all", 0)}))
+@hypothesis.example((40, {50: ("lose", 0), 60: ("restart-all", 0)}))
+def test_no_order_of_events_exceeds_the_bound(case):
+    # Retries, grants and calls are wanted without end, while processes restart
+    # and directories are lost and found again.
+    home_count, events = case
+    budgets = build_budgets(home_count)
+    sizes = [home_count] * home_count
+    arrivals = []
+    for step in range(120):
+        now = Seconds(step / 4)
+        what, home = events.get(step, ("", 0))
+        for place in range(home_count):
+            if what == "restart-all" or (what == "restart" and place == home):
+                rounding = budgets[place].rounding
+                budgets[place] = build_budget(started_at=now)
+                budgets[place].rounding = rounding
+            if what == "lose":
+                sizes[place] = None
+            elif what == "find":
+                sizes[place] = home_count
+            budgets[place].observe(now, from_client=True)
+            for kind in RetryKind:
+                while budgets[place].take(now, sizes[place], kind=kind):
+                    arrivals.append(now)
+        requests = 4 * home_count * WINDOW
+        used = sum(at > now - WINDOW for at in arrivals)
+        assert used <= RATIO * requests + SLACK
+
+
 def test_retries_are_allowed_again_after_the_window():
     budget = build_budget(slack=2.0)
     assert budget.take(Seconds(0.0), home_count=1)
