Decide on grants of retries beside the rest of the retry budget

_home.py decided which failed attempt is granted a retry and how long a granted one may wait; both stand in _retries.py now. A test of the entry node shows that a grant is kept over refused offers and used up by an attempt.

--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -63,13 +63,6 @@
 # ranks.
 _REPORTED_RANKS = 3
 _NO_ROUTE = RouteId("")
-_SERVER_ERROR = 500
-# Longest time that a granted retry may wait for a slot.
-_MAX_GRANTED_WAIT = Seconds(0.4)
-# The server got the request and did not run it.
-_REFUSALS_OF_SERVERS = frozenset(
-    {RefusalReason.SHED, RefusalReason.MISDIRECTED}
-)
 
 
 async def _ignore() -> None:
@@ -344,10 +337,7 @@
                 # Its entry node has closed the connection, perhaps long ago if
                 # this process was paused, and may have given the request up.
                 reason = RefusalReason.FENCED
-            granted = offer.granted and read_clock() - now <= _MAX_GRANTED_WAIT
-            if reason is None and not self._retries.count_arrival(
-                offer, granted
-            ):
+            if reason is None and not self._retries.count_arrival(offer, now):
                 reason = RefusalReason.NO_BUDGET
             if reason is not None:
                 return self._refuse(reason, offer)
@@ -362,22 +352,11 @@
         return dataclasses.replace(
             result.reply,
             condition=self.describe(offer.route),
-            retry_granted=self._grants_retry(job, result.reply),
+            retry_granted=self._retries.grant(
+                offer, result.reply, job.deadline
+            ),
         )
 
-    def _grants_retry(self, job: Job, reply: Reply) -> bool:
-        """Tell whether a failed request may be retried, and pay for it."""
-        offer = job.offer
-        if not offer.retriable or read_clock() >= job.deadline:
-            return False
-        if isinstance(reply, Refusal):
-            failed = reply.reason in _REFUSALS_OF_SERVERS
-        elif isinstance(reply, Answer):
-            failed = offer.idempotent and reply.status >= _SERVER_ERROR
-        else:
-            failed = offer.idempotent
-        return failed and self._retries.grant(offer.service)
-
     async def _await_slot(self, ticket: SlotTicket) -> bool:
         """Wait for a slot; false when the request expired while it waited."""
         slot_event = self._slot_events[ticket.request_id] = curio.Event()
--- a/egretlever/relay/_retries.py
+++ b/egretlever/relay/_retries.py
@@ -7,7 +7,13 @@
 
 from egretlever.core import Seconds, ServerId, ServiceName, make_log
 from egretlever.home import CallRoutes, RetryKind, WindowRetryBudget
-from egretlever.placement import Offer
+from egretlever.placement import (
+    Answer,
+    Offer,
+    Refusal,
+    RefusalReason,
+    Reply,
+)
 from egretlever.platform import Bounds
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._fleet import Neighbours
@@ -15,6 +21,13 @@
 from egretlever.transport import read_clock
 
 _LOG = make_log("home")
+_SERVER_ERROR = 500
+# Longest time that a granted retry may wait for a slot.
+_MAX_GRANTED_WAIT = Seconds(0.4)
+# The server got the request and did not run it.
+_REFUSALS_OF_SERVERS = frozenset(
+    {RefusalReason.SHED, RefusalReason.MISDIRECTED}
+)
 # Usage of the retry budget from which trials of broken servers become rare.
 _LOW_BUDGET_USAGE = 0.5
 
@@ -115,17 +128,18 @@
             now, size.homes, size.host_share
         )
 
-    def count_arrival(self, offer: Offer, granted: bool) -> bool:
+    def count_arrival(self, offer: Offer, offered_at: Seconds) -> bool:
         """Count an attempt at the server; false when the budget forbids it.
 
         Parameters
         ----------
         offer : Offer
             The request.
-        granted : bool
-            Whether the home node of an earlier attempt has paid for it.
+        offered_at : Seconds
+            Clock time at which it was offered.
         """
         now = read_clock()
+        granted = offer.granted and now - offered_at <= _MAX_GRANTED_WAIT
         kind = self._classify(offer, granted)
         # Servers call other services only, so a request that began on a host of
         # the same service comes from a client.
@@ -146,9 +160,25 @@
         metrics.ARRIVALS.labels(kind.value).inc()
         return True
 
-    def grant(self, service: ServiceName) -> bool:
-        """Count a retry at another server, and tell whether it is allowed."""
-        return self._take(service, read_clock(), RetryKind.GRANT)
+    def grant(self, offer: Offer, reply: Reply, deadline: Seconds) -> bool:
+        """Count a retry of a failed attempt; false when it gets none.
+
+        Parameters
+        ----------
+        offer : Offer
+            The request.
+        reply : Answer, Refusal or Failure
+            Outcome of the attempt at the server.
+        deadline : Seconds
+            Clock time at which the request expires.
+        """
+        now = read_clock()
+        return (
+            offer.retriable
+            and now < deadline
+            and _may_be_retried(offer, reply)
+            and self._take(offer.service, now, RetryKind.GRANT)
+        )
 
     def _take(
         self, service: ServiceName, now: Seconds, kind: RetryKind
@@ -197,3 +227,12 @@
 
     homes: int | None
     host_share: float
+
+
+def _may_be_retried(offer: Offer, reply: Reply) -> bool:
+    """Tell whether an attempt failed in a way that allows another one."""
+    if isinstance(reply, Refusal):
+        return reply.reason in _REFUSALS_OF_SERVERS
+    if isinstance(reply, Answer):
+        return offer.idempotent and reply.status >= _SERVER_ERROR
+    return offer.idempotent
--- a/egretlever/relay/tests/test_entry.py
+++ b/egretlever/relay/tests/test_entry.py
@@ -75,31 +75,53 @@
     def __init__(self, *replies):
         self.replies = list(replies)
         self.services = []
+        self.granted = []
 
     async def offer(self, relay, offer, follow=False):
         self.services.append(offer.service)
+        self.granted.append(offer.granted)
         return self.replies.pop(0)
 
 
-def test_refusal_for_lack_of_budget_is_counted_once():
-    # A later answer was counted as another refusal for lack of budget, and the
-    # request was given up although a third server could have served it.
+def send_list(homes):
+    """Send a request for a list to a host whose peers are scripted."""
+
     async def main():
         fleet = RelayFleet(build_pattern())
         host = next(one for one in fleet.hosts if one.server.service == DESK)
         host.start()
-        refusal = Refusal(RefusalReason.NO_BUDGET, HomeCondition())
-        homes = ScriptedHomes(
-            refusal, build_answer(500), build_answer(200), build_answer(200)
-        )
         host.entry = EntryNode(
             host.server.service, host.view, host.home, homes, host.rng
         )
         host.entry.configure(fleet.configuration)
-        kind = next(kind for kind in fleet.pattern.kinds if kind.name == "list")
-        return await host.send(kind, 5.0)
+        return await host.send(find_kind(fleet, "list"), 5.0)
+
+    return run_virtual(main())
+
+
+def test_refusal_for_lack_of_budget_is_counted_once():
+    # A later answer was counted as another refusal for lack of budget, and the
+    # request was given up although a third server could have served it.
+    refusal = Refusal(RefusalReason.NO_BUDGET, HomeCondition())
+    homes = ScriptedHomes(
+        refusal, build_answer(500), build_answer(200), build_answer(200)
+    )
+    assert send_list(homes) == 200
+
+
+@pytest.mark.parametrize("granted", [False, True])
+def test_a_granted_retry_is_passed_on_until_a_server_got_it(granted):
+    # A refused offer does not use the grant up, a further attempt does.
+    failed = dataclasses.replace(build_answer(500), retry_granted=granted)
+    homes = ScriptedHomes(
+        failed,
+        Refusal(RefusalReason.BUSY, HomeCondition()),
+        build_answer(500),
+        build_answer(200),
+    )
 
-    assert run_virtual(main()) == 200
+    assert send_list(homes) == 200
+    assert homes.granted == [False, granted, granted, False]
 
 
 def split_route(fleet, name, *backends):
--- a/egretlever/relay/tests/test_retry_counter.py
+++ b/egretlever/relay/tests/test_retry_counter.py
@@ -12,6 +12,7 @@
 from egretlever.relay._retries import RetryCounter
 from egretlever.testing._relay_fixture import RelayFixture, run_script, serve
 from egretlever.testing.relay_builders import build_home_server, build_offer
+from egretlever.transport import read_clock
 
 BOUNDS = Bounds(retry_ratio=0.2, retry_slack=60.0)
 RETRY = build_offer(repeated=True)
@@ -29,7 +30,7 @@
 
 def exhaust(counter):
     count = 0
-    while counter.count_arrival(RETRY, granted=False):
+    while counter.count_arrival(RETRY, read_clock()):
         count += 1
     return count
 
