--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -10,7 +10,14 @@
 from curio import socket
 
 from egretlever.core import Seconds, make_log
-from egretlever.placement import ClientLimits, HeaderFields
+from egretlever.placement import ClientLimits
+from egretlever.relay._client_messages import (
+    ClientAnswer,
+    ClientHandler,
+    ClientRequest,
+    encode_answer,
+    make_error_answer,
+)
 from egretlever.transport import (
     ParsingTurns,
     RequestError,
@@ -37,47 +44,6 @@
 _LINGER_TIME = Seconds(1.0)  # time for a client to read the last answer
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClientRequest:
-    """A complete request of a client.
-
-    Parameters
-    ----------
-    head : RequestHead
-        Method, target and headers.
-    body : bytes
-        Complete body.
-    received_at : Seconds
-        Clock time at which the request was complete.
-    """
-
-    head: RequestHead
-    body: bytes
-    received_at: Seconds
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClientAnswer:
-    """A complete answer to a client.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status.
-    headers : tuple of tuple of bytes
-        Headers, without those of the message framing.
-    body : bytes
-        Complete body.
-    """
-
-    status: int
-    headers: HeaderFields = ()
-    body: bytes = b""
-
-
-ClientHandler = Callable[[ClientRequest], Awaitable[ClientAnswer]]
-
-
 @dataclasses.dataclass(slots=True)
 class _PendingAnswer:
     """A request whose answer has not been sent."""
@@ -173,7 +139,7 @@
                 request = await self._read_request(http)
             except RequestError as error:
                 await self._enqueue(
-                    _PendingAnswer(http, "", True), _make_error_answer(error)
+                    _PendingAnswer(http, "", True), make_error_answer(error)
                 )
                 return False
             if request is None:
@@ -349,7 +315,9 @@
             ends = pending.last or (alone and self._is_stopping())
             self._closing = self._closing or ends
             assert pending.answer is not None  # set before it is ready
-            data = _encode(pending.http, pending.method, pending.answer, ends)
+            data = encode_answer(
+                pending.http, pending.method, pending.answer, ends
+            )
             try:
                 async with curio.timeout_after(_BODY_TIMEOUT):
                     await self._sock.sendall(data)
@@ -372,23 +340,3 @@
             await self._sock.shutdown(socket.SHUT_RD)
         except OSError as error:
             _LOG.debug("Client connection was already closed: %s.", error)
-
-
-def _make_error_answer(error: RequestError) -> ClientAnswer:
-    return ClientAnswer(error.status, (), f"{error}\n".encode())
-
-
-def _encode(
-    http: h11.Connection, method: str, answer: ClientAnswer, ends: bool
-) -> bytes:
-    fields = list(answer.headers)
-    empty = answer.status in (204, 304)
-    if not empty:
-        fields.append((b"content-length", b"%d" % len(answer.body)))
-    if ends:
-        fields.append((b"connection", b"close"))
-    response = h11.Response(status_code=answer.status, headers=fields)
-    encoded = http.send(response) or b""
-    if answer.body and method != "HEAD" and not empty:
-        encoded += http.send(h11.Data(data=answer.body)) or b""
-    return encoded + (http.send(h11.EndOfMessage()) or b"")
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -27,7 +27,7 @@
 )
 from egretlever.platform import headers
 from egretlever.relay import _metrics as metrics
-from egretlever.relay._clients import ClientAnswer, ClientRequest
+from egretlever.relay._client_messages import ClientAnswer, ClientRequest
 from egretlever.relay._fleet import FleetView
 from egretlever.relay._home import HomeNode
 from egretlever.relay._interfaces import OfferSender
--- a/egretlever/relay/_outcomes.py
+++ b/egretlever/relay/_outcomes.py
@@ -13,7 +13,7 @@
     Reply,
 )
 from egretlever.platform import headers
-from egretlever.relay._clients import ClientAnswer
+from egretlever.relay._client_messages import ClientAnswer
 
 _SERVER_ERROR = 500
 # Bounds of the Retry-After of rejected requests: long enough for queues to
--- a/egretlever/relay/tests/test_clients.py
+++ b/egretlever/relay/tests/test_clients.py
@@ -8,7 +8,8 @@
 
 from egretlever.core import Seconds
 from egretlever.placement import ClientLimits
-from egretlever.relay._clients import ClientAnswer, ClientConnection
+from egretlever.relay._client_messages import ClientAnswer
+from egretlever.relay._clients import ClientConnection
 from egretlever.testing import VirtualClock, run_virtual
 from egretlever.testing._endless_socket import EndlessSocket
 
--- a/egretlever/testing/_relay_fleet.py
+++ b/egretlever/testing/_relay_fleet.py
@@ -40,7 +40,7 @@
     Trust,
 )
 from egretlever.platform import headers
-from egretlever.relay._clients import ClientRequest
+from egretlever.relay._client_messages import ClientRequest
 from egretlever.relay._entry import EntryNode
 from egretlever.relay._fleet import FleetView
 from egretlever.relay._home import HomeNode
