Log client connections that end with an answer unfinished

Callers saw connections end without a whole answer around a planned stop. A request whose connection the node itself cut left no line: the log did not tell a request without an answer from an answer that was written and not read, or from a client that left.

connection-cut and client-left lines name the first open requests, the size of the last answer, what of it was handed to the system and what the client has not acknowledged. drained says what was unfinished when a planned stop ended. A counter counts the cut connections by reason. Where the system call that reads the send queue is not allowed, the line says unknown.

The planned stop has a module of its own; its order and times are unchanged. EndlessSocket, a double of the tests, gets the method fileno, since the end of a connection reads it.

Test: test_end_of_a_connection_names_the_requests_without_an_answer.

--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -9,8 +9,9 @@
 import h11
 from curio import socket
 
-from egretlever.core import Seconds, make_log
+from egretlever.core import RequestId, Seconds, make_log
 from egretlever.placement import ClientLimits
+from egretlever.platform import headers
 from egretlever.relay._client_messages import (
     ClientAnswer,
     ClientHandler,
@@ -18,6 +19,7 @@
     encode_answer,
     make_error_answer,
 )
+from egretlever.relay._connection_ends import ConnectionEnd, EndReason
 from egretlever.transport import (
     ParsingTurns,
     RequestError,
@@ -27,6 +29,7 @@
     check_request,
     is_closed_by_peer,
     make_request_error,
+    measure_unacknowledged,
     read_clock,
 )
 
@@ -49,13 +52,17 @@
     """A request whose answer has not been sent."""
 
     http: h11.Connection
-    method: str
+    head: RequestHead | None
     last: bool
     answer: ClientAnswer | None = None
     task: Any = None
     ready: curio.Event = dataclasses.field(default_factory=curio.Event)
 
 
+def _ignore(end: ConnectionEnd) -> None:
+    """Ignore the end of a connection."""
+
+
 class ClientConnection:
     """Handles pipelined requests concurrently and sends answers in order.
 
@@ -71,6 +78,8 @@
         Returns the current limits.
     is_stopping : callable
         Tells whether connections are to be closed after their next answer.
+    report_end : callable, optional
+        Called with the state of the connection at its end.
     """
 
     def __init__(
@@ -79,6 +88,7 @@
         handle: ClientHandler,
         read_limits: Callable[[], ClientLimits],
         is_stopping: Callable[[], bool],
+        report_end: Callable[[ConnectionEnd], None] = _ignore,
     ) -> None:
         self._sock = sock
         self._reader = SocketReader(sock)
@@ -92,6 +102,9 @@
         self._slot_freed = curio.Event()
         self._input_ended = False
         self._closing = False
+        self._report_end = report_end
+        self._answer_bytes = self._sent_bytes = 0
+        self._end_reason = EndReason.NODE_ENDED
 
     @property
     def has_unsent_answers(self) -> bool:
@@ -102,8 +115,9 @@
         """Serve the connection until it ends."""
         writer = await curio.spawn(self._write_forever, daemon=True)
         try:
-            client_left = await self._read_forever()
-            if not client_left:
+            if await self._read_forever():
+                self._note_client_closed()
+            else:
                 self._input_ended = True
                 await self._enqueued.set()
                 watcher = await curio.spawn(
@@ -112,12 +126,29 @@
                 await writer.wait()
                 await watcher.cancel()
         except OSError as error:
+            self._note_client_closed()
             _LOG.debug("Client connection failed: %s.", error)
         finally:
             await writer.cancel()
             for pending in self._pending:
                 if pending.task is not None:
                     await pending.task.cancel(blocking=False)
+            self._report_end(self._describe_end())
+
+    def _note_client_closed(self) -> None:
+        """Record that the client has closed, unless the node had."""
+        if self._end_reason is EndReason.NODE_ENDED:
+            self._end_reason = EndReason.CLIENT_CLOSED
+
+    def _describe_end(self) -> ConnectionEnd:
+        return ConnectionEnd(
+            unanswered=tuple(map(_find_id, self._pending)),
+            answer_bytes=self._answer_bytes,
+            sent_bytes=self._sent_bytes,
+            unacknowledged_bytes=measure_unacknowledged(self._sock),
+            stopping=self._is_stopping(),
+            reason=self._end_reason,
+        )
 
     async def _watch_for_close(self, writer: Any) -> None:
         """Cancel the requests when the client closes after its last request."""
@@ -126,6 +157,7 @@
                 continue
         except OSError as error:
             _LOG.debug("Client connection failed: %s.", error)
+        self._note_client_closed()
         await writer.cancel(blocking=False)
 
     async def _read_forever(self) -> bool:
@@ -139,7 +171,7 @@
                 request = await self._read_request(http)
             except RequestError as error:
                 await self._enqueue(
-                    _PendingAnswer(http, "", True), make_error_answer(error)
+                    _PendingAnswer(http, None, True), make_error_answer(error)
                 )
                 return False
             if request is None:
@@ -152,7 +184,7 @@
                 # have been paused.
                 return True
             last = http.their_state is h11.MUST_CLOSE
-            pending = _PendingAnswer(http, request.head.method, last)
+            pending = _PendingAnswer(http, request.head, last)
             pending.task = await curio.spawn(
                 self._answer, pending, request, daemon=True
             )
@@ -314,14 +346,21 @@
             alone = len(self._pending) == 1
             ends = pending.last or (alone and self._is_stopping())
             self._closing = self._closing or ends
-            assert pending.answer is not None  # set before it is ready
-            data = encode_answer(
-                pending.http, pending.method, pending.answer, ends
-            )
+            data = _encode(pending, ends)
+            self._answer_bytes, self._sent_bytes = len(data), 0
             try:
                 async with curio.timeout_after(_BODY_TIMEOUT):
                     await self._sock.sendall(data)
-            except (OSError, curio.TaskTimeout) as error:
+                self._sent_bytes = len(data)
+            except (OSError, curio.CancelledError) as error:
+                # curio adds the number of bytes to the exception.
+                self._sent_bytes = getattr(error, "bytes_sent", 0)
+                if isinstance(error, OSError):
+                    self._note_client_closed()
+                elif isinstance(error, curio.TaskTimeout):
+                    self._end_reason = EndReason.NOT_READ
+                else:
+                    raise
                 _LOG.debug("Sending an answer to a client failed: %r.", error)
                 await self._close_after_linger()
                 return
@@ -337,6 +376,18 @@
         try:
             await self._sock.shutdown(socket.SHUT_WR)
             await curio.sleep(_LINGER_TIME)
+            self._end_reason = EndReason.NOT_CLOSED
             await self._sock.shutdown(socket.SHUT_RD)
         except OSError as error:
             _LOG.debug("Client connection was already closed: %s.", error)
+
+
+def _find_id(pending: _PendingAnswer) -> RequestId:
+    found = pending.head and pending.head.find(headers.REQUEST_ID)
+    return RequestId(found or "")
+
+
+def _encode(pending: _PendingAnswer, ends: bool) -> bytes:
+    assert pending.answer is not None  # set before it is ready
+    method = "" if pending.head is None else pending.head.method
+    return encode_answer(pending.http, method, pending.answer, ends)
--- a/egretlever/relay/_metrics.py
+++ b/egretlever/relay/_metrics.py
@@ -18,6 +18,11 @@
     "Time from a whole request to its answer.",
     buckets=(0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10),
 )
+CONNECTIONS_CUT = Counter(
+    "egretlever_relay_connections_cut",
+    "Client connections that ended with an answer unfinished, by reason.",
+    ["reason"],
+)
 STORE_CALLS = Counter(
     "egretlever_relay_store_calls",
     "Calls of the platform's store by kind and result.",
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -36,6 +36,7 @@
 from egretlever.relay._configuration_follower import (
     make_configuration_follower,
 )
+from egretlever.relay._connection_ends import ConnectionEndLog
 from egretlever.relay._entry import EntryNode
 from egretlever.relay._fleet import FleetView
 from egretlever.relay._followers import make_directory_follower
@@ -45,6 +46,7 @@
 from egretlever.relay._orphans import OrphanRemover
 from egretlever.relay._publishing import ServerPublisher
 from egretlever.relay._sharing import TableSharing
+from egretlever.relay._stopping import PlannedStop, plan_stop
 from egretlever.schema import logs_pb2, settings_pb2
 from egretlever.settings import parse_address
 from egretlever.transport import (
@@ -64,15 +66,6 @@
 _FIRST_READ_TIME = Seconds(0.5)
 _MAX_CLIENTS = 2000  # client connections open at once
 _RESTART_DELAY = 0.5  # seconds before a component that ended runs again
-# Clients stop using the node after two failed readiness checks, one per second.
-# Until then they open connections, which are served.
-_LEAVE_NOTICE_TIME = Seconds(3.0)
-# Time reserved before SIGKILL for the process to exit by itself.
-_EXIT_MARGIN = Seconds(0.4)
-# Time reserved for the last answers to reach their clients.
-_ANSWER_MARGIN = Seconds(0.15)
-_DRAIN_POLL_INTERVAL = 0.05  # seconds
-_FLUSH_TIME = 0.05  # seconds
 
 
 class RelayNode:
@@ -183,6 +176,10 @@
             self._handovers,
         )
         self._client_connections: set[ClientConnection] = set()
+        self._connection_ends = ConnectionEndLog()
+        self._planned_stop = PlannedStop(
+            self._entry, self._home, self._acceptor, self._client_connections
+        )
         self._started_at = read_clock()
         self._stopping = False
         self._ended = curio.Event()
@@ -354,6 +351,7 @@
             self._entry.handle,
             self._entry.read_limits,
             lambda: self._stopping,
+            self._connection_ends.report,
         )
         self._client_connections.add(connection)
         try:
@@ -402,38 +400,13 @@
         self._log("stop")
         self._stopping = True
         await self._publisher.stop()
-        now = read_clock()
-        ends_at = Seconds(now + self._bounds.grace - _EXIT_MARGIN)
-        leaves_at = min(Seconds(now + _LEAVE_NOTICE_TIME), ends_at)
-        # Readiness fails from the start of the stop, which notifies clients. A
-        # request that still arrives after `leaves_at` might not be finished, so
-        # it is rejected while "not run" is still true.
-        self._entry.stop(leaves_at, Seconds(ends_at - _ANSWER_MARGIN))
-        self._home.stop(leaves_at, Seconds(ends_at - _ANSWER_MARGIN))
-        await curio.sleep(leaves_at - now)
-        while read_clock() < ends_at and self._has_unfinished_work():
-            await curio.sleep(_DRAIN_POLL_INTERVAL)
-        # The peers still read the last answers and replies.
-        await curio.sleep(_FLUSH_TIME)
+        await self._planned_stop.run(
+            plan_stop(read_clock(), self._bounds.grace)
+        )
         await self._links.close()
         await self._home.close()
         await self._ended.set()
 
-    def _has_unfinished_work(self) -> bool:
-        """Tell whether a request has no answer, or one that is not sent yet.
-
-        A large answer takes seconds to send to a slow client.
-        """
-        return bool(
-            self._entry.in_flight
-            or self._home.jobs.count_running()
-            or self._acceptor.has_unsent_replies
-            or any(
-                connection.has_unsent_answers
-                for connection in self._client_connections
-            )
-        )
-
 
 def _parse_regions(
     settings: settings_pb2.RelaySettings,
--- a/egretlever/relay/tests/test_clients.py
+++ b/egretlever/relay/tests/test_clients.py
@@ -23,6 +23,7 @@
         self.stopping = False
         self.started = []
         self.cancelled = []
+        self.ends = []
 
     async def handle(self, request):
         path = request.head.path
@@ -40,16 +41,20 @@
 
         async def serve():
             await ClientConnection(
-                node, self.handle, lambda: self.limits, lambda: self.stopping
+                node,
+                self.handle,
+                lambda: self.limits,
+                lambda: self.stopping,
+                self.ends.append,
             ).run()
             await node.close()
 
-        task = await curio.spawn(serve, daemon=True)
+        self.task = await curio.spawn(serve, daemon=True)
         try:
             yield client
         finally:
             await client.close()
-            await task.cancel()
+            await self.task.cancel()
 
 
 def get(path, *lines):
@@ -232,6 +237,27 @@
     assert 15.0 < run_virtual(main()) < 20.0
 
 
+@pytest.mark.parametrize("leaves", [False, True])
+def test_end_of_a_connection_names_the_requests_without_an_answer(leaves):
+    # A request whose connection the node cut left no trace in its log.
+    fixture = ClientFixture({"/slow": 10.0})
+
+    async def main():
+        async with fixture.connect() as client:
+            await client.sendall(get(b"/slow", b"x-request-id: r-1"))
+            await curio.sleep(0.5)
+            if leaves:
+                await client.close()
+                await curio.sleep(0.1)
+            else:
+                await fixture.task.cancel()
+
+    run_virtual(main())
+    (end,) = fixture.ends
+    assert end.unanswered == ("r-1",)
+    assert end.cut is not leaves
+
+
 def test_upload_in_small_chunks_leaves_turns_to_other_tasks():
     # Other requests of the node took up to 5.9 s, and questions for its
     # readiness a second.
--- a/egretlever/testing/_endless_socket.py
+++ b/egretlever/testing/_endless_socket.py
@@ -74,6 +74,10 @@
     async def sendall(self, data: bytes) -> None:
         """Accept the bytes."""
 
+    def fileno(self) -> int:
+        """Return no file descriptor."""
+        return -1
+
     async def shutdown(self, how: int) -> None:
         """Do nothing."""
 
--- a/egretlever/transport/_sockets.py
+++ b/egretlever/transport/_sockets.py
@@ -1,8 +1,10 @@
 """TCP sockets on curio, and the clock of its event loop."""
 
+import fcntl
 import select
 import socket as plain_socket
 import struct
+import termios
 import time
 from typing import Any
 
@@ -24,6 +26,7 @@
 # Receiving available data does not suspend a task, so a peer that never stops
 # sending would keep the only loop. A reader yields after this many calls.
 _RECEIVES_PER_TURN = 4
+_INT = struct.Struct("i")
 # Parsing one chunk takes some 20 us, and one read may hold thousands of them.
 MAX_EVENTS_PER_TURN = 256
 
@@ -237,6 +240,22 @@
         return True
 
 
+def measure_unacknowledged(sock: Any) -> int | None:
+    """Return the sent bytes that the peer has not acknowledged.
+
+    Returns
+    -------
+    int or None
+        None when the system does not tell.
+    """
+    try:
+        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    except (OSError, ValueError):
+        return None
+    count: int = _INT.unpack(found)[0]
+    return count
+
+
 def send_now(sock: Any, data: bytes) -> bool:
     """Send bytes without waiting; false when the connection is reset.
 
