Answer every request that was read before a planned stop ends

Callers saw the connection of an order end without an answer: its home node stopped, the entry node was stopped 2.2 s later, and asked for the order until the order's own deadline, which lay after the end of the process. Only deadlines of requests that were read after the signal were bounded by it.

The entry node now knows its running requests. At the time by which answers are due, those that are left end as with a timeout: a failed answer of an earlier attempt, 504 if an offer may have run, 503 otherwise. Home nodes are told by a withdrawal, as for any request that ends early. An answer that is ready in the same turn is sent.

Not the cause here: overlapping timeouts of curio, which lose neither a result nor an enclosing timeout.

RelayHost, a fixture, can share the store of another host; send_list of test_entry also returns the time.

--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -40,6 +40,7 @@
     make_local_answer,
     make_rejection,
 )
+from egretlever.relay._running_requests import RunningRequests, StopTimeout
 from egretlever.relay._sampling import RequestSampler
 from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock, remove_hop_by_hop
@@ -86,6 +87,7 @@
     expires_at: Seconds
     derived: bool
     granted_until: Seconds | None = None
+    offered: bool = False  # to a home node that has not replied
 
 
 class EntryNode:
@@ -106,8 +108,8 @@
 
     Attributes
     ----------
-    in_flight : int
-        Number of requests without an answer.
+    running : RunningRequests
+        Requests without an answer.
     """
 
     def __init__(
@@ -126,7 +128,7 @@
         self._selector = fleet.selector
         self._routes: RouteTable | None = None
         self._service_times: dict[RouteId, Seconds] = {}
-        self.in_flight = 0
+        self.running = RunningRequests()
         self._sampler = RequestSampler()
         self._rejects_from: Seconds | None = None
         self._ends_at: Seconds | None = None
@@ -168,11 +170,15 @@
 
     async def handle(self, request: ClientRequest) -> ClientAnswer:
         """Serve one client request."""
-        self.in_flight += 1
+        running = await self.running.enter()
         try:
             return await self._handle(request)
+        except StopTimeout:
+            # It waited for the configuration.
+            found = request.head.find(headers.REQUEST_ID)
+            return self._reject(found, "the node stops", Seconds(0.0))
         finally:
-            self.in_flight -= 1
+            await self.running.leave(running)
             metrics.REQUEST_SECONDS.observe(read_clock() - request.received_at)
 
     async def _handle(self, request: ClientRequest) -> ClientAnswer:
@@ -202,6 +208,8 @@
                 return await self._serve(task)
         except curio.TaskTimeout:
             return self._time_out(task)
+        except StopTimeout:
+            return self._end_at_stop(task)
 
     async def _await_ready(self) -> bool:
         """Wait for routes and servers; false when there is no configuration.
@@ -356,6 +364,7 @@
             usual_time=self._estimate_usual_time(task.route),
         )
         self._selector.start_offer(choice.server)
+        task.offered = True
         reply: Reply | None = None
         try:
             if self._fleet.is_own(choice.server.relay):
@@ -373,6 +382,7 @@
                 read_clock(),
                 self._service_times.get(task.route.id, Seconds(0.0)),
             )
+        task.offered = False
         metrics.OFFERS.labels(reply.name).inc()
         return reply
 
@@ -438,6 +448,13 @@
         reason = task.history.reason.value if task.history.reason else ""
         return self._finish(Ending.TIMED_OUT, task.id, task, answer, reason)
 
+    def _end_at_stop(self, task: _RequestTask) -> ClientAnswer:
+        """Answer a request whose latest offer has no reply."""
+        task.history.may_have_run |= task.offered
+        if task.history.may_have_run and task.history.failed_answer is None:
+            return self._time_out(task)
+        return self._give_up(task, GiveUpReason.STOPPING)
+
     def _finish(
         self,
         ending: Ending,
--- a/egretlever/relay/_stopping.py
+++ b/egretlever/relay/_stopping.py
@@ -101,7 +101,13 @@
         self._entry.stop(schedule.leaves_at, schedule.answers_by)
         self._home.stop(schedule.leaves_at, schedule.answers_by)
         await curio.sleep(schedule.leaves_at - read_clock())
-        while read_clock() < schedule.ends_at and self._has_unfinished_work():
+        while (
+            now := read_clock()
+        ) < schedule.ends_at and self._has_unfinished_work():
+            if now >= schedule.answers_by:
+                # Deadlines of requests that were read before the stop may lie
+                # after its end.
+                await self._entry.running.end_all()
             await curio.sleep(_DRAIN_POLL_INTERVAL)
         # The peers still read the last answers and replies.
         await curio.sleep(_FLUSH_TIME)
@@ -116,7 +122,7 @@
         A large answer takes seconds to send to a slow client.
         """
         return bool(
-            self._entry.in_flight
+            self._entry.running
             or self._home.jobs.count_running()
             or self._acceptor.has_unsent_replies
             or self._count_unfinished_connections()
@@ -126,7 +132,7 @@
         _LOG.event(
             logs_pb2.StopLine(
                 event="drained",
-                requests=self._entry.in_flight,
+                requests=len(self._entry.running),
                 jobs=self._home.jobs.count_running(),
                 unsent_replies=self._acceptor.has_unsent_replies,
                 connections=len(self._connections),
--- a/egretlever/relay/tests/test_entry.py
+++ b/egretlever/relay/tests/test_entry.py
@@ -9,11 +9,14 @@
 from egretlever.core import Seconds, ServiceName, Version
 from egretlever.placement import (
     Backend,
+    Failure,
+    FailureReason,
     HomeCondition,
     Refusal,
     RefusalReason,
 )
 from egretlever.relay._entry import EntryNode
+from egretlever.relay._running_requests import RunningRequests
 from egretlever.testing import run_virtual
 from egretlever.testing._relay_fleet import RelayFleet
 from egretlever.testing.relay_builders import build_answer
@@ -83,8 +86,25 @@
         return self.replies.pop(0)
 
 
-def send_list(homes):
-    """Send a request for a list to a host whose peers are scripted."""
+class SilentHomes(ScriptedHomes):
+    """Reply like `ScriptedHomes`, and not to the last offer."""
+
+    async def offer(self, relay, offer, follow=False):
+        if self.replies:
+            return await super().offer(relay, offer, follow)
+        await curio.sleep(3600.0)
+        raise AssertionError("the request has a deadline")
+
+
+def send_list(homes, end_after=None):
+    """Send a request for a list to a host whose peers are scripted.
+
+    After a time, all running requests are ended as in a planned stop.
+    """
+
+    async def end(entry):
+        await curio.sleep(end_after)
+        await entry.running.end_all()
 
     async def main():
         fleet = RelayFleet(build_pattern())
@@ -94,11 +114,53 @@
             host.server.service, host.view, host.home, homes, host.rng
         )
         host.entry.configure(fleet.configuration)
-        return await host.send(find_kind(fleet, "list"), 5.0)
+        if end_after is not None:
+            await curio.spawn(end, host.entry, daemon=True)
+        began = read_clock()
+        status = await host.send(find_kind(fleet, "list"), 5.0)
+        return status, round(read_clock() - began, 3)
 
     return run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    ("earlier", "status"),
+    [
+        ([], 504),
+        ([Refusal(RefusalReason.BUSY, HomeCondition())], 504),
+        ([Failure(FailureReason.HOME_LOST, HomeCondition())], 504),
+        ([build_answer(500)], 500),
+    ],
+)
+def test_request_read_before_a_planned_stop_is_answered_at_its_end(
+    earlier, status
+):
+    # Only deadlines of requests that came after the signal were bounded by the
+    # end of the process.
+    assert send_list(SilentHomes(*earlier), end_after=1.0) == (status, 1.0)
+
+
+def test_answer_that_arrives_with_the_end_of_a_planned_stop_is_sent():
+    # The task was cancelled in the turn in which it had its answer.
+    async def main():
+        requests, answered = RunningRequests(), curio.Event()
+
+        async def handle():
+            task = await requests.enter()
+            await answered.wait()
+            await requests.leave(task)
+            await curio.sleep(0.1)
+            return "sent"
+
+        task = await curio.spawn(handle)
+        await curio.sleep(0.1)
+        await answered.set()
+        await requests.end_all()
+        return await task.join()
+
+    assert run_virtual(main()) == "sent"
+
+
 def test_refusal_for_lack_of_budget_is_counted_once():
     # A later answer was counted as another refusal for lack of budget, and the
     # request was given up although a third server could have served it.
@@ -106,7 +168,7 @@
     homes = ScriptedHomes(
         refusal, build_answer(500), build_answer(200), build_answer(200)
     )
-    assert send_list(homes) == 200
+    assert send_list(homes)[0] == 200
 
 
 @pytest.mark.parametrize("granted", [False, True])
@@ -120,7 +182,7 @@
         build_answer(200),
     )
 
-    assert send_list(homes) == 200
+    assert send_list(homes)[0] == 200
     assert homes.granted == [False, granted, granted, False]
 
 
--- a/egretlever/testing/_relay_host.py
+++ b/egretlever/testing/_relay_host.py
@@ -33,6 +33,13 @@
 
     The store and the server outlast the node's process.
 
+    Parameters
+    ----------
+    number : int, default=1
+        Number of the host.
+    store : RowsStandIn, optional
+        Store that another host runs; by default the host runs one.
+
     Attributes
     ----------
     store : RowsStandIn
@@ -43,15 +50,18 @@
         Address of the node for clients.
     """
 
-    def __init__(self) -> None:
-        self.store = RowsStandIn()
+    def __init__(
+        self, number: int = 1, store: RowsStandIn | None = None
+    ) -> None:
+        self.store = store or RowsStandIn()
+        self._runs_store = store is None
         self.server = ScriptedServer(serve())
         self.clients, health, self._announcements, relay, metrics = (
             reserve_addresses(5)
         )
         self._settings = settings_pb2.RelaySettings(
             identity=settings_pb2.RelayIdentitySection(
-                node="host-1",
+                node=f"host-{number}",
                 failure_domain="domain-1",
                 region="north",
                 service="ordering",
@@ -73,6 +83,11 @@
         self._process: Any = None
         self._requests = 0
 
+    async def configure(self, version: str = "00000007", **spec: Any) -> None:
+        """Write a configuration whose route has the given fields."""
+        body = build_configuration_body(version, host="127.0.0.1", **spec)
+        await self.store.put("op", "config", body)
+
     async def start(self) -> None:
         """Start the node's process."""
         self._node = make_relay_node(self._settings, Bounds())
@@ -144,9 +159,10 @@
         tasks = [
             await curio.spawn(part.run, daemon=True)
             for part in (self.store, self.server)
+            if part is self.server or self._runs_store
         ]
-        body = build_configuration_body(host="127.0.0.1")
-        await self.store.put("op", "config", body)
+        if self._runs_store:
+            await self.configure()
         await self.start()
         try:
             yield
