Log and pass on the age of the configuration

The logs could not tell a node that was behind and knew it from one whose source was alive but passed nothing on.

The node that reads the store passes on, with each change and after each answered poll, up to when it knows the configuration, as a reading of its own clock. Each node converts it with the estimate of its source's clock that the connection has. It appears in the lines configuration-in-force (address, hops, age_s) and configuration-late, at most one for each half of the bound, and as two gauges. Nodes of earlier releases ignore the new fields and send none. Nothing is decided by it yet.

test_node_that_gets_followers_soon_notices_a_silent_store counted the frames of a subscriber. It now asks for frames with growing positions, then exactly one that tells the failure: no less strict, since the follower gets these frames by design.

--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -63,7 +63,7 @@
 @functools.lru_cache(maxsize=1)
 def _encode_shared_change(table: SharedTable, change: TableChange) -> bytes:
     """Encode a change once for all of its subscribers."""
-    return encode_change(table, change).SerializeToString()
+    return encode_change(table, change, read_clock()).SerializeToString()
 
 
 class RelayAcceptor:
--- a/egretlever/relay/_changes.py
+++ b/egretlever/relay/_changes.py
@@ -4,7 +4,7 @@
 import enum
 from typing import Protocol
 
-from egretlever.core import Version
+from egretlever.core import Seconds, Version
 from egretlever.platform import StoredRow
 
 
@@ -15,6 +15,22 @@
     CONFIGURATION = "configuration"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Position:
+    """Point in time up to which a node knows the changes of a table.
+
+    Parameters
+    ----------
+    as_of : Seconds
+        Clock time of this node at which nothing newer was in the store.
+    hops : int
+        Nodes between the store and this one, 0 at the node that reads it.
+    """
+
+    as_of: Seconds
+    hops: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableChange:
     """Rows of a table that have changed between two versions.
@@ -33,12 +49,18 @@
     available : bool, default=True
         Whether the sender gets the changes of the table. When it doesn't, it
         has none to send until further notice.
+    position : Position, optional
+        Up to when the sender knows the changes, when it tells that.
+    timed : bool, default=False
+        Whether the sender tells positions. Nodes of earlier releases do not.
     """
 
     base: Version
     version: Version
     rows: tuple[StoredRow, ...] = ()
     available: bool = True
+    position: Position | None = None
+    timed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -31,7 +31,12 @@
 )
 from egretlever.placement import Failure as FailedAttempt
 from egretlever.platform import MAX_NAME_BYTES, MAX_SLOTS, StoredRow
-from egretlever.relay._changes import Handover, SharedTable, TableChange
+from egretlever.relay._changes import (
+    Handover,
+    Position,
+    SharedTable,
+    TableChange,
+)
 from egretlever.schema import relay_pb2
 from egretlever.settings import parse_address
 
@@ -180,7 +185,9 @@
     )
 
 
-def decode_clock(frame: relay_pb2.Hello | relay_pb2.Pong) -> Seconds | None:
+def decode_clock(
+    frame: relay_pb2.Hello | relay_pb2.Pong | relay_pb2.DirectoryChange,
+) -> Seconds | None:
     """Decode a clock reading; None when an earlier release sent none."""
     return _to_seconds(frame.clock_ms) if frame.clock_ms else None
 
@@ -297,10 +304,15 @@
 
 
 def encode_change(
-    table: SharedTable, change: TableChange
+    table: SharedTable, change: TableChange, now: Seconds
 ) -> relay_pb2.RelayFrame:
-    """Encode a change of a shared table."""
+    """Encode a change of a shared table, with a reading of the clock."""
     encoded = _encode_change(change)
+    if change.timed:
+        encoded.clock_ms = _to_clock_milliseconds(now)
+    if change.position is not None:
+        encoded.as_of_ms = _to_clock_milliseconds(change.position.as_of)
+        encoded.hops = change.position.hops
     if table is SharedTable.DIRECTORY:
         return relay_pb2.RelayFrame(directory_change=encoded)
     return relay_pb2.RelayFrame(configuration_change=encoded)
@@ -316,7 +328,7 @@
 
 
 def decode_change(change: relay_pb2.DirectoryChange) -> TableChange:
-    """Decode a change of a shared table."""
+    """Decode a change of a shared table; its times are of its sender."""
     rows = tuple(
         StoredRow(row.key, row.value, Version(row.version), row.removed)
         for row in change.rows
@@ -326,6 +338,10 @@
         Version(change.version),
         rows,
         not change.unavailable,
+        Position(_to_seconds(change.as_of_ms), change.hops)
+        if change.as_of_ms
+        else None,
+        change.clock_ms > 0,
     )
 
 
--- a/egretlever/relay/_configuration.py
+++ b/egretlever/relay/_configuration.py
@@ -9,7 +9,7 @@
 from egretlever.placement import Configuration, Route
 from egretlever.platform import StoredRow
 from egretlever.relay import _metrics as metrics
-from egretlever.relay._changes import TableChange
+from egretlever.relay._changes import Position, TableChange
 from egretlever.relay._configuration_rows import (
     LIMITS_KEY,
     decode_limits,
@@ -76,12 +76,21 @@
             encode_routes(configuration), configuration.version
         )
         self._routes = {route.id: route for route in configuration.routes}
-        self._log_in_force(begun, "the store")
+        self._log_in_force(begun, "the store", "", None)
         return change
 
-    def apply(self, change: TableChange) -> TableChange | None:
+    def apply(
+        self, change: TableChange, source: str = ""
+    ) -> TableChange | None:
         """Put a version in force that another node has passed on.
 
+        Parameters
+        ----------
+        change : TableChange
+            The change.
+        source : str, default=""
+            Relay address of that node, for the log.
+
         Returns
         -------
         TableChange or None
@@ -113,7 +122,7 @@
             return None
         effective = self._replace_values(values, change.version)
         self._routes = routes
-        self._log_in_force(begun, "another node")
+        self._log_in_force(begun, "another node", source, change.position)
         return effective
 
     def _decode_routes(
@@ -171,7 +180,13 @@
         )
         return TableChange(_NONE, self.version, rows)
 
-    def _log_in_force(self, begun: float, source: str) -> None:
+    def _log_in_force(
+        self,
+        begun: float,
+        source: str,
+        address: str,
+        position: Position | None,
+    ) -> None:
         metrics.CONFIGURATION_VERSION.set(self.version)
         _LOG.event(
             logs_pb2.StateLine(
@@ -181,6 +196,11 @@
                 count=len(self._routes),
                 took_s=round(read_clock() - begun, 4),
                 reason=f"from {source}",
+                address=address,
+                age_s=0.0
+                if position is None
+                else round(read_clock() - position.as_of, 4),
+                hops=0 if position is None else position.hops + 1,
             )
         )
 
--- a/egretlever/relay/_configuration_follower.py
+++ b/egretlever/relay/_configuration_follower.py
@@ -5,7 +5,7 @@
 import curio
 from returns.result import Failure
 
-from egretlever.core import Address, Seconds, Version
+from egretlever.core import Address, Seconds, Version, make_log
 from egretlever.placement import SourceSelector
 from egretlever.platform import (
     CONFIGURATION_KEY,
@@ -14,12 +14,17 @@
     StoredRow,
     decode_configuration,
 )
-from egretlever.relay._changes import SharedTable, TableChange
+from egretlever.relay import _metrics as metrics
+from egretlever.relay._changes import Position, SharedTable, TableChange
 from egretlever.relay._configuration import ConfigurationHolder
+from egretlever.relay._freshness import Freshness, ReadTimes
 from egretlever.relay._links import LinkPool
 from egretlever.relay._sharing import SharingLimits, TableSharing
 from egretlever.relay._table_follower import TableFollower, log_state
+from egretlever.schema import logs_pb2
+from egretlever.transport import read_clock
 
+_LOG = make_log("store")
 # Shares of the time in which a configuration has to be in force:
 # Configurations that are written within this time are read together.
 _BATCH_SHARE = 0.35
@@ -59,6 +64,8 @@
         Source of jitter.
     in_force_within : Seconds
         Time in which a new configuration has to be in force.
+    freshness : Freshness
+        Knows the age of what this node knows.
 
     Attributes
     ----------
@@ -73,13 +80,16 @@
         sharing: TableSharing,
         rng: random.Random,
         in_force_within: Seconds,
+        freshness: Freshness,
     ) -> None:
         self._holder = holder
+        self._freshness = freshness
         self.sharing = sharing
         self._poll_time = Seconds(_POLL_SHARE * in_force_within)
         self._poll_timeout = Seconds(_POLL_TIMEOUT_SHARE * in_force_within)
         # Changes that were read from the store and not passed on yet.
         self._changes: list[TableChange] = []
+        self._read_times: ReadTimes | None = None
         self._table = TableFollower(
             store,
             CONFIGURATION_TABLE,
@@ -114,10 +124,18 @@
         await curio.ignore_after(_DIRECTORY_TIMEOUT, directory.wait_synced())
         while True:
             change = await self.sharing.receive(self._holder.version)
-            applied = None if change is None else self._holder.apply(change)
+            if change is None:
+                await self._read_store()
+                continue
+            applied = self._holder.apply(change, self.sharing.source)
             if applied is None:
                 await self._read_store()
                 continue
+            if not change.timed:
+                self._freshness.forget()
+            elif change.position is not None:
+                position = change.position
+                self._advance(Position(position.as_of, position.hops + 1))
             await self._table.end_failure("changes come from another node")
             await self.sharing.publish(applied)
 
@@ -128,6 +146,7 @@
             if self._table.failing:
                 return
             await self.sharing.confirm()
+        self._read_times = None
         if self.sharing.has_source():
             await self._poll()
         else:
@@ -136,12 +155,38 @@
                 await group.spawn(self._await_source)
             if group.exception is not None:
                 raise group.exception
-        for change in self._changes:
+        changes, self._changes = self._changes, []
+        if self._read_times is not None:
+            position = self._freshness.find_read_position(self._read_times)
+            version = self._holder.version
+            # Only the last change leads to the position of the answer.
+            last = changes.pop() if changes else TableChange(version, version)
+            for change in changes:
+                await self.sharing.publish(change)
+            self._advance(position)
+            changes = [last]
+        for change in changes:
             await self.sharing.publish(change)
-        self._changes.clear()
 
     async def _poll(self) -> None:
-        await self._table.follow_once(self._poll_time, self._poll_timeout)
+        self._read_times = await self._table.follow_once(
+            self._poll_time, self._poll_timeout
+        )
+
+    def _advance(self, position: Position) -> None:
+        """Record up to when the configuration is known to be the newest."""
+        late_age = self._freshness.advance(position, read_clock())
+        metrics.CONFIGURATION_HOPS.set(position.hops)
+        if late_age is not None:
+            _LOG.event(
+                logs_pb2.StateLine(
+                    event="configuration-late",
+                    subject="config",
+                    address=self.sharing.source if position.hops else "",
+                    age_s=round(late_age, 4),
+                    hops=position.hops,
+                )
+            )
 
     async def _await_source(self) -> None:
         """Wait for a node to follow."""
@@ -195,6 +240,10 @@
     in_force_within : Seconds
         Time in which a new configuration has to be in force.
     """
+    freshness = Freshness(in_force_within)
+    metrics.CONFIGURATION_AGE.set_function(
+        lambda: freshness.measure_age(read_clock()) or 0.0
+    )
     sharing = TableSharing(
         SharedTable.CONFIGURATION,
         own_relay,
@@ -207,5 +256,8 @@
             Seconds(_SILENCE_SHARE * in_force_within),
             Seconds(_DOUBT_SHARE * in_force_within),
         ),
+        freshness,
+    )
+    return ConfigurationFollower(
+        store, holder, sharing, rng, in_force_within, freshness
     )
-    return ConfigurationFollower(store, holder, sharing, rng, in_force_within)
--- a/egretlever/relay/_metrics.py
+++ b/egretlever/relay/_metrics.py
@@ -59,6 +59,15 @@
     "egretlever_relay_configuration_version",
     "Version of the configuration in force.",
 )
+CONFIGURATION_AGE = Gauge(
+    "egretlever_relay_configuration_age_seconds",
+    "Time since the configuration was last known to be the newest.",
+)
+CONFIGURATION_HOPS = Gauge(
+    "egretlever_relay_configuration_hops",
+    "Nodes between the store and this one, through which the configuration"
+    " comes.",
+)
 SERVERS = Gauge("egretlever_relay_servers_known", "Servers in the directory.")
 
 
--- a/egretlever/relay/_relay_link.py
+++ b/egretlever/relay/_relay_link.py
@@ -143,7 +143,7 @@
         elif kind in TABLES_BY_CHANGE:
             changes = self._changes.get(TABLES_BY_CHANGE[kind])
             if changes is not None:
-                await changes.put(decode_change(getattr(frame, kind)))
+                await changes.put(self._decode_change(getattr(frame, kind)))
         elif kind == "handover_request":
             handover = self._describe_handover()
             if handover is not None:
@@ -160,7 +160,20 @@
                 await exchange.accepted.set()
                 await exchange.done.set()
 
-    def _observe_clock(self, frame: relay_pb2.Hello | relay_pb2.Pong) -> None:
+    def _decode_change(self, frame: relay_pb2.DirectoryChange) -> TableChange:
+        """Decode a change, and convert its position to the local clock."""
+        self._observe_clock(frame)
+        change = decode_change(frame)
+        if change.position is None:
+            return change
+        as_of = min(self._clock.restore(change.position.as_of), read_clock())
+        position = dataclasses.replace(change.position, as_of=Seconds(as_of))
+        return dataclasses.replace(change, position=position)
+
+    def _observe_clock(
+        self,
+        frame: relay_pb2.Hello | relay_pb2.Pong | relay_pb2.DirectoryChange,
+    ) -> None:
         reading = decode_clock(frame)
         if reading is not None:
             self._clock.observe(reading, read_clock())
--- a/egretlever/relay/_remote_clock.py
+++ b/egretlever/relay/_remote_clock.py
@@ -68,3 +68,7 @@
     def convert(self, time: Seconds) -> Seconds:
         """Convert a local clock time to the other clock."""
         return Seconds(time + max(self._offset, self._previous_offset))
+
+    def restore(self, reading: Seconds) -> Seconds:
+        """Convert a reading of the other clock to a local clock time."""
+        return Seconds(reading - max(self._offset, self._previous_offset))
--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -14,6 +14,7 @@
     SharedTable,
     TableChange,
 )
+from egretlever.relay._freshness import Freshness
 from egretlever.relay._links import LinkError, LinkPool
 from egretlever.relay._relay_link import RelayLink
 from egretlever.schema import logs_pb2
@@ -88,6 +89,14 @@
         holds. By default it is told the version known here, without rows.
     limits : SharingLimits, optional
         How long this node waits for others before it asks the store.
+    freshness : Freshness, optional
+        Knows up to when this node knows the changes, which is passed on with
+        them.
+
+    Attributes
+    ----------
+    source : str
+        Relay address of the node from which the latest change came.
     """
 
     def __init__(
@@ -98,6 +107,7 @@
         links: LinkPool,
         describe: Callable[[Version], TableChange] | None = None,
         limits: SharingLimits = SharingLimits(),
+        freshness: Freshness | None = None,
     ) -> None:
         self._table = table
         self._own_relay = own_relay
@@ -105,6 +115,8 @@
         self._links = links
         self._describe_rows = describe or self._describe_version
         self._limits = limits
+        self._freshness = freshness
+        self.source = ""
         self._link: RelayLink | None = None
         # Relay address of each node that follows this one; empty when a node
         # of an earlier release has not named it.
@@ -173,8 +185,19 @@
         change = self._describe_rows(known)
         if change.rows:
             # Acknowledges the subscription, since all rows may take long.
-            await subscriber.send_change(self._table, TableChange(known, known))
-        await subscriber.send_change(self._table, change)
+            acknowledgement = TableChange(
+                known, known, timed=self._freshness is not None
+            )
+            await subscriber.send_change(self._table, acknowledgement)
+        await subscriber.send_change(self._table, self._add_position(change))
+
+    def _add_position(self, change: TableChange) -> TableChange:
+        """Add up to when this node knows the changes."""
+        if self._freshness is None:
+            return change
+        return dataclasses.replace(
+            change, position=self._freshness.position, timed=True
+        )
 
     def unsubscribe(self, subscriber: ChangeSubscriber) -> None:
         """Remove a subscriber."""
@@ -193,7 +216,7 @@
         self._version = max(self._version, change.version)
         unanswered = set(self._unanswered)
         await self.confirm()
-        await self._send(change, unanswered)
+        await self._send(self._add_position(change), unanswered)
 
     async def confirm(self) -> None:
         """Record that this node gets the changes of the table."""
@@ -250,6 +273,7 @@
                 break
             change = await self._receive_from(relay, version)
             if change is not None and change.available:
+                self.source = str(relay)
                 self._readers.observe_change(relay)
                 self._received = self._received or change.version > 0
                 metrics.SHARED_CHANGES.labels(self._table.value).inc()
--- a/egretlever/relay/_table_follower.py
+++ b/egretlever/relay/_table_follower.py
@@ -17,6 +17,7 @@
 )
 from egretlever.relay import _metrics as metrics
 from egretlever.relay._changes import TableChange
+from egretlever.relay._freshness import ReadTimes
 from egretlever.relay._sharing import TableSharing
 from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock
@@ -141,6 +142,7 @@
         # Clock time before which the store is not polled again.
         self._polls_from = read_clock()
         self._version: Version | None = None
+        self._read_times: ReadTimes | None = None
         self._failing = False
         self._regained = curio.Event()
         self._recovery = curio.Event()
@@ -165,20 +167,27 @@
 
     async def follow_once(
         self, poll_time: Seconds | None = None, timeout: Seconds | None = None
-    ) -> None:
+    ) -> ReadTimes | None:
         """Read the table, or its next changes, from the store.
 
         Parameters
         ----------
         poll_time, timeout : Seconds, optional
             Duration and timeout of a long poll.
+
+        Returns
+        -------
+        ReadTimes or None
+            None when the call has failed.
         """
+        self._read_times = None
         if self._version is None:
             await self._read_all()
-            return
+            return self._read_times
         change = await self._poll(self._version, poll_time, timeout)
         if change is not None:
             await self._apply(change)
+        return self._read_times
 
     @property
     def failing(self) -> bool:
@@ -202,6 +211,7 @@
         # Pages are read one after the other. Changes since the first one are
         # followed.
         version: Version | None = None
+        asked_at = read_clock()
         while True:
             result = await self._store.read(
                 self._table, first, timeout=self._find_timeout()
@@ -217,6 +227,7 @@
                 break
             # The smallest key after the last one.
             first = page.last_key + "\0"
+        self._read_times = ReadTimes(asked_at, read_clock())
         await self._succeed("read")
         self._replace(rows, version)
         await self._synced.set()
@@ -249,6 +260,7 @@
         await curio.sleep(max(0.0, self._polls_from - read_clock()))
         if poll_time is None or self._failing:
             poll_time, timeout = self._find_poll_time(), self._find_timeout()
+        asked_at = read_clock()
         result = await self._watch(version, poll_time, timeout)
         if result is None:
             return None
@@ -257,6 +269,7 @@
             await self._handle_failure("follow", result.failure())
             return None
         page = result.unwrap()
+        self._read_times = ReadTimes(asked_at, read_clock(), poll_time)
         self._record_rows(page)
         await self._succeed("follow")
         if page.rows:
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -696,4 +696,8 @@
         await curio.sleep(3.0)
 
     run_script(script)
-    assert [change.available for change in recorder.changes] == [True, False]
+    *answers, failure = recorder.changes
+    assert answers and all(answer.available for answer in answers)
+    assert not failure.available
+    times = [answer.position.as_of for answer in answers]
+    assert times == sorted(set(times))
--- a/egretlever/testing/_relay_doubles.py
+++ b/egretlever/testing/_relay_doubles.py
@@ -10,7 +10,7 @@
 from egretlever.relay._codec import TABLES_BY_SUBSCRIPTION, encode_change
 from egretlever.relay._frames import FrameStream
 from egretlever.schema import relay_pb2
-from egretlever.transport import accept_connections
+from egretlever.transport import accept_connections, read_clock
 
 
 class SingleHome:
@@ -95,7 +95,7 @@
         while (frame := await stream.read()) is not None:
             if TABLES_BY_SUBSCRIPTION.get(frame.WhichOneof("kind")) is table:
                 change = TableChange(version, version)
-                await stream.post(encode_change(table, change))
+                await stream.post(encode_change(table, change, read_clock()))
         await writer.cancel()
         await stream.close()
 
