End polls of the configuration before what is known is old

Nodes read the store, or were told, up to 0.7 of the bound apart: the delay after an answer with rows (0.35) and a whole long poll (0.35) added up, and a slow store came on top. A configuration that is confirmed in that time is still read at once, but a node can't tell a reader that works from one that is stuck within the bound, and an answer that the store loses goes unnoticed longer.

A poll now ends when its answer is due: 0.45 of the bound after the position before it, less the delay of the store's latest answer. The longest poll is 0.37 of the bound, so that the shorter ones cost no calls.

test_reader_tells_something_new_in_time_after_each_configuration failed before: 1.4 s between two positions at a bound of 2 s, 1.0 s allowed.

--- a/egretlever/relay/_configuration_follower.py
+++ b/egretlever/relay/_configuration_follower.py
@@ -28,9 +28,8 @@
 # Shares of the time in which a configuration has to be in force:
 # Configurations that are written within this time are read together.
 _BATCH_SHARE = 0.35
-# Duration of a long poll, and its timeout. An answer that the store loses goes
-# unnoticed until then.
-_POLL_SHARE = 0.35
+# Timeout of a long poll. An answer that the store loses goes unnoticed until
+# then.
 _POLL_TIMEOUT_SHARE = 0.75
 # Silence after which the node that is followed is checked, and the time in
 # which it has to acknowledge that it is followed.
@@ -85,7 +84,6 @@
         self._holder = holder
         self._freshness = freshness
         self.sharing = sharing
-        self._poll_time = Seconds(_POLL_SHARE * in_force_within)
         self._poll_timeout = Seconds(_POLL_TIMEOUT_SHARE * in_force_within)
         # Changes that were read from the store and not passed on yet.
         self._changes: list[TableChange] = []
@@ -170,7 +168,7 @@
 
     async def _poll(self) -> None:
         self._read_times = await self._table.follow_once(
-            self._poll_time, self._poll_timeout
+            self._freshness.find_poll_time, self._poll_timeout
         )
 
     def _advance(self, position: Position) -> None:
--- a/egretlever/relay/_freshness.py
+++ b/egretlever/relay/_freshness.py
@@ -11,6 +11,10 @@
 _ANSWER_SHARE = 0.1
 # Age at which information is reported as late.
 _LATE_SHARE = 0.5
+# Duration of a long poll, and age at which its answer is due. After an answer
+# with rows the next poll begins late, and a slow store answers late.
+_POLL_SHARE = 0.37
+_ANSWER_DUE_SHARE = 0.45
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +59,10 @@
     def __init__(self, in_force_within: Seconds) -> None:
         self._answer_time = _ANSWER_SHARE * in_force_within
         self._late_age = _LATE_SHARE * in_force_within
+        self._poll_time = _POLL_SHARE * in_force_within
+        self._answer_due_age = _ANSWER_DUE_SHARE * in_force_within
+        # Time of the latest whole poll beyond its wait.
+        self._store_delay = 0.0
         self.position: Position | None = None
 
     def measure_age(self, now: Seconds) -> Seconds | None:
@@ -84,5 +92,16 @@
 
     def find_read_position(self, times: ReadTimes) -> Position:
         """Find the position that an answer of the store leads to."""
+        delay = times.answered_at - times.asked_at - times.wait
+        if delay >= 0:
+            self._store_delay = delay
         latest = times.asked_at + times.wait + self._answer_time
         return Position(Seconds(min(times.answered_at, latest)), 0)
+
+    def find_poll_time(self, now: Seconds) -> Seconds:
+        """Find the duration of a long poll that begins now."""
+        if self.position is None:
+            return Seconds(self._poll_time)
+        due_at = self.position.as_of + self._answer_due_age
+        left = due_at - self._store_delay - now
+        return Seconds(max(0.0, min(self._poll_time, left)))
--- a/egretlever/relay/_table_follower.py
+++ b/egretlever/relay/_table_follower.py
@@ -166,14 +166,16 @@
                 await self._read_changes(self._version)
 
     async def follow_once(
-        self, poll_time: Seconds | None = None, timeout: Seconds | None = None
+        self, find_poll_time: Callable[[Seconds], Seconds], timeout: Seconds
     ) -> ReadTimes | None:
         """Read the table, or its next changes, from the store.
 
         Parameters
         ----------
-        poll_time, timeout : Seconds, optional
-            Duration and timeout of a long poll.
+        find_poll_time : callable
+            Returns the duration of a long poll that begins at a clock time.
+        timeout : Seconds
+            Timeout of a long poll.
 
         Returns
         -------
@@ -184,7 +186,7 @@
         if self._version is None:
             await self._read_all()
             return self._read_times
-        change = await self._poll(self._version, poll_time, timeout)
+        change = await self._poll(self._version, find_poll_time, timeout)
         if change is not None:
             await self._apply(change)
         return self._read_times
@@ -254,13 +256,15 @@
     async def _poll(
         self,
         version: Version,
-        poll_time: Seconds | None = None,
+        find_poll_time: Callable[[Seconds], Seconds] | None = None,
         timeout: Seconds | None = None,
     ) -> TableChange | None:
         await curio.sleep(max(0.0, self._polls_from - read_clock()))
-        if poll_time is None or self._failing:
-            poll_time, timeout = self._find_poll_time(), self._find_timeout()
         asked_at = read_clock()
+        if find_poll_time is None or self._failing:
+            poll_time, timeout = self._find_poll_time(), self._find_timeout()
+        else:
+            poll_time = find_poll_time(asked_at)
         result = await self._watch(version, poll_time, timeout)
         if result is None:
             return None
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -3,6 +3,7 @@
 import base64
 import contextlib
 import dataclasses
+import itertools
 import random
 
 import curio
@@ -701,3 +702,40 @@
     assert not failure.available
     times = [answer.position.as_of for answer in answers]
     assert times == sorted(set(times))
+
+
+def test_reader_tells_something_new_in_time_after_each_configuration():
+    # The delay after an answer with rows and the poll behind it took 1.4 s.
+    recorder = ChangeRecorder()
+
+    async def script(fixture):
+        await put_configuration(fixture, 7)
+        await curio.sleep(5.0)
+        await fixture.configuration.sharing.subscribe(
+            recorder, "127.0.0.1:2", Version(7)
+        )
+        for version in range(8, 14):
+            await put_configuration(fixture, version)
+            await curio.sleep(3.1)
+
+    run_script(script)
+    times = [
+        change.position.as_of for change in recorder.changes if change.position
+    ]
+    gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+    assert len(gaps) > 20
+    assert max(gaps) <= 1.0
+    assert recorder.changes[-1].version == 13
+
+
+def test_node_that_reads_the_store_makes_no_more_calls_in_calm():
+    async def script(fixture):
+        await put_configuration(fixture, 7)
+        await curio.sleep(5.0)
+        fixture.store.calls.clear()
+        for version in range(8, 12):
+            await put_configuration(fixture, version)
+            await curio.sleep(20.0)
+        assert fixture.store.calls.count("GET /rows-feed") <= 80.0 / 0.7
+
+    run_script(script)
--- a/egretlever/testing/_relay_region.py
+++ b/egretlever/testing/_relay_region.py
@@ -11,8 +11,9 @@
 from egretlever.placement import HomeServer
 from egretlever.platform import Bounds
 from egretlever.relay import RelayNode, make_relay_node
-from egretlever.relay._changes import SharedTable
+from egretlever.relay._changes import SharedTable, TableChange
 from egretlever.relay._codec import encode_row
+from egretlever.relay._configuration_follower import ConfigurationFollower
 from egretlever.relay._followers import SERVER_TABLE
 from egretlever.schema import settings_pb2
 from egretlever.standins import RowsStandIn, SharedLink
@@ -87,6 +88,7 @@
             store=settings_pb2.RelayStoreSection(address=str(store)),
         )
         self._task: Any = None
+        self._node: RelayNode | None = None
 
     @property
     def running(self) -> bool:
@@ -95,8 +97,8 @@
 
     async def start(self) -> None:
         """Start the node."""
-        node: RelayNode = make_relay_node(self._settings, self._bounds)
-        self._task = await curio.spawn(node.run, daemon=True)
+        self._node = make_relay_node(self._settings, self._bounds)
+        self._task = await curio.spawn(self._node.run, daemon=True)
 
     async def start_silent(self) -> None:
         """Accept the nodes that follow this one, and send them nothing."""
@@ -114,6 +116,28 @@
         if task is not None:
             await task.cancel()
 
+    def hold_up(self, delay: float) -> None:
+        """Pass each change on late from now on, and answer pings as before.
+
+        Parameters
+        ----------
+        delay : float
+            Seconds between the receipt of a change and its sending.
+        """
+        sharing = self._get_follower().sharing
+        publish = sharing.publish
+
+        async def publish_late(change: TableChange) -> None:
+            await curio.sleep(delay)
+            await publish(change)
+
+        sharing.publish = publish_late  # type: ignore[method-assign]
+
+    def _get_follower(self) -> ConfigurationFollower:
+        if self._node is None:
+            raise RuntimeError("the node was not started")
+        return self._node._configuration
+
     def read_store_at(self, address: Address) -> None:
         """Use another store from the next start on."""
         self._settings.store.address = str(address)
