Play rolling stops, configurations and servers' signals in the relay soak

Its configuration never changed, callers closed their connections when told to, answers were small, a stop was checked only without any other event within 8 s, and servers named neither limits nor their leaving. The proxies before the nodes also had higher ports than all nodes, so that each node took itself for the first of its failure domain: none followed another, each read the store itself.

Proxies now have the order of their nodes, and hosts lie in three failure domains of two regions. The check of stops counts every request and lets planned work excuse none; its test keeps both assertions. Servers have 5 slots instead of 3, since requests of up to 4 s of work came in addition.

--- /dev/null
+++ b/benchmarks/_relay_soak_checks.py
@@ -0,0 +1,160 @@
+"""Checks of planned stops and of servers' signals in a relay soak run."""
+
+import collections
+import dataclasses
+import math
+
+from benchmarks._relay_soak_disruptions import (
+    CONTACT,
+    has_unplanned_disruption,
+    is_in_touch,
+)
+from benchmarks._relay_soak_records import (
+    AppliedEvent,
+    Records,
+    SentRequest,
+    ServerRun,
+)
+from egretlever.core import RequestId, Seconds, ServerId
+
+# A request that crosses the close of its connection ends within this time.
+_CLOSE_RACE_TIME = Seconds(0.2)
+# Grace period of a planned stop, after which a process may be killed.
+_STOP_GRACE = Seconds(6.0)
+# Requests are checked until this time after the grace period.
+_AFTER_GRACE = Seconds(1.0)
+# A request that was sent until then is not counted when its server works on it
+# until the last sixth of the grace period.
+_EARLY_REQUESTS = Seconds(3.0)
+_LAST_SIXTH = Seconds(_STOP_GRACE * 5 / 6)
+_TIME_LIMIT_SLACK = Seconds(0.05)
+_LEAVING_LIMIT = Seconds(2.0)
+_LIMIT_WINDOW = Seconds(4.0)
+_LIMIT_FACTOR = 1.5
+_LIMIT_SLACK = 5
+
+
+def find_lost_requests(records: Records) -> list[str]:
+    """Return a line for each request that a planned stop lost.
+
+    Planned work on the same and on other hosts excuses none.
+    """
+    runs: dict[RequestId, list[ServerRun]] = collections.defaultdict(list)
+    for run in records.arrivals:
+        runs[run.request].append(run)
+    unanswered = [sent for sent in records.sent if sent.status == 0]
+    return [
+        f"{sent.request} {sent.path} was lost by the planned stop of"
+        f" {sent.host}, sent {sent.begun - stop.begun:.2f} s and ended"
+        f" {sent.ended - stop.begun:.2f} s after it"
+        for stop in records.applied_events
+        if stop.kind == "stop"
+        for sent in unanswered
+        if sent.host == stop.subject
+        and stop.begun <= sent.ended <= stop.begun + _STOP_GRACE + _AFTER_GRACE
+        and _is_owed(sent, stop, runs[sent.request])
+        and not has_unplanned_disruption(
+            records.applied_events, sent.begun, sent.ended
+        )
+    ]
+
+
+def _is_owed(
+    sent: SentRequest, stop: AppliedEvent, runs: list[ServerRun]
+) -> bool:
+    """Return whether a request needed an answer before the stop's end."""
+    if not runs and sent.behind:
+        return False
+    if not runs and sent.ended - sent.begun <= _CLOSE_RACE_TIME:
+        return False
+    if sent.ended - sent.begun >= sent.limit - _TIME_LIMIT_SLACK:
+        return False
+    if any(run.broke_off for run in runs):
+        return False
+    return not (
+        sent.begun <= stop.begun + _EARLY_REQUESTS
+        and any(run.ended >= stop.begun + _LAST_SIXTH for run in runs)
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class ServerSignal:
+    """What a server says in all its answers, from a time on.
+
+    Parameters
+    ----------
+    server : ServerId
+        The server.
+    host : str
+        Host of the server.
+    begun, ended : Seconds
+        When the first answer with the signal was written, and when the signal
+        ended.
+    limit : float, optional
+        Requests per second that the server takes; None when it leaves.
+    """
+
+    server: ServerId
+    host: str
+    begun: Seconds
+    ended: Seconds = Seconds(math.inf)
+    limit: float | None = None
+
+
+def find_ignored_signals(
+    records: Records, signals: list[ServerSignal]
+) -> list[str]:
+    """Return a line for each signal of a server that its node ignored."""
+    found = []
+    for signal in signals:
+        arrivals = sorted(
+            run.at
+            for run in records.arrivals
+            if run.server == signal.server
+            and signal.begun < run.at < signal.ended
+        )
+        if signal.limit is None:
+            found += _check_leaving(records, signal, arrivals)
+        else:
+            found += _check_limit(records, signal, signal.limit, arrivals)
+    return found
+
+
+def _check_leaving(
+    records: Records, signal: ServerSignal, arrivals: list[Seconds]
+) -> list[str]:
+    return [
+        f"a request reached {signal.server} {at - signal.begun:.2f} s after its"
+        " answer had said that it leaves"
+        for at in arrivals
+        if at > signal.begun + _LEAVING_LIMIT
+        and is_in_touch(
+            records.applied_events,
+            signal.host,
+            Seconds(signal.begun + CONTACT),
+            at,
+        )
+    ]
+
+
+def _check_limit(
+    records: Records,
+    signal: ServerSignal,
+    limit: float,
+    arrivals: list[Seconds],
+) -> list[str]:
+    allowed = _LIMIT_FACTOR * limit * _LIMIT_WINDOW + _LIMIT_SLACK
+    found = []
+    for begun in arrivals:
+        ended = Seconds(begun + _LIMIT_WINDOW)
+        count = sum(begun <= at < ended for at in arrivals)
+        if (
+            begun >= signal.begun + CONTACT
+            and count > allowed
+            and is_in_touch(records.applied_events, signal.host, begun, ended)
+        ):
+            found.append(
+                f"{count} requests reached {signal.server} in 4 s with a limit"
+                f" of {limit:.1f} per second"
+            )
+    return found
--- a/benchmarks/_relay_soak_hosts.py
+++ b/benchmarks/_relay_soak_hosts.py
@@ -6,12 +6,27 @@
 
 import curio
 
+from benchmarks._relay_soak_callers import (
+    LARGE_PATH,
+    LONG_ORDERS_PATH,
+    LONG_PATH,
+    PADDING,
+    CallerContext,
+    ConnectionUser,
+    OrderingCaller,
+)
+from benchmarks._relay_soak_checks import ServerSignal
+from benchmarks._relay_soak_configurations import (
+    SERVICES,
+    ConfigurationHistory,
+)
 from benchmarks._relay_soak_network import FaultyProxy, SoakStore
-from benchmarks._relay_soak_records import Records, SentRequest, ServerRun
+from benchmarks._relay_soak_plan import DOMAINS
+from benchmarks._relay_soak_records import Records, ServerRun
 from egretlever.core import (
+    Address,
     Incarnation,
     RequestId,
-    Seconds,
     ServerId,
 )
 from egretlever.platform import headers
@@ -23,20 +38,9 @@
     reserve_addresses,
 )
 from egretlever.testing._scripted_server import ScriptedServer, Step
-from egretlever.transport import (
-    BackendClosedError,
-    BackendConnection,
-    BackendProtocolError,
-    ConnectError,
-    RequestHead,
-    open_connection,
-    read_body,
-    read_clock,
-    send_request,
-)
+from egretlever.transport import read_clock, send_request
 
-SERVICE = "ordering"
-SLOTS = 3
+_SLOTS = 5
 _HEARTBEAT_INTERVAL = 0.5  # seconds
 _MEAN_SERVICE_TIME = 0.05  # seconds
 _GRAY_SHARE = 0.85  # of requests that a gray server fails immediately
@@ -46,13 +50,10 @@
 _ENDLESS_LIMIT = 2000  # writes after which an endless answer is broken off
 _ENDLESS_INTERVAL = 0.002  # seconds between two of its writes
 _DRAIN_LINGER = 3.0  # seconds of serving after the node knows of the drain
-_MEAN_CALL_INTERVAL = 0.08  # seconds between two requests of a caller
-_DEADLINE_MS = 3000
-_NON_IDEMPOTENT_SHARE = 0.6
-_CONNECT_TIMEOUT = Seconds(1.0)
-_MAX_ANSWER_BYTES = 1 << 20
-_ANSWER_TIMEOUT = 10.0  # seconds; far above the deadline of every request
+_ORDERING_CALLERS = 3
+_CONNECTION_USERS = 2
 _FIRST_BORN_MS = 1_700_000_000_000
+_REGIONS = {"domain-0": "north", "domain-1": "north", "domain-2": "south"}
 
 
 class SoakHost:
@@ -66,8 +67,14 @@
         Store of the platform.
     records : Records
         Records to which requests and runs are added.
+    configurations : ConfigurationHistory
+        Configurations, whose routes are called.
     number : int
-        Number of the host.
+        Number of the host. The first hosts have the lowest addresses of their
+        failure domains, so that the others follow them.
+    addresses : tuple of Address
+        Address of the node for other nodes, and the next higher one for the
+        proxy before it.
     rng : random.Random
         Source of service times, failures and call intervals.
 
@@ -82,6 +89,12 @@
     bad_answers : bool
         Whether the server writes copies of earlier answers and refusals, and
         answers without end.
+    limit : float or None
+        Requests per second that the server names in its answers.
+    leaving : bool
+        Whether the server says in its answers that it leaves.
+    signals : list of ServerSignal
+        Signals in the answers of the host's servers.
     """
 
     def __init__(
@@ -89,23 +102,27 @@
         fleet: Fleet,
         store: SoakStore,
         records: Records,
+        configurations: ConfigurationHistory,
         number: int,
+        addresses: tuple[Address, Address],
         rng: random.Random,
     ) -> None:
         self.name = f"host-{number}"
         self.gray = False
         self.bad_answers = False
+        self.limit: float | None = None
+        self.leaving = False
+        self.signals: list[ServerSignal] = []
         self._last_answer: Step | None = None
         self._fleet = fleet
         self._store = store
         self._records = records
         self._rng = rng
-        self._domain = f"domain-{number % 2}"
-        addresses = reserve_addresses(5)
-        self._clients, self._health, self._heartbeats, relay, metrics = (
-            addresses
-        )
-        self.proxy = FaultyProxy(relay)
+        self._domain = f"domain-{number % DOMAINS}"
+        self._service = SERVICES[number // DOMAINS % len(SERVICES)]
+        clients, self._health, self._heartbeats, metrics = reserve_addresses(4)
+        relay, proxy = addresses
+        self.proxy = FaultyProxy(relay, proxy)
         store.proxies[str(relay)] = self.proxy
         self._path = fleet.write_settings(
             self.name,
@@ -113,12 +130,15 @@
                 "identity": {
                     "node": self.name,
                     "failure_domain": self._domain,
-                    "region": "north",
-                    "service": SERVICE,
-                    "regions": "domain-0:north, domain-1:north",
+                    "region": _REGIONS[self._domain],
+                    "service": self._service,
+                    "regions": ", ".join(
+                        f"{domain}:{region}"
+                        for domain, region in _REGIONS.items()
+                    ),
                 },
                 "listen": {
-                    "clients": self._clients,
+                    "clients": clients,
                     "health": self._health,
                     "announcements": self._heartbeats,
                     "ip": relay.ip,
@@ -130,10 +150,12 @@
             },
         )
         self._starts = 0
+        self._context = CallerContext(
+            self.name, clients, records, configurations, lambda: self._starts
+        )
         self._born = _FIRST_BORN_MS + number
         self._server = ScriptedServer(self._answer)
-        self._draining = False
-        self._requests = 0
+        self._draining = self._withdrawn = False
         self.start()
 
     @property
@@ -172,37 +194,94 @@
         )
 
     async def run(self) -> None:
-        """Run the proxy, the server, its heartbeats and three callers."""
+        """Run the proxy, the server, its heartbeats and the callers."""
         async with curio.TaskGroup() as group:
             await group.spawn(self.proxy.run)
             await group.spawn(self._server.run)
             await group.spawn(self._send_heartbeats)
-            for caller in range(3):
-                await group.spawn(self._run_caller, caller)
+            for number in range(_ORDERING_CALLERS):
+                caller = OrderingCaller(self._context, str(number), self._rng)
+                await group.spawn(caller.run)
+            for number in range(_CONNECTION_USERS):
+                user = ConnectionUser(self._context, f"u{number}", self._rng)
+                await group.spawn(user.run)
+            router = ConnectionUser(self._context, "r", self._rng)
+            await group.spawn(router.run_changing_routes)
 
     async def _answer(self, exchange: ServerExchange) -> bool:
         """Answer one request as the scripted server."""
         request = RequestId(exchange.head.find(headers.REQUEST_ID) or "")
-        name = headers.REQUEST_ID + b": " + request.encode()
+        run = ServerRun(request, self.server_id, read_clock(), self._service)
+        self._records.arrivals.append(run)
+        limit, leaving = self.limit, self.leaving
+        try:
+            answered = await self._run_request(exchange, run)
+            run.broke_off = not answered
+        finally:
+            run.ended = read_clock()
+        if limit is not None:
+            self._record_signal(limit, run)
+        if leaving:
+            self._record_signal(None, run)
+        return answered
+
+    async def _run_request(
+        self, exchange: ServerExchange, run: ServerRun
+    ) -> bool:
+        name = headers.REQUEST_ID + b": " + run.request.encode()
+        signals = self._list_signal_headers()
         if self._rng.random() < _SHED_SHARE:
-            refusal = answer(b"", 503, name, headers.NOT_RUN + b": 1")
+            refusal = answer(b"", 503, name, headers.NOT_RUN + b": 1", *signals)
             return await refusal(exchange)
-        run = ServerRun(request, self.server_id, read_clock())
         self._records.runs.append(run)
         bad = self.bad_answers and self._rng.random() < _BAD_ANSWER_SHARE
         if bad and not await self._write_bad_answer(exchange):
             return False
-        server_headers = (name, headers.SIGNATURE + b": s")
+        server_headers = (name, headers.SIGNATURE + b": s", *signals)
         failure_share = _GRAY_SHARE if self.gray else _ERROR_SHARE
         if self._rng.random() < failure_share:
             return await answer(b"", 500, *server_headers)(exchange)
-        body = f"{request} {run.server}".encode()
+        body = f"{run.request} {run.server}".encode()
         self._last_answer = answer(body, 200, *server_headers)
         service_time = self._rng.expovariate(1 / _MEAN_SERVICE_TIME)
+        prefix, _, value = exchange.head.target.rpartition("/")
+        if prefix + "/" == LARGE_PATH:
+            body = body.ljust(int(value), PADDING)
+        elif prefix + "/" in (LONG_PATH, LONG_ORDERS_PATH):
+            service_time = float(value)
         return await answer(body, 200, *server_headers, after=service_time)(
             exchange
         )
 
+    def _list_signal_headers(self) -> list[bytes]:
+        signals = []
+        if self.limit is not None:
+            signals.append(headers.SERVER_LIMIT + b": %.1f" % self.limit)
+        if self.leaving:
+            signals.append(headers.SERVER_LEAVING + b": 1")
+        return signals
+
+    def _record_signal(self, limit: float | None, run: ServerRun) -> None:
+        """Record the first answer of a server with a signal."""
+        if not any(
+            known.server == run.server and known.limit == limit
+            for known in self.signals
+        ):
+            self.signals.append(
+                ServerSignal(run.server, self.name, run.ended, limit=limit)
+            )
+
+    async def limit_server(self, limit: float, duration: float) -> None:
+        """Let the server name a limit, unless it names one already."""
+        if self.limit is not None:
+            return
+        self.limit = limit
+        await curio.sleep(duration)
+        self.limit = None
+        for known in self.signals:
+            if known.limit == limit:
+                known.ended = read_clock()
+
     async def _write_bad_answer(self, exchange: ServerExchange) -> bool:
         """Write bytes that are no answer to the request, which has run.
 
@@ -235,13 +314,15 @@
     async def _send_heartbeats(self) -> None:
         sequence = 0
         while True:
+            await curio.sleep(_HEARTBEAT_INTERVAL)
+            if self._withdrawn:
+                continue
             sequence += 1
             state = "draining" if self._draining else "ready"
             if await self._announce(sequence, state) and self._draining:
                 self._records.departures.setdefault(
                     self.server_id, read_clock()
                 )
-            await curio.sleep(_HEARTBEAT_INTERVAL)
 
     async def _announce(self, sequence: int, state: str) -> bool:
         """Send one heartbeat; return whether it was acknowledged."""
@@ -249,10 +330,10 @@
             address=str(self._server.address),
             born=self._born,
             info={
-                "service": SERVICE,
+                "service": self._service,
                 "version": "v1",
                 "zone": self._domain,
-                "slots": SLOTS,
+                "slots": _SLOTS,
             },
             status={"state": state, "sequence": sequence},
         )
@@ -268,75 +349,31 @@
 
     async def replace_server(self) -> None:
         """Drain the server and replace it by a new one."""
+        await self.withdraw_server()
+        self.add_server()
+
+    async def withdraw_server(self) -> None:
+        """Drain the server and let it leave."""
         self._draining = True
         while self.server_id not in self._records.departures:
             await curio.sleep(_HEARTBEAT_INTERVAL)
         await curio.sleep(_DRAIN_LINGER)
-        await send_request(
-            self._heartbeats, "DELETE", f"/instances/{self.server_id}", b""
-        )
-        self._born = Incarnation(self._born + 1_000)
-        self._draining = False
+        self._withdrawn = True
+        await self._send_departure()
 
-    async def _run_caller(self, caller: int) -> None:
-        """Send requests one after another, reusing the connection."""
-        while True:
-            try:
-                sock = await open_connection(self._clients, _CONNECT_TIMEOUT)
-            except ConnectError:
-                await curio.sleep(_MEAN_CALL_INTERVAL)
-                continue
-            connection = BackendConnection(sock)
-            reused = False
-            try:
-                while await self._send_request(connection, caller, reused):
-                    reused = True
-                    await curio.sleep(
-                        self._rng.expovariate(1 / _MEAN_CALL_INTERVAL)
-                    )
-            finally:
-                await connection.close()
+    async def replace_leaving_server(self, duration: float) -> None:
+        """Let the server say in its answers that it leaves, and replace it."""
+        self.leaving = True
+        await curio.sleep(duration)
+        await self._send_departure()
+        self.add_server()
 
-    async def _send_request(
-        self, connection: BackendConnection, caller: int, reused: bool
-    ) -> bool:
-        """Send one request; return whether its connection can be reused."""
-        self._requests += 1
-        request = RequestId(f"{self.name}-{caller}-{self._requests}")
-        self._records.started.add(request)
-        idempotent = self._rng.random() > _NON_IDEMPOTENT_SHARE
-        method, prefix = ("GET", "reads") if idempotent else ("POST", "orders")
-        fields = [
-            (b"host", b"shop.example"),
-            (headers.REQUEST_ID, request.encode()),
-            (headers.DEADLINE, b"%d" % _DEADLINE_MS),
-            (b"content-length", b"0"),
-        ]
-        begun = read_clock()
-        status, body, signed = 0, b"", False
-        try:
-            async with curio.timeout_after(_ANSWER_TIMEOUT):
-                await connection.send_request(
-                    RequestHead(method, f"/{prefix}/1", fields), b""
-                )
-                response = await connection.read_response()
-                body = await read_body(connection, _MAX_ANSWER_BYTES)
-            status = response.status
-            signed = response.find(headers.SIGNATURE) is not None
-        except (BackendClosedError, BackendProtocolError, curio.TaskTimeout):
-            # The request is recorded with status 0, without an answer.
-            status = 0
-        self._records.sent.append(
-            SentRequest(
-                request,
-                self.name,
-                idempotent,
-                reused,
-                begun,
-                read_clock(),
-                status,
-                body,
-                signed,
-            )
+    def add_server(self) -> None:
+        """Replace the server by a new one."""
+        self._born = Incarnation(self._born + 1_000)
+        self._draining = self._withdrawn = self.leaving = False
+
+    async def _send_departure(self) -> None:
+        await send_request(
+            self._heartbeats, "DELETE", f"/instances/{self.server_id}", b""
         )
-        return status != 0 and connection.prepare_next()
--- a/benchmarks/_relay_soak_network.py
+++ b/benchmarks/_relay_soak_network.py
@@ -48,17 +48,14 @@
     ----------
     target : Address
         Address at which the node listens.
-
-    Attributes
-    ----------
     address : Address
         Address at which the proxy listens.
     """
 
-    def __init__(self, target: Address) -> None:
+    def __init__(self, target: Address, address: Address) -> None:
         self._target = target
-        self._listener = open_listener(Address(target.ip, 0))
-        self.address = Address(*self._listener.getsockname()[:2])
+        self._listener = open_listener(address)
+        self.address = address
         self._fault = LinkFault.NONE
         self._silent: set[Any] = set()
         self._open: set[Any] = set()
--- a/benchmarks/_relay_soak_records.py
+++ b/benchmarks/_relay_soak_records.py
@@ -2,29 +2,42 @@
 
 import collections
 import dataclasses
+import math
 
-from egretlever.core import RequestId, Seconds, ServerId
+from egretlever.core import RequestId, Seconds, ServerId, ServiceName
 
 # Statuses that promise that a request has not run and never will.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # A leaving server gets no new requests after this time.
 _DRAIN_LIMIT = Seconds(2.0)
-# A request sent while the node closes its connection is not read; its
-# connection ends within this time.
-_CLOSE_RACE_TIME = Seconds(0.2)
-# Grace period of a planned stop, after which a process may be killed.
-_STOP_GRACE = Seconds(6.0)
-# Other events within this time of a stop may explain a lost request.
-_OVERLAP_MARGIN = Seconds(8.0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class ServerRun:
-    """A request that a server began to run."""
+    """A request that a server began to run.
+
+    Parameters
+    ----------
+    request : RequestId
+        Id of the request.
+    server : ServerId
+        Server that ran it.
+    at : Seconds
+        When it began.
+    service : ServiceName
+        Service of the server.
+    ended : Seconds
+        When the server ended its work; infinite before that.
+    broke_off : bool
+        Whether the server closed the connection instead of answering.
+    """
 
     request: RequestId
     server: ServerId
     at: Seconds
+    service: ServiceName = ServiceName("")
+    ended: Seconds = Seconds(math.inf)
+    broke_off: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +63,16 @@
         Body of the answer.
     signed : bool
         Whether the answer has a server's signature header.
+    path : str
+        Path of the request.
+    behind : bool
+        Whether it was sent before the answer to another request of its
+        connection had ended, or after an answer that announced the close.
+    limit : Seconds
+        Time that its client or its route allows.
+    start : int
+        Number of the start of the host's process, 0 when it was started again
+        before the request ended.
     """
 
     request: RequestId
@@ -61,6 +84,10 @@
     status: int = 0
     body: bytes = b""
     signed: bool = False
+    path: str = ""
+    behind: bool = False
+    limit: Seconds = Seconds(3.0)
+    start: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +99,7 @@
     kind : str
         Value of the event's kind.
     subject : str
-        Name of the host, empty for the store.
+        Name of the host, empty for all hosts or the store.
     begun, ended : Seconds
         When the event began and ended.
     """
@@ -92,6 +119,8 @@
     runs: list[ServerRun] = dataclasses.field(default_factory=list)
     sent: list[SentRequest] = dataclasses.field(default_factory=list)
     applied_events: list[AppliedEvent] = dataclasses.field(default_factory=list)
+    # Requests that reached a server, with those that it refused.
+    arrivals: list[ServerRun] = dataclasses.field(default_factory=list)
     # When the node first acknowledged that a server is draining.
     departures: dict[ServerId, Seconds] = dataclasses.field(
         default_factory=dict
@@ -103,7 +132,6 @@
             *self._check_runs(),
             *self._check_answers(),
             *self._check_departures(),
-            *self._check_stops(),
         ]
 
     def _check_runs(self) -> list[str]:
@@ -143,28 +171,3 @@
             if run.server in self.departures
             and run.at > self.departures[run.server] + _DRAIN_LIMIT
         ]
-
-    def _check_stops(self) -> list[str]:
-        """Check that a planned stop without other events loses no request."""
-        found = []
-        for stop in self.applied_events:
-            if stop.kind != "stop" or self._overlaps_other_event(stop):
-                continue
-            found += [
-                f"{sent.request} was lost by the planned stop of {sent.host}"
-                for sent in self.sent
-                if sent.host == stop.subject
-                and sent.status == 0
-                and sent.reused
-                and stop.begun <= sent.begun <= stop.begun + _STOP_GRACE
-                and sent.ended - sent.begun > _CLOSE_RACE_TIME
-            ]
-        return found
-
-    def _overlaps_other_event(self, stop: AppliedEvent) -> bool:
-        return any(
-            other is not stop
-            and other.begun < stop.begun + _OVERLAP_MARGIN
-            and other.ended > stop.begun - _OVERLAP_MARGIN
-            for other in self.applied_events
-        )
--- a/benchmarks/tests/builders.py
+++ b/benchmarks/tests/builders.py
@@ -1,7 +1,12 @@
 """Builders of the records that the checks of randomised runs compare."""
 
 import dataclasses
+import random
 
+from benchmarks._relay_soak_configurations import (
+    ConfigurationHistory,
+    ConfigurationVersion,
+)
 from benchmarks._relay_soak_records import SentRequest
 from benchmarks._soak_history import Edit, History, Sample, Span
 from benchmarks._soak_plan import Kind
@@ -58,3 +63,13 @@
         signed=True,
     )
     return dataclasses.replace(sent, **changes)
+
+
+def build_configurations(*versions):
+    """Build a history of versions, each with its routes and confirmation."""
+    history = ConfigurationHistory(random.Random(1))
+    history.versions = [
+        ConfigurationVersion(number, routes, confirmed, confirmed)
+        for number, (confirmed, routes) in enumerate(versions, 1)
+    ]
+    return history
--- a/benchmarks/tests/test_relay_soak.py
+++ b/benchmarks/tests/test_relay_soak.py
@@ -3,9 +3,15 @@
 import pytest
 
 from benchmarks._relay_soak import run_seed
-from benchmarks._relay_soak_plan import make_schedule
+from benchmarks._relay_soak_checks import (
+    ServerSignal,
+    find_ignored_signals,
+    find_lost_requests,
+)
+from benchmarks._relay_soak_configurations import ConfigurationCheck
+from benchmarks._relay_soak_plan import EventKind, Faults, make_schedule
 from benchmarks._relay_soak_records import AppliedEvent, Records, ServerRun
-from benchmarks.tests.builders import build_sent
+from benchmarks.tests.builders import build_configurations, build_sent
 
 # Seeds that have failed, each with its cause, to guard against regressions.
 REGRESSION_SEEDS = {
@@ -51,12 +57,110 @@
         assert len(found) == expected
 
 
+STOP = AppliedEvent("stop", "host-1", 0.5, 8.0)
+
+
+def find_lost(sent, *runs, events=()):
+    return find_lost_requests(
+        Records(
+            arrivals=list(runs), sent=[sent], applied_events=[STOP, *events]
+        )
+    )
+
+
 def test_request_lost_in_planned_stop_is_reported():
     lost = build_sent(status=0, reused=True, ended=2.0)
-    stop = AppliedEvent("stop", "host-1", 0.5, 4.0)
     kill = AppliedEvent("kill", "host-2", 0.5, 4.0)
-    assert find_violations(lost, applied_events=[stop])
-    assert find_violations(lost, applied_events=[stop, kill]) == []
+    assert find_lost(lost)
+    assert find_lost(lost, events=[kill]) == []
+
+
+@pytest.mark.parametrize("kind", ["stop", "reload", "configure", "store-busy"])
+def test_planned_work_and_store_faults_excuse_no_lost_request(kind):
+    lost = build_sent(status=0, ended=2.0)
+    subject = "" if kind.startswith("store") else "host-2"
+    other = AppliedEvent(kind, subject, 0.5, 4.0)
+    assert find_lost(lost, events=[other])
+
+
+def test_request_cut_before_it_was_read_is_not_lost():
+    assert find_lost(build_sent(status=0, ended=1.1)) == []
+    behind = build_sent(status=0, ended=2.0, behind=True)
+    assert find_lost(behind) == []
+    assert find_lost(behind, ServerRun("r-1", "i-1", 1.2, ended=1.5))
+
+
+def test_request_at_work_in_the_last_sixth_of_the_grace_is_not_lost():
+    lost = build_sent(status=0, ended=6.4, limit=12.0)
+    assert find_lost(lost, ServerRun("r-1", "i-1", 1.2, ended=5.4))
+    assert find_lost(lost, ServerRun("r-1", "i-1", 1.2, ended=5.6)) == []
+
+
+CONFIGURATIONS = build_configurations(
+    (0.0, {"/moved/": "ordering"}),
+    (10.0, {"/moved/": "listing"}),
+    (10.5, {"/moved/": "listing", "/added/3/": "ordering"}),
+)
+
+
+def find_late(*handlings, events=()):
+    sent = [
+        build_sent(
+            request=f"r-{number}", path=path, begun=at, ended=at + 0.1, start=1
+        )
+        for number, (at, path, _) in enumerate(handlings)
+    ]
+    runs = [
+        ServerRun(one.request, "i-1", one.begun, service)
+        for one, (_, _, service) in zip(sent, handlings, strict=True)
+    ]
+    records = Records(arrivals=runs, sent=sent, applied_events=list(events))
+    check = ConfigurationCheck(records, CONFIGURATIONS)
+    return check.find_violations(), check
+
+
+def test_request_under_an_older_configuration_is_reported():
+    assert find_late((11.9, "/moved/1", "ordering"))[0] == []
+    found, check = find_late((12.1, "/moved/1", "ordering"))
+    assert len(found) == 1
+    assert check.age_in_touch == pytest.approx(2.1)
+
+
+def test_disrupted_host_may_have_an_older_configuration():
+    pause = AppliedEvent("pause", "host-1", 9.0, 10.0)
+    found, check = find_late((12.1, "/moved/1", "ordering"), events=[pause])
+    assert found == []
+    assert check.age_in_trouble == pytest.approx(2.1)
+    other = AppliedEvent("pause", "host-2", 9.0, 10.0)
+    assert find_late((12.1, "/moved/1", "ordering"), events=[other])[0]
+
+
+def test_route_that_no_version_has_is_reported():
+    assert find_late((11.0, "/added/9/1", "ordering"))[0]
+
+
+def test_configuration_that_went_back_is_reported():
+    new, old = (11.0, "/added/3/1", "ordering"), "/moved/1"
+    assert find_late(new, (11.2, old, "ordering"))[0] == []
+    assert find_late(new, (11.3, old, "ordering"))[0]
+
+
+def find_ignored(signal, *times):
+    runs = [ServerRun("r", "i-1", at) for at in times]
+    return find_ignored_signals(Records(arrivals=runs), [signal])
+
+
+def test_requests_to_server_whose_answers_say_that_it_leaves_are_reported():
+    leaving = ServerSignal("i-1", "host-1", 1.0)
+    assert find_ignored(leaving, 1.5, 2.9) == []
+    assert len(find_ignored(leaving, 1.5, 3.1)) == 1
+
+
+def test_requests_above_the_limit_of_a_server_are_reported():
+    limited = ServerSignal("i-1", "host-1", 1.0, limit=2.0)
+    allowed = [4.5 + number / 10 for number in range(17)]
+    assert find_ignored(limited, *allowed) == []
+    assert find_ignored(limited, *allowed, 7.0)
 
 
 def test_schedule_is_reproducible_from_its_seed():
@@ -64,6 +168,17 @@
     assert make_schedule(3, 60.0, 8) != make_schedule(4, 60.0, 8)
 
 
+def test_kinds_that_were_added_keep_the_other_events_of_a_seed():
+    events = make_schedule(3, 60.0, 8)
+    first = [event for event in events if event.kind is EventKind.KILL][0]
+    assert (round(first.at, 3), first.host) == (30.723, 6)
+
+
 @pytest.mark.parametrize("seed", [1, *REGRESSION_SEEDS])
 def test_processes_keep_their_promises(seed):
     assert run_seed(seed, seconds=8.0, hosts=3).violations == []
+
+
+def test_rolling_stops_and_configurations_keep_their_promises():
+    soak = run_seed(5, 8.0, 5, Faults.PLANNED)
+    assert soak.violations == []
