End the delay after the loss of a source with the source's return

A node that lost its source, found another one and lost that within the same delay told its followers of a failure too early: the timer of the first loss ended the second delay.

test_second_loss_of_a_source_gets_its_whole_time failed before.

--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -127,6 +127,7 @@
             self._access = _Access.PENDING
         # Version that each subscriber held which is not answered yet.
         self._unanswered: dict[ChangeSubscriber, Version] = {}
+        self._doubts = 0
         self._received = False
 
     @property
@@ -242,13 +243,17 @@
         if self._limits.doubt_time is None or not self.confirmed:
             return
         self._access = _Access.PENDING
+        self._doubts += 1
         await curio.spawn(
-            self._report_doubt, self._limits.doubt_time, daemon=True
+            self._report_doubt,
+            self._doubts,
+            self._limits.doubt_time,
+            daemon=True,
         )
 
-    async def _report_doubt(self, doubt_time: Seconds) -> None:
+    async def _report_doubt(self, doubt: int, doubt_time: Seconds) -> None:
         await curio.sleep(doubt_time)
-        if self._access is _Access.PENDING:
+        if self._access is _Access.PENDING and doubt == self._doubts:
             await self.publish_failure()
 
     async def receive(self, version: Version) -> TableChange | None:
--- a/egretlever/relay/tests/test_sharing.py
+++ b/egretlever/relay/tests/test_sharing.py
@@ -262,6 +262,24 @@
     assert [change.available for change in recorder.changes] == [True]
 
 
+def test_second_loss_of_a_source_gets_its_whole_time():
+    # The delay after the first loss ended that after the second one.
+    recorder = ChangeRecorder()
+
+    async def main():
+        sharing = make_pending_sharing(DeadSource())
+        await sharing.confirm()
+        await sharing.subscribe(recorder, "127.0.0.1:2", Version(0))
+        for _ in range(2):
+            await sharing.receive(Version(0))
+            await curio.sleep(0.15)
+            await sharing.confirm()
+        await curio.sleep(1.0)
+
+    run_virtual(main())
+    assert [change.available for change in recorder.changes] == [True]
+
+
 def test_subscription_is_answered_once_the_node_gets_the_changes():
     # A node that could not read the store either seemed to be a source.
     recorder = ChangeRecorder()
