Give all callers of the relay soak one kind of connection

Callers that send one request at a time had a client of their own; they now use the connection of the others, which also reads bytes that come with no request waiting as the answer to the next one, so that the check of ids reports them.

--faults hosts plays faults of hosts, servers and links with a store that works.

--- a/benchmarks/_relay_soak_callers.py
+++ b/benchmarks/_relay_soak_callers.py
@@ -15,16 +15,7 @@
 from benchmarks._relay_soak_records import Records, SentRequest
 from egretlever.core import Address, RequestId, Seconds
 from egretlever.platform import headers
-from egretlever.transport import (
-    BackendClosedError,
-    BackendConnection,
-    BackendProtocolError,
-    ConnectError,
-    RequestHead,
-    open_connection,
-    read_body,
-    read_clock,
-)
+from egretlever.transport import read_clock
 
 LARGE_PATH = "/large/"
 LONG_PATH = "/long/"
@@ -37,8 +28,7 @@
 _LONG_TIME_LIMIT = Seconds(12.0)
 _NON_IDEMPOTENT_SHARE = 0.6
 _CONNECT_TIMEOUT = Seconds(1.0)
-_MAX_ANSWER_BYTES = 1 << 20
-_ANSWER_TIMEOUT = 10.0  # seconds; far above the time limit of most requests
+_ANSWER_TIMEOUT = 20.0  # seconds; far above the time limit of every request
 _READ_SIZE = 65536
 _SLOW_READ_SIZE = 16384
 _SLOW_RECEIVE_BUFFER = 16384  # bytes
@@ -48,7 +38,8 @@
 _MORE_REQUESTS_INTERVAL = 0.3  # seconds
 _MORE_REQUESTS = 4
 _PIPELINED_REQUESTS = 4
-_ROUNDS_PER_CONNECTION = 40
+_ROUNDS_IN_ONE_MANNER = 40
+_MAX_ROUNDS = 100_000  # more than a run has
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +87,11 @@
         Connected socket; the connection owns it.
     rate : float, optional
         Bytes per second that are read; without one all that has come.
+
+    Attributes
+    ----------
+    announced_close : bool
+        Whether an answer said that the connection is closed after it.
     """
 
     def __init__(
@@ -107,7 +103,7 @@
         self._pending: collections.deque[_Pending] = collections.deque()
         self._received = b""
         self._used = False
-        self._announced_close = False
+        self.announced_close = False
 
     async def send(
         self,
@@ -149,7 +145,7 @@
             read_clock(),
             read_clock(),
             path=path,
-            behind=bool(self._pending) or self._announced_close,
+            behind=bool(self._pending) or self.announced_close,
             limit=limit,
             start=self._context.read_start(),
         )
@@ -167,7 +163,7 @@
             Whether the connection is still open.
         """
         try:
-            async with curio.timeout_after(2 * _ANSWER_TIMEOUT):
+            async with curio.timeout_after(_ANSWER_TIMEOUT):
                 while self._pending:
                     await self._read_answer()
             return True
@@ -195,7 +191,7 @@
                 status = event.status_code
                 signed = headers.SIGNATURE in fields
                 if fields.get(b"connection", b"").lower() == b"close":
-                    self._announced_close = True
+                    self.announced_close = True
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("closed between answers")
         self._received = parser.trailing_data[0]
@@ -234,10 +230,7 @@
 
 
 class ConnectionUser:
-    """Caller that uses connections in changing manners.
-
-    It keeps sending until its connection ends, also after an answer that
-    announces the close.
+    """Caller that uses one connection after another.
 
     Parameters
     ----------
@@ -258,19 +251,32 @@
         self._requests = 0
         self._sender: curio.Task | None = None
 
-    async def run(self) -> None:
-        """Use one connection after another until cancelled."""
+    async def run_one_at_a_time(self) -> None:
+        """Send one request at a time, until the close is announced."""
+        while True:
+            sock = await self._open_socket()
+            if sock is not None:
+                connection = PipelineConnection(self._context, sock)
+                await self._run_rounds(
+                    connection, self._send_small, _MAX_ROUNDS, obeys_close=True
+                )
+            await self._pause()
+
+    async def run_in_changing_manners(self) -> None:
+        """Use connections until they end, even if their close is announced."""
         while True:
             await self._use_connection(self._rng.choice(list(_Manner)))
             await self._pause()
 
     async def run_changing_routes(self) -> None:
-        """Call routes that the configurations change, until cancelled."""
+        """Call routes that the configurations change."""
         while True:
             sock = await self._open_socket()
             if sock is not None:
                 connection = PipelineConnection(self._context, sock)
-                await self._run_rounds(connection, self._call_changing_route)
+                await self._run_rounds(
+                    connection, self._call_changing_route, _MAX_ROUNDS
+                )
             await self._pause()
 
     async def _use_connection(self, manner: _Manner) -> None:
@@ -295,13 +301,16 @@
         self,
         connection: PipelineConnection,
         send: Callable[[PipelineConnection], Awaitable[None]],
-        rounds: int = _ROUNDS_PER_CONNECTION,
+        rounds: int = _ROUNDS_IN_ONE_MANNER,
+        obeys_close: bool = False,
     ) -> None:
         try:
             for _ in range(rounds):
                 await send(connection)
                 if not await connection.read_answers():
                     return
+                if obeys_close and connection.announced_close:
+                    return
                 await self._pause()
         except OSError:
             # The node closed the connection, which is recorded below.
@@ -383,95 +392,3 @@
             await sock.close()
             return None
         return sock
-
-
-class OrderingCaller:
-    """Caller that sends one request at a time on a kept connection.
-
-    Parameters
-    ----------
-    context : CallerContext
-        Host of the caller.
-    name : str
-        Name of the caller, unique on its host.
-    rng : random.Random
-        Source of the methods and intervals.
-    """
-
-    def __init__(
-        self, context: CallerContext, name: str, rng: random.Random
-    ) -> None:
-        self._context = context
-        self._name = name
-        self._rng = rng
-        self._requests = 0
-
-    async def run(self) -> None:
-        """Send requests one after another, reusing the connection."""
-        while True:
-            try:
-                sock = await open_connection(
-                    self._context.clients, _CONNECT_TIMEOUT
-                )
-            except ConnectError:
-                await curio.sleep(_MEAN_CALL_INTERVAL)
-                continue
-            connection = BackendConnection(sock)
-            reused = False
-            try:
-                while await self._send_request(connection, reused):
-                    reused = True
-                    await curio.sleep(
-                        self._rng.expovariate(1 / _MEAN_CALL_INTERVAL)
-                    )
-            finally:
-                await connection.close()
-            # A node that stops is not flooded with new connections.
-            await curio.sleep(_MEAN_CALL_INTERVAL)
-
-    async def _send_request(
-        self, connection: BackendConnection, reused: bool
-    ) -> bool:
-        """Send one request; return whether its connection can be reused."""
-        self._requests += 1
-        context = self._context
-        request = RequestId(f"{context.host}-{self._name}-{self._requests}")
-        context.records.started.add(request)
-        idempotent = self._rng.random() > _NON_IDEMPOTENT_SHARE
-        method, prefix = ("GET", "reads") if idempotent else ("POST", "orders")
-        fields = [
-            (b"host", _HOST),
-            (headers.REQUEST_ID, request.encode()),
-            (headers.DEADLINE, b"%d" % (_TIME_LIMIT * 1000)),
-            (b"content-length", b"0"),
-        ]
-        begun, start = read_clock(), context.read_start()
-        status, body, signed = 0, b"", False
-        try:
-            async with curio.timeout_after(_ANSWER_TIMEOUT):
-                await connection.send_request(
-                    RequestHead(method, f"/{prefix}/1", fields), b""
-                )
-                response = await connection.read_response()
-                body = await read_body(connection, _MAX_ANSWER_BYTES)
-            status = response.status
-            signed = response.find(headers.SIGNATURE) is not None
-        except (BackendClosedError, BackendProtocolError, curio.TaskTimeout):
-            # The request is recorded with status 0, without an answer.
-            status = 0
-        context.records.sent.append(
-            SentRequest(
-                request,
-                context.host,
-                idempotent,
-                reused,
-                begun,
-                read_clock(),
-                status,
-                body,
-                signed,
-                f"/{prefix}/1",
-                start=start if start == context.read_start() else 0,
-            )
-        )
-        return status != 0 and connection.prepare_next()
--- a/benchmarks/_relay_soak_hosts.py
+++ b/benchmarks/_relay_soak_hosts.py
@@ -13,7 +13,6 @@
     PADDING,
     CallerContext,
     ConnectionUser,
-    OrderingCaller,
 )
 from benchmarks._relay_soak_checks import ServerSignal
 from benchmarks._relay_soak_configurations import (
@@ -50,8 +49,8 @@
 _ENDLESS_LIMIT = 2000  # writes after which an endless answer is broken off
 _ENDLESS_INTERVAL = 0.002  # seconds between two of its writes
 _DRAIN_LINGER = 3.0  # seconds of serving after the node knows of the drain
-_ORDERING_CALLERS = 3
-_CONNECTION_USERS = 2
+_CALLERS = 3
+_CHANGING_CALLERS = 2
 _FIRST_BORN_MS = 1_700_000_000_000
 _REGIONS = {"domain-0": "north", "domain-1": "north", "domain-2": "south"}
 
@@ -199,14 +198,14 @@
             await group.spawn(self.proxy.run)
             await group.spawn(self._server.run)
             await group.spawn(self._send_heartbeats)
-            for number in range(_ORDERING_CALLERS):
-                caller = OrderingCaller(self._context, str(number), self._rng)
-                await group.spawn(caller.run)
-            for number in range(_CONNECTION_USERS):
+            for number in range(_CALLERS):
+                user = ConnectionUser(self._context, f"c{number}", self._rng)
+                await group.spawn(user.run_one_at_a_time)
+            for number in range(_CHANGING_CALLERS):
                 user = ConnectionUser(self._context, f"u{number}", self._rng)
-                await group.spawn(user.run)
-            router = ConnectionUser(self._context, "r", self._rng)
-            await group.spawn(router.run_changing_routes)
+                await group.spawn(user.run_in_changing_manners)
+            user = ConnectionUser(self._context, "r", self._rng)
+            await group.spawn(user.run_changing_routes)
 
     async def _answer(self, exchange: ServerExchange) -> bool:
         """Answer one request as the scripted server."""
--- a/benchmarks/_relay_soak_plan.py
+++ b/benchmarks/_relay_soak_plan.py
@@ -26,11 +26,12 @@
 
 
 class Faults(enum.Enum):
-    """Events that a run injects."""
+    """Events that a run injects, besides planned work."""
 
     ALL = "all"
     PLANNED = "planned"
     STORE = "store"
+    HOSTS = "hosts"
 
 
 class EventKind(enum.Enum):
@@ -144,7 +145,9 @@
 def _is_kept(kind: EventKind, faults: Faults) -> bool:
     if faults is Faults.ALL or kind.is_planned:
         return True
-    return faults is Faults.STORE and kind.is_store_event
+    if faults is Faults.PLANNED:
+        return False
+    return kind.is_store_event == (faults is Faults.STORE)
 
 
 def _draw_configurations(rng: random.Random, seconds: float) -> list[Event]:
--- a/benchmarks/tests/test_relay_soak.py
+++ b/benchmarks/tests/test_relay_soak.py
@@ -174,6 +174,22 @@
     assert (round(first.at, 3), first.host) == (30.723, 6)
 
 
+@pytest.mark.parametrize("faults", Faults)
+def test_faults_that_were_not_chosen_are_not_played(faults):
+    events = make_schedule(3, 60.0, 8, faults)
+    others = [event.kind for event in events if not event.kind.is_planned]
+    on_store = {kind.is_store_event for kind in others}
+    assert (
+        on_store
+        == {
+            Faults.ALL: {False, True},
+            Faults.PLANNED: set(),
+            Faults.STORE: {True},
+            Faults.HOSTS: {False},
+        }[faults]
+    )
+
+
 @pytest.mark.parametrize("seed", [1, *REGRESSION_SEEDS])
 def test_processes_keep_their_promises(seed):
     assert run_seed(seed, seconds=8.0, hosts=3).violations == []
