Let slow clients read their last answer before a connection is closed

Callers saw the first part of an answer and then a reset: 237,462 of 900,000 bytes at 0.5 MB/s, with a client that sends its next request each 0.3 s. An answer counted as sent when the system had taken it. The process ended 50 ms later, or the connection a second later in ordinary operation, with bytes of the client unread, and the system discarded what was not acknowledged.

A connection is finished when its client has closed it: the node ends its side, and reads and discards until then (RFC 9112, 9.6), for 10 s, 64 MiB or until the stop has to end. An idle connection does not hold a planned stop up unless its client has not acknowledged an earlier answer. Connections whose client has left end at once, as before. An answer that is not read within 10 s ends its connection without waiting for the client, also when 16 requests are open, where the reading task was stuck.

Both variants of test_answer_is_read_whole_by_a_slow_client_that_sends_further_requests failed before: ConnectionResetError: [Errno 104] Connection reset by peer.

--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -44,7 +44,10 @@
 # Requests of one connection that are handled concurrently. Further ones stay
 # unread until the first is answered.
 _MAX_PIPELINED = 16
-_LINGER_TIME = Seconds(1.0)  # time for a client to read the last answer
+# Time for a client to read the last answer and to close.
+_LINGER_TIME = Seconds(10.0)
+# Holds the rest of the largest body that a client may send.
+_MAX_DISCARDED_BYTES = 64 << 20
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,14 +105,19 @@
         self._slot_freed = curio.Event()
         self._input_ended = False
         self._closing = False
+        self._lingering = False
         self._report_end = report_end
         self._answer_bytes = self._sent_bytes = 0
         self._end_reason = EndReason.NODE_ENDED
 
     @property
-    def has_unsent_answers(self) -> bool:
-        """Whether requests were read whose answers are not sent completely."""
-        return bool(self._pending)
+    def is_unfinished(self) -> bool:
+        """Whether the client may still miss an answer if the process ends."""
+        return bool(
+            self._pending
+            or self._lingering
+            or measure_unacknowledged(self._sock)
+        )
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
@@ -152,9 +160,16 @@
 
     async def _watch_for_close(self, writer: Any) -> None:
         """Cancel the requests when the client closes after its last request."""
+        left = _MAX_DISCARDED_BYTES
         try:
-            while await self._reader.receive():
-                continue
+            while data := await self._reader.receive():
+                left -= len(data)
+                if left < 0:
+                    # It sends without end; unread bytes stop it.
+                    if self._lingering:
+                        await self._end(EndReason.NOT_CLOSED)
+                        await writer.cancel(blocking=False)
+                    return
         except OSError as error:
             _LOG.debug("Client connection failed: %s.", error)
         self._note_client_closed()
@@ -163,13 +178,15 @@
     async def _read_forever(self) -> bool:
         """Read requests; true when the client has closed the connection."""
         while True:
-            while len(self._pending) >= _MAX_PIPELINED:
+            while len(self._pending) >= _MAX_PIPELINED and not self._closing:
                 self._slot_freed.clear()
                 await self._slot_freed.wait()
             http = self._make_parser()
             try:
                 request = await self._read_request(http)
             except RequestError as error:
+                if self._closing:
+                    return False
                 await self._enqueue(
                     _PendingAnswer(http, None, True), make_error_answer(error)
                 )
@@ -319,6 +336,8 @@
                 return None
 
     async def _send_continue(self, http: h11.Connection) -> None:
+        if self._closing:
+            return
         interim = h11.InformationalResponse(status_code=100, headers=[])
         await self._sock.sendall(http.send(interim) or b"")
 
@@ -335,7 +354,7 @@
         while True:
             while not self._pending:
                 if self._input_ended:
-                    await self._sock.shutdown(socket.SHUT_WR)
+                    await self._close_after_linger()
                     return
                 self._enqueued.clear()
                 await self._enqueued.wait()
@@ -356,13 +375,11 @@
                 # curio adds the number of bytes to the exception.
                 self._sent_bytes = getattr(error, "bytes_sent", 0)
                 if isinstance(error, OSError):
-                    self._note_client_closed()
+                    await self._end(EndReason.CLIENT_CLOSED)
                 elif isinstance(error, curio.TaskTimeout):
-                    self._end_reason = EndReason.NOT_READ
+                    await self._end(EndReason.NOT_READ)
                 else:
                     raise
-                _LOG.debug("Sending an answer to a client failed: %r.", error)
-                await self._close_after_linger()
                 return
             self._pending.popleft()
             await self._slot_freed.set()
@@ -371,15 +388,31 @@
                 return
 
     async def _close_after_linger(self) -> None:
-        """Close the connection, leaving the client time to read the answer."""
-        self._closing = True
+        """Half-close, and leave the client time to read and to close.
+
+        What the client sends meanwhile is read and discarded: the system resets
+        a connection that is closed with unread bytes, and then the client may
+        lose the answer (RFC 9112, 9.6).
+        """
+        self._closing = self._lingering = True
         try:
             await self._sock.shutdown(socket.SHUT_WR)
-            await curio.sleep(_LINGER_TIME)
-            self._end_reason = EndReason.NOT_CLOSED
-            await self._sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            await self._end(EndReason.CLIENT_CLOSED)
+            return
+        await curio.sleep(_LINGER_TIME)
+        await self._end(EndReason.NOT_CLOSED)
+
+    async def _end(self, reason: EndReason) -> None:
+        """End the connection, which wakes the reading task."""
+        self._closing = True
+        self._end_reason = reason
+        _LOG.debug("Client connection ends: %s.", reason.value)
+        try:
+            await self._sock.shutdown(socket.SHUT_RDWR)
         except OSError as error:
             _LOG.debug("Client connection was already closed: %s.", error)
+        await self._slot_freed.set()
 
 
 def _find_id(pending: _PendingAnswer) -> RequestId:
--- a/egretlever/relay/_stopping.py
+++ b/egretlever/relay/_stopping.py
@@ -114,12 +114,12 @@
         self._log_end(schedule)
 
     def _count_unfinished_connections(self) -> int:
-        return sum(one.has_unsent_answers for one in self._connections)
+        return sum(one.is_unfinished for one in self._connections)
 
     def _has_unfinished_work(self) -> bool:
-        """Tell whether a request has no answer, or one that is not sent yet.
+        """Tell whether a request has no answer, or one that is not read yet.
 
-        A large answer takes seconds to send to a slow client.
+        A slow client takes seconds to read a large answer.
         """
         return bool(
             self._entry.running
--- a/egretlever/relay/tests/test_clients.py
+++ b/egretlever/relay/tests/test_clients.py
@@ -140,6 +140,20 @@
     assert fixture.cancelled == ["/slow"]
 
 
+def test_client_that_does_not_close_after_the_last_answer_is_not_held():
+    # Each such connection takes one of a bounded number.
+    fixture = ClientFixture()
+
+    async def main():
+        async with fixture.connect() as client:
+            await client.sendall(get(b"/a", b"connection: close"))
+            began = await curio.clock()
+            await fixture.task.join()
+            return await curio.clock() - began
+
+    assert run_virtual(main()) < 15.0
+
+
 def test_request_after_a_chunked_body_is_parsed():
     fixture = ClientFixture()
     chunked = (
--- a/egretlever/relay/tests/test_planned_stop.py
+++ b/egretlever/relay/tests/test_planned_stop.py
@@ -51,6 +51,54 @@
     run_on_host(script)
 
 
+@pytest.mark.parametrize("stopped_after", [0.0, 2.5])
+def test_answer_is_read_whole_by_a_slow_client_that_sends_further_requests(
+    stopped_after,
+):
+    # The system resets a connection that is closed with unread bytes, and
+    # discards what the client has not got.
+    body_bytes = 900_000
+
+    async def send_further(client):
+        while True:
+            await curio.sleep(0.3)
+            await client.sendall(ORDER)
+
+    async def script(host):
+        host.server.replace_steps(serve(b"x" * body_bytes))
+        await host.announce(1)
+        await curio.sleep(1.0)
+        async with await open_client(host, 1 << 14) as client:
+            stop = await curio.spawn(host.stop)
+            await curio.sleep(stopped_after)
+            await client.sendall(ORDER)
+            sender = await curio.spawn(send_further, client, daemon=True)
+            received = 0
+            while data := await client.recv(5_000):
+                received += len(data)
+                await curio.sleep(len(data) / 500_000)
+            await sender.cancel()
+        await stop.join()
+        assert body_bytes < received < body_bytes + 1000
+
+    run_on_host(script)
+
+
+def test_connections_without_an_open_answer_do_not_hold_a_planned_stop():
+    # A stop that waits for clients to close must not wait for idle ones.
+    async def script(host):
+        await host.announce(1)
+        await curio.sleep(1.0)
+        async with await open_client(host), await open_client(host) as used:
+            await used.sendall(ORDER)
+            await used.recv(1 << 16)
+            began = read_clock()
+            await host.stop()
+            assert read_clock() - began < 3.5
+
+    run_on_host(script)
+
+
 @pytest.mark.parametrize(("kind", "status"), [("unsafe", 504), ("safe", 502)])
 def test_request_whose_home_stops_first_is_answered(kind, status):
     # Two stops overlapped. The entry node asked for the order until the order's
