Hear signals after a reload of the settings has failed

An exception while the settings were reloaded ended the task that waits for signals: SIGTERM had no effect, and the process ran on until SIGKILL cut its requests. The task that watches the settings file ended in the same way. The failure is logged now, and both go on.

test_failed_reload_does_not_keep_the_program_from_stopping failed before: curio.errors.TaskTimeout

--- a/egretlever/programs/_relay_process.py
+++ b/egretlever/programs/_relay_process.py
@@ -95,7 +95,7 @@
             found = _read_bytes(path)
             if found is not None and found != current:
                 current = found
-                await reload()
+                await _runtime.run_reload(reload)
 
     async def main_task() -> None:
         watcher = await curio.spawn(watch, daemon=True)
--- a/egretlever/programs/_runtime.py
+++ b/egretlever/programs/_runtime.py
@@ -3,6 +3,7 @@
 import atexit
 import logging as plain_logging
 import sys
+import traceback
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, NoReturn
 
@@ -10,11 +11,12 @@
 from absl import flags, logging
 from pythonjsonlogger.json import JsonFormatter
 
-from egretlever.core import Finding
+from egretlever.core import Finding, make_log
 from egretlever.programs._log_buffer import buffer_log
 from egretlever.programs._log_output import LogOutput
 from egretlever.programs._signals import RELOAD_SIGNAL, catch_signals
 
+_LOG = make_log("runtime")
 EXIT_FINDINGS = 2
 
 
@@ -63,6 +65,16 @@
     return output
 
 
+async def run_reload(reload: Callable[[], Awaitable[Any]]) -> None:
+    """Reload the settings; a failure must not keep later signals unheard."""
+    try:
+        await reload()
+    except curio.CancelledError:
+        raise
+    except Exception:
+        _LOG.error("Reloading failed:\n%s", traceback.format_exc())
+
+
 def run_until_signal(
     main: Callable[[], Awaitable[Any]],
     stop: Callable[[], Awaitable[Any]],
@@ -94,7 +106,7 @@
             async def watch() -> None:
                 while await wait_for_signal() is RELOAD_SIGNAL:
                     if reload is not None:
-                        await reload()
+                        await run_reload(reload)
                 await stop()
 
             watcher = await curio.spawn(watch, daemon=True)
