Leave a source when what is known is too old

Cause: a node judged its source by its connection. A source that answered pings and passed nothing on, or passed it on late, was followed on, with its whole branch; and the times for silence, ping, connecting, two sources and the poll were each a share of the bound, while their sum was not bounded. Class of fault: liveness taken for progress.

A node now leaves its source when its information is 0.55 of the bound old (0.02 more for each hop), whatever the connection says. It tells its followers that it searches, so that they wait until 0.8 of the bound; each other source gets 0.1 of it, and from 0.75 on the store is asked. A node whose information is old acknowledges no subscription as if it were new. A source that was slow is excluded four times as long, and earlier failures are forgotten only after twice the bound. Pings remain for sources of earlier releases, which send no position.

Ruled out: lost wake-ups of curio's queues (trial in the postmortem).

The worst sum is a property test of the plain objects Freshness and SourceWatch: 0.9 of the bound until the store is asked, and the late turns. test_earlier_position_of_another_source_does_not_count now uses a position that is not late, since a late one no longer tells the hops; that is checked too.

--- a/egretlever/relay/_changes.py
+++ b/egretlever/relay/_changes.py
@@ -53,6 +53,9 @@
         Up to when the sender knows the changes, when it tells that.
     timed : bool, default=False
         Whether the sender tells positions. Nodes of earlier releases do not.
+    searching : bool, default=False
+        Whether this is no change, but a notice: what the sender knows is too
+        old, and it looks for another source.
     """
 
     base: Version
@@ -61,6 +64,7 @@
     available: bool = True
     position: Position | None = None
     timed: bool = False
+    searching: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -300,6 +300,7 @@
         version=change.version,
         rows=rows,
         unavailable=not change.available,
+        searching=change.searching,
     )
 
 
@@ -342,6 +343,7 @@
         if change.as_of_ms
         else None,
         change.clock_ms > 0,
+        change.searching,
     )
 
 
--- a/egretlever/relay/_configuration_follower.py
+++ b/egretlever/relay/_configuration_follower.py
@@ -37,8 +37,8 @@
 _FIRST_CHANGE_SHARE = 0.25
 # Time after which a node without a source tells its followers.
 _DOUBT_SHARE = 0.1
-# Nodes that are tried before the store is read.
-_MAX_SOURCES_TRIED = 2
+# Nodes that are tried before the store is read, while time is left.
+_MAX_SOURCES_TRIED = 4
 # Time in which a starting node reads the directory, unless the store is
 # unavailable.
 _DIRECTORY_TIMEOUT = Seconds(0.5)
@@ -143,7 +143,7 @@
             await self._table.probe()
             if self._table.failing:
                 return
-            await self.sharing.confirm()
+            await self.sharing.confirm_unless_outdated()
         self._read_times = None
         if self.sharing.has_source():
             await self._poll()
--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -17,14 +17,21 @@
 from egretlever.relay._freshness import Freshness
 from egretlever.relay._links import LinkError, LinkPool
 from egretlever.relay._relay_link import RelayLink
+from egretlever.relay._source_watch import SourceWatch
 from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock
 
 _LOG = make_log("store")
+# Time in which a connection is opened when nothing is known yet.
+_CONNECT_TIMEOUT = Seconds(1.0)
+# Time in which a node that was paused itself reads what has arrived meanwhile.
+_CATCH_UP_TIME = Seconds(0.05)
 # Nodes without access to the store that are found before the store is asked.
 # Most likely it is unavailable for all.
 _MAX_READERS_CUT_OFF = 2
 
+_SEARCHING = TableChange(Version(0), Version(0), timed=True, searching=True)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharingLimits:
@@ -40,7 +47,7 @@
         an earlier release does not know the subscription.
     silence_before_ping : Seconds
         A node from which nothing was received for this time is checked by a
-        ping.
+        ping, unless it tells positions.
     doubt_time : Seconds, optional
         Time after which a node that has lost its source, and found no other
         one, tells this to the nodes that follow it. Without it they are told
@@ -91,7 +98,8 @@
         How long this node waits for others before it asks the store.
     freshness : Freshness, optional
         Knows up to when this node knows the changes, which is passed on with
-        them.
+        them. A source that tells positions is left when this is too old,
+        whatever its connection says.
 
     Attributes
     ----------
@@ -118,6 +126,7 @@
         self._freshness = freshness
         self.source = ""
         self._link: RelayLink | None = None
+        self._watch = SourceWatch(freshness)
         # Relay address of each node that follows this one; empty when a node
         # of an earlier release has not named it.
         self._subscribers: dict[ChangeSubscriber, str] = {}
@@ -215,8 +224,9 @@
     async def publish(self, change: TableChange) -> None:
         """Pass a change on to the nodes that follow this one."""
         self._version = max(self._version, change.version)
+        # They are sent all that they need when the subscription is answered.
         unanswered = set(self._unanswered)
-        await self.confirm()
+        await self.confirm_unless_outdated()
         await self._send(self._add_position(change), unanswered)
 
     async def confirm(self) -> None:
@@ -225,6 +235,11 @@
         while self._unanswered:
             await self._answer(*self._unanswered.popitem())
 
+    async def confirm_unless_outdated(self) -> None:
+        """Record that this node gets the changes, if what it knows is new."""
+        if not self._is_outdated():
+            await self.confirm()
+
     async def publish_failure(self) -> None:
         """Tell the nodes that follow this one that it gets no changes."""
         self._access = _Access.FAILED
@@ -247,9 +262,29 @@
         await curio.spawn(
             self._report_doubt,
             self._doubts,
-            self._limits.doubt_time,
+            self._find_doubt_time(),
             daemon=True,
         )
+        if self._is_outdated():
+            await self._send(_SEARCHING)
+
+    def _is_outdated(self) -> bool:
+        """Tell whether what this node knows is too old."""
+        return self._freshness is not None and self._freshness.is_outdated(
+            self._freshness.position, read_clock()
+        )
+
+    def _find_doubt_time(self) -> Seconds:
+        """Return the time in which this node may find another source.
+
+        What its followers know is as old, and many nodes would look for sources
+        at once, so they wait for this node as long as they can.
+        """
+        doubt_time = self._limits.doubt_time or Seconds(0.0)
+        if self._freshness is None or not self._is_outdated():
+            return doubt_time
+        left = self._freshness.find_wait_end() - read_clock()
+        return Seconds(max(doubt_time, left))
 
     async def _report_doubt(self, doubt: int, doubt_time: Seconds) -> None:
         await curio.sleep(doubt_time)
@@ -272,44 +307,89 @@
             missing.
         """
         cut_off = 0
-        for _ in range(self._limits.max_tried):
+        while self._watch.tried < self._limits.max_tried:
             relay = self._readers.choose(read_clock())
             if relay is None or cut_off == _MAX_READERS_CUT_OFF:
                 break
+            if not self._watch.may_follow(relay, read_clock()):
+                break
             change = await self._receive_from(relay, version)
+            if change is not None and change.searching:
+                self._watch.observe_search()
+                await self._send(change)
+                continue
             if change is not None and change.available:
                 self.source = str(relay)
-                self._readers.observe_change(relay)
+                if self._watch.observe(change, read_clock()):
+                    self._readers.observe_change(relay)
                 self._received = self._received or change.version > 0
                 metrics.SHARED_CHANGES.labels(self._table.value).inc()
                 return change if change.base <= version else None
+            self._watch.tried += 1
             cut_off += change is not None
+            slow = change is None and self._is_connected(relay)
             await self._leave()
             await self._doubt()
             _log("reader-excluded", self._table, relay)
-            self._readers.exclude(relay, read_clock())
+            self._readers.exclude(relay, read_clock(), slow)
+        self._watch.tried = 0
         await self._leave()
         return None
 
+    def _is_connected(self, relay: Address) -> bool:
+        """Tell whether a node that sent nothing still has its connection."""
+        if self._freshness is None or not self._watch.follows(relay):
+            return False
+        return self._link is not None and not self._link.closed
+
     async def _receive_from(
         self, relay: Address, version: Version
     ) -> TableChange | None:
         """Return the next change of a node; None when it sends none."""
+        began = read_clock()
+        try_time = self._watch.find_try_time(began)
+        link = None
         try:
-            link = await self._links.acquire(relay)
+            async with curio.ignore_after(try_time or _CONNECT_TIMEOUT):
+                link = await self._links.acquire(relay)
         except LinkError as error:
             _LOG.debug("%s.", error)
+        if link is None:
             return None
-        if link is not self._link:
-            await self._leave()
-            self._link = link
-            _log("reader-followed", self._table, relay)
-            await link.follow_table(self._table, self._own_relay, version)
-            async with curio.ignore_after(self._limits.first_change_timeout):
-                return await link.read_change(self._table)
-            return None
+        if link is self._link:
+            return await self._await_change(link)
+        await self._leave()
+        now = read_clock()
+        self._link = link
+        self._watch.begin(relay, now)
+        _log("reader-followed", self._table, relay)
+        await link.follow_table(self._table, self._own_relay, version)
+        timeout: float = self._limits.first_change_timeout
+        if try_time is not None:
+            timeout = min(timeout, began + try_time - now)
+        async with curio.ignore_after(max(0.0, timeout)):
+            return await link.read_change(self._table)
+        return None
+
+    async def _await_change(self, link: RelayLink) -> TableChange | None:
+        """Return the next change of the node that is followed.
+
+        Returns
+        -------
+        TableChange or None
+            None when the node is to be left.
+        """
         silence = self._limits.silence_before_ping
         while True:
+            deadline = self._watch.find_deadline()
+            if deadline is not None:
+                left = max(0.0, deadline - read_clock())
+                async with curio.ignore_after(left + _CATCH_UP_TIME):
+                    return await link.read_change(self._table)
+                if link.is_silent(silence):
+                    # Closes a connection that stopped working.
+                    await curio.spawn(link.ping, daemon=True)
+                return None
             async with curio.ignore_after(silence):
                 return await link.read_change(self._table)
             if link.is_silent(silence) and not await link.ping():
@@ -318,5 +398,6 @@
     async def _leave(self) -> None:
         """End the subscription to the node that was followed."""
         link, self._link = self._link, None
+        self._watch.end()
         if link is not None:
             await link.leave_table(self._table)
--- a/egretlever/relay/tests/test_configuration_sharing.py
+++ b/egretlever/relay/tests/test_configuration_sharing.py
@@ -156,3 +156,79 @@
         bounds=Bounds(configuration=Seconds(2.0)),
         turned_away=turned_away,
     )
+
+
+STUCK = 3600.0  # seconds
+BOUNDS = Bounds(configuration=Seconds(2.0))
+
+
+async def list_late(fixture, harmed):
+    """Configure, and list the places of the nodes without it after 2 s."""
+    await fixture.configure(LARGE)
+    await curio.sleep(2.0)
+    return [
+        place
+        for place, node in enumerate(fixture.nodes)
+        if place not in harmed
+        and node.running
+        and not await node.knows_route(LAST_ROUTE)
+    ]
+
+
+@pytest.mark.parametrize("wait", [0.0, 0.3, 0.6, 5.0])
+@pytest.mark.parametrize("stuck", [(0,), (1,), (10,), (0, 1), (1, 2)])
+def test_source_that_answers_pings_and_passes_nothing_on_is_left(stuck, wait):
+    # Its followers were behind until the source passed something on again.
+    async def script(fixture):
+        for place in stuck:
+            fixture.nodes[place].hold_up(STUCK)
+        await curio.sleep(wait)
+        assert await list_late(fixture, stuck) == []
+
+    run_script(script, count=20, bounds=BOUNDS)
+
+
+@pytest.mark.parametrize("delay", [0.3, 0.6, 1.5])
+def test_slow_sources_in_a_row_delay_a_configuration_within_its_bound(delay):
+    # Each of them was late by itself, and nobody knew the sum.
+    slow = (0, 10, 11)
+
+    async def script(fixture):
+        for place in slow:
+            fixture.nodes[place].hold_up(delay)
+        await curio.sleep(4.0)
+        assert await list_late(fixture, slow) == []
+
+    run_script(script, count=20, bounds=BOUNDS)
+
+
+@pytest.mark.parametrize("wait", [0.0, 0.4, 1.0])
+@pytest.mark.parametrize("killed", [(0,), (2,), (10,)])
+def test_loss_of_a_source_beside_a_stuck_one_delays_no_configuration(
+    killed, wait
+):
+    # The store was asked only after each of them had been given up.
+    stuck = (1,)
+
+    async def script(fixture):
+        for place in stuck:
+            fixture.nodes[place].hold_up(STUCK)
+        await curio.sleep(wait)
+        for place in killed:
+            await fixture.nodes[place].kill()
+        assert await list_late(fixture, stuck) == []
+
+    run_script(script, count=20, bounds=BOUNDS)
+
+
+@pytest.mark.parametrize("stuck", [(0,), (1,), (0, 1)])
+def test_stuck_source_sends_few_nodes_to_the_store(stuck):
+    # Calls are paid, and the nodes of a region notice old information together.
+    async def script(fixture):
+        for place in stuck:
+            fixture.nodes[place].hold_up(STUCK)
+        await curio.sleep(5.0)
+        # One reader makes 7 of them in calm.
+        assert len(fixture.store.calls) <= 24
+
+    run_script(script, count=20, bounds=BOUNDS)
--- a/egretlever/relay/tests/test_freshness.py
+++ b/egretlever/relay/tests/test_freshness.py
@@ -3,11 +3,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from egretlever.core import Seconds
-from egretlever.relay._changes import Position
+from egretlever.core import Address, Seconds, Version
+from egretlever.relay._changes import Position, TableChange
 from egretlever.relay._freshness import Freshness, ReadTimes
+from egretlever.relay._source_watch import SourceWatch
 
 BOUND = Seconds(2.0)
+NONE = Version(0)
+FIRST, SECOND = Address("10.0.0.1", 1), Address("10.0.0.2", 1)
 E = 1e-6  # rounding error, in seconds
 
 
@@ -29,7 +32,10 @@
 def test_earlier_position_of_another_source_does_not_count():
     freshness = Freshness(BOUND)
     freshness.advance(Position(Seconds(10.0), 1), Seconds(10.1))
-    freshness.advance(Position(Seconds(9.0), 3), Seconds(10.2))
+    freshness.advance(Position(Seconds(9.5), 3), Seconds(10.2))
+    assert freshness.position == Position(Seconds(10.0), 3)
+    # A late one does not tell the hops of the way on which changes come now.
+    freshness.advance(Position(Seconds(9.0), 5), Seconds(10.3))
     assert freshness.position == Position(Seconds(10.0), 3)
 
 
@@ -54,3 +60,34 @@
         times = ReadTimes(now, answered_at, wait)
         freshness.advance(freshness.find_read_position(times), answered_at)
         now, before = answered_at, delay
+
+
+@given(
+    hops=st.integers(1, 8),
+    began=st.floats(0.0, 2.0),
+    searches=st.booleans(),
+    late=st.lists(st.floats(0.0, 0.05), min_size=8, max_size=8),
+)
+def test_lost_and_stuck_sources_leave_time_for_the_store(
+    hops, began, searches, late
+):
+    # The times for silence, ping, two sources and the poll were bounded one by
+    # one, and their sum was not.
+    freshness = Freshness(BOUND)
+    watch = SourceWatch(freshness)
+    turns = iter(late)
+    now = Seconds(10.0)
+    position = Position(now, hops)
+    watch.begin(FIRST, now)
+    freshness.advance(position, now)
+    watch.observe(TableChange(NONE, NONE, position=position, timed=True), now)
+    if searches:
+        watch.observe_search()
+    # The source is lost at any moment, and found to be stuck at the latest.
+    now = Seconds(min(now + began, watch.find_deadline()) + next(turns))
+    watch.tried += 1
+    watch.end()
+    while watch.tried < 4 and watch.may_follow(SECOND, now):
+        now = Seconds(now + watch.find_try_time(now) + next(turns))
+        watch.tried += 1
+    assert freshness.measure_age(now) <= 0.9 * BOUND + sum(late) + E
