Count the grace period of a planned stop from the signal

A planned stop counted from the turn of the loop that took the signal. A process that was delayed had no margin left at its end and was killed while it wrote its last answers. The handler of the signal notes the clock now, and the stop counts from there. A process that is not run at all learns of the signal only when it runs again: nothing tells how long ago that was.

--- a/egretlever/programs/_runtime.py
+++ b/egretlever/programs/_runtime.py
@@ -11,7 +11,7 @@
 from absl import flags, logging
 from pythonjsonlogger.json import JsonFormatter
 
-from egretlever.core import Finding, make_log
+from egretlever.core import Finding, Seconds, make_log
 from egretlever.programs._log_buffer import buffer_log
 from egretlever.programs._log_output import LogOutput
 from egretlever.programs._signals import RELOAD_SIGNAL, catch_signals
@@ -77,7 +77,7 @@
 
 def run_until_signal(
     main: Callable[[], Awaitable[Any]],
-    stop: Callable[[], Awaitable[Any]],
+    stop: Callable[[Seconds], Awaitable[Any]],
     reload: Callable[[], Awaitable[Any]] | None = None,
     output: LogOutput | None = None,
 ) -> None:
@@ -90,7 +90,8 @@
     main : callable
         Coroutine function that returns when the program has stopped.
     stop : callable
-        Coroutine function that starts the graceful stop; called once.
+        Coroutine function that starts the graceful stop; called once with the
+        clock time at which the signal was received.
     reload : callable, optional
         Coroutine function that reloads the settings.
     output : LogOutput, optional
@@ -104,10 +105,12 @@
         async with catch_signals() as wait_for_signal:
 
             async def watch() -> None:
-                while await wait_for_signal() is RELOAD_SIGNAL:
+                while (
+                    found := await wait_for_signal()
+                ).signal is RELOAD_SIGNAL:
                     if reload is not None:
                         await run_reload(reload)
-                await stop()
+                await stop(found.at)
 
             watcher = await curio.spawn(watch, daemon=True)
             await curio.spawn(drain, daemon=True)
--- a/egretlever/programs/backend.py
+++ b/egretlever/programs/backend.py
@@ -30,7 +30,7 @@
     settings = _common.load_settings(file, settings_pb2.BackendStandInSettings)
     _runtime.start_logging(verbose)
     backend = make_backend(settings)
-    _runtime.run_until_signal(backend.run, backend.drain)
+    _runtime.run_until_signal(backend.run, lambda _: backend.drain())
 
 
 def main() -> None:
--- a/egretlever/programs/load.py
+++ b/egretlever/programs/load.py
@@ -49,7 +49,9 @@
     load = make_load_generator(
         nodes, settings.seed, settings.order_attempts, settings.max_in_flight
     )
-    _runtime.run_until_signal(lambda: load.play(requests), load.stop)
+    _runtime.run_until_signal(
+        lambda: load.play(requests), lambda _: load.stop()
+    )
     if results is not None:
         lines = (
             json_format.MessageToJson(
--- a/egretlever/programs/node.py
+++ b/egretlever/programs/node.py
@@ -30,7 +30,7 @@
     settings = _common.load_settings(file, settings_pb2.NodeSettings)
     _runtime.start_logging(verbose)
     node = make_node(settings)
-    _runtime.run_until_signal(node.run, node.stop)
+    _runtime.run_until_signal(node.run, lambda _: node.stop())
 
 
 def main() -> None:
--- a/egretlever/programs/platform.py
+++ b/egretlever/programs/platform.py
@@ -52,7 +52,7 @@
         await server.cancel()
 
     try:
-        _runtime.run_until_signal(serve, stopped.set)
+        _runtime.run_until_signal(serve, lambda _: stopped.set())
     except OSError as error:
         typer.echo(f"{section.listen}: {error}", err=True)
         raise typer.Exit(1) from None
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -395,14 +395,20 @@
         # Addresses and names take effect at the next start.
         self._log("reload", reason=f"waiting: {', '.join(unapplied) or 'none'}")
 
-    async def stop(self) -> None:
-        """Stop gracefully: requests that were received are finished."""
-        self._log("stop")
+    async def stop(self, asked_at: Seconds | None = None) -> None:
+        """Stop gracefully: requests that were received are finished.
+
+        Parameters
+        ----------
+        asked_at : Seconds, optional
+            Clock time from which the grace period counts; by default now.
+        """
+        begins_at = read_clock() if asked_at is None else asked_at
+        late = read_clock() - begins_at
+        self._log("stop", reason=f"{late:.3f} s after the signal")
         self._stopping = True
         await self._publisher.stop()
-        await self._planned_stop.run(
-            plan_stop(read_clock(), self._bounds.grace)
-        )
+        await self._planned_stop.run(plan_stop(begins_at, self._bounds.grace))
         await self._links.close()
         await self._home.close()
         await self._ended.set()
--- a/egretlever/relay/_stopping.py
+++ b/egretlever/relay/_stopping.py
@@ -100,7 +100,7 @@
         """Return when all work is finished, or at the end of the schedule."""
         self._entry.stop(schedule.leaves_at, schedule.answers_by)
         self._home.stop(schedule.leaves_at, schedule.answers_by)
-        await curio.sleep(schedule.leaves_at - read_clock())
+        await curio.sleep(max(0.0, schedule.leaves_at - read_clock()))
         while (
             now := read_clock()
         ) < schedule.ends_at and self._has_unfinished_work():
--- a/egretlever/relay/tests/test_planned_stop.py
+++ b/egretlever/relay/tests/test_planned_stop.py
@@ -124,3 +124,22 @@
             assert read_clock() - began < Bounds().grace
 
     run_on_host(script)
+
+
+def test_stop_whose_signal_was_noticed_late_ends_within_the_grace_period():
+    # The process was killed while it wrote its last answers.
+    async def script(host):
+        await host.configure("00000008", timeout="6000ms")
+        host.server.replace_steps(serve(after=9.0))
+        await host.announce(1)
+        await curio.sleep(1.0)
+        async with await open_client(host) as client:
+            asked_at = read_clock() - 2.0
+            stop = await curio.spawn(host.stop, asked_at)
+            await client.sendall(ORDER)
+            data = await read_until_closed(client)
+        await stop.join()
+        assert data.startswith(b"HTTP/1.1 50")
+        assert read_clock() - asked_at < Bounds().grace
+
+    run_on_host(script)
--- a/egretlever/testing/_relay_host.py
+++ b/egretlever/testing/_relay_host.py
@@ -8,7 +8,7 @@
 import curio
 from returns.result import Success
 
-from egretlever.core import Address
+from egretlever.core import Address, Seconds
 from egretlever.platform import Bounds
 from egretlever.platform.tests.wire_builders import (
     build_configuration_body,
@@ -103,9 +103,9 @@
         await self.kill()
         await self.start()
 
-    async def stop(self) -> None:
-        """End the node's process as SIGTERM does."""
-        await self._node.stop()
+    async def stop(self, asked_at: Seconds | None = None) -> None:
+        """End the node's process as SIGTERM does, received now or earlier."""
+        await self._node.stop(asked_at)
         await self._process.join()
 
     async def announce(
