Let other nodes read the last replies before a home node ends

An entry node lost the reply of a home node that stopped: the reply counted as sent when the system had taken it, and the process ended with frames of the entry node unread, so that the system reset the connection.

A reply counts as sent when its node has acknowledged it.

test_reply_is_read_whole_by_a_slow_node_that_sends_further_frames failed before: ConnectionResetError: [Errno 104] Connection reset by peer.

--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -29,6 +29,7 @@
 from egretlever.transport import accept_connections, read_clock
 
 _LOG = make_log("relay")
+_CLOSE_POLL_INTERVAL = 0.01  # seconds
 _MAX_CONNECTIONS = 3000  # one for each node of the fleet, plus a reserve
 
 
@@ -101,6 +102,21 @@
         """Whether other nodes are still being sent what they wait for."""
         return any(stream.has_unsent_frames for stream in self._streams)
 
+    async def end_sending(self, time_left: float) -> None:
+        """Let the other nodes read everything, and close their connections.
+
+        Parameters
+        ----------
+        time_left : float
+            Seconds after which those that do not close are not waited for.
+        """
+        ended = set(self._streams)
+        for stream in ended:
+            await stream.end_sending()
+        until = read_clock() + time_left
+        while not ended.isdisjoint(self._streams) and read_clock() < until:
+            await curio.sleep(_CLOSE_POLL_INTERVAL)
+
     async def serve_forever(self, listener: Any) -> None:
         """Accept connections of other nodes."""
         await accept_connections(
--- a/egretlever/relay/_frames.py
+++ b/egretlever/relay/_frames.py
@@ -11,7 +11,11 @@
 
 from egretlever.core import Seconds, make_log
 from egretlever.schema import relay_pb2
-from egretlever.transport import SocketReader, read_clock
+from egretlever.transport import (
+    SocketReader,
+    measure_unacknowledged,
+    read_clock,
+)
 
 _LOG = make_log("relay")
 _LENGTH = struct.Struct(">I")
@@ -61,6 +65,7 @@
         self._queued_bytes = 0
         self._wake = curio.Event()
         self._closed = False
+        self._sending_ended = False
         self.last_received_at: Seconds = read_clock()
 
     @property
@@ -70,18 +75,22 @@
 
     @property
     def has_unsent_frames(self) -> bool:
-        """Whether queued frames are not sent completely."""
-        return self._queued_bytes > 0 and not self._closed
+        """Whether the peer has yet to get queued frames."""
+        if self._closed:
+            return False
+        return self._queued_bytes > 0 or bool(
+            measure_unacknowledged(self._sock)
+        )
 
     async def post(self, frame: relay_pb2.RelayFrame | bytes) -> None:
-        """Queue a frame for sending; a closed stream ignores it.
+        """Queue a frame for sending; a stream that ends ignores it.
 
         Parameters
         ----------
         frame : RelayFrame or bytes
             The frame, or its serialized form.
         """
-        if self._closed:
+        if self._closed or self._sending_ended:
             return
         data = frame if isinstance(frame, bytes) else frame.SerializeToString()
         self._queued.append(_LENGTH.pack(len(data)) + data)
@@ -141,6 +150,18 @@
             except zlib.error as error:
                 raise FrameError(str(error)) from None
 
+    async def end_sending(self) -> None:
+        """Half-close, so that the peer reads all frames and closes.
+
+        Frames that it sends meanwhile have to be read: the system resets a
+        connection that is closed with unread bytes.
+        """
+        self._sending_ended = True
+        try:
+            await self._sock.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            _LOG.debug("A node had closed its connection: %s.", error)
+
     async def shut_down(self) -> None:
         """Shut the socket down, which ends the reading and writing tasks."""
         self._closed = True
--- a/egretlever/relay/tests/test_planned_stop.py
+++ b/egretlever/relay/tests/test_planned_stop.py
@@ -1,12 +1,18 @@
 """Guards answers that are being sent when a planned stop begins."""
 
+import random
+
 import curio
 import pytest
 from curio import socket
 
 from egretlever.platform import Bounds
+from egretlever.relay._codec import encode_offer
+from egretlever.relay._frames import FrameStream
+from egretlever.schema import relay_pb2
 from egretlever.testing._relay_fixture import serve
 from egretlever.testing._relay_host import RelayHost, run_on_host
+from egretlever.testing.relay_builders import build_offer
 from egretlever.transport import read_clock
 
 BODY_BYTES = 8_000_000
@@ -23,6 +29,15 @@
     return client
 
 
+async def read_slowly(client):
+    """Count the bytes that a client gets at 0.5 MB/s."""
+    received = 0
+    while data := await client.recv(5_000):
+        received += len(data)
+        await curio.sleep(len(data) / 500_000)
+    return received
+
+
 async def read_until_closed(client):
     data = bytearray()
     while received := await client.recv(1 << 16):
@@ -73,10 +88,7 @@
             await curio.sleep(stopped_after)
             await client.sendall(ORDER)
             sender = await curio.spawn(send_further, client, daemon=True)
-            received = 0
-            while data := await client.recv(5_000):
-                received += len(data)
-                await curio.sleep(len(data) / 500_000)
+            received = await read_slowly(client)
             await sender.cancel()
         await stop.join()
         assert body_bytes < received < body_bytes + 1000
@@ -143,3 +155,50 @@
         assert read_clock() - asked_at < Bounds().grace
 
     run_on_host(script)
+
+
+def test_reply_is_read_whole_by_a_slow_node_that_sends_further_frames():
+    # The home node ended with frames of the other node unread.
+    body = random.Random(1).randbytes(900_000)
+
+    async def send_further(stream):
+        while True:
+            await curio.sleep(0.1)
+            await stream.post(relay_pb2.RelayFrame(ping=relay_pb2.Ping()))
+
+    async def script(host):
+        host.server.replace_steps(serve(body))
+        await host.announce(1)
+        await curio.sleep(1.0)
+        peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 14)
+        async with peer:
+            await peer.connect((host.relay.ip, host.relay.port))
+            stream = FrameStream(peer)
+            tasks = [
+                await curio.spawn(stream.write_forever, daemon=True),
+                await curio.spawn(send_further, stream, daemon=True),
+            ]
+            stop = await curio.spawn(host.stop)
+            await curio.sleep(2.5)
+            await stream.post(encode_offer(1, build_offer()))
+            assert await read_slowly(peer) > len(body)
+            for task in tasks:
+                await task.cancel()
+        await stop.join()
+
+    run_on_host(script)
+
+
+def test_open_connections_of_other_nodes_do_not_hold_a_planned_stop():
+    # A node that is frozen does not close them.
+    async def script(host):
+        peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        async with peer:
+            await peer.connect((host.relay.ip, host.relay.port))
+            await curio.sleep(1.0)
+            began = read_clock()
+            await host.stop()
+            assert read_clock() - began < 4.5
+
+    run_on_host(script)
--- a/egretlever/testing/_relay_host.py
+++ b/egretlever/testing/_relay_host.py
@@ -48,6 +48,8 @@
         The server; it runs all requests with success.
     clients : Address
         Address of the node for clients.
+    relay : Address
+        Address of the node for other nodes.
     """
 
     def __init__(
@@ -56,7 +58,7 @@
         self.store = store or RowsStandIn()
         self._runs_store = store is None
         self.server = ScriptedServer(serve())
-        self.clients, health, self._announcements, relay, metrics = (
+        self.clients, health, self._announcements, self.relay, metrics = (
             reserve_addresses(5)
         )
         self._settings = settings_pb2.RelaySettings(
@@ -71,8 +73,8 @@
                 clients=str(self.clients),
                 health=str(health),
                 announcements=str(self._announcements),
-                ip=relay.ip,
-                relay_port=relay.port,
+                ip=self.relay.ip,
+                relay_port=self.relay.port,
                 metrics_port=metrics.port,
             ),
             store=settings_pb2.RelayStoreSection(
