End a planned stop while clients keep connecting

A planned stop waited for every client that had not closed its connection. Where clients connect again after each rejection, there is one at every moment, and each stop lasted to the end of the grace period.

Connections that open after the node has begun to reject everything do not hold the stop up, and a connection counts as finished when its client's system has acknowledged all bytes: Linux keeps them for the client also when the connection is reset later. Where the system does not tell, the close of the client is waited for.

--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -113,11 +113,10 @@
     @property
     def is_unfinished(self) -> bool:
         """Whether the client may still miss an answer if the process ends."""
-        return bool(
-            self._pending
-            or self._lingering
-            or measure_unacknowledged(self._sock)
-        )
+        unacknowledged = measure_unacknowledged(self._sock)
+        if unacknowledged is None:
+            return self._lingering or bool(self._pending)
+        return unacknowledged > 0 or bool(self._pending)
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
--- a/egretlever/relay/_stopping.py
+++ b/egretlever/relay/_stopping.py
@@ -98,12 +98,16 @@
         self._home = home
         self._acceptor = acceptor
         self._connections = connections
+        # Those that may hold the stop up.
+        self._awaited: frozenset[ClientConnection] = frozenset()
 
     async def run(self, schedule: StopSchedule) -> None:
         """Return when all work is finished, or at the end of the schedule."""
         self._entry.stop(schedule.leaves_at, schedule.answers_by)
         self._home.stop(schedule.leaves_at, schedule.answers_by)
         await curio.sleep(max(0.0, schedule.leaves_at - read_clock()))
+        # Later ones only get rejections, and may be many.
+        self._awaited = frozenset(self._connections)
         while (
             now := read_clock()
         ) < schedule.ends_at and self._has_unfinished_work():
@@ -119,7 +123,8 @@
         self._log_end(schedule)
 
     def _count_unfinished_connections(self) -> int:
-        return sum(one.is_unfinished for one in self._connections)
+        open_connections = self._awaited.intersection(self._connections)
+        return sum(one.is_unfinished for one in open_connections)
 
     def _has_unfinished_work(self) -> bool:
         """Tell whether a request has no answer, or one that is not read yet.
--- a/egretlever/relay/tests/test_planned_stop.py
+++ b/egretlever/relay/tests/test_planned_stop.py
@@ -202,3 +202,28 @@
             assert read_clock() - began < 4.5
 
     run_on_host(script)
+
+
+def test_clients_that_connect_again_and_again_do_not_hold_a_planned_stop():
+    # At every moment one of their connections was not closed yet.
+    async def connect_forever(host):
+        while True:
+            async with await open_client(host) as client:
+                await client.sendall(ORDER)
+                await client.recv(1 << 16)
+                await curio.sleep(0.3)
+
+    async def script(host):
+        await host.announce(1)
+        await curio.sleep(1.0)
+        began = read_clock()
+        clients = [
+            await curio.spawn(connect_forever, host, daemon=True)
+            for _ in range(3)
+        ]
+        await host.stop()
+        assert read_clock() - began < 4.0
+        for client in clients:
+            await client.cancel()
+
+    run_on_host(script)
