--- a/egretlever/relay/_stopping.py
+++ b/egretlever/relay/_stopping.py
@@ -23,6 +23,9 @@
 _ANSWER_MARGIN = Seconds(0.15)
 _DRAIN_POLL_INTERVAL = 0.05  # seconds
 _FLUSH_TIME = 0.05  # seconds
+# Other nodes close a connection within a round trip between regions (16 ms),
+# unless their hosts are slow.
+_CLOSE_TIME = 0.3  # seconds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,12 +98,16 @@
         self._home = home
         self._acceptor = acceptor
         self._connections = connections
+        # Those that may hold the stop up.
+        self._awaited: frozenset[ClientConnection] = frozenset()
 
     async def run(self, schedule: StopSchedule) -> None:
         """Return when all work is finished, or at the end of the schedule."""
         self._entry.stop(schedule.leaves_at, schedule.answers_by)
         self._home.stop(schedule.leaves_at, schedule.answers_by)
-        await curio.sleep(schedule.leaves_at - read_clock())
+        await curio.sleep(max(0.0, schedule.leaves_at - read_clock()))
+        # Later ones only get rejections, and may be many.
+        self._awaited = frozenset(self._connections)
         while (
             now := read_clock()
         ) < schedule.ends_at and self._has_unfinished_work():
@@ -109,12 +116,15 @@
                 # after its end.
                 await self._entry.running.end_all()
             await curio.sleep(_DRAIN_POLL_INTERVAL)
+        time_left = max(0.0, schedule.ends_at - read_clock())
+        await self._acceptor.end_sending(min(_CLOSE_TIME, time_left))
         # The peers still read the last answers and replies.
         await curio.sleep(_FLUSH_TIME)
         self._log_end(schedule)
 
     def _count_unfinished_connections(self) -> int:
-        return sum(one.is_unfinished for one in self._connections)
+        open_connections = self._awaited.intersection(self._connections)
+        return sum(one.is_unfinished for one in open_connections)
 
     def _has_unfinished_work(self) -> bool:
         """Tell whether a request has no answer, or one that is not read yet.
--- a/egretlever/testing/_relay_host.py
+++ b/egretlever/testing/_relay_host.py
@@ -8,7 +8,7 @@
 import curio
 from returns.result import Success
 
-from egretlever.core import Address
+from egretlever.core import Address, Seconds
 from egretlever.platform import Bounds
 from egretlever.platform.tests.wire_builders import (
     build_configuration_body,
@@ -48,6 +48,8 @@
         The server; it runs all requests with success.
     clients : Address
         Address of the node for clients.
+    relay : Address
+        Address of the node for other nodes.
     """
 
     def __init__(
@@ -56,7 +58,7 @@
         self.store = store or RowsStandIn()
         self._runs_store = store is None
         self.server = ScriptedServer(serve())
-        self.clients, health, self._announcements, relay, metrics = (
+        self.clients, health, self._announcements, self.relay, metrics = (
             reserve_addresses(5)
         )
         self._settings = settings_pb2.RelaySettings(
@@ -71,8 +73,8 @@
                 clients=str(self.clients),
                 health=str(health),
                 announcements=str(self._announcements),
-                ip=relay.ip,
-                relay_port=relay.port,
+                ip=self.relay.ip,
+                relay_port=self.relay.port,
                 metrics_port=metrics.port,
             ),
             store=settings_pb2.RelayStoreSection(
@@ -103,9 +105,9 @@
         await self.kill()
         await self.start()
 
-    async def stop(self) -> None:
-        """End the node's process as SIGTERM does."""
-        await self._node.stop()
+    async def stop(self, asked_at: Seconds | None = None) -> None:
+        """End the node's process as SIGTERM does, received now or earlier."""
+        await self._node.stop(asked_at)
         await self._process.join()
 
     async def announce(
