Follow a source anew when a change leads from another version

A node whose configuration was not the one that a change leads from read the store once. When that failed, since the store refused it or the answer came late, it waited for the next change of its source, and its branch with it; before the age of the information counted, until the next version. Such gaps arise when a node takes a version by a handover, which its followers are not told. Class of fault: a missed change that only one attempt makes up.

The node now follows its source anew and is sent all rows, without the store. The directory, whose followers read missed changes from the store, no longer waits on the old subscription after a failed read either.

--- a/egretlever/relay/_configuration_follower.py
+++ b/egretlever/relay/_configuration_follower.py
@@ -126,6 +126,9 @@
                 await self._read_store()
                 continue
             applied = self._holder.apply(change, self.sharing.source)
+            if applied is None and change.base > 0:
+                await self.sharing.restart("change leads from another version")
+                continue
             if applied is None:
                 await self._read_store()
                 continue
--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -121,6 +121,9 @@
         self._own_relay = own_relay
         self._readers = readers
         self._links = links
+        # Whether nodes that follow this one anew are sent the rows that they
+        # need. Otherwise they read them from the store.
+        self._sends_rows = describe is not None
         self._describe_rows = describe or self._describe_version
         self._limits = limits
         self._freshness = freshness
@@ -324,7 +327,13 @@
                     self._readers.observe_change(relay)
                 self._received = self._received or change.version > 0
                 metrics.SHARED_CHANGES.labels(self._table.value).inc()
-                return change if change.base <= version else None
+                if change.base <= version:
+                    return change
+                await self.restart("changes are missing")
+                if not self._sends_rows:
+                    break
+                self._watch.tried += 1
+                continue
             self._watch.tried += 1
             cut_off += change is not None
             slow = change is None and self._is_connected(relay)
@@ -336,6 +345,24 @@
         await self._leave()
         return None
 
+    async def restart(self, reason: str) -> None:
+        """Follow the source anew, which then sends all that is needed.
+
+        Parameters
+        ----------
+        reason : str
+            Reason for the log.
+        """
+        _LOG.event(
+            logs_pb2.StateLine(
+                event="reader-asked-anew",
+                subject=self._table.value,
+                address=self.source,
+                reason=reason,
+            )
+        )
+        await self._leave()
+
     def _is_connected(self, relay: Address) -> bool:
         """Tell whether a node that sent nothing still has its connection."""
         if self._freshness is None or not self._watch.follows(relay):
--- a/egretlever/relay/tests/test_configuration_sharing.py
+++ b/egretlever/relay/tests/test_configuration_sharing.py
@@ -232,3 +232,16 @@
         assert len(fixture.store.calls) <= 24
 
     run_script(script, count=20, bounds=BOUNDS)
+
+
+def test_gap_between_changes_is_closed_without_the_store():
+    # The node waited for the next change, and its branch with it.
+    source, refused = 1, (5, 6, 7, 8)
+
+    async def script(fixture):
+        fixture.door.busy = True
+        fixture.nodes[source].overtake(LARGE)
+        assert await list_late(fixture, ()) == []
+        assert fixture.door.turned_away == 0
+
+    run_script(script, count=20, bounds=BOUNDS, turned_away=refused)
--- a/egretlever/standins/_rows.py
+++ b/egretlever/standins/_rows.py
@@ -264,6 +264,8 @@
         Listening address.
     busy : bool
         Whether calls are answered with 503 from now on.
+    turned_away : int
+        Number of calls that were answered so.
     """
 
     def __init__(self, handle: Handler) -> None:
@@ -271,6 +273,7 @@
         self._listener = open_listener(Address("127.0.0.1", 0))
         self.address = Address(*self._listener.getsockname()[:2])
         self.busy = False
+        self.turned_away = 0
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -280,4 +283,7 @@
             await self._listener.close()
 
     async def _answer(self, head: RequestHead, body: bytes) -> Answer:
-        return Answer(503) if self.busy else await self._handle(head, body)
+        if not self.busy:
+            return await self._handle(head, body)
+        self.turned_away += 1
+        return Answer(503)
--- a/egretlever/testing/_relay_region.py
+++ b/egretlever/testing/_relay_region.py
@@ -9,7 +9,7 @@
 
 from egretlever.core import Address, FailureDomain, Seconds, Version
 from egretlever.placement import HomeServer
-from egretlever.platform import Bounds
+from egretlever.platform import Bounds, decode_configuration
 from egretlever.relay import RelayNode, make_relay_node
 from egretlever.relay._changes import SharedTable, TableChange
 from egretlever.relay._codec import encode_row
@@ -133,6 +133,14 @@
 
         sharing.publish = publish_late  # type: ignore[method-assign]
 
+    def overtake(self, body: bytes) -> None:
+        """Put a configuration in force that the followers are not told.
+
+        That is what a handover does.
+        """
+        configuration = decode_configuration(body).unwrap()
+        self._get_follower()._holder.replace(configuration)
+
     def _get_follower(self) -> ConfigurationFollower:
         if self._node is None:
             raise RuntimeError("the node was not started")
