Let a paused node read what has arrived before it leaves its source

A node that had been paused found that what it knew was too old and left its source at once, although everything had arrived in its socket meanwhile. It then read the store itself for eight seconds.

The time to catch up is now a wait of its own after the end of the first one.

test_paused_node_reads_what_has_arrived_before_it_leaves_its_source failed before.

--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -411,7 +411,11 @@
             deadline = self._watch.find_deadline()
             if deadline is not None:
                 left = max(0.0, deadline - read_clock())
-                async with curio.ignore_after(left + _CATCH_UP_TIME):
+                async with curio.ignore_after(left):
+                    return await link.read_change(self._table)
+                # A paused process finds both the end of its wait and what has
+                # arrived meanwhile.
+                async with curio.ignore_after(_CATCH_UP_TIME):
                     return await link.read_change(self._table)
                 if link.is_silent(silence):
                     # Closes a connection that stopped working.
--- a/egretlever/relay/tests/test_sharing.py
+++ b/egretlever/relay/tests/test_sharing.py
@@ -12,18 +12,22 @@
     Version,
 )
 from egretlever.platform import StoredRow
-from egretlever.relay._changes import SharedTable, TableChange
+from egretlever.relay._changes import Position, SharedTable, TableChange
+from egretlever.relay._freshness import Freshness
 from egretlever.relay._links import LinkPool
 from egretlever.relay._sharing import SharingLimits, TableSharing
 from egretlever.standins import RowsFault
-from egretlever.testing import run_virtual
+from egretlever.testing import VirtualClock, run_virtual
 from egretlever.testing._failure_domain import DomainFixture
 from egretlever.testing._relay_doubles import (
     ChangeRecorder,
     NoSource,
     NoticeRecorder,
+    QueueLink,
+    QueueLinkPool,
 )
 from egretlever.testing.relay_builders import build_home_server
+from egretlever.transport import read_clock
 
 NODES = 30
 FOLLOWERS = NODES - 1
@@ -215,9 +219,49 @@
 class DeadSource(NoSource):
     """Chooses a node that does not run."""
 
+    def __init__(self):
+        self.excluded = []
+
     def choose(self, now):
         return Address("127.0.0.1", 1)
 
+    def exclude(self, relay, now, slow=False):
+        self.excluded.append(relay)
+
+
+def test_paused_node_reads_what_has_arrived_before_it_leaves_its_source():
+    # Woken nodes left sources that had told them everything in time.
+    clock = VirtualClock()
+
+    def build_change(version):
+        position = Position(read_clock(), 0)
+        return TableChange(
+            Version(version), Version(version), position=position, timed=True
+        )
+
+    async def main():
+        link, selector = QueueLink(), DeadSource()
+        freshness = Freshness(Seconds(2.0))
+        sharing = TableSharing(
+            SharedTable.CONFIGURATION,
+            NEWCOMER.relay,
+            selector,
+            QueueLinkPool(link),
+            freshness=freshness,
+        )
+        await link.changes.put(build_change(3))
+        change = await sharing.receive(Version(3))
+        freshness.advance(change.position, read_clock())
+        receiver = await curio.spawn(sharing.receive, Version(3))
+        await curio.sleep(0.1)
+        clock.advance(5.0)
+        await curio.sleep(0.001)
+        await link.changes.put(build_change(3))
+        assert await receiver.join() is not None
+        return selector.excluded
+
+    assert run_virtual(main(), clock) == []
+
 
 def make_pending_sharing(selector):
     return TableSharing(
--- a/egretlever/testing/_relay_doubles.py
+++ b/egretlever/testing/_relay_doubles.py
@@ -72,6 +72,50 @@
         """Ignore a change of a node."""
 
 
+class QueueLink:
+    """Connection whose changes a test puts into a queue."""
+
+    def __init__(self) -> None:
+        self.changes = curio.Queue()
+        self.closed = False
+
+    async def follow_table(
+        self, table: SharedTable, own_relay: Address, known: Version
+    ) -> None:
+        """Subscribe to the changes of a table."""
+
+    async def leave_table(self, table: SharedTable) -> None:
+        """End the subscription."""
+
+    async def read_change(self, table: SharedTable) -> TableChange | None:
+        """Return the next change of the queue."""
+        change: TableChange | None = await self.changes.get()
+        return change
+
+    def is_silent(self, duration: Seconds) -> bool:
+        """Return False: the connection lives."""
+        del duration
+        return False
+
+
+class QueueLinkPool:
+    """Has one connection to all nodes.
+
+    Parameters
+    ----------
+    link : QueueLink
+        The connection.
+    """
+
+    def __init__(self, link: QueueLink) -> None:
+        self._link = link
+
+    async def acquire(self, relay: Address) -> QueueLink:
+        """Return the connection."""
+        del relay
+        return self._link
+
+
 async def serve_silently(
     listener: Any, table: SharedTable, version: Version
 ) -> None:
