Shorten polls of the configuration only for nodes that are followed

At the first start of a fleet no node is followed, and each reads the store.

test_nodes_that_start_without_followers_make_no_short_polls failed before.

--- a/egretlever/relay/_configuration_follower.py
+++ b/egretlever/relay/_configuration_follower.py
@@ -171,9 +171,17 @@
 
     async def _poll(self) -> None:
         self._read_times = await self._table.follow_once(
-            self._freshness.find_poll_time, self._poll_timeout
+            self._find_poll_time, self._poll_timeout
         )
 
+    def _find_poll_time(self, now: Seconds) -> Seconds:
+        """Return the duration of a poll; shorter ones are paid for others."""
+        if self.sharing.has_subscribers or self._freshness.is_outdated(
+            self._freshness.position, now
+        ):
+            return self._freshness.find_poll_time(now)
+        return self._freshness.poll_time
+
     def _advance(self, position: Position) -> None:
         """Record up to when the configuration is known to be the newest."""
         late_age = self._freshness.advance(position, read_clock())
--- a/egretlever/relay/_freshness.py
+++ b/egretlever/relay/_freshness.py
@@ -64,6 +64,8 @@
     position : Position or None
         Newest position; None before the first one, and while the source is a
         node of an earlier release.
+    poll_time : Seconds
+        Longest duration of a long poll.
     try_time : Seconds
         Least time that another source gets to send something.
     trial_time : Seconds
@@ -87,7 +89,7 @@
         self.trial_time = Seconds(_TRIAL_SHARE * in_force_within)
         self._long_try_time = _LONG_TRY_SHARE * in_force_within
         self._last_try_age = _LAST_TRY_SHARE * in_force_within
-        self._poll_time = _POLL_SHARE * in_force_within
+        self.poll_time = Seconds(_POLL_SHARE * in_force_within)
         self._answer_due_age = _ANSWER_DUE_SHARE * in_force_within
         # Time of the latest whole poll beyond its wait.
         self._store_delay = 0.0
@@ -133,10 +135,10 @@
     def find_poll_time(self, now: Seconds) -> Seconds:
         """Find the duration of a long poll that begins now."""
         if self.position is None:
-            return Seconds(self._poll_time)
+            return self.poll_time
         due_at = self.position.as_of + self._answer_due_age
         left = due_at - self._store_delay - now
-        return Seconds(max(0.0, min(self._poll_time, left)))
+        return Seconds(max(0.0, min(self.poll_time, left)))
 
     def find_deadline(self) -> Seconds | None:
         """Find the time at which what is known is too old.
--- a/egretlever/relay/tests/test_followers.py
+++ b/egretlever/relay/tests/test_followers.py
@@ -739,3 +739,16 @@
         assert fixture.store.calls.count("GET /rows-feed") <= 80.0 / 0.7
 
     run_script(script)
+
+
+def test_nodes_that_start_without_followers_make_no_short_polls():
+    # At the first start of a fleet no node knows another one yet.
+    async def script(fixture):
+        await put_configuration(fixture, 7)
+        await curio.sleep(1.0)
+        fixture.store.calls.clear()
+        await put_configuration(fixture, 8)
+        await curio.sleep(1.2)
+        assert fixture.store.calls.count("GET /rows-feed") == 1
+
+    run_script(script)
