Count late turns instead of logging each of them

They are counted now, with their lateness, in the histogram egretlever_relay_late_turn_seconds, which also tells a starved process from other causes of late configurations.

--- a/egretlever/relay/_metrics.py
+++ b/egretlever/relay/_metrics.py
@@ -68,6 +68,11 @@
     "Nodes between the store and this one, through which the configuration"
     " comes.",
 )
+LATE_TURN_SECONDS = Histogram(
+    "egretlever_relay_late_turn_seconds",
+    "Time by which tasks ended after an enclosing timeout.",
+    buckets=(0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5),
+)
 SERVERS = Gauge("egretlever_relay_servers_known", "Servers in the directory.")
 
 
--- a/egretlever/relay/_node.py
+++ b/egretlever/relay/_node.py
@@ -41,6 +41,7 @@
 from egretlever.relay._followers import make_directory_follower
 from egretlever.relay._handover import HandoverExchange
 from egretlever.relay._home import make_home_node
+from egretlever.relay._late_turns import count_late_turns
 from egretlever.relay._links import LinkPool
 from egretlever.relay._orphans import OrphanRemover
 from egretlever.relay._publishing import ServerPublisher
@@ -260,6 +261,7 @@
 
     async def run(self) -> None:
         """Run until the planned stop is complete."""
+        count_late_turns()
         listen = self._settings.listen
         page = AnnouncementPage(
             self._home,
