--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -121,6 +121,9 @@
         self._own_relay = own_relay
         self._readers = readers
         self._links = links
+        # Whether nodes that follow this one anew are sent the rows that they
+        # need. Otherwise they read them from the store.
+        self._sends_rows = describe is not None
         self._describe_rows = describe or self._describe_version
         self._limits = limits
         self._freshness = freshness
@@ -324,7 +327,13 @@
                     self._readers.observe_change(relay)
                 self._received = self._received or change.version > 0
                 metrics.SHARED_CHANGES.labels(self._table.value).inc()
-                return change if change.base <= version else None
+                if change.base <= version:
+                    return change
+                await self.restart("changes are missing")
+                if not self._sends_rows:
+                    break
+                self._watch.tried += 1
+                continue
             self._watch.tried += 1
             cut_off += change is not None
             slow = change is None and self._is_connected(relay)
@@ -336,6 +345,24 @@
         await self._leave()
         return None
 
+    async def restart(self, reason: str) -> None:
+        """Follow the source anew, which then sends all that is needed.
+
+        Parameters
+        ----------
+        reason : str
+            Reason for the log.
+        """
+        _LOG.event(
+            logs_pb2.StateLine(
+                event="reader-asked-anew",
+                subject=self._table.value,
+                address=self.source,
+                reason=reason,
+            )
+        )
+        await self._leave()
+
     def _is_connected(self, relay: Address) -> bool:
         """Tell whether a node that sent nothing still has its connection."""
         if self._freshness is None or not self._watch.follows(relay):
@@ -384,7 +411,11 @@
             deadline = self._watch.find_deadline()
             if deadline is not None:
                 left = max(0.0, deadline - read_clock())
-                async with curio.ignore_after(left + _CATCH_UP_TIME):
+                async with curio.ignore_after(left):
+                    return await link.read_change(self._table)
+                # A paused process finds both the end of its wait and what has
+                # arrived meanwhile.
+                async with curio.ignore_after(_CATCH_UP_TIME):
                     return await link.read_change(self._table)
                 if link.is_silent(silence):
                     # Closes a connection that stopped working.
