--- a/benchmarks/_relay_soak_configurations.py
+++ b/benchmarks/_relay_soak_configurations.py
@@ -1,5 +1,6 @@
 """Configurations that change during a relay soak run, and their checks."""
 
+import bisect
 import collections
 import dataclasses
 import json
@@ -209,6 +210,8 @@
         if following is None:
             return None
         age = Seconds(one.sent.begun - following.confirmed)
+        if age <= min(self.age_in_touch, self.age_in_trouble):
+            return None
         if not self._is_in_touch(one):
             self.age_in_trouble = max(self.age_in_trouble, age)
             return None
@@ -238,21 +241,25 @@
                 ):
                     signs.append((one.seen, one.oldest))
             for one in process:
-                slack = (
-                    _ROLLBACK_SLACK
-                    if self._is_in_touch(one)
-                    else _ROLLBACK_SLACK_IN_TROUBLE
-                )
-                before = one.sent.begun - slack
-                seen = [version for at, version in signs if at < before]
-                if seen and one.newest < seen[-1]:
+                seen = self._find_sign(signs, one, _ROLLBACK_SLACK)
+                if one.newest < seen and not self._is_in_touch(one):
+                    slack = _ROLLBACK_SLACK_IN_TROUBLE
+                    seen = self._find_sign(signs, one, slack)
+                if one.newest < seen:
                     found.append(
                         f"{one.sent.request} at {one.sent.host} was handled as"
-                        f" version {one.newest} allows, after version"
-                        f" {seen[-1]}"
+                        f" version {one.newest} allows, after version {seen}"
                     )
         return found
 
+    @staticmethod
+    def _find_sign(
+        signs: list[tuple[Seconds, int]], one: _Handling, slack: Seconds
+    ) -> int:
+        """Find the oldest version of the last sign before a request."""
+        end = bisect.bisect_left(signs, (one.sent.begun - slack, 0))
+        return signs[end - 1][1] if end else 0
+
     def _is_in_touch(self, one: _Handling) -> bool:
         return is_in_touch(
             self._records.applied_events,
