--- /dev/null
+++ b/egretlever/relay/tests/test_service_times.py
@@ -0,0 +1,157 @@
+"""Guards sound servers against limits that rest on how long answers took."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from egretlever.placement import Trust
+from egretlever.testing import run_virtual
+from egretlever.testing._timed_fleet import TimedFleet
+
+TIMEOUT = 6.0  # seconds
+# Requests after which a service has to be served again at a new speed.
+LEARNING = 4
+
+
+def run_fleet(fleet_of, script):
+    """Run a script with a fleet that has just started."""
+
+    async def main():
+        fleet = fleet_of()
+        await fleet.start()
+        return await script(fleet)
+
+    return run_virtual(main())
+
+
+def send_phases(count, phases, **options):
+    """Send requests one by one; return the outcomes of each phase.
+
+    Parameters
+    ----------
+    count : int
+        Number of servers.
+    phases : list of tuple of float and int
+        Time at all servers, and number of requests.
+    """
+
+    async def script(fleet):
+        return [
+            await fleet.send_all(*[work] * number) for work, number in phases
+        ]
+
+    return run_fleet(lambda: TimedFleet(count, **options), script)
+
+
+def count_served(outcomes):
+    return sum(outcome.status == 200 for outcome in outcomes)
+
+
+def assert_served(outcomes):
+    """Check that nine of ten requests or more are served after learning."""
+    learned = outcomes[LEARNING:]
+    assert count_served(learned) >= 0.9 * len(learned)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize(
+    ("count", "objective", "work"),
+    [
+        (1, 1.2, 1.0),
+        (1, 1.2, 1.5),
+        (1, 4.0, 4.0),
+        (2, 1.2, 2.5),
+        (8, 1.2, 5.8),
+    ],
+)
+def test_sound_server_that_needs_most_of_the_time_is_not_cut_for_good(
+    count, objective, work, idempotent
+):
+    # Attempts were ended before their answers came, so that the usual time was
+    # never learned: 502 for each request.
+    phases = [(work, 15)]
+    options = {"objective": objective, "idempotent": idempotent}
+    assert_served(*send_phases(count, phases, **options))
+
+
+def test_last_attempt_that_is_possible_is_not_cut():
+    # It was ended after six times the usual time, with no other server to ask.
+    outcomes = send_phases(1, [(0.3, 2), (2.3, 1)], objective=4.0)
+    assert [count_served(phase) for phase in outcomes] == [2, 1]
+
+
+@pytest.mark.parametrize(
+    "works",
+    [
+        [0.3, 1.2, *[2.3] * 3, 4.0, *[0.3] * 16],
+        [*[0.3] * 4, *[1.5] * 3, 1.7, 1.9, 2.1, *[2.5] * 7],
+    ],
+    ids=["fast-again", "slower-and-slower"],
+)
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_server_slower_than_its_own_past_is_not_locked_out(works, idempotent):
+    # The only server was compared with a mean of its own earlier times, and got
+    # no request any more: 503 at once, also when it was fast again.
+    async def script(fleet):
+        return await fleet.send_all(*works)
+
+    options = {"objective": 4.0, "idempotent": idempotent}
+    outcomes = run_fleet(lambda: TimedFleet(1, **options), script)
+    assert count_served(outcomes) == len(works)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("slow", [2.5, 5.8])
+@pytest.mark.parametrize("count", [1, 2, 3, 8])
+def test_service_that_becomes_slow_and_fast_again_is_served(
+    count, slow, idempotent
+):
+    # A new version of all servers took longer: 502 for each request while it
+    # was in use, on unsafe routes 503 for good.
+    phases = [(0.3, 8), (slow, 15), (0.3, 15)]
+    for outcomes in send_phases(count, phases, idempotent=idempotent):
+        assert_served(outcomes)
+
+
+@pytest.mark.parametrize("count", [2, 3, 8])
+def test_hanging_server_among_fast_ones_is_found_and_its_requests_retried(
+    count,
+):
+    # Whatever is done for slow servers, one that hangs gets two requests, and
+    # these are answered by another server soon after six times the usual time.
+    async def script(fleet):
+        await fleet.send_all(*[0.1] * 10)
+        for host in range(count):
+            for _ in range(4):
+                await fleet.send(host)
+        before = fleet.servers[0].arrivals
+        fleet.hang(0)
+        outcomes = [await fleet.send() for _ in range(12)]
+        return outcomes, fleet.servers[0].arrivals - before, fleet.trust(0)
+
+    outcomes, arrivals, trust = run_fleet(lambda: TimedFleet(count), script)
+    assert count_served(outcomes) == 12
+    assert max(outcome.took for outcome in outcomes) < 0.75
+    assert sum(outcome.took > 0.2 for outcome in outcomes) == 2
+    assert arrivals == 2
+    assert trust is Trust.BROKEN
+
+
+@hypothesis.settings(max_examples=60, deadline=None)
+@hypothesis.given(
+    count=st.sampled_from([1, 2, 3, 8]),
+    idempotent=st.booleans(),
+    objective=st.sampled_from([0.25, 1.2, 4.0]),
+    works=st.lists(
+        st.floats(0.001, TIMEOUT - 0.05), min_size=1, max_size=4, unique=True
+    ),
+)
+def test_any_service_time_up_to_the_timeout_is_served(
+    count, idempotent, objective, works
+):
+    # What answers took must not decide for good whether a service is asked, or
+    # when its requests are ended.
+    phases = [(work, 24) for work in works]
+    options = {"objective": objective, "idempotent": idempotent}
+    for outcomes in send_phases(count, phases, **options):
+        assert_served(outcomes)
--- a/egretlever/testing/_relay_fleet.py
+++ b/egretlever/testing/_relay_fleet.py
@@ -8,6 +8,7 @@
 import collections
 import math
 import random
+from collections.abc import Callable
 
 import curio
 
@@ -44,6 +45,7 @@
 from egretlever.relay._entry import EntryNode
 from egretlever.relay._fleet import FleetView
 from egretlever.relay._home import HomeNode
+from egretlever.relay._interfaces import ServerRunner
 from egretlever.relay._jobs import Job
 from egretlever.relay._server_client import ServerResult
 from egretlever.testing._clock import run_virtual
@@ -214,7 +216,11 @@
         self.home = HomeNode(
             fleet.pattern.bounds,
             self.view,
-            _Server(fleet, self, random.Random(f"server-{self.rng.random()}")),
+            fleet.make_runner()
+            if fleet.make_runner is not None
+            else _Server(
+                fleet, self, random.Random(f"server-{self.rng.random()}")
+            ),
         )
         self.entry = EntryNode(
             service, self.view, self.home, _Links(fleet, self), choices
@@ -302,11 +308,19 @@
         Load pattern to replay.
     seed : int, default=1
         Seed of arrivals, work times and gray servers.
+    make_runner : callable, optional
+        Makes the servers, in place of simulated ones of the pattern's kinds.
     """
 
-    def __init__(self, pattern: LoadPattern, seed: int = 1) -> None:
+    def __init__(
+        self,
+        pattern: LoadPattern,
+        seed: int = 1,
+        make_runner: Callable[[], ServerRunner] | None = None,
+    ) -> None:
         self.pattern = pattern
         self.seed = seed
+        self.make_runner = make_runner
         self.kinds = {RouteId(kind.name): kind for kind in pattern.kinds}
         services = {kind.service for kind in pattern.kinds}
         self.report = ReplayReport(
