Compare servers with each other, and forget that they were slow

Callers saw 503 at once for good after a service had become slower, with its server idle and sound, also once it was fast again. The entry node took the lag between two moving averages of the same server for slowness, and only a reply, which no request brought any more, changed it.

A server's extra time is now its slowness beyond that of the fastest server in question, so that the only server left has none, and slowness is forgotten with a half-life of 5 s. A late request is ruled out by a queue or by a lack of time, not by a share of its spare time that slowness exceeds. The usual time of a route rules nothing out by itself: an idle server is asked while half of it is left, and this bound shrinks while no answer shows the route's time.

The end of a request that no home node takes counts in the log line and in a metric which estimate ruled out how many of them.

Ruled out: the circuit breaker, which saw no failure, and the usual time of the route, 0.675 s of 6 s in the traced case.

--- a/egretlever/placement/__init__.py
+++ b/egretlever/placement/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from egretlever.placement._directory import Directory
+from egretlever.placement._exclusions import Exclusion
 from egretlever.placement._groups import DistanceGroups, ServersByDistance
 from egretlever.placement._orphans import OrphanTracker
 from egretlever.placement._readers import (
@@ -34,6 +35,7 @@
 from egretlever.placement._routes import RouteTable
 from egretlever.placement._search import Distance, HomeChoice, Search, Stage
 from egretlever.placement._selection import HomeSelector
+from egretlever.placement._service_times import RouteTimes
 from egretlever.placement._views import count_relevant_slots
 
 __all__ = [
@@ -44,6 +46,7 @@
     "Directory",
     "Distance",
     "DistanceGroups",
+    "Exclusion",
     "Failure",
     "FailureReason",
     "HeaderFields",
@@ -60,6 +63,7 @@
     "Reply",
     "Route",
     "RouteTable",
+    "RouteTimes",
     "Search",
     "ServersByDistance",
     "SourceSelector",
--- /dev/null
+++ b/egretlever/placement/_reports.py
@@ -0,0 +1,240 @@
+"""What an entry node knows of the home nodes, from replies and notices."""
+
+import collections
+from collections.abc import Mapping
+
+from egretlever.core import (
+    FailureDomain,
+    RegionName,
+    Seconds,
+    ServerId,
+)
+from egretlever.placement._exclusions import (
+    Exclusion,
+    ServerComparison,
+    compare_servers,
+    find_exclusion,
+    find_late_exclusion,
+)
+from egretlever.placement._groups import ServersByDistance
+from egretlever.placement._records import (
+    Answer,
+    FailureReason,
+    HomeNotice,
+    HomeServer,
+    RefusalReason,
+    Reply,
+    Trust,
+)
+from egretlever.placement._search import Distance, Search
+from egretlever.placement._views import HomeView
+
+# Age in seconds up to which a report of a doubted server counts. A server may
+# recover at any time, and an offer to find out costs a round trip, with traffic
+# that is expensive between regions.
+_MAX_DOUBT_AGES = {
+    Distance.OWN_DOMAIN: Seconds(0.3),
+    Distance.OWN_REGION: Seconds(0.5),
+    Distance.OTHER_REGION: Seconds(1.0),
+}
+# Age up to which a report of a broken server counts. It is longer because a
+# broken server recovers only by several successful trials, and gray failures
+# last for some 10 s.
+_MAX_BROKEN_AGE = Seconds(2.5)
+_UNUSABLE_REASONS = frozenset(
+    {
+        RefusalReason.NO_SERVER,
+        RefusalReason.LEAVING,
+        RefusalReason.MISDIRECTED,
+        RefusalReason.DOWN,
+    }
+)
+
+
+class HomeReports:
+    """Reports of home nodes, and what they mean for a request.
+
+    Parameters
+    ----------
+    domain : FailureDomain
+        Failure domain of the entry node.
+    regions : mapping of FailureDomain to RegionName
+        Region of each failure domain.
+    """
+
+    def __init__(
+        self,
+        domain: FailureDomain,
+        regions: Mapping[FailureDomain, RegionName],
+    ) -> None:
+        self._domain = domain
+        self._regions = regions
+        self._views: dict[ServerId, HomeView] = {}
+
+    def reload(self, regions: Mapping[FailureDomain, RegionName]) -> None:
+        """Replace the regions of the failure domains."""
+        self._regions = regions
+
+    def measure_distance(self, server: HomeServer) -> Distance:
+        """Return the distance of the home node of a server."""
+        if server.failure_domain == self._domain:
+            return Distance.OWN_DOMAIN
+        if self.is_in_own_region(server.failure_domain):
+            return Distance.OWN_REGION
+        return Distance.OTHER_REGION
+
+    def is_in_own_region(self, domain: FailureDomain) -> bool:
+        """Tell whether a failure domain is known to be in the own region."""
+        own = self._regions.get(self._domain)
+        return own is not None and own == self._regions.get(domain)
+
+    def _find_current_trust(self, server: HomeServer, now: Seconds) -> Trust:
+        return self._view(server).find_current_trust(
+            now,
+            _MAX_DOUBT_AGES[self.measure_distance(server)],
+            _MAX_BROKEN_AGE,
+        )
+
+    def _find_exclusion(
+        self, search: Search, server: HomeServer, now: Seconds
+    ) -> Exclusion | None:
+        trust = self._find_current_trust(server, now)
+        return find_exclusion(search, server, self._view(server), trust, now)
+
+    def _find_late_exclusion(
+        self,
+        search: Search,
+        server: HomeServer,
+        comparison: ServerComparison,
+        now: Seconds,
+    ) -> Exclusion | None:
+        times = self._estimate_times(search, server, comparison, now)
+        return find_late_exclusion(search, *times, now)
+
+    def _estimate_times(
+        self,
+        search: Search,
+        server: HomeServer,
+        comparison: ServerComparison,
+        now: Seconds,
+    ) -> tuple[Seconds, Seconds]:
+        """Return the wait for a slot, and the extra time of a slow server."""
+        view = self._view(server)
+        return (
+            view.estimate_wait(search.rank, comparison.service_time, now),
+            view.estimate_extra_time(
+                search.service_time, comparison.least_slowness, now
+            ),
+        )
+
+    def _compare_servers(
+        self, search: Search, servers: ServersByDistance, now: Seconds
+    ) -> ServerComparison:
+        known = [
+            (server, self._view(server))
+            for group in servers.values()
+            for server in group
+        ]
+        usable = [
+            view
+            for server, view in known
+            if server.id not in search.excluded
+            and not view.is_backing_off(now)
+            and not view.is_circuit_open(now)
+        ]
+        return compare_servers([view for _, view in known], usable, now)
+
+    def explain(
+        self, search: Search, servers: ServersByDistance, now: Seconds
+    ) -> "collections.Counter[Exclusion]":
+        """Count what keeps the home nodes of a service from an offer.
+
+        Parameters
+        ----------
+        search : Search
+            State of a search that has ended without a choice.
+        servers : mapping of Distance to sequence of HomeServer
+            Servers of the service, or a sample of them.
+        now : Seconds
+            Current time.
+        """
+        comparison = self._compare_servers(search, servers, now)
+        found = (
+            self._find_exclusion(search, server, now)
+            or self._find_late_exclusion(search, server, comparison, now)
+            for group in servers.values()
+            for server in group
+        )
+        return collections.Counter(one for one in found if one is not None)
+
+    def _view(self, server: HomeServer) -> HomeView:
+        view = self._views.get(server.id)
+        if view is None:
+            view = self._views[server.id] = HomeView(server.slots)
+        return view
+
+    def start_offer(self, server: HomeServer) -> None:
+        """Record that an offer is sent."""
+        view = self._view(server)
+        view.in_flight += 1
+        view.sent_since_report += 1
+
+    def finish_offer(
+        self,
+        server: HomeServer,
+        reply: Reply | None,
+        now: Seconds,
+        route_time: Seconds = Seconds(0.0),
+    ) -> None:
+        """Record the reply to an offer, or None when it was withdrawn.
+
+        Parameters
+        ----------
+        server : HomeServer
+            Server that the request was offered to.
+        reply : Answer, Refusal, Failure or None
+            Reply of its home node.
+        now : Seconds
+            Current time.
+        route_time : Seconds, optional
+            Usual service time of the request's route at all servers.
+        """
+        view = self._view(server)
+        view.in_flight -= 1
+        if reply is None:
+            return
+        if reply.condition is not None:
+            view.observe(reply.condition, now)
+            if reply.condition.route_time > 0 and route_time > 0:
+                view.observe_slowness(
+                    reply.condition.route_time / route_time, now
+                )
+        if isinstance(reply, Answer):
+            view.observe_usable()
+            return
+        if reply.reason in _UNUSABLE_REASONS:
+            view.observe_unusable(now)
+        elif reply.reason in (
+            RefusalReason.HOME_UNREACHABLE,
+            FailureReason.HOME_LOST,
+        ):
+            view.observe_unreachable(now)
+
+    def observe(self, notice: HomeNotice, now: Seconds) -> None:
+        """Record a notice of a home node."""
+        view = self._views.get(notice.server)
+        if view is not None:
+            view.observe(notice.condition, now)
+            view.subscribed = True
+
+    def end_notices(self, server_id: ServerId) -> None:
+        """Record that no further notices come from a home node."""
+        view = self._views.get(server_id)
+        if view is not None:
+            view.subscribed = False
+
+    def forget(self, server_id: ServerId) -> None:
+        """Remove the state of a server that left the directory."""
+        view = self._views.get(server_id)
+        if view is not None and view.in_flight == 0:
+            del self._views[server_id]
--- a/egretlever/placement/_search.py
+++ b/egretlever/placement/_search.py
@@ -84,6 +84,10 @@
         Time at which the client or the route gives up.
     service_time : Seconds
         Usual service time of a request of this route.
+    least_time : Seconds, optional
+        Time that has to be left for an offer to an idle server, by default the
+        usual service time. The usual time is no bound for a single request,
+        and it may be out of date.
     stage : Stage
         Current stage.
     offered : set of ServerId
@@ -103,6 +107,7 @@
     on_time_at: Seconds
     deadline: Seconds
     service_time: Seconds
+    least_time: Seconds | None = None
     stage: Stage = Stage.ON_TIME
     offered: set[ServerId] = dataclasses.field(default_factory=set)
     excluded: set[ServerId] = dataclasses.field(default_factory=set)
@@ -139,10 +144,26 @@
             return None
         return Seconds(shares[distance] * spare)
 
-    def find_max_late_wait(self, now: Seconds) -> Seconds:
-        """Return the longest wait of a late request."""
-        spare = self.deadline - now - self.service_time
-        return Seconds(_LATE_WAIT_SHARE * spare)
+    @property
+    def latest_start(self) -> Seconds:
+        """Time from which the usual service time exceeds what is left."""
+        return Seconds(self.deadline - self.service_time)
+
+    def find_max_late_wait(self, now: Seconds) -> Seconds | None:
+        """Return the longest wait of a late request.
+
+        Returns
+        -------
+        Seconds or None
+            0 when only an idle server can be asked, None when too little time
+            is left for any.
+        """
+        spare = self.latest_start - now
+        if spare > 0:
+            return Seconds(_LATE_WAIT_SHARE * spare)
+        if self.least_time is None or self.deadline - now <= self.least_time:
+            return None
+        return Seconds(0.0)
 
     def is_stage_over(self) -> bool:
         """Return whether this stage has used up its offers."""
--- a/egretlever/placement/_selection.py
+++ b/egretlever/placement/_selection.py
@@ -1,27 +1,13 @@
 """Selection of the home node that a request is offered to."""
 
-import itertools
 import random
-import statistics
 from collections.abc import Mapping, Sequence
 
-from egretlever.core import (
-    Address,
-    FailureDomain,
-    RegionName,
-    Seconds,
-    ServerId,
-)
+from egretlever.core import Address, FailureDomain, RegionName, Seconds
+from egretlever.placement._exclusions import ServerComparison
 from egretlever.placement._groups import ServersByDistance
-from egretlever.placement._records import (
-    Answer,
-    FailureReason,
-    HomeNotice,
-    HomeServer,
-    RefusalReason,
-    Reply,
-    Trust,
-)
+from egretlever.placement._records import HomeServer, Trust
+from egretlever.placement._reports import HomeReports
 from egretlever.placement._search import (
     ROUND_TRIP_TIMES_S,
     Distance,
@@ -29,20 +15,8 @@
     Search,
     Stage,
 )
-from egretlever.placement._views import HomeView, count_relevant_slots
+from egretlever.placement._views import count_relevant_slots
 
-# Age in seconds up to which a report of a doubted server counts. A server may
-# recover at any time, and an offer to find out costs a round trip, with traffic
-# that is expensive between regions.
-_MAX_DOUBT_AGES = {
-    Distance.OWN_DOMAIN: Seconds(0.3),
-    Distance.OWN_REGION: Seconds(0.5),
-    Distance.OTHER_REGION: Seconds(1.0),
-}
-# Age up to which a report of a broken server counts. It is longer because a
-# broken server recovers only by several successful trials, and gray failures
-# last for some 10 s.
-_MAX_BROKEN_AGE = Seconds(2.5)
 # Share of broken servers of a service above which they get forced requests. On
 # ordinary days about a third of them is broken; when all servers fail a part of
 # their requests, avoiding them would reject nearly everything.
@@ -65,20 +39,9 @@
 _LOOKS_PER_CANDIDATE = 4
 # Seconds to which expected delays are rounded down before they are compared.
 _DELAY_STEP_S = 0.02
-# Servers whose service times give the usual one of their service.
-_MEDIAN_SAMPLE_SIZE = 16
-_DEFAULT_SERVICE_TIME = Seconds(0.2)  # until a home node reports one
-_UNUSABLE_REASONS = frozenset(
-    {
-        RefusalReason.NO_SERVER,
-        RefusalReason.LEAVING,
-        RefusalReason.MISDIRECTED,
-        RefusalReason.DOWN,
-    }
-)
 
 
-class HomeSelector:
+class HomeSelector(HomeReports):
     """Chooses home nodes by distance, reported waits and trust.
 
     It handles these cases:
@@ -115,28 +78,9 @@
         own_relay: Address,
         rng: random.Random,
     ) -> None:
-        self._domain = domain
-        self._regions = regions
+        super().__init__(domain, regions)
         self.own_relay = own_relay
         self._rng = rng
-        self._views: dict[ServerId, HomeView] = {}
-
-    def reload(self, regions: Mapping[FailureDomain, RegionName]) -> None:
-        """Replace the regions of the failure domains."""
-        self._regions = regions
-
-    def measure_distance(self, server: HomeServer) -> Distance:
-        """Return the distance of the home node of a server."""
-        if server.failure_domain == self._domain:
-            return Distance.OWN_DOMAIN
-        if self.is_in_own_region(server.failure_domain):
-            return Distance.OWN_REGION
-        return Distance.OTHER_REGION
-
-    def is_in_own_region(self, domain: FailureDomain) -> bool:
-        """Tell whether a failure domain is known to be in the own region."""
-        own = self._regions.get(self._domain)
-        return own is not None and own == self._regions.get(domain)
 
     def sample(
         self, groups: ServersByDistance, now: Seconds
@@ -193,9 +137,9 @@
         HomeChoice or None
             None when the request should not be offered to another home node.
         """
-        median_time = self._estimate_median_time(servers)
+        comparison = self._compare_servers(search, servers, now)
         while True:
-            choice = self._choose(search, servers, median_time, now)
+            choice = self._choose(search, servers, comparison, now)
             if choice is not None:
                 distance = self.measure_distance(choice.server)
                 search.record_offer(choice.server.id, distance)
@@ -213,7 +157,7 @@
         self,
         search: Search,
         servers: ServersByDistance,
-        median_time: Seconds,
+        comparison: ServerComparison,
         now: Seconds,
     ) -> HomeChoice | None:
         if search.is_stage_over():
@@ -222,8 +166,8 @@
         if trial is not None:
             return trial
         if search.stage is Stage.ON_TIME:
-            return self._choose_on_time(search, servers, median_time, now)
-        return self._choose_least_delayed(search, servers, median_time, now)
+            return self._choose_on_time(search, servers, comparison, now)
+        return self._choose_least_delayed(search, servers, comparison, now)
 
     def _list_eligible(
         self, search: Search, servers: Sequence[HomeServer], now: Seconds
@@ -231,26 +175,9 @@
         return [
             server
             for server in servers
-            if server.id not in search.offered
-            and server.id not in search.excluded
-            and self._may_offer(search, server, now)
+            if self._find_exclusion(search, server, now) is None
         ]
 
-    def _may_offer(
-        self, search: Search, server: HomeServer, now: Seconds
-    ) -> bool:
-        view = self._view(server)
-        if view.is_backing_off(now):
-            return False
-        if search.stage is not Stage.FORCED and view.is_circuit_open(now):
-            return False
-        trust = self._find_current_trust(server, now)
-        if search.stage is Stage.FORCED:
-            return search.may_be_trial or trust is not Trust.BROKEN
-        if trust is Trust.BROKEN:
-            return search.stage is Stage.LATE and search.may_be_trial
-        return search.may_be_trial or trust is Trust.TRUSTED
-
     def _choose_trial(
         self, search: Search, nearby: Sequence[HomeServer], now: Seconds
     ) -> HomeChoice | None:
@@ -296,7 +223,7 @@
         self,
         search: Search,
         servers: ServersByDistance,
-        median_time: Seconds,
+        comparison: ServerComparison,
         now: Seconds,
     ) -> HomeChoice | None:
         for distance in Distance:
@@ -305,7 +232,7 @@
                 continue
             eligible = self._list_eligible(search, servers[distance], now)
             candidate = self._compare(
-                search, eligible, distance, median_time, max_wait, now
+                search, eligible, distance, comparison, max_wait, now
             )
             if candidate is not None:
                 reason = distance.name.lower()
@@ -316,7 +243,7 @@
         self,
         search: Search,
         servers: ServersByDistance,
-        median_time: Seconds,
+        comparison: ServerComparison,
         now: Seconds,
     ) -> HomeChoice | None:
         max_wait = search.find_max_late_wait(now)
@@ -324,20 +251,20 @@
             (server, ROUND_TRIP_TIMES_S[distance])
             for distance in Distance
             for server in self._list_eligible(search, servers[distance], now)
+            if self._find_late_exclusion(search, server, comparison, now)
+            is None
         ]
-        if not eligible or max_wait <= 0:
+        if not eligible or max_wait is None:
             return None
         server, _ = min(
             eligible,
             key=lambda found: (
                 self._find_current_trust(found[0], now) is Trust.BROKEN,
-                self._estimate_delay(search, found[0], median_time, now)
+                self._estimate_delay(search, found[0], comparison, now)
                 + found[1],
             ),
         )
-        delay = Seconds(self._estimate_delay(search, server, median_time, now))
-        if delay > max_wait:
-            return None
+        delay = Seconds(self._estimate_delay(search, server, comparison, now))
         forced = search.stage is Stage.FORCED
         late = now + search.service_time > search.on_time_at or not forced
         reason = search.stage.value
@@ -350,7 +277,7 @@
         search: Search,
         servers: list[HomeServer],
         distance: Distance,
-        median_time: Seconds,
+        comparison: ServerComparison,
         max_wait: Seconds,
         now: Seconds,
     ) -> tuple[HomeServer, Seconds] | None:
@@ -363,7 +290,7 @@
         candidates = [
             (server, Seconds(delay))
             for server in servers
-            if (delay := self._estimate_delay(search, server, median_time, now))
+            if (delay := self._estimate_delay(search, server, comparison, now))
             <= max_wait
         ]
         if not candidates:
@@ -390,105 +317,12 @@
         ]
         return sum(broken) > _OUTAGE_SHARE * len(broken)
 
-    def _find_current_trust(self, server: HomeServer, now: Seconds) -> Trust:
-        return self._view(server).find_current_trust(
-            now,
-            _MAX_DOUBT_AGES[self.measure_distance(server)],
-            _MAX_BROKEN_AGE,
-        )
-
     def _estimate_delay(
         self,
         search: Search,
         server: HomeServer,
-        median_time: Seconds,
+        comparison: ServerComparison,
         now: Seconds,
     ) -> float:
-        view = self._view(server)
-        wait = view.estimate_wait(search.rank, median_time, now)
-        return wait + view.estimate_slowness(search.service_time)
-
-    def _estimate_median_time(self, servers: ServersByDistance) -> Seconds:
-        known = (
-            view.service_time
-            for group in servers.values()
-            for server in group
-            if (view := self._views.get(server.id)) is not None
-            and view.service_time
-        )
-        times = list(itertools.islice(known, _MEDIAN_SAMPLE_SIZE))
-        return (
-            Seconds(statistics.median(times))
-            if times
-            else _DEFAULT_SERVICE_TIME
-        )
-
-    def _view(self, server: HomeServer) -> HomeView:
-        view = self._views.get(server.id)
-        if view is None:
-            view = self._views[server.id] = HomeView(server.slots)
-        return view
-
-    def start_offer(self, server: HomeServer) -> None:
-        """Record that an offer is sent."""
-        view = self._view(server)
-        view.in_flight += 1
-        view.sent_since_report += 1
-
-    def finish_offer(
-        self,
-        server: HomeServer,
-        reply: Reply | None,
-        now: Seconds,
-        route_time: Seconds = Seconds(0.0),
-    ) -> None:
-        """Record the reply to an offer, or None when it was withdrawn.
-
-        Parameters
-        ----------
-        server : HomeServer
-            Server that the request was offered to.
-        reply : Answer, Refusal, Failure or None
-            Reply of its home node.
-        now : Seconds
-            Current time.
-        route_time : Seconds, optional
-            Usual service time of the request's route at all servers.
-        """
-        view = self._view(server)
-        view.in_flight -= 1
-        if reply is None:
-            return
-        if reply.condition is not None:
-            view.observe(reply.condition, now)
-            if reply.condition.route_time > 0 and route_time > 0:
-                view.observe_slowness(reply.condition.route_time / route_time)
-        if isinstance(reply, Answer):
-            view.observe_usable()
-            return
-        if reply.reason in _UNUSABLE_REASONS:
-            view.observe_unusable(now)
-        elif reply.reason in (
-            RefusalReason.HOME_UNREACHABLE,
-            FailureReason.HOME_LOST,
-        ):
-            view.observe_unreachable(now)
-
-    def observe(self, notice: HomeNotice, now: Seconds) -> None:
-        """Record a notice of a home node."""
-        view = self._views.get(notice.server)
-        if view is not None:
-            view.observe(notice.condition, now)
-            view.subscribed = True
-
-    def end_notices(self, server_id: ServerId) -> None:
-        """Record that no further notices come from a home node."""
-        view = self._views.get(server_id)
-        if view is not None:
-            view.subscribed = False
-
-    def forget(self, server_id: ServerId) -> None:
-        """Remove the state of a server that left the directory."""
-        view = self._views.get(server_id)
-        if view is not None and view.in_flight == 0:
-            del self._views[server_id]
+        wait, extra_time = self._estimate_times(search, server, comparison, now)
+        return wait + extra_time
--- a/egretlever/placement/_views.py
+++ b/egretlever/placement/_views.py
@@ -24,6 +24,9 @@
 # server that is not slow.
 _SLOW_FACTOR = 1.5
 _SLOWNESS_SMOOTHING = 0.3  # weight of a new ratio in the moving average
+# A server that gets no requests shows no more whether it is slow. Time in which
+# half of its slowness is forgotten.
+_SLOWNESS_HALF_LIFE = Seconds(5.0)
 # More free slots than this do not make a server preferable, and home nodes do
 # not report changes among such numbers.
 _AMPLE_SLOTS = 2
@@ -60,6 +63,7 @@
         "_unusable_backoff",
         "_report",
         "_slowness",
+        "_slowness_at",
         "skip_until",
         "subscribed",
         "in_flight",
@@ -78,6 +82,7 @@
         self._unusable_backoff = _INITIAL_UNUSABLE_BACKOFF
         self._report: HomeCondition | None = None
         self._slowness = 1.0
+        self._slowness_at = Seconds(0.0)
         self._reported_at = Seconds(0.0)
 
     def observe(self, report: HomeCondition, now: Seconds) -> None:
@@ -203,21 +208,41 @@
             excess = taken
         return Seconds(wait + excess * service_time / self.slots)
 
-    def observe_slowness(self, ratio: float) -> None:
+    def observe_slowness(self, ratio: float, now: Seconds) -> None:
         """Record a route's time at this server, relative to its usual time."""
-        self._slowness += _SLOWNESS_SMOOTHING * (ratio - self._slowness)
+        known = self._age_slowness(now)
+        self._slowness = known + _SLOWNESS_SMOOTHING * (ratio - known)
+        self._slowness_at = now
 
-    def estimate_slowness(self, service_time: Seconds) -> Seconds:
-        """Estimate the extra time of a request at a slow server.
+    def _age_slowness(self, now: Seconds) -> float:
+        age = now - self._slowness_at
+        share = 0.5 ** (age / _SLOWNESS_HALF_LIFE)
+        return 1.0 + share * (self._slowness - 1.0)
+
+    def measure_slowness(self, now: Seconds) -> float:
+        """Return the time of requests here, relative to the usual time."""
+        if self._slowness <= 1.0:
+            return 1.0
+        return self._age_slowness(now)
+
+    def estimate_extra_time(
+        self, service_time: Seconds, least_slowness: float, now: Seconds
+    ) -> Seconds:
+        """Estimate the extra time of a request, compared with other servers.
 
         Parameters
         ----------
         service_time : Seconds
             Usual service time of a request of its route.
+        least_slowness : float
+            Slowness of the fastest server in question, 1 or more.
+        now : Seconds
+            Current time.
         """
-        if self._slowness < _SLOW_FACTOR:
+        slowness = self.measure_slowness(now)
+        if slowness < _SLOW_FACTOR * least_slowness:
             return Seconds(0.0)
-        return Seconds((self._slowness - 1.0) * service_time)
+        return Seconds((slowness - least_slowness) * service_time)
 
     def measure_age(self, now: Seconds) -> Seconds | None:
         """Return the age of the latest report, None without one."""
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -7,7 +7,6 @@
 
 from egretlever.core import (
     RequestId,
-    RouteId,
     Seconds,
     ServiceName,
     make_log,
@@ -23,6 +22,7 @@
     Reply,
     Route,
     RouteTable,
+    RouteTimes,
     Search,
 )
 from egretlever.platform import headers
@@ -50,8 +50,6 @@
 # Service time of a route before its first answer, as a share of its latency
 # objective, for home nodes that have to tell whether an answer is overdue.
 _SERVICE_SHARE_OF_OBJECTIVE = 1 / 3
-# Weight of a new answer in the moving average of its route's service time.
-_SERVICE_TIME_WEIGHT = 0.1
 # A request is given up when this many home nodes have refused it for lack of
 # retry budget: hardly any has some left then.
 _MAX_BUDGET_REFUSALS = 4
@@ -125,7 +123,7 @@
         self._rng = rng
         self._selector = fleet.selector
         self._routes: RouteTable | None = None
-        self._service_times: dict[RouteId, Seconds] = {}
+        self._route_times = RouteTimes()
         self.in_flight = 0
         self._sampler = RequestSampler()
         self._rejects_from: Seconds | None = None
@@ -246,9 +244,10 @@
             may_be_trial=may_be_trial,
             on_time_at=Seconds(min(deadline, begun + route.objective)),
             deadline=Seconds(deadline - _RETURN_MARGIN),
-            service_time=self._service_times.get(
-                route.id, _INITIAL_SERVICE_TIME
+            service_time=(
+                self._route_times.find(route.id) or _INITIAL_SERVICE_TIME
             ),
+            least_time=self._route_times.estimate_least(route.id, begun),
         )
         return _RequestTask(
             request,
@@ -273,14 +272,14 @@
                 read_clock(),
             )
             if choice is None:
-                return self._give_up(task, GiveUpReason.NO_HOME)
+                return self._give_up_unplaced(task)
             started = read_clock()
             reply = await self._offer(task, choice)
             now = read_clock()
             self._log_reply(task, choice, reply, Seconds(now - started))
             if isinstance(reply, Answer) and not is_failed(reply):
-                self._update_service_time(
-                    task.route.id, reply.condition.route_time
+                self._route_times.observe(
+                    task.route.id, reply.condition.route_time, now
                 )
                 return self._finish(
                     Ending.ANSWERED, task.id, task, make_answer(reply)
@@ -296,6 +295,8 @@
             if task.history.attempts > attempts:
                 task.search.excluded.add(choice.server.id)
                 task.search.may_be_trial = False
+                # A retry costs budget, so that it has to be likely to succeed.
+                task.search.least_time = None
                 task.granted_until = (
                     Seconds(now + _GRANT_LIFETIME)
                     if reply.retry_granted
@@ -324,8 +325,8 @@
 
     def _estimate_usual_time(self, route: Route) -> Seconds:
         """Return the usual service time of a route at all servers."""
-        return self._service_times.get(
-            route.id, Seconds(route.objective * _SERVICE_SHARE_OF_OBJECTIVE)
+        return self._route_times.find(route.id) or Seconds(
+            route.objective * _SERVICE_SHARE_OF_OBJECTIVE
         )
 
     async def _offer(self, task: _RequestTask, choice: HomeChoice) -> Reply:
@@ -371,19 +372,11 @@
                 choice.server,
                 reply,
                 read_clock(),
-                self._service_times.get(task.route.id, Seconds(0.0)),
+                self._route_times.find(task.route.id) or Seconds(0.0),
             )
         metrics.OFFERS.labels(reply.name).inc()
         return reply
 
-    def _update_service_time(self, route: RouteId, time: Seconds) -> None:
-        if time <= 0:
-            return
-        old = self._service_times.get(route, time)
-        self._service_times[route] = Seconds(
-            old + _SERVICE_TIME_WEIGHT * (time - old)
-        )
-
     def _log_reply(
         self,
         task: _RequestTask,
@@ -415,11 +408,29 @@
             )
         )
 
-    def _give_up(self, task: _RequestTask, stop: GiveUpReason) -> ClientAnswer:
+    def _give_up_unplaced(self, task: _RequestTask) -> ClientAnswer:
+        """Answer a request that no home node takes."""
+        excluded = self._selector.explain(
+            task.search,
+            self._fleet.sample_servers(task.service),
+            read_clock(),
+        )
+        for reason, count in excluded.items():
+            metrics.EXCLUSIONS.labels(reason.value).inc(count)
+        text = ", ".join(
+            f"{reason.value} {count}" for reason, count in excluded.items()
+        )
+        return self._give_up(task, GiveUpReason.NO_HOME, text)
+
+    def _give_up(
+        self, task: _RequestTask, stop: GiveUpReason, excluded: str = ""
+    ) -> ClientAnswer:
         """Answer a request for which no further attempt is made."""
         history = task.history
         cause = history.reason.value if history.reason else "none-asked"
         reason = f"{stop.value}: {cause}"
+        if excluded:
+            reason += f" ({excluded})"
         if history.failed_answer is not None:
             answer = make_answer(history.failed_answer)
             return self._finish(Ending.ANSWERED, task.id, task, answer, reason)
--- a/egretlever/relay/_metrics.py
+++ b/egretlever/relay/_metrics.py
@@ -13,6 +13,12 @@
     "Offers to home nodes by reply.",
     ["reply"],
 )
+EXCLUSIONS = Counter(
+    "egretlever_relay_exclusions",
+    "Home nodes without an offer of a request that none takes, by what kept it"
+    " from them.",
+    ["reason"],
+)
 REQUEST_SECONDS = Histogram(
     "egretlever_relay_request_seconds",
     "Time from a whole request to its answer.",
