End an attempt early only when another one can still follow

Callers saw 502 for each request that takes longer than a multiple of the usual time, or a quarter of the timeout on a new route: the home node ended the attempt while its server was at work, also the last one that was possible. Only answers changed the usual time, so that it stood still, and each attempt that was ended counted as a failure of the server.

An offer now says how much time a further attempt needs, or that none can follow (reserve_ms; earlier releases send 0 and are served as before): the entry node knows the servers that are left, the attempts, the time and the usual time. The home node ends an overdue attempt only while that time is left and its part of the retry budget allows a retry; otherwise the request runs to its deadline, and the server is doubted while it is overdue, as with requests that may not be repeated. A request that has run for a time without an answer is expected to need as long at the next server.

An attempt without an answer is a censored observation: both nodes raise their estimates by it (ServiceTime), until an answer comes as soon as usual. At the home node it raises the limit only as far as other servers take as long, so that a server that hangs among fast ones is ended as soon as before. Replies carry the time for which the server was at work. A request whose deadline came before it was overdue says nothing about the server.

--- a/egretlever/home/__init__.py
+++ b/egretlever/home/__init__.py
@@ -4,6 +4,10 @@
 guards it, and the budget of retries that it may be sent.
 """
 
+from egretlever.home._attempt_limits import (
+    AttemptLimits,
+    make_attempt_limits,
+)
 from egretlever.home._call_routes import CallRoutes
 from egretlever.home._circuit_breaker import CircuitBreaker
 from egretlever.home._lifecycle import Heartbeat, HeartbeatEffect, LocalServer
@@ -18,6 +22,7 @@
 
 __all__ = [
     "INITIAL_SERVICE_TIME",
+    "AttemptLimits",
     "CallRoutes",
     "CircuitBreaker",
     "Heartbeat",
@@ -30,4 +35,5 @@
     "SlotQueue",
     "SlotTicket",
     "WindowRetryBudget",
+    "make_attempt_limits",
 ]
--- a/egretlever/home/_slots.py
+++ b/egretlever/home/_slots.py
@@ -12,6 +12,7 @@
     require,
 )
 from egretlever.home._rate_limit import RateLimit
+from egretlever.placement import ServiceTime
 
 # Estimated service time before the first answer.
 INITIAL_SERVICE_TIME = Seconds(0.2)
@@ -121,7 +122,7 @@
     def __init__(self, slots: int) -> None:
         check_parameters("SlotQueue", {"slots": slots}, {"slots": Interval(1)})
         self._slots = slots
-        self._route_times: dict[RouteId, Seconds] = {}
+        self._route_times: dict[RouteId, ServiceTime] = {}
         self._running: dict[RequestId, tuple[SlotTicket, Seconds]] = {}
         self._waiting: list[_QueueEntry] = []
         self._rank_shares: dict[int, float] = {}
@@ -165,13 +166,17 @@
         """Return the number of waiting requests."""
         return len(self._waiting)
 
+    def find_service_time(self, route: RouteId) -> ServiceTime:
+        """Return what is known of a route's service time."""
+        return self._route_times.get(route, ServiceTime())
+
     def find_mean_service_time(self, route: RouteId) -> Seconds:
-        """Return a route's mean service time, 0 before its first answer."""
-        return self._route_times.get(route, Seconds(0.0))
+        """Return a route's mean service time, 0 while it is unknown."""
+        return self.find_service_time(route).mean
 
     def estimate_service_time(self, route: RouteId) -> Seconds:
         """Estimate the service time of a request of a route."""
-        return self._route_times.get(route, self.service_time_)
+        return self.find_mean_service_time(route) or self.service_time_
 
     def _count_usable(self, route: RouteId, rank: int) -> int:
         """Return the number of slots open to a route and rank."""
@@ -302,7 +307,11 @@
         ]
 
     def finish(
-        self, request_id: RequestId, now: Seconds, answered: bool = True
+        self,
+        request_id: RequestId,
+        now: Seconds,
+        answered: bool = True,
+        unanswered: bool = False,
     ) -> None:
         """Free the slot of a running request.
 
@@ -314,19 +323,24 @@
             Current time.
         answered : bool, default=True
             Whether its service time counts towards the moving averages.
+        unanswered : bool, default=False
+            Whether the server was still at work on it.
         """
         found = self._running.pop(request_id, None)
         require("finished-request-was-running", found is not None, request_id)
         assert found is not None
         ticket, started = found
+        took = Seconds(now - started)
         if answered:
-            self._observe_service_time(ticket.route, Seconds(now - started))
+            self._observe_service_time(ticket.route, took)
+        elif unanswered:
+            self._find_or_add(ticket.route).observe_longer(took)
+
+    def _find_or_add(self, route: RouteId) -> ServiceTime:
+        return self._route_times.setdefault(route, ServiceTime())
 
     def _observe_service_time(self, route: RouteId, time: Seconds) -> None:
-        old = self._route_times.get(route, time)
-        self._route_times[route] = Seconds(
-            old + _SERVICE_TIME_SMOOTHING * (time - old)
-        )
+        self._find_or_add(route).observe(time, time, _SERVICE_TIME_SMOOTHING)
         mean = self.service_time_
         self.service_time_ = Seconds(
             mean + _SERVICE_TIME_SMOOTHING * (time - mean)
--- a/egretlever/placement/__init__.py
+++ b/egretlever/placement/__init__.py
@@ -32,10 +32,14 @@
     Route,
     Trust,
 )
+from egretlever.placement._reserves import estimate_reserve
 from egretlever.placement._routes import RouteTable
 from egretlever.placement._search import Distance, HomeChoice, Search, Stage
 from egretlever.placement._selection import HomeSelector
-from egretlever.placement._service_times import RouteTimes
+from egretlever.placement._service_times import (
+    RouteTimes,
+    ServiceTime,
+)
 from egretlever.placement._views import count_relevant_slots
 
 __all__ = [
@@ -67,8 +71,10 @@
     "Search",
     "ServersByDistance",
     "SourceSelector",
+    "ServiceTime",
     "Stage",
     "TreeSelector",
     "Trust",
     "count_relevant_slots",
+    "estimate_reserve",
 ]
--- a/egretlever/placement/_records.py
+++ b/egretlever/placement/_records.py
@@ -288,6 +288,13 @@
     usual_time : Seconds
         Usual service time of the route at all servers, as far as the entry node
         knows it; 0 when it is unknown.
+    guessed : bool
+        Whether this time is derived from the latency objective, since nothing
+        was observed yet.
+    reserve : Seconds
+        The attempt may be ended early only while this time is left: what a
+        further attempt needs, or all if none can follow. Earlier releases send
+        0.
     expires_at : Seconds
         Clock time of the home node at which the client or the route gives up.
         It also holds for an offer that was long on its way.
@@ -314,6 +321,8 @@
     retriable: bool = False
     granted: bool = False
     usual_time: Seconds = Seconds(0.0)
+    guessed: bool = False
+    reserve: Seconds = Seconds(0.0)
     expires_at: Seconds = Seconds(math.inf)
 
     @property
@@ -338,6 +347,8 @@
         Condition of the home node after the request.
     retry_granted : bool
         Whether the home node has paid for a retry of the request.
+    ran : Seconds
+        Time that the server took; 0 from earlier releases.
     """
 
     status: int
@@ -345,6 +356,7 @@
     body: bytes
     condition: HomeCondition
     retry_granted: bool = False
+    ran: Seconds = Seconds(0.0)
 
     @property
     def name(self) -> str:
@@ -368,11 +380,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
-    """Reply that the request may have run but has no answer."""
+    """Reply that the request may have run but has no answer.
+
+    Parameters
+    ----------
+    reason : FailureReason
+        What ended the attempt.
+    condition : HomeCondition or None
+        Condition of the home node afterwards, if it is known.
+    retry_granted : bool
+        Whether the home node has paid for a retry of the request.
+    ran : Seconds
+        Time for which the server was at work; 0 when it is unknown.
+    """
 
     reason: FailureReason
     condition: HomeCondition | None = None
     retry_granted: bool = False
+    ran: Seconds = Seconds(0.0)
 
     @property
     def name(self) -> str:
--- a/egretlever/placement/_reports.py
+++ b/egretlever/placement/_reports.py
@@ -144,6 +144,43 @@
         ]
         return compare_servers([view for _, view in known], usable, now)
 
+    def has_alternative(
+        self,
+        search: Search,
+        chosen: HomeServer,
+        servers: ServersByDistance,
+        now: Seconds,
+    ) -> bool:
+        """Tell whether a request could be sent to another server afterwards.
+
+        Parameters
+        ----------
+        search : Search
+            State of the request's search.
+        chosen : HomeServer
+            Server that gets the request now.
+        servers : mapping of Distance to sequence of HomeServer
+            Servers of the service, or a sample of them.
+        now : Seconds
+            Current time.
+        """
+        return any(
+            server.id != chosen.id
+            and server.id not in search.excluded
+            and self._is_sound(server, now)
+            for group in servers.values()
+            for server in group
+        )
+
+    def _is_sound(self, server: HomeServer, now: Seconds) -> bool:
+        view = self._view(server)
+        trusted = self._find_current_trust(server, now) is Trust.TRUSTED
+        return (
+            trusted
+            and not view.is_backing_off(now)
+            and not view.is_circuit_open(now)
+        )
+
     def explain(
         self, search: Search, servers: ServersByDistance, now: Seconds
     ) -> "collections.Counter[Exclusion]":
--- a/egretlever/placement/tests/test_selection.py
+++ b/egretlever/placement/tests/test_selection.py
@@ -5,6 +5,7 @@
 from egretlever.core import Address, FailureDomain, RegionName, Seconds
 from egretlever.placement import (
     Distance,
+    Exclusion,
     Failure,
     FailureReason,
     HomeNotice,
@@ -125,6 +126,56 @@
     assert decide(build_selector(), search, SERVERS, NOW) is None
 
 
+def test_idle_server_is_asked_with_less_time_than_usual_left():
+    # The usual time of a route that had become fast again kept all requests
+    # from its idle servers, so that nothing could correct it.
+    selector = build_selector()
+    report(selector, LOCAL)
+    report(selector, NEIGHBOUR, wait=Seconds(0.1), free_slots=0)
+    search = build_search(
+        on_time_at=Seconds(0.1),
+        deadline=Seconds(0.15),
+        may_be_trial=True,
+        least_time=Seconds(0.1),
+    )
+    servers = [LOCAL, NEIGHBOUR]
+    assert decide(selector, search, servers, NOW).server is LOCAL
+    assert decide(selector, search, servers, NOW) is None
+
+
+def test_log_tells_what_keeps_a_request_from_each_home_node():
+    # A rejected request named none of the estimates that had ruled its home
+    # nodes out.
+    selector = build_selector()
+    for _ in range(5):
+        report(selector, LOCAL, route_time=Seconds(2.0))
+    report(selector, NEIGHBOUR, wait=Seconds(2.0), free_slots=0)
+    report(selector, REMOTE, trust=Trust.BROKEN, time_to_trial=Seconds(1.0))
+    search = build_search(deadline=Seconds(1.0))
+    servers = [LOCAL, NEIGHBOUR, REMOTE]
+    assert decide(selector, search, servers, NOW) is None
+    groups = {distance: [] for distance in Distance}
+    groups[Distance.OWN_DOMAIN] = servers
+    assert selector.explain(search, groups, NOW) == {
+        Exclusion.SLOWNESS: 1,
+        Exclusion.WAIT: 1,
+        Exclusion.TRUST: 1,
+    }
+
+
+def test_slowness_of_a_server_is_forgotten_without_requests():
+    # A server that was slow once got no requests, and nothing else showed that
+    # it had recovered.
+    selector = build_selector()
+    for _ in range(5):
+        report(selector, LOCAL, route_time=Seconds(0.8))
+    servers = [LOCAL, NEIGHBOUR]
+    assert decide(selector, build_search(), servers, NOW).server is NEIGHBOUR
+    later = Seconds(20.0)
+    search = build_search(on_time_at=Seconds(21.2), deadline=Seconds(24.0))
+    assert decide(selector, search, servers, later).server is LOCAL
+
+
 def test_non_idempotent_requests_go_to_doubted_servers_only_when_forced():
     selector = build_selector()
     for server in SERVERS:
--- /dev/null
+++ b/egretlever/relay/_attempt_times.py
@@ -0,0 +1,83 @@
+"""What an entry node knows of service times, as its offers say it."""
+
+from egretlever.core import Seconds
+from egretlever.placement import (
+    Answer,
+    FailureReason,
+    Reply,
+    Route,
+    RouteTimes,
+    estimate_reserve,
+)
+
+# Assumed service time of a route before its first answer.
+_INITIAL_SERVICE_TIME = Seconds(0.15)
+# Service time of a route before its first answer, as a share of its latency
+# objective, for home nodes that have to tell whether an answer is overdue.
+_SERVICE_SHARE_OF_OBJECTIVE = 1 / 3
+
+
+class AttemptTimes:
+    """Learns service times from replies, and derives limits of attempts."""
+
+    def __init__(self) -> None:
+        self._times = RouteTimes()
+
+    def observe(self, route: Route, reply: Reply, now: Seconds) -> Seconds:
+        """Learn from the reply to an offer that was not refused.
+
+        Returns
+        -------
+        Seconds
+            Time for which a server was at work without an answer, 0 if it was
+            not.
+        """
+        if isinstance(reply, Answer):
+            mean = reply.condition.route_time
+            self._times.observe(route.id, mean, reply.ran, now)
+        elif reply.reason is FailureReason.OVERDUE:
+            ran = reply.ran
+            self._times.observe_longer(route.id, ran, route.timeout, now)
+            return ran
+        return Seconds(0.0)
+
+    def find(self, route: Route) -> Seconds:
+        """Return the usual time of a route, 0 while it is unknown."""
+        return self._times.find(route.id) or Seconds(0.0)
+
+    def estimate(self, route: Route) -> Seconds:
+        """Return the service time to expect of a request."""
+        return self.find(route) or _INITIAL_SERVICE_TIME
+
+    def estimate_least(self, route: Route, now: Seconds) -> Seconds:
+        """Estimate the least time in which a request may be answered."""
+        return self._times.estimate_least(route.id, now)
+
+    def estimate_usual(self, route: Route) -> Seconds:
+        """Return the usual service time of a route at all servers."""
+        return self.find(route) or Seconds(
+            route.objective * _SERVICE_SHARE_OF_OBJECTIVE
+        )
+
+    def estimate_reserve(
+        self,
+        route: Route,
+        time_left: Seconds,
+        unanswered_time: Seconds,
+        can_follow: bool,
+    ) -> Seconds:
+        """Return the time that a further attempt needs, or all without one.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the request.
+        time_left : Seconds
+            Time until its deadline.
+        unanswered_time : Seconds
+            Longest time for which a server was at work on it without an answer.
+        can_follow : bool
+            Whether a further attempt is allowed, and a server is left for it.
+        """
+        usual = self.estimate_usual(route)
+        return estimate_reserve(time_left, usual, unanswered_time, can_follow)
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -100,6 +100,8 @@
             retriable=offer.retriable,
             granted=offer.granted,
             usual_ms=_to_milliseconds(offer.usual_time),
+            guessed=offer.guessed,
+            reserve_ms=_to_milliseconds(offer.reserve),
             expires_at_ms=_to_clock_milliseconds(offer.expires_at),
         )
     )
@@ -129,6 +131,8 @@
         retriable=offer.retriable,
         granted=offer.granted,
         usual_time=_to_seconds(offer.usual_ms),
+        guessed=offer.guessed,
+        reserve=_to_seconds(offer.reserve_ms),
         expires_at=Seconds(
             offer.expires_at_ms / 1000 if offer.expires_at_ms else math.inf
         ),
@@ -214,6 +218,7 @@
                 body=reply.body,
                 condition=condition,
                 retry_granted=reply.retry_granted,
+                ran_ms=_to_milliseconds(reply.ran),
             )
         )
     if isinstance(reply, Refusal):
@@ -231,6 +236,7 @@
             reason=reply.reason.name,
             condition=condition,
             retry_granted=reply.retry_granted,
+            ran_ms=_to_milliseconds(reply.ran),
         )
     )
 
@@ -257,13 +263,17 @@
             reply.body,
             condition or HomeCondition(),
             reply.retry_granted,
+            _to_seconds(reply.ran_ms),
         )
     if isinstance(reply, relay_pb2.Refusal):
         return Refusal(
             _decode_refusal_reason(reply.reason), condition, reply.retry_granted
         )
     return FailedAttempt(
-        _decode_failure_reason(reply.reason), condition, reply.retry_granted
+        _decode_failure_reason(reply.reason),
+        condition,
+        reply.retry_granted,
+        _to_seconds(reply.ran_ms),
     )
 
 
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -15,6 +15,7 @@
     Answer,
     ClientLimits,
     Configuration,
+    Failure,
     HomeChoice,
     Offer,
     Refusal,
@@ -22,11 +23,12 @@
     Reply,
     Route,
     RouteTable,
-    RouteTimes,
     Search,
+    ServersByDistance,
 )
 from egretlever.platform import headers
 from egretlever.relay import _metrics as metrics
+from egretlever.relay._attempt_times import AttemptTimes
 from egretlever.relay._clients import ClientAnswer, ClientRequest
 from egretlever.relay._fleet import FleetView
 from egretlever.relay._home import HomeNode
@@ -35,6 +37,7 @@
     AttemptHistory,
     Ending,
     GiveUpReason,
+    describe_exclusions,
     is_failed,
     make_answer,
     make_local_answer,
@@ -45,11 +48,6 @@
 from egretlever.transport import read_clock, remove_hop_by_hop
 
 _LOG = make_log("entry")
-# Assumed service time of a route before its first answer.
-_INITIAL_SERVICE_TIME = Seconds(0.15)
-# Service time of a route before its first answer, as a share of its latency
-# objective, for home nodes that have to tell whether an answer is overdue.
-_SERVICE_SHARE_OF_OBJECTIVE = 1 / 3
 # A request is given up when this many home nodes have refused it for lack of
 # retry budget: hardly any has some left then.
 _MAX_BUDGET_REFUSALS = 4
@@ -84,6 +82,7 @@
     expires_at: Seconds
     derived: bool
     granted_until: Seconds | None = None
+    unanswered_time: Seconds = Seconds(0.0)
 
 
 class EntryNode:
@@ -123,7 +122,7 @@
         self._rng = rng
         self._selector = fleet.selector
         self._routes: RouteTable | None = None
-        self._route_times = RouteTimes()
+        self._times = AttemptTimes()
         self.in_flight = 0
         self._sampler = RequestSampler()
         self._rejects_from: Seconds | None = None
@@ -244,10 +243,8 @@
             may_be_trial=may_be_trial,
             on_time_at=Seconds(min(deadline, begun + route.objective)),
             deadline=Seconds(deadline - _RETURN_MARGIN),
-            service_time=(
-                self._route_times.find(route.id) or _INITIAL_SERVICE_TIME
-            ),
-            least_time=self._route_times.estimate_least(route.id, begun),
+            service_time=self._times.estimate(route),
+            least_time=self._times.estimate_least(route, begun),
         )
         return _RequestTask(
             request,
@@ -266,26 +263,26 @@
         while True:
             if not self._may_finish(task):
                 return self._give_up(task, GiveUpReason.STOPPING)
-            choice = self._selector.decide(
-                task.search,
-                self._fleet.sample_servers(task.service),
-                read_clock(),
-            )
+            servers = self._fleet.sample_servers(task.service)
+            choice = self._selector.decide(task.search, servers, read_clock())
             if choice is None:
                 return self._give_up_unplaced(task)
             started = read_clock()
-            reply = await self._offer(task, choice)
+            reply = await self._offer(task, choice, servers)
             now = read_clock()
             self._log_reply(task, choice, reply, Seconds(now - started))
             if isinstance(reply, Answer) and not is_failed(reply):
-                self._route_times.observe(
-                    task.route.id, reply.condition.route_time, now
-                )
+                self._times.observe(task.route, reply, now)
                 return self._finish(
                     Ending.ANSWERED, task.id, task, make_answer(reply)
                 )
             attempts = task.history.attempts
             task.history.observe(reply)
+            if isinstance(reply, Failure):
+                task.unanswered_time = max(
+                    task.unanswered_time,
+                    self._times.observe(task.route, reply, now),
+                )
             refused = reply.reason if isinstance(reply, Refusal) else None
             if refused is RefusalReason.EXPIRED:
                 task.search.end_stage()
@@ -320,17 +317,28 @@
             if task.route.idempotent
             else _STOP_TIME_FACTOR
         )
-        needed = factor * self._estimate_usual_time(task.route)
+        needed = factor * self._times.estimate_usual(task.route)
         return read_clock() + needed <= self._ends_at
 
-    def _estimate_usual_time(self, route: Route) -> Seconds:
-        """Return the usual service time of a route at all servers."""
-        return self._route_times.find(route.id) or Seconds(
-            route.objective * _SERVICE_SHARE_OF_OBJECTIVE
+    def _can_follow(
+        self, task: _RequestTask, choice: HomeChoice, servers: ServersByDistance
+    ) -> bool:
+        """Tell whether another attempt could follow the one at a server."""
+        attempts = task.history.attempts + 1
+        return attempts < task.route.max_attempts and (
+            self._selector.has_alternative(
+                task.search, choice.server, servers, read_clock()
+            )
         )
 
-    async def _offer(self, task: _RequestTask, choice: HomeChoice) -> Reply:
+    async def _offer(
+        self,
+        task: _RequestTask,
+        choice: HomeChoice,
+        servers: ServersByDistance,
+    ) -> Reply:
         head = task.request.head
+        time_left = Seconds(task.deadline - read_clock() - _RETURN_MARGIN)
         offer = Offer(
             request_id=task.id,
             service=task.service,
@@ -341,7 +349,7 @@
             body=task.request.body,
             rank=task.route.rank,
             idempotent=task.route.idempotent,
-            time_left=Seconds(task.deadline - read_clock() - _RETURN_MARGIN),
+            time_left=time_left,
             max_wait=choice.max_wait,
             caller_service=self._service,
             forced=choice.forced,
@@ -354,7 +362,14 @@
                 task.granted_until is not None
                 and read_clock() < task.granted_until
             ),
-            usual_time=self._estimate_usual_time(task.route),
+            usual_time=self._times.estimate_usual(task.route),
+            guessed=not self._times.find(task.route),
+            reserve=self._times.estimate_reserve(
+                task.route,
+                time_left,
+                task.unanswered_time,
+                self._can_follow(task, choice, servers),
+            ),
         )
         self._selector.start_offer(choice.server)
         reply: Reply | None = None
@@ -372,7 +387,7 @@
                 choice.server,
                 reply,
                 read_clock(),
-                self._route_times.find(task.route.id) or Seconds(0.0),
+                self._times.find(task.route),
             )
         metrics.OFFERS.labels(reply.name).inc()
         return reply
@@ -417,9 +432,7 @@
         )
         for reason, count in excluded.items():
             metrics.EXCLUSIONS.labels(reason.value).inc(count)
-        text = ", ".join(
-            f"{reason.value} {count}" for reason, count in excluded.items()
-        )
+        text = describe_exclusions(excluded)
         return self._give_up(task, GiveUpReason.NO_HOME, text)
 
     def _give_up(
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -9,11 +9,11 @@
 from egretlever.core import RequestId, RouteId, Seconds, ServiceName, make_log
 from egretlever.home import (
     CircuitBreaker,
-    Heartbeat,
     LocalServer,
     ServerSignals,
     SlotQueue,
     SlotTicket,
+    make_attempt_limits,
 )
 from egretlever.placement import (
     Answer,
@@ -28,6 +28,11 @@
     Trust,
 )
 from egretlever.platform import Bounds
+from egretlever.relay._attempts import (
+    is_stopped_at_deadline,
+    is_unanswered,
+    run_attempt,
+)
 from egretlever.relay._fleet import Neighbours
 from egretlever.relay._interfaces import ServerRunner
 from egretlever.relay._jobs import Job, JobTable
@@ -40,21 +45,10 @@
 from egretlever.transport import read_clock
 
 _LOG = make_log("home")
-# A request is overdue after this multiple of its route's mean service time.
-# Fewer than one in a hundred healthy requests takes longer.
-_OVERDUE_FACTOR = 6.0
-_MIN_OVERDUE = Seconds(0.4)
-# Share of the remaining time that a request may take on a route without a known
-# service time. The service times of other routes are poor predictors for it.
-_UNKNOWN_ROUTE_SHARE = 0.25
-# Largest share of the remaining time that such a request may take because it
-# usually does at other servers: a retry needs the rest.
-_MAX_ROUTE_SHARE = 0.6
 # A failure after this share of the route's mean service time counts as one that
 # came after real processing. Gray servers mostly fail at once: 845 of 976 of
 # their failures came within 10 ms, but only 4 of 251 of healthy servers.
 _USUAL_TIME_SHARE = 0.3
-_DEADLINE_PASSED = 504  # status of a server that stopped at the deadline
 _EXPIRY_INTERVAL = 0.05  # seconds between checks for expired requests
 # During a planned stop, a request is accepted only when this multiple of its
 # route's mean service time is left.
@@ -322,7 +316,8 @@
             return self._refuse(RefusalReason.BUSY, offer)
         if not await self._await_slot(ticket):
             return self._refuse(RefusalReason.EXPIRED, offer)
-        answered = False
+        answered = unanswered = False
+        begun = read_clock()
         try:
             # The server may have left or lost trust while the request waited.
             reason = self._find_refusal_reason(offer)
@@ -341,16 +336,24 @@
                 reason = RefusalReason.NO_BUDGET
             if reason is not None:
                 return self._refuse(reason, offer)
+            unanswered = True  # unless it ends otherwise than by a withdrawal
             result = await self._dispatch(job)
+            unanswered = is_unanswered(result.reply)
             if not isinstance(result.reply, Failure):
                 # Without an answer, the server may still be at work on it.
                 self._server_runs.end(offer.request_id)
             answered = result.good is True
         finally:
-            self._queue.finish(offer.request_id, read_clock(), answered)
+            self._queue.finish(
+                offer.request_id, read_clock(), answered, unanswered
+            )
             await self._start_ready()
+        reply = result.reply
+        if not isinstance(reply, Refusal):
+            ran = Seconds(read_clock() - begun)
+            reply = dataclasses.replace(reply, ran=ran)
         return dataclasses.replace(
-            result.reply,
+            reply,
             condition=self.describe(offer.route),
             retry_granted=self._retries.grant(
                 offer, result.reply, job.deadline
@@ -407,18 +410,26 @@
         left = Seconds(job.deadline - now)
         if left <= 0:
             return ServerResult(Refusal(RefusalReason.EXPIRED), None)
-        overdue = self._find_overdue_time(offer, left)
+        time = self._queue.find_service_time(offer.route)
+        known = time.answered > 0
+        limits = make_attempt_limits(
+            offer, left, time, self._queue.service_time_
+        )
         job.dispatched = True
-        time_left = Seconds(min(left, overdue)) if offer.idempotent else left
-        self._server_runs.begin(offer, now, Seconds(now + time_left))
-        if offer.idempotent:
-            result = await self._client.exchange(server, offer, time_left)
-        else:
-            result = await self._run_watched(server, offer, left, overdue)
-        if _is_stopped_at_deadline(result.reply) and not (
-            self._queue.find_mean_service_time(offer.route) and overdue < left
+        self._server_runs.begin(offer, now, job.deadline)
+        result = await run_attempt(
+            self._client,
+            server,
+            offer,
+            limits,
+            self._circuit_breaker,
+            lambda: self._may_cut(offer),
+        )
+        if is_unanswered(result.reply) and not (
+            limits.judges_server
+            and (known or not is_stopped_at_deadline(result.reply))
         ):
-            # The client's deadline was too short to judge the server by it.
+            # The request's deadline was too short to judge the server by it.
             result = dataclasses.replace(result, good=None)
         if result.signals is not None and self._server_key == (
             server.id,
@@ -432,6 +443,13 @@
             self._record_outcome(offer, result, now)
         return result
 
+    def _may_cut(self, offer: Offer) -> bool:
+        """Tell whether a retry of an overdue request may follow."""
+        # Earlier releases do not say what a further attempt needs.
+        return not offer.reserve or self._retries.has_room_for_retry(
+            offer.service, read_clock()
+        )
+
     async def _observe_signals(self, signals: ServerSignals) -> None:
         """Apply what the server says about itself, and log its changes."""
         before, self._signals = self._signals, signals
@@ -488,50 +506,11 @@
         usual = self._queue.find_mean_service_time(offer.route)
         return (
             isinstance(reply, Answer)
-            and reply.status != _DEADLINE_PASSED
+            and not is_stopped_at_deadline(reply)
             and usual > 0
             and took >= _USUAL_TIME_SHARE * usual
         )
 
-    def _find_overdue_time(self, offer: Offer, left: Seconds) -> Seconds:
-        """Return the service time after which a request is overdue."""
-        usual = self._queue.find_mean_service_time(offer.route)
-        if usual:
-            return Seconds(max(_MIN_OVERDUE, _OVERDUE_FACTOR * usual))
-        elsewhere = _OVERDUE_FACTOR * offer.usual_time
-        return Seconds(
-            max(
-                _MIN_OVERDUE,
-                _OVERDUE_FACTOR * self._queue.service_time_,
-                _UNKNOWN_ROUTE_SHARE * left,
-                min(elsewhere, _MAX_ROUTE_SHARE * left),
-            )
-        )
-
-    async def _run_watched(
-        self, server: Heartbeat, offer: Offer, left: Seconds, overdue: Seconds
-    ) -> ServerResult:
-        """Run a request to its end; while it is overdue, the server is doubted.
-
-        The request is not idempotent, so it is not cancelled.
-        """
-        circuit_breaker = self._circuit_breaker
-        is_overdue = False
-
-        async def observe_when_overdue() -> None:
-            nonlocal is_overdue
-            await curio.sleep(overdue)
-            circuit_breaker.observe_overdue(1)
-            is_overdue = True
-
-        watcher = await curio.spawn(observe_when_overdue, daemon=True)
-        try:
-            return await self._client.exchange(server, offer, left)
-        finally:
-            await watcher.cancel()
-            if is_overdue:
-                circuit_breaker.observe_overdue(-1)
-
     async def run(self, offer: Offer) -> Reply:
         """Run an offer of the entry node in the same process."""
         job = await self.jobs.submit(offer)
@@ -579,7 +558,3 @@
     return HomeNode(
         bounds, neighbours, ServerClient(), first_start, report_leaving
     )
-
-
-def _is_stopped_at_deadline(reply: Reply) -> bool:
-    return isinstance(reply, Answer) and reply.status == _DEADLINE_PASSED
--- a/egretlever/relay/_outcomes.py
+++ b/egretlever/relay/_outcomes.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 import enum
+from collections.abc import Mapping
 
 from egretlever.core import Seconds
 from egretlever.placement import (
     Answer,
+    Exclusion,
     Failure,
     FailureReason,
     Refusal,
@@ -80,6 +82,13 @@
             self.failed_answer = reply
 
 
+def describe_exclusions(excluded: Mapping[Exclusion, int]) -> str:
+    """Describe what kept a request from home nodes, such as ``wait 3``."""
+    return ", ".join(
+        f"{reason.value} {count}" for reason, count in excluded.items()
+    )
+
+
 def is_failed(reply: Reply) -> bool:
     """Tell whether a retry at another server is worthwhile if it is allowed."""
     if isinstance(reply, Answer):
--- a/egretlever/relay/tests/test_relaying.py
+++ b/egretlever/relay/tests/test_relaying.py
@@ -517,6 +517,40 @@
     assert took < 3.0
 
 
+@pytest.mark.parametrize(
+    ("reserve", "retry_ratio", "cut"),
+    [(0.0, 0.0, True), (3.0, 0.0, False), (3.0, 0.2, True), (10.0, 0.2, False)],
+    ids=["earlier-release", "no-budget", "retry-can-follow", "last-attempt"],
+)
+def test_overdue_attempt_is_cut_only_when_another_one_can_follow(
+    reserve, retry_ratio, cut
+):
+    # Attempts were cut while their server was at work, although no retry could
+    # follow, or the budget allowed none.
+    fixture = RelayFixture(
+        *[serve(after=0.2)] * 9,
+        serve(b"late", after=5.0),
+        retry_ratio=retry_ratio,
+        retry_slack=0.0,
+    )
+
+    async def script():
+        for number in range(9):
+            await fixture.offer(f"r-{number}", idempotent=True)
+        return await fixture.offer(
+            "r-late",
+            idempotent=True,
+            time_left=Seconds(10.0),
+            reserve=Seconds(reserve),
+            usual_time=Seconds(0.2),
+        )
+
+    reply = run_script(fixture, script)
+    assert isinstance(reply, Failure if cut else Answer)
+    # Six times the usual time, or until the answer.
+    assert 1.1 < reply.ran < 1.4 if cut else reply.ran > 4.9
+
+
 def offer_with_known_service_time(fixture, **changes):
     """Return a script that offers a request on a route with earlier answers."""
 
