--- a/egretlever/testing/_timed_fleet.py
+++ b/egretlever/testing/_timed_fleet.py
@@ -62,6 +62,9 @@
         except curio.TaskTimeout:
             self.broken_off += 1
             return ServerResult(Failure(FailureReason.OVERDUE), False)
+        except curio.CancelledError:
+            self.broken_off += 1
+            raise
         return ServerResult(Answer(200, (), b"", HomeCondition()), True)
 
     async def expire(self, now: Seconds) -> None:
