--- a/egretlever/relay/_metrics.py
+++ b/egretlever/relay/_metrics.py
@@ -24,6 +24,11 @@
     "Time from a whole request to its answer.",
     buckets=(0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10),
 )
+CONNECTIONS_CUT = Counter(
+    "egretlever_relay_connections_cut",
+    "Client connections that ended with an answer unfinished, by reason.",
+    ["reason"],
+)
 STORE_CALLS = Counter(
     "egretlever_relay_store_calls",
     "Calls of the platform's store by kind and result.",
@@ -65,6 +70,15 @@
     "egretlever_relay_configuration_version",
     "Version of the configuration in force.",
 )
+CONFIGURATION_AGE = Gauge(
+    "egretlever_relay_configuration_age_seconds",
+    "Time since the configuration was last known to be the newest.",
+)
+CONFIGURATION_HOPS = Gauge(
+    "egretlever_relay_configuration_hops",
+    "Nodes between the store and this one, through which the configuration"
+    " comes.",
+)
 SERVERS = Gauge("egretlever_relay_servers_known", "Servers in the directory.")
 
 
