Retry a request that was cut also during a planned stop

A request that may have run is offered again whatever the stop leaves, as long as its usual time is left: it can only gain. Offers of a stopping node name its end as their deadline, so that no attempt is cut for a retry after that.

The test fails before the change with 502 after 3.0 s.

--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -269,7 +269,8 @@
 
     async def _serve(self, task: _RequestTask) -> ClientAnswer:
         while True:
-            if not self._may_finish(task):
+            # One that may have run can only gain by another attempt.
+            if not (task.history.may_have_run or self._may_finish(task)):
                 return self._give_up(task, GiveUpReason.STOPPING)
             servers = self._fleet.sample_servers(task.service)
             choice = self._selector.decide(task.search, servers, read_clock())
@@ -346,7 +347,10 @@
         servers: ServersByDistance,
     ) -> Reply:
         head = task.request.head
-        time_left = Seconds(task.deadline - read_clock() - _RETURN_MARGIN)
+        deadline = task.deadline
+        if self._ends_at is not None:
+            deadline = min(deadline, self._ends_at)
+        time_left = Seconds(deadline - read_clock() - _RETURN_MARGIN)
         offer = Offer(
             request_id=task.id,
             service=task.service,
--- a/egretlever/relay/tests/test_service_times.py
+++ b/egretlever/relay/tests/test_service_times.py
@@ -1,5 +1,6 @@
 """Guards sound servers against limits that rest on how long answers took."""
 
+import curio
 import hypothesis
 import pytest
 from hypothesis import strategies as st
@@ -137,6 +138,24 @@
     assert trust is Trust.BROKEN
 
 
+def test_request_that_was_cut_is_retried_in_a_planned_stop():
+    # A stopping node gave it up, since less than twice its usual time was left,
+    # although the attempt had been cut for the sake of a retry.
+    async def script(fleet):
+        await fleet.send_all(*[0.5] * 10)
+        for _ in range(4):
+            await fleet.send(1)
+        fleet.hang(0)
+        task = await curio.spawn(fleet.send, daemon=True)
+        await curio.sleep(0.1)
+        fleet.stop(3.7)
+        return await task.join()
+
+    outcome = run_fleet(lambda: TimedFleet(2), script)
+    assert outcome.status == 200
+    assert outcome.took == pytest.approx(3.5, abs=0.01)
+
+
 @hypothesis.settings(max_examples=60, deadline=None)
 @hypothesis.given(
     count=st.sampled_from([1, 2, 3, 8]),
--- a/egretlever/testing/_timed_fleet.py
+++ b/egretlever/testing/_timed_fleet.py
@@ -155,6 +155,17 @@
         """Let a server hang from now on."""
         self.servers[number].work = math.inf
 
+    def stop(self, duration: float) -> None:
+        """Begin a planned stop of the first host's entry node.
+
+        Parameters
+        ----------
+        duration : float
+            Time until it ends, in seconds.
+        """
+        now = read_clock()
+        self._fleet.hosts[0].entry.stop(now, Seconds(now + duration))
+
     def trust(self, number: int) -> Trust:
         """Return the trust of a home node in its server."""
         return self._fleet.hosts[number].home.describe().trust
