Count on another server for a retry only while its queue is short

An overdue attempt was also ended while the queues of all other servers were longer than a late request may wait, so that its retry was refused.

--- a/egretlever/placement/_reports.py
+++ b/egretlever/placement/_reports.py
@@ -164,19 +164,23 @@
         now : Seconds
             Current time.
         """
+        max_wait = search.find_max_late_wait(now) or Seconds(0.0)
         return any(
             server.id != chosen.id
             and server.id not in search.excluded
             and self._is_sound(server, now)
+            and self._view(server).estimate_wait(
+                search.rank, search.service_time, now
+            )
+            <= max_wait
             for group in servers.values()
             for server in group
         )
 
     def _is_sound(self, server: HomeServer, now: Seconds) -> bool:
         view = self._view(server)
-        trusted = self._find_current_trust(server, now) is Trust.TRUSTED
         return (
-            trusted
+            self._find_current_trust(server, now) is Trust.TRUSTED
             and not view.is_backing_off(now)
             and not view.is_circuit_open(now)
         )
--- a/egretlever/placement/tests/test_selection.py
+++ b/egretlever/placement/tests/test_selection.py
@@ -163,6 +163,27 @@
     }
 
 
+def test_only_a_sound_server_with_a_short_queue_is_an_alternative():
+    # Attempts were cut although the other servers could not serve a retry.
+    selector = build_selector()
+    search = build_search(may_be_trial=True)
+    groups = {distance: [] for distance in Distance}
+    groups[Distance.OWN_DOMAIN] = [LOCAL, NEIGHBOUR]
+
+    def can_follow():
+        return selector.has_alternative(search, LOCAL, groups, NOW)
+
+    assert can_follow()
+    report(selector, NEIGHBOUR, wait=Seconds(2.0), free_slots=0)
+    assert not can_follow()
+    report(selector, NEIGHBOUR, trust=Trust.DOUBTED)
+    assert not can_follow()
+    report(selector, NEIGHBOUR)
+    assert can_follow()
+    search.excluded.add(NEIGHBOUR.id)
+    assert not can_follow()
+
+
 def test_slowness_of_a_server_is_forgotten_without_requests():
     # A server that was slow once got no requests, and nothing else showed that
     # it had recovered.
