--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -7,7 +7,6 @@
 
 from egretlever.core import (
     RequestId,
-    RouteId,
     Seconds,
     ServiceName,
     make_log,
@@ -16,6 +15,7 @@
     Answer,
     ClientLimits,
     Configuration,
+    Failure,
     HomeChoice,
     Offer,
     Refusal,
@@ -24,9 +24,11 @@
     Route,
     RouteTable,
     Search,
+    ServersByDistance,
 )
 from egretlever.platform import headers
 from egretlever.relay import _metrics as metrics
+from egretlever.relay._attempt_times import AttemptTimes
 from egretlever.relay._client_messages import ClientAnswer, ClientRequest
 from egretlever.relay._fleet import FleetView
 from egretlever.relay._home import HomeNode
@@ -35,6 +37,7 @@
     AttemptHistory,
     Ending,
     GiveUpReason,
+    describe_exclusions,
     is_failed,
     make_answer,
     make_local_answer,
@@ -46,13 +49,6 @@
 from egretlever.transport import read_clock, remove_hop_by_hop
 
 _LOG = make_log("entry")
-# Assumed service time of a route before its first answer.
-_INITIAL_SERVICE_TIME = Seconds(0.15)
-# Service time of a route before its first answer, as a share of its latency
-# objective, for home nodes that have to tell whether an answer is overdue.
-_SERVICE_SHARE_OF_OBJECTIVE = 1 / 3
-# Weight of a new answer in the moving average of its route's service time.
-_SERVICE_TIME_WEIGHT = 0.1
 # A request is given up when this many home nodes have refused it for lack of
 # retry budget: hardly any has some left then.
 _MAX_BUDGET_REFUSALS = 4
@@ -87,6 +83,7 @@
     expires_at: Seconds
     derived: bool
     granted_until: Seconds | None = None
+    unanswered_time: Seconds = Seconds(0.0)
     offered: bool = False  # to a home node that has not replied
 
 
@@ -127,7 +124,7 @@
         self._rng = rng
         self._selector = fleet.selector
         self._routes: RouteTable | None = None
-        self._service_times: dict[RouteId, Seconds] = {}
+        self._times = AttemptTimes()
         self.running = RunningRequests()
         self._sampler = RequestSampler()
         self._rejects_from: Seconds | None = None
@@ -254,9 +251,8 @@
             may_be_trial=may_be_trial,
             on_time_at=Seconds(min(deadline, begun + route.objective)),
             deadline=Seconds(deadline - _RETURN_MARGIN),
-            service_time=self._service_times.get(
-                route.id, _INITIAL_SERVICE_TIME
-            ),
+            service_time=self._times.estimate(route),
+            least_time=self._times.estimate_least(route, begun),
         )
         return _RequestTask(
             request,
@@ -273,28 +269,29 @@
 
     async def _serve(self, task: _RequestTask) -> ClientAnswer:
         while True:
-            if not self._may_finish(task):
+            # One that may have run can only gain by another attempt.
+            if not (task.history.may_have_run or self._may_finish(task)):
                 return self._give_up(task, GiveUpReason.STOPPING)
-            choice = self._selector.decide(
-                task.search,
-                self._fleet.sample_servers(task.service),
-                read_clock(),
-            )
+            servers = self._fleet.sample_servers(task.service)
+            choice = self._selector.decide(task.search, servers, read_clock())
             if choice is None:
-                return self._give_up(task, GiveUpReason.NO_HOME)
+                return self._give_up_unplaced(task)
             started = read_clock()
-            reply = await self._offer(task, choice)
+            reply = await self._offer(task, choice, servers)
             now = read_clock()
             self._log_reply(task, choice, reply, Seconds(now - started))
             if isinstance(reply, Answer) and not is_failed(reply):
-                self._update_service_time(
-                    task.route.id, reply.condition.route_time
-                )
+                self._times.observe(task.route, reply, now)
                 return self._finish(
                     Ending.ANSWERED, task.id, task, make_answer(reply)
                 )
             attempts = task.history.attempts
             task.history.observe(reply)
+            if isinstance(reply, Failure):
+                task.unanswered_time = max(
+                    task.unanswered_time,
+                    self._times.observe(task.route, reply, now),
+                )
             refused = reply.reason if isinstance(reply, Refusal) else None
             if refused is RefusalReason.EXPIRED:
                 task.search.end_stage()
@@ -304,6 +301,8 @@
             if task.history.attempts > attempts:
                 task.search.excluded.add(choice.server.id)
                 task.search.may_be_trial = False
+                # A retry costs budget, so that it has to be likely to succeed.
+                task.search.least_time = None
                 task.granted_until = (
                     Seconds(now + _GRANT_LIFETIME)
                     if reply.retry_granted
@@ -327,17 +326,31 @@
             if task.route.idempotent
             else _STOP_TIME_FACTOR
         )
-        needed = factor * self._estimate_usual_time(task.route)
+        needed = factor * self._times.estimate_usual(task.route)
         return read_clock() + needed <= self._ends_at
 
-    def _estimate_usual_time(self, route: Route) -> Seconds:
-        """Return the usual service time of a route at all servers."""
-        return self._service_times.get(
-            route.id, Seconds(route.objective * _SERVICE_SHARE_OF_OBJECTIVE)
+    def _can_follow(
+        self, task: _RequestTask, choice: HomeChoice, servers: ServersByDistance
+    ) -> bool:
+        """Tell whether another attempt could follow the one at a server."""
+        attempts = task.history.attempts + 1
+        return attempts < task.route.max_attempts and (
+            self._selector.has_alternative(
+                task.search, choice.server, servers, read_clock()
+            )
         )
 
-    async def _offer(self, task: _RequestTask, choice: HomeChoice) -> Reply:
+    async def _offer(
+        self,
+        task: _RequestTask,
+        choice: HomeChoice,
+        servers: ServersByDistance,
+    ) -> Reply:
         head = task.request.head
+        deadline = task.deadline
+        if self._ends_at is not None:
+            deadline = min(deadline, self._ends_at)
+        time_left = Seconds(deadline - read_clock() - _RETURN_MARGIN)
         offer = Offer(
             request_id=task.id,
             service=task.service,
@@ -348,7 +361,7 @@
             body=task.request.body,
             rank=task.route.rank,
             idempotent=task.route.idempotent,
-            time_left=Seconds(task.deadline - read_clock() - _RETURN_MARGIN),
+            time_left=time_left,
             max_wait=choice.max_wait,
             caller_service=self._service,
             forced=choice.forced,
@@ -361,7 +374,14 @@
                 task.granted_until is not None
                 and read_clock() < task.granted_until
             ),
-            usual_time=self._estimate_usual_time(task.route),
+            usual_time=self._times.estimate_usual(task.route),
+            guessed=not self._times.find(task.route),
+            reserve=self._times.estimate_reserve(
+                task.route,
+                time_left,
+                task.unanswered_time,
+                self._can_follow(task, choice, servers),
+            ),
         )
         self._selector.start_offer(choice.server)
         task.offered = True
@@ -380,20 +400,12 @@
                 choice.server,
                 reply,
                 read_clock(),
-                self._service_times.get(task.route.id, Seconds(0.0)),
+                self._times.find(task.route),
             )
         task.offered = False
         metrics.OFFERS.labels(reply.name).inc()
         return reply
 
-    def _update_service_time(self, route: RouteId, time: Seconds) -> None:
-        if time <= 0:
-            return
-        old = self._service_times.get(route, time)
-        self._service_times[route] = Seconds(
-            old + _SERVICE_TIME_WEIGHT * (time - old)
-        )
-
     def _log_reply(
         self,
         task: _RequestTask,
@@ -425,11 +437,27 @@
             )
         )
 
-    def _give_up(self, task: _RequestTask, stop: GiveUpReason) -> ClientAnswer:
+    def _give_up_unplaced(self, task: _RequestTask) -> ClientAnswer:
+        """Answer a request that no home node takes."""
+        excluded = self._selector.explain(
+            task.search,
+            self._fleet.sample_servers(task.service),
+            read_clock(),
+        )
+        for reason, count in excluded.items():
+            metrics.EXCLUSIONS.labels(reason.value).inc(count)
+        text = describe_exclusions(excluded)
+        return self._give_up(task, GiveUpReason.NO_HOME, text)
+
+    def _give_up(
+        self, task: _RequestTask, stop: GiveUpReason, excluded: str = ""
+    ) -> ClientAnswer:
         """Answer a request for which no further attempt is made."""
         history = task.history
         cause = history.reason.value if history.reason else "none-asked"
         reason = f"{stop.value}: {cause}"
+        if excluded:
+            reason += f" ({excluded})"
         if history.failed_answer is not None:
             answer = make_answer(history.failed_answer)
             return self._finish(Ending.ANSWERED, task.id, task, answer, reason)
