Do not wait for each acknowledgement of other nodes in a planned stop

A home node that stops waited until all bytes to other nodes had been acknowledged. Small frames go on, and acknowledgements are delayed by up to 40 ms, so that some was missing at any moment and the stop could last to the end of the grace period.

The node waits until all frames are handed to the system, and ends its side of the connections. From then on nothing is added: nodes that have yet to get bytes are waited for until the end, others have 0.3 s to close. The end of a connection no longer counts as an unacknowledged byte.

--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from egretlever.core import Incarnation, Version, make_log
+from egretlever.core import Incarnation, Seconds, Version, make_log
 from egretlever.placement import HomeNotice
 from egretlever.relay._changes import SharedTable, TableChange
 from egretlever.relay._codec import (
@@ -29,6 +29,9 @@
 from egretlever.transport import accept_connections, read_clock
 
 _LOG = make_log("relay")
+# Other nodes close a connection within a round trip between regions (16 ms),
+# unless their hosts are slow.
+_CLOSE_TIME = Seconds(0.3)
 _CLOSE_POLL_INTERVAL = 0.01  # seconds
 _MAX_CONNECTIONS = 3000  # one for each node of the fleet, plus a reserve
 
@@ -102,19 +105,23 @@
         """Whether other nodes are still being sent what they wait for."""
         return any(stream.has_unsent_frames for stream in self._streams)
 
-    async def end_sending(self, time_left: float) -> None:
+    async def end_sending(self, ends_at: Seconds) -> None:
         """Let the other nodes read everything, and close their connections.
 
         Parameters
         ----------
-        time_left : float
-            Seconds after which those that do not close are not waited for.
+        ends_at : Seconds
+            Clock time until which nodes that have yet to get sent bytes are
+            waited for. Others have to close within a short time.
         """
         ended = set(self._streams)
         for stream in ended:
             await stream.end_sending()
-        until = read_clock() + time_left
-        while not ended.isdisjoint(self._streams) and read_clock() < until:
+        closed_by = read_clock() + _CLOSE_TIME
+        while (now := read_clock()) < ends_at and any(
+            now < closed_by or stream.is_unacknowledged
+            for stream in ended.intersection(self._streams)
+        ):
             await curio.sleep(_CLOSE_POLL_INTERVAL)
 
     async def serve_forever(self, listener: Any) -> None:
--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -113,7 +113,7 @@
     @property
     def is_unfinished(self) -> bool:
         """Whether the client may still miss an answer if the process ends."""
-        unacknowledged = measure_unacknowledged(self._sock)
+        unacknowledged = measure_unacknowledged(self._sock, self._lingering)
         if unacknowledged is None:
             return self._lingering or bool(self._pending)
         return unacknowledged > 0 or bool(self._pending)
@@ -152,7 +152,9 @@
             unanswered=tuple(map(_find_id, self._pending)),
             answer_bytes=self._answer_bytes,
             sent_bytes=self._sent_bytes,
-            unacknowledged_bytes=measure_unacknowledged(self._sock),
+            unacknowledged_bytes=measure_unacknowledged(
+                self._sock, self._lingering
+            ),
             stopping=self._is_stopping(),
             reason=self._end_reason,
         )
--- a/egretlever/relay/_frames.py
+++ b/egretlever/relay/_frames.py
@@ -75,11 +75,14 @@
 
     @property
     def has_unsent_frames(self) -> bool:
-        """Whether the peer has yet to get queued frames."""
-        if self._closed:
-            return False
-        return self._queued_bytes > 0 or bool(
-            measure_unacknowledged(self._sock)
+        """Whether queued frames are not sent completely."""
+        return self._queued_bytes > 0 and not self._closed
+
+    @property
+    def is_unacknowledged(self) -> bool:
+        """Whether the peer's system has yet to get sent frames."""
+        return not self._closed and bool(
+            measure_unacknowledged(self._sock, self._sending_ended)
         )
 
     async def post(self, frame: relay_pb2.RelayFrame | bytes) -> None:
--- a/egretlever/relay/_stopping.py
+++ b/egretlever/relay/_stopping.py
@@ -23,9 +23,6 @@
 _ANSWER_MARGIN = Seconds(0.15)
 _DRAIN_POLL_INTERVAL = 0.05  # seconds
 _FLUSH_TIME = 0.05  # seconds
-# Other nodes close a connection within a round trip between regions (16 ms),
-# unless their hosts are slow.
-_CLOSE_TIME = 0.3  # seconds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,8 +113,7 @@
                 # after its end.
                 await self._entry.running.end_all()
             await curio.sleep(_DRAIN_POLL_INTERVAL)
-        time_left = max(0.0, schedule.ends_at - read_clock())
-        await self._acceptor.end_sending(min(_CLOSE_TIME, time_left))
+        await self._acceptor.end_sending(schedule.ends_at)
         # The peers still read the last answers and replies.
         await curio.sleep(_FLUSH_TIME)
         self._log_end(schedule)
--- a/egretlever/relay/tests/test_planned_stop.py
+++ b/egretlever/relay/tests/test_planned_stop.py
@@ -190,6 +190,30 @@
     run_on_host(script)
 
 
+def test_frames_to_other_nodes_do_not_hold_a_planned_stop():
+    # Their acknowledgements are delayed, so that some is always missing.
+    async def script(host):
+        peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        async with peer:
+            await peer.connect((host.relay.ip, host.relay.port))
+            stream = FrameStream(peer)
+            writer = await curio.spawn(stream.write_forever, daemon=True)
+
+            async def ping_forever():
+                while True:
+                    await stream.post(relay_pb2.RelayFrame(ping={"number": 1}))
+                    await curio.sleep(0.001)
+
+            pinger = await curio.spawn(ping_forever, daemon=True)
+            began = read_clock()
+            await host.stop()
+            assert read_clock() - began < 4.0
+            await pinger.cancel()
+            await writer.cancel()
+
+    run_on_host(script)
+
+
 def test_open_connections_of_other_nodes_do_not_hold_a_planned_stop():
     # A node that is frozen does not close them.
     async def script(host):
--- a/egretlever/transport/_sockets.py
+++ b/egretlever/transport/_sockets.py
@@ -240,9 +240,16 @@
         return True
 
 
-def measure_unacknowledged(sock: Any) -> int | None:
+def measure_unacknowledged(sock: Any, ended: bool = False) -> int | None:
     """Return the sent bytes that the peer has not acknowledged.
 
+    Parameters
+    ----------
+    sock : curio.io.Socket
+        Connected socket.
+    ended : bool, default=False
+        Whether its sending side was closed, which the system counts as a byte.
+
     Returns
     -------
     int or None
@@ -253,7 +260,7 @@
     except (OSError, ValueError):
         return None
     count: int = _INT.unpack(found)[0]
-    return count
+    return max(0, count - ended)
 
 
 def send_now(sock: Any, data: bytes) -> bool:
