Let slow callers read their last response in the direct topology

Callers of egretlever-node that read slowly and sent further bytes after their last request got the first part of a long response and a reset: the node closed the connection after a second, with what the caller had not acknowledged in the socket.

The wait for the caller's close goes on for up to 10 s while bytes are not acknowledged. What is discarded meanwhile is bounded.

test_slow_caller_that_sends_further_bytes_gets_its_response_whole failed before: ConnectionResetError: [Errno 104] Connection reset by peer

--- a/egretlever/transport/_callers.py
+++ b/egretlever/transport/_callers.py
@@ -21,6 +21,7 @@
     has_unread_data,
     is_closed_by_peer,
     is_reset_by_peer,
+    measure_unacknowledged,
     reset_on_close,
     send_all,
     send_now,
@@ -30,6 +31,8 @@
 _HEAD_END = b"\r\n\r\n"
 _BARE_LF_HEAD_END = b"\n\n"
 _LINGER_TIMEOUT = 1.0  # seconds
+_MAX_LINGERS = 10  # for a caller that is still reading
+_MAX_DISCARDED_BYTES = 64 << 20
 
 
 class CallerDisconnectedError(Exception):
@@ -396,18 +399,27 @@
         """Shut down the sending side and close once the caller has closed.
 
         Closing a socket with unread received bytes resets the connection, and
-        the caller can lose a response that it has not read yet. The wait for
-        the caller is limited to one second.
+        the caller can lose a response that it has not read yet (RFC 9112, 9.6).
+        The wait for the caller is limited to one second, and to ten while it
+        has not acknowledged all bytes.
         """
         try:
             await self._sock.shutdown(socket.SHUT_WR)
-            async with curio.timeout_after(_LINGER_TIMEOUT):
-                while await self._reader.receive():
-                    pass
-        except (OSError, curio.TaskTimeout):
+            for _ in range(_MAX_LINGERS):
+                async with curio.ignore_after(_LINGER_TIMEOUT):
+                    await self._discard_until_closed()
+                    break
+                if not measure_unacknowledged(self._sock, ended=True):
+                    break
+        except OSError:
             pass
         await self._sock.close()
 
+    async def _discard_until_closed(self) -> None:
+        left = _MAX_DISCARDED_BYTES
+        while left > 0 and (data := await self._reader.receive()):
+            left -= len(data)
+
     async def close(self) -> None:
         """Close the socket; a response in progress is truncated."""
         await self._sock.close()
--- a/egretlever/transport/tests/test_callers.py
+++ b/egretlever/transport/tests/test_callers.py
@@ -9,6 +9,7 @@
 from egretlever.transport import (
     Answer,
     CallerConnection,
+    ResponseHead,
     answer_requests,
     open_connection,
     open_listener,
@@ -146,3 +147,42 @@
     # Callers may shut down their sending side as soon as the request is sent.
     received = send(GET + b"\r\n", close_early=True)
     assert b"GET /a 0" in received
+
+
+def test_slow_caller_that_sends_further_bytes_gets_its_response_whole():
+    # After a second, the system reset the connection and discarded the rest.
+    body = b"x" * 900_000
+
+    async def serve(listener):
+        sock, _ = await listener.accept()
+        connection = CallerConnection(sock)
+        head = await connection.read_request()
+        assert head is not None
+        length = (b"content-length", b"%d" % len(body))
+        await connection.send_response(ResponseHead(200, [length]), body)
+        await connection.close_gracefully()
+
+    async def send_further(client):
+        while True:
+            await curio.sleep(0.3)
+            await client.sendall(GET)
+
+    async def main():
+        listener = open_listener(Address("127.0.0.1", 0))
+        server = await curio.spawn(serve, listener)
+        client = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 14)
+        await client.connect(listener.getsockname())
+        await client.sendall(GET + b"\r\n")
+        sender = await curio.spawn(send_further, client, daemon=True)
+        received = 0
+        while data := await client.recv(5_000):
+            received += len(data)
+            await curio.sleep(len(data) / 500_000)
+        await sender.cancel()
+        await client.close()
+        await server.join()
+        await listener.close()
+        return received
+
+    assert run_virtual(main()) > len(body)
