Send interim answers after the answers before them

The process of a node ended with all its clients' requests when a client pipelined a request with Expect: 100-continue behind one whose answer was being sent: the reading task wrote the interim answer to the socket for which the writing task waited, and curio's kernel failed. With a short answer, the interim answer could come before the answer to the earlier request.

The interim answer waits until the answers to earlier requests are sent.

test_interim_answer_waits_for_the_answer_that_is_being_sent failed before: KeyError: '<fd=16> is not registered', in curio's kernel

--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -337,6 +337,10 @@
                 return None
 
     async def _send_continue(self, http: h11.Connection) -> None:
+        # Only one task may write, and answers are sent in order.
+        while self._pending and not self._closing:
+            self._slot_freed.clear()
+            await self._slot_freed.wait()
         if self._closing:
             return
         interim = h11.InformationalResponse(status_code=100, headers=[])
--- a/egretlever/relay/tests/test_clients.py
+++ b/egretlever/relay/tests/test_clients.py
@@ -272,6 +272,35 @@
     assert end.cut is not leaves
 
 
+def test_interim_answer_waits_for_the_answer_that_is_being_sent():
+    # Two tasks wrote to one socket, and the kernel of the event loop failed:
+    # the process ended, with the requests of all its clients.
+    body = b"x" * 8_000_000
+    fixture = ClientFixture()
+
+    async def handle(request):
+        return ClientAnswer(200, (), body if request.head.path == "/a" else b"")
+
+    fixture.handle = handle
+
+    async def main():
+        async with fixture.connect() as client:
+            await client.sendall(get(b"/a"))
+            await curio.sleep(0.2)
+            await client.sendall(
+                b"POST /b HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n"
+                b"content-length: 2\r\n\r\n"
+            )
+            await curio.sleep(0.2)
+            data = await read_until(client, b"HTTP/1.1 100")
+            await client.sendall(b"ab")
+            return data + await read_until(client, b"HTTP/1.1 200")
+
+    first, _, second = run_virtual(main()).partition(b"HTTP/1.1 100")
+    assert first.endswith(body)
+    assert second.count(b"HTTP/1.1 200") == 1
+
+
 def test_upload_in_small_chunks_leaves_turns_to_other_tasks():
     # Other requests of the node took up to 5.9 s, and questions for its
     # readiness a second.
