Log the age of the configuration with which a source is left

A node that was behind logged nothing until something new arrived. The line reader-excluded now has the age, so that a node that is behind tells it in time. The limits of the sharing stand in a module of their own.

--- a/egretlever/relay/_configuration_follower.py
+++ b/egretlever/relay/_configuration_follower.py
@@ -19,7 +19,8 @@
 from egretlever.relay._configuration import ConfigurationHolder
 from egretlever.relay._freshness import Freshness, ReadTimes
 from egretlever.relay._links import LinkPool
-from egretlever.relay._sharing import SharingLimits, TableSharing
+from egretlever.relay._sharing import TableSharing
+from egretlever.relay._sharing_limits import SharingLimits
 from egretlever.relay._table_follower import TableFollower, log_state
 from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock
--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -17,6 +17,7 @@
 from egretlever.relay._freshness import Freshness
 from egretlever.relay._links import LinkError, LinkPool
 from egretlever.relay._relay_link import RelayLink
+from egretlever.relay._sharing_limits import SharingLimits
 from egretlever.relay._source_watch import SourceWatch
 from egretlever.schema import logs_pb2
 from egretlever.transport import read_clock
@@ -33,33 +34,6 @@
 _SEARCHING = TableChange(Version(0), Version(0), timed=True, searching=True)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SharingLimits:
-    """How long a node waits for others before it asks the store.
-
-    Parameters
-    ----------
-    max_tried : int
-        Nodes that are tried in turn before the store is asked. Several hosts
-        may have been lost together.
-    first_change_timeout : Seconds
-        Time in which a node has to acknowledge that it is followed. A node of
-        an earlier release does not know the subscription.
-    silence_before_ping : Seconds
-        A node from which nothing was received for this time is checked by a
-        ping, unless it tells positions.
-    doubt_time : Seconds, optional
-        Time after which a node that has lost its source, and found no other
-        one, tells this to the nodes that follow it. Without it they are told
-        when a call of the store fails.
-    """
-
-    max_tried: int = 8
-    first_change_timeout: Seconds = Seconds(1.0)
-    silence_before_ping: Seconds = Seconds(5.0)
-    doubt_time: Seconds | None = None
-
-
 class _Access(enum.Enum):
     """Whether this node gets the changes of the table."""
 
@@ -68,10 +42,20 @@
     FAILED = "failed"
 
 
-def _log(event: str, table: SharedTable, relay: Address) -> None:
+def _log(
+    event: str,
+    table: SharedTable,
+    relay: Address,
+    age: Seconds | None = None,
+) -> None:
     """Log which node provides the changes of a table."""
     _LOG.event(
-        logs_pb2.StateLine(event=event, subject=table.value, address=str(relay))
+        logs_pb2.StateLine(
+            event=event,
+            subject=table.value,
+            address=str(relay),
+            age_s=round(age or 0.0, 4),
+        )
     )
 
 
@@ -339,8 +323,12 @@
             slow = change is None and self._is_connected(relay)
             await self._leave()
             await self._doubt()
-            _log("reader-excluded", self._table, relay)
-            self._readers.exclude(relay, read_clock(), slow)
+            now = read_clock()
+            age = None
+            if self._freshness is not None:
+                age = self._freshness.measure_age(now)
+            _log("reader-excluded", self._table, relay, age)
+            self._readers.exclude(relay, now, slow)
         self._watch.tried = 0
         await self._leave()
         return None
--- a/egretlever/relay/tests/test_sharing.py
+++ b/egretlever/relay/tests/test_sharing.py
@@ -15,7 +15,8 @@
 from egretlever.relay._changes import Position, SharedTable, TableChange
 from egretlever.relay._freshness import Freshness
 from egretlever.relay._links import LinkPool
-from egretlever.relay._sharing import SharingLimits, TableSharing
+from egretlever.relay._sharing import TableSharing
+from egretlever.relay._sharing_limits import SharingLimits
 from egretlever.standins import RowsFault
 from egretlever.testing import VirtualClock, run_virtual
 from egretlever.testing._failure_domain import DomainFixture
