--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -31,6 +31,7 @@
 # Most likely it is unavailable for all.
 _MAX_READERS_CUT_OFF = 2
 
+_DEFAULT_LIMITS = SharingLimits()
 _SEARCHING = TableChange(Version(0), Version(0), timed=True, searching=True)
 
 
@@ -98,7 +99,7 @@
         readers: SourceSelector,
         links: LinkPool,
         describe: Callable[[Version], TableChange] | None = None,
-        limits: SharingLimits = SharingLimits(),
+        limits: SharingLimits = _DEFAULT_LIMITS,
         freshness: Freshness | None = None,
     ) -> None:
         self._table = table
