Exclude slow sources no longer than lost ones

Returns to a slow source are limited by the doubled exclusion, which is forgotten only after twice the bound; the tests with slow and stuck sources pass as before.

--- a/egretlever/placement/_readers.py
+++ b/egretlever/placement/_readers.py
@@ -21,9 +21,6 @@
 # again soon.
 _SOURCE_EXCLUSION_TIME = Seconds(2.0)
 _MAX_EXCLUSION_TIME = Seconds(320.0)
-# A node that is connected and passes changes on late rarely recovers at once,
-# and each return to it costs a search.
-_SLOW_FACTOR = 4
 
 
 class SourceSelector(Protocol):
@@ -33,8 +30,8 @@
         """Choose the node; None when this node has to read the store itself."""
         ...
 
-    def exclude(self, relay: Address, now: Seconds, slow: bool = False) -> None:
-        """Do not choose a node for a while, since it failed or was slow."""
+    def exclude(self, relay: Address, now: Seconds) -> None:
+        """Do not choose a node for a while, since it failed."""
         ...
 
     def observe_change(self, relay: Address) -> None:
@@ -62,15 +59,12 @@
         exclusion = self._exclusions.get(relay)
         return exclusion is not None and now < exclusion.until
 
-    def add(self, relay: Address, now: Seconds, slow: bool) -> None:
+    def add(self, relay: Address, now: Seconds) -> None:
         """Exclude a node, for longer after each failure in a row."""
         known = self._exclusions.get(relay)
         duration = self._duration
-        if slow:
-            duration = Seconds(_SLOW_FACTOR * duration)
         if known is not None:
-            doubled = min(2 * known.duration, _MAX_EXCLUSION_TIME)
-            duration = Seconds(max(duration, doubled))
+            duration = Seconds(min(2 * known.duration, _MAX_EXCLUSION_TIME))
         self._exclusions = {
             other: exclusion
             for other, exclusion in self._exclusions.items()
@@ -98,9 +92,9 @@
         self._own_key = _make_key(own_relay)
         self._exclusions = _Exclusions(exclusion_time)
 
-    def exclude(self, relay: Address, now: Seconds, slow: bool = False) -> None:
-        """Do not choose a node for a while, since it failed or was slow."""
-        self._exclusions.add(relay, now, slow)
+    def exclude(self, relay: Address, now: Seconds) -> None:
+        """Do not choose a node for a while, since it failed."""
+        self._exclusions.add(relay, now)
 
     def observe_change(self, relay: Address) -> None:
         """Record that a node has sent a change."""
--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -321,7 +321,6 @@
                 continue
             self._watch.tried += 1
             cut_off += change is not None
-            slow = change is None and self._is_connected(relay)
             await self._leave()
             await self._doubt()
             now = read_clock()
@@ -329,7 +328,7 @@
             if self._freshness is not None:
                 age = self._freshness.measure_age(now)
             _log("reader-excluded", self._table, relay, age)
-            self._readers.exclude(relay, now, slow)
+            self._readers.exclude(relay, now)
         self._watch.tried = 0
         await self._leave()
         return None
@@ -352,12 +351,6 @@
         )
         await self._leave()
 
-    def _is_connected(self, relay: Address) -> bool:
-        """Tell whether a node that sent nothing still has its connection."""
-        if self._freshness is None or not self._watch.follows(relay):
-            return False
-        return self._link is not None and not self._link.closed
-
     async def _receive_from(
         self, relay: Address, version: Version
     ) -> TableChange | None:
--- a/egretlever/relay/tests/test_sharing.py
+++ b/egretlever/relay/tests/test_sharing.py
@@ -226,7 +226,7 @@
     def choose(self, now):
         return Address("127.0.0.1", 1)
 
-    def exclude(self, relay, now, slow=False):
+    def exclude(self, relay, now):
         self.excluded.append(relay)
 
 
--- a/egretlever/testing/_relay_doubles.py
+++ b/egretlever/testing/_relay_doubles.py
@@ -65,7 +65,7 @@
         del now
         return None
 
-    def exclude(self, relay: Address, now: Seconds, slow: bool = False) -> None:
+    def exclude(self, relay: Address, now: Seconds) -> None:
         """Ignore a node that failed."""
 
     def observe_change(self, relay: Address) -> None:
