--- a/benchmarks/_relay_soak_hosts.py
+++ b/benchmarks/_relay_soak_hosts.py
@@ -19,7 +19,11 @@
     SERVICES,
     ConfigurationHistory,
 )
-from benchmarks._relay_soak_network import FaultyProxy, SoakStore
+from benchmarks._relay_soak_network import (
+    FaultyProxy,
+    SoakStore,
+    hold_address,
+)
 from benchmarks._relay_soak_plan import DOMAINS
 from benchmarks._relay_soak_records import Records, ServerRun
 from egretlever.core import (
@@ -122,6 +126,8 @@
         clients, self._health, self._heartbeats, metrics = reserve_addresses(4)
         relay, proxy = addresses
         self.proxy = FaultyProxy(relay, proxy)
+        listening = (clients, self._health, self._heartbeats, metrics, relay)
+        self._held = [hold_address(address) for address in listening]
         store.proxies[str(relay)] = self.proxy
         self._path = fleet.write_settings(
             self.name,
--- a/benchmarks/_relay_soak_network.py
+++ b/benchmarks/_relay_soak_network.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import enum
+import socket as plain_socket
 import struct
 from typing import Any
 
@@ -27,6 +28,18 @@
 _RESET = struct.pack("ii", 1, 0)
 
 
+def hold_address(address: Address) -> plain_socket.socket:
+    """Keep a port while the process that listens there is down.
+
+    Other fleets on the machine would find the port free and take it. The held
+    socket is bound and does not listen, so that the process can.
+    """
+    sock = plain_socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((address.ip, address.port))
+    return sock
+
+
 class LinkFault(enum.Enum):
     """Fault of the connections to one node.
 
--- a/benchmarks/tests/test_relay_soak.py
+++ b/benchmarks/tests/test_relay_soak.py
@@ -13,7 +13,11 @@
     find_lost_requests,
 )
 from benchmarks._relay_soak_configurations import ConfigurationCheck
-from benchmarks._relay_soak_network import FaultyProxy, LinkFault
+from benchmarks._relay_soak_network import (
+    FaultyProxy,
+    LinkFault,
+    hold_address,
+)
 from benchmarks._relay_soak_plan import EventKind, Faults, make_schedule
 from benchmarks._relay_soak_records import AppliedEvent, Records, ServerRun
 from benchmarks.tests.builders import build_configurations, build_sent
@@ -203,6 +207,16 @@
     curio.run(reset_closed_connection)
 
 
+def test_port_of_stopped_process_is_not_taken_by_another_fleet():
+    address = reserve_addresses(1)[0]
+    with hold_address(address) as held, socket.socket() as other:
+        with pytest.raises(OSError, match="in use"):
+            other.bind((address.ip, address.port))
+        for _ in range(2):
+            with socket.create_server((address.ip, address.port)) as listener:
+                assert listener.getsockname() == held.getsockname()
+
+
 @pytest.mark.parametrize("faults", Faults)
 def test_faults_that_were_not_chosen_are_not_played(faults):
     events = make_schedule(3, 60.0, 8, faults)
