End without a traceback while a server is at work

An attempt runs in a task of its own, and at the end of the event loop that task can be cancelled before the job that waits for it, which then takes the cancellation for a defect. Such an attempt counts as cut off, as one whose job is cancelled.

test_attempt_that_ends_with_its_process_is_cut_off failed before: curio.errors.TaskError: Task crash

--- a/egretlever/relay/_attempts.py
+++ b/egretlever/relay/_attempts.py
@@ -62,6 +62,9 @@
                 await task.wait()
             finally:
                 circuit_breaker.observe_overdue(-1)
+        if isinstance(task.exception, curio.CancelledError):
+            # The event loop ends, and cancels its tasks in any order.
+            return ServerResult(Failure(FailureReason.CUT_OFF), None)
         result: ServerResult = await task.join()
         return result
     finally:
