--- a/egretlever/relay/tests/test_configuration_sharing.py
+++ b/egretlever/relay/tests/test_configuration_sharing.py
@@ -221,6 +221,21 @@
     run_script(script, count=20, bounds=BOUNDS)
 
 
+@pytest.mark.parametrize("wait", [0.4, 1.3])
+def test_loss_of_three_sources_in_a_row_delays_no_configuration(wait):
+    # Nodes that waited for them read a large configuration together.
+    stuck = (1, 2)
+
+    async def script(fixture):
+        for place in stuck:
+            fixture.nodes[place].hold_up(STUCK)
+        await curio.sleep(wait)
+        await fixture.nodes[0].kill()
+        assert await list_late(fixture, stuck) == []
+
+    run_script(script, count=20, bounds=BOUNDS)
+
+
 @pytest.mark.parametrize("stuck", [(0,), (1,), (0, 1)])
 def test_stuck_source_sends_few_nodes_to_the_store(stuck):
     # Calls are paid, and the nodes of a region notice old information together.
