Promise positions only while they are known

A node whose source is of an earlier release has no position, but its messages said that it tells them. Its followers kept the position of an earlier source and left the node when that was old, again and again during an upgrade. Found by reading.

test_node_behind_an_earlier_release_promises_no_positions failed before.

--- a/egretlever/relay/_sharing.py
+++ b/egretlever/relay/_sharing.py
@@ -183,20 +183,27 @@
         change = self._describe_rows(known)
         if change.rows:
             # Acknowledges the subscription, since all rows may take long.
-            acknowledgement = TableChange(
-                known, known, timed=self._freshness is not None
-            )
+            acknowledgement = TableChange(known, known, timed=self._is_timed())
             await subscriber.send_change(self._table, acknowledgement)
         await subscriber.send_change(self._table, self._add_position(change))
 
     def _add_position(self, change: TableChange) -> TableChange:
         """Add up to when this node knows the changes."""
-        if self._freshness is None:
+        if self._freshness is None or not self._is_timed():
             return change
         return dataclasses.replace(
             change, position=self._freshness.position, timed=True
         )
 
+    def _is_timed(self) -> bool:
+        """Tell whether this node can tell positions.
+
+        It can't while its own source is a node of an earlier release.
+        """
+        return (
+            self._freshness is not None and self._freshness.position is not None
+        )
+
     def unsubscribe(self, subscriber: ChangeSubscriber) -> None:
         """Remove a subscriber."""
         self._subscribers.pop(subscriber, None)
--- a/egretlever/relay/tests/test_sharing.py
+++ b/egretlever/relay/tests/test_sharing.py
@@ -264,6 +264,29 @@
     assert run_virtual(main(), clock) == []
 
 
+def test_node_behind_an_earlier_release_promises_no_positions():
+    # Its followers would have left it when the last position was old.
+    recorder = ChangeRecorder()
+    freshness = Freshness(Seconds(2.0))
+    sharing = TableSharing(
+        SharedTable.CONFIGURATION,
+        NEWCOMER.relay,
+        NoSource(),
+        LinkPool(NoticeRecorder()),
+        freshness=freshness,
+    )
+
+    async def main():
+        await sharing.subscribe(recorder, "127.0.0.1:2", Version(3))
+        freshness.advance(Position(read_clock(), 0), read_clock())
+        await sharing.publish(TableChange(Version(3), Version(3)))
+        freshness.forget()
+        await sharing.publish(TableChange(Version(3), Version(3)))
+
+    run_virtual(main())
+    assert [change.timed for change in recorder.changes] == [False, True, False]
+
+
 def make_pending_sharing(selector):
     return TableSharing(
         SharedTable.CONFIGURATION,
