End all tasks of a client connection that is cancelled

A connection that was cancelled while it waited for its writer left behind the task that watches for the client's close. That still waited on the descriptor when the socket was closed, and the next socket with this descriptor could not be waited on, or ended the loop.

The watching task is cancelled with the others. The socket fixture of the tests closes its socket when it is cancelled, as the acceptor does.

--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -121,6 +121,7 @@
     async def run(self) -> None:
         """Serve the connection until it ends."""
         writer = await curio.spawn(self._write_forever, daemon=True)
+        watcher = None
         try:
             if await self._read_forever():
                 self._note_client_closed()
@@ -131,11 +132,13 @@
                     self._watch_for_close, writer, daemon=True
                 )
                 await writer.wait()
-                await watcher.cancel()
         except OSError as error:
             self._note_client_closed()
             _LOG.debug("Client connection failed: %s.", error)
         finally:
+            # No task may wait on the socket once it is closed.
+            if watcher is not None:
+                await watcher.cancel()
             await writer.cancel()
             for pending in self._pending:
                 if pending.task is not None:
--- a/egretlever/relay/tests/test_clients.py
+++ b/egretlever/relay/tests/test_clients.py
@@ -40,14 +40,14 @@
         client, node = socket.socketpair()
 
         async def serve():
-            await ClientConnection(
-                node,
-                self.handle,
-                lambda: self.limits,
-                lambda: self.stopping,
-                self.ends.append,
-            ).run()
-            await node.close()
+            async with node:
+                await ClientConnection(
+                    node,
+                    self.handle,
+                    lambda: self.limits,
+                    lambda: self.stopping,
+                    self.ends.append,
+                ).run()
 
         self.task = await curio.spawn(serve, daemon=True)
         try:
@@ -301,6 +301,25 @@
     assert second.count(b"HTTP/1.1 200") == 1
 
 
+def test_connection_that_is_cancelled_leaves_no_task_on_its_closed_socket():
+    # The task met the next socket with the same descriptor, or ended the loop.
+    fixture = ClientFixture({"/slow": 10.0})
+
+    async def main():
+        async with fixture.connect() as client:
+            await client.sendall(get(b"/slow", b"connection: close"))
+            await curio.sleep(0.5)
+            await fixture.task.cancel()
+            first, second = socket.socketpair()
+            async with first, second:
+                received = await curio.spawn(first.recv, 1)
+                await curio.sleep(0.1)
+                await second.sendall(b"x")
+                return await received.join()
+
+    assert run_virtual(main()) == b"x"
+
+
 def test_upload_in_small_chunks_leaves_turns_to_other_tasks():
     # Other requests of the node took up to 5.9 s, and questions for its
     # readiness a second.
