Tell a server when its attempt ends, and end none in a planned stop

A server was told the deadline of the request since its attempt may go on, and so was cut where it stopped by itself before.

Whether the budget allows a retry is now decided when the attempt begins, and the server is told the time at which the attempt ends. Its 504 counts as an attempt without an answer at both nodes. A stopping entry node says that no further attempt can follow, so that none of its requests is cut.

--- a/egretlever/home/_attempt_limits.py
+++ b/egretlever/home/_attempt_limits.py
@@ -36,6 +36,11 @@
     overdue: Seconds
     may_be_cut: bool
 
+    @property
+    def longest(self) -> Seconds:
+        """Time after which the attempt ends."""
+        return self.overdue if self.may_be_cut else self.left
+
     @property
     def judges_server(self) -> bool:
         """Whether the request has time enough to show a fault of the server."""
--- a/egretlever/relay/_attempt_times.py
+++ b/egretlever/relay/_attempt_times.py
@@ -3,12 +3,13 @@
 from egretlever.core import Seconds
 from egretlever.placement import (
     Answer,
-    FailureReason,
+    Refusal,
     Reply,
     Route,
     RouteTimes,
     estimate_reserve,
 )
+from egretlever.relay._outcomes import is_failed, is_unanswered
 
 # Assumed service time of a route before its first answer.
 _INITIAL_SERVICE_TIME = Seconds(0.15)
@@ -32,10 +33,11 @@
             Time for which a server was at work without an answer, 0 if it was
             not.
         """
-        if isinstance(reply, Answer):
+        if isinstance(reply, Answer) and not is_failed(reply):
             mean = reply.condition.route_time
             self._times.observe(route.id, mean, reply.ran, now)
-        elif reply.reason is FailureReason.OVERDUE:
+        elif is_unanswered(reply):
+            assert not isinstance(reply, Refusal)  # they were not run
             ran = reply.ran
             self._times.observe_longer(route.id, ran, route.timeout, now)
             return ran
--- a/egretlever/relay/_attempts.py
+++ b/egretlever/relay/_attempts.py
@@ -1,28 +1,12 @@
 """One attempt at the server of a home node, until its answer or a limit."""
 
-from collections.abc import Callable
-
 import curio
 
 from egretlever.home import AttemptLimits, CircuitBreaker, Heartbeat
-from egretlever.placement import Answer, Failure, FailureReason, Offer, Reply
+from egretlever.placement import Offer
 from egretlever.relay._interfaces import ServerRunner
 from egretlever.relay._server_client import ServerResult
 
-_DEADLINE_PASSED = 504  # status of a server that stopped at the deadline
-
-
-def is_stopped_at_deadline(reply: Reply) -> bool:
-    """Tell whether the server itself gave up at the deadline."""
-    return isinstance(reply, Answer) and reply.status == _DEADLINE_PASSED
-
-
-def is_unanswered(reply: Reply) -> bool:
-    """Tell whether the server was still at work at the end of its time."""
-    if isinstance(reply, Failure):
-        return reply.reason is FailureReason.OVERDUE
-    return is_stopped_at_deadline(reply)
-
 
 async def run_attempt(
     runner: ServerRunner,
@@ -30,9 +14,11 @@
     offer: Offer,
     limits: AttemptLimits,
     circuit_breaker: CircuitBreaker,
-    has_budget: Callable[[], bool],
 ) -> ServerResult:
-    """Run a request at the server; while it is overdue, the server is doubted.
+    """Run a request at the server within its limits.
+
+    The server is told when the attempt ends, so that it can stop by itself.
+    While an attempt that goes on is overdue, the server is doubted.
 
     Parameters
     ----------
@@ -46,17 +32,15 @@
         Its time limits.
     circuit_breaker : CircuitBreaker
         Circuit breaker of the server.
-    has_budget : callable
-        Tells whether the retry budget allows another attempt.
     """
+    if limits.may_be_cut:
+        return await runner.exchange(server, offer, limits.overdue)
     task = await curio.spawn(
         runner.exchange, server, offer, limits.left, daemon=True
     )
     try:
         await curio.ignore_after(limits.overdue, task.wait)
         if not task.terminated:
-            if limits.may_be_cut and has_budget():
-                return ServerResult(Failure(FailureReason.OVERDUE), False)
             circuit_breaker.observe_overdue(1)
             try:
                 await task.wait()
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -15,7 +15,6 @@
     Answer,
     ClientLimits,
     Configuration,
-    Failure,
     HomeChoice,
     Offer,
     Refusal,
@@ -287,7 +286,7 @@
                 )
             attempts = task.history.attempts
             task.history.observe(reply)
-            if isinstance(reply, Failure):
+            if not isinstance(reply, Refusal):
                 task.unanswered_time = max(
                     task.unanswered_time,
                     self._times.observe(task.route, reply, now),
@@ -332,7 +331,13 @@
     def _can_follow(
         self, task: _RequestTask, choice: HomeChoice, servers: ServersByDistance
     ) -> bool:
-        """Tell whether another attempt could follow the one at a server."""
+        """Tell whether another attempt could follow the one at a server.
+
+        None does in a planned stop: an overdue attempt may be the slow one of a
+        sound server, and what it has done is lost if no server takes a retry.
+        """
+        if self._ends_at is not None:
+            return False
         attempts = task.history.attempts + 1
         return attempts < task.route.max_attempts and (
             self._selector.has_alternative(
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -28,15 +28,12 @@
     Trust,
 )
 from egretlever.platform import Bounds
-from egretlever.relay._attempts import (
-    is_stopped_at_deadline,
-    is_unanswered,
-    run_attempt,
-)
+from egretlever.relay._attempts import run_attempt
 from egretlever.relay._fleet import Neighbours
 from egretlever.relay._interfaces import ServerRunner
 from egretlever.relay._jobs import Job, JobTable
 from egretlever.relay._notices import NoticePublisher
+from egretlever.relay._outcomes import is_stopped_at_deadline, is_unanswered
 from egretlever.relay._retries import RetryCounter
 from egretlever.relay._sampling import RequestSampler
 from egretlever.relay._server_client import ServerClient, ServerResult
@@ -415,15 +412,16 @@
         limits = make_attempt_limits(
             offer, left, time, self._queue.service_time_
         )
+        if not self._may_cut(offer):
+            limits = dataclasses.replace(limits, may_be_cut=False)
         job.dispatched = True
-        self._server_runs.begin(offer, now, job.deadline)
+        self._server_runs.begin(offer, now, Seconds(now + limits.longest))
         result = await run_attempt(
             self._client,
             server,
             offer,
             limits,
             self._circuit_breaker,
-            lambda: self._may_cut(offer),
         )
         if is_unanswered(result.reply) and not (
             limits.judges_server
--- a/egretlever/relay/_outcomes.py
+++ b/egretlever/relay/_outcomes.py
@@ -18,6 +18,7 @@
 from egretlever.relay._client_messages import ClientAnswer
 
 _SERVER_ERROR = 500
+_DEADLINE_PASSED = 504  # status of a server that stopped at the deadline
 # Bounds of the Retry-After of rejected requests: long enough for queues to
 # shrink, so that a returning client is not rejected again at once.
 _MIN_RETRY_AFTER = Seconds(0.2)
@@ -96,6 +97,18 @@
     return True
 
 
+def is_stopped_at_deadline(reply: Reply) -> bool:
+    """Tell whether the server itself gave up at the deadline."""
+    return isinstance(reply, Answer) and reply.status == _DEADLINE_PASSED
+
+
+def is_unanswered(reply: Reply) -> bool:
+    """Tell whether the server was still at work at the end of its time."""
+    if isinstance(reply, Failure):
+        return reply.reason is FailureReason.OVERDUE
+    return is_stopped_at_deadline(reply)
+
+
 def make_answer(reply: Answer) -> ClientAnswer:
     """Convert a server's answer into the client's."""
     return ClientAnswer(reply.status, reply.headers, reply.body)
--- a/egretlever/relay/tests/test_service_times.py
+++ b/egretlever/relay/tests/test_service_times.py
@@ -156,6 +156,22 @@
     assert outcome.took == pytest.approx(3.5, abs=0.01)
 
 
+def test_request_of_a_stopping_node_is_not_cut_at_a_sound_server():
+    # Its attempt was ended for the sake of a retry, which no server took.
+    async def script(fleet):
+        await fleet.send_all(*[0.3] * 10)
+        for _ in range(4):
+            await fleet.send(1)
+        fleet.stop(5.0)
+        outcomes = await fleet.send_all(2.5)
+        return outcomes[0], [server.broken_off for server in fleet.servers]
+
+    outcome, broken_off = run_fleet(lambda: TimedFleet(2), script)
+    assert outcome.status == 200
+    assert outcome.took == pytest.approx(2.5, abs=0.01)
+    assert broken_off == [0, 0]
+
+
 @hypothesis.settings(max_examples=60, deadline=None)
 @hypothesis.given(
     count=st.sampled_from([1, 2, 3, 8]),
