--- a/egretlever/relay/_attempts.py
+++ b/egretlever/relay/_attempts.py
@@ -3,7 +3,7 @@
 import curio
 
 from egretlever.home import AttemptLimits, CircuitBreaker, Heartbeat
-from egretlever.placement import Offer
+from egretlever.placement import Failure, FailureReason, Offer
 from egretlever.relay._interfaces import ServerRunner
 from egretlever.relay._server_client import ServerResult
 
--- a/egretlever/relay/tests/test_attempts.py
+++ b/egretlever/relay/tests/test_attempts.py
@@ -29,7 +29,6 @@
             build_offer(),
             limits,
             CircuitBreaker(),
-            lambda: False,
         )
 
     result = run_virtual(main())
