Answer all requests of a planned stop also after a late turn

Callers would have seen their connection end without an answer: the answers to requests that were left were made in a turn of the loop within the last 0.15 s before the stop ends, and a turn that was 0.25 s late skipped them, with 0.3 s of the grace period unused. They are made once more after the wait. Found by the review.

test_late_turn_near_the_end_of_a_stop_leaves_no_request_unanswered[0.25] failed before: assert b''.startswith(b'HTTP/1.1 504')

--- a/egretlever/relay/_stopping.py
+++ b/egretlever/relay/_stopping.py
@@ -113,6 +113,8 @@
                 # after its end.
                 await self._entry.running.end_all()
             await curio.sleep(_DRAIN_POLL_INTERVAL)
+        # A late turn may have come after the end of the schedule.
+        await self._entry.running.end_all()
         await self._acceptor.end_sending(schedule.ends_at)
         # The peers still read the last answers and replies.
         await curio.sleep(_FLUSH_TIME)
--- a/egretlever/relay/tests/test_planned_stop.py
+++ b/egretlever/relay/tests/test_planned_stop.py
@@ -10,6 +10,7 @@
 from egretlever.relay._codec import encode_offer
 from egretlever.relay._frames import FrameStream
 from egretlever.schema import relay_pb2
+from egretlever.testing._clock import VirtualClock
 from egretlever.testing._relay_fixture import serve
 from egretlever.testing._relay_host import RelayHost, run_on_host
 from egretlever.testing.relay_builders import build_offer
@@ -251,3 +252,29 @@
             await client.cancel()
 
     run_on_host(script)
+
+
+@pytest.mark.parametrize("late", [0.1, 0.25])
+def test_late_turn_near_the_end_of_a_stop_leaves_no_request_unanswered(late):
+    # The answers were due in a turn that came after the end of the schedule.
+    clock = VirtualClock()
+
+    async def script(host):
+        await host.configure("00000008", timeout="8000ms")
+        host.server.replace_steps(serve(after=9.0))
+        await host.announce(1)
+        await curio.sleep(1.0)
+        async with await open_client(host) as client:
+            await client.sendall(ORDER)
+            await curio.sleep(0.2)
+            began = read_clock()
+            stop = await curio.spawn(host.stop)
+            reader = await curio.spawn(read_until_closed, client)
+            await curio.sleep(5.42)
+            clock.advance(late)
+            data = await reader.join()
+            assert read_clock() - began < Bounds().grace
+        await stop.join()
+        assert data.startswith(b"HTTP/1.1 504")
+
+    run_on_host(script, clock)
--- a/egretlever/testing/_relay_host.py
+++ b/egretlever/testing/_relay_host.py
@@ -19,7 +19,7 @@
 from egretlever.relay._node import make_relay_node
 from egretlever.schema import settings_pb2
 from egretlever.standins import RowsStandIn
-from egretlever.testing._clock import run_virtual
+from egretlever.testing._clock import VirtualClock, run_virtual
 from egretlever.testing._fleet import reserve_addresses
 from egretlever.testing._relay_fixture import serve
 from egretlever.testing._scripted_server import ScriptedServer
@@ -185,7 +185,10 @@
     return result.unwrap() if isinstance(result, Success) else None
 
 
-def run_on_host(script: Callable[[RelayHost], Awaitable[None]]) -> None:
+def run_on_host(
+    script: Callable[[RelayHost], Awaitable[None]],
+    clock: VirtualClock | None = None,
+) -> None:
     """Run a script on a host whose node has just started."""
 
     async def main() -> None:
@@ -193,4 +196,4 @@
         async with host.running():
             await script(host)
 
-    run_virtual(main())
+    run_virtual(main(), clock)
