Read the age of a configuration from the clock of the store

An answer with rows that the reader finds late counted as new: only the end of the poll's wait bounded its age, and the store answers such a poll at any moment of it.

The store names its clock in each answer about rows. The reader converts it with the estimate that nodes use for each other's clocks.

--- a/egretlever/platform/_rows.py
+++ b/egretlever/platform/_rows.py
@@ -8,9 +8,10 @@
 
 from returns.result import Failure, Result, Success
 
-from egretlever.core import Address, Seconds, Version, make_log
+from egretlever.core import Address, Finding, Seconds, Version, make_log
 from egretlever.platform._decoding import (
     MAX_NAME_BYTES,
+    FieldReader,
     measure_text,
     parse_json,
 )
@@ -70,6 +71,8 @@
         Time between the head of the response and its last byte.
     last_key : str
         Last key of the response, also of a row that was skipped.
+    clock : Seconds or None
+        Reading of the store's clock when it made the response, if it names one.
     """
 
     rows: tuple[StoredRow, ...]
@@ -78,6 +81,7 @@
     size: int = 0
     transfer_time: Seconds = Seconds(0.0)
     last_key: str = ""
+    clock: Seconds | None = None
 
 
 class RowStore:
@@ -280,7 +284,19 @@
         else:
             rows.append(decoded.unwrap())
     more = fields.get("hasMore") is True
-    return RowPage(tuple(rows), version, more, last_key=_find_last_key(found))
+    return RowPage(
+        tuple(rows),
+        version,
+        more,
+        last_key=_find_last_key(found),
+        clock=_read_clock(fields),
+    )
+
+
+def _read_clock(fields: dict[str, Any]) -> Seconds | None:
+    findings: list[Finding] = []
+    clock = FieldReader(fields, "response", findings).read_duration("now")
+    return None if findings else clock
 
 
 def _find_last_key(found: list[Any]) -> str:
--- a/egretlever/relay/_freshness.py
+++ b/egretlever/relay/_freshness.py
@@ -4,6 +4,7 @@
 
 from egretlever.core import Seconds
 from egretlever.relay._changes import Position
+from egretlever.relay._remote_clock import RemoteClock
 
 # Shares of the time in which a change has to be in force:
 # Time that an answer of the store may be on its way. What exceeds it counts as
@@ -44,11 +45,14 @@
         Clock times.
     wait : Seconds
         Time for which the store was asked to wait for a change.
+    store_clock : Seconds or None
+        Reading of the store's clock in the answer, if there is one.
     """
 
     asked_at: Seconds
     answered_at: Seconds
     wait: Seconds = Seconds(0.0)
+    store_clock: Seconds | None = None
 
 
 class Freshness:
@@ -93,6 +97,7 @@
         self._answer_due_age = _ANSWER_DUE_SHARE * in_force_within
         # Time of the latest whole poll beyond its wait.
         self._store_delay = 0.0
+        self._store_clock = RemoteClock()
         self.position: Position | None = None
 
     def measure_age(self, now: Seconds) -> Seconds | None:
@@ -130,6 +135,10 @@
         if delay >= 0:
             self._store_delay = delay
         latest = times.asked_at + times.wait + self._answer_time
+        if times.store_clock is not None:
+            self._store_clock.observe(times.store_clock, times.answered_at)
+            made_at = self._store_clock.restore(times.store_clock)
+            latest = min(latest, max(made_at, times.asked_at))
         return Position(Seconds(min(times.answered_at, latest)), 0)
 
     def find_poll_time(self, now: Seconds) -> Seconds:
--- a/egretlever/relay/_table_follower.py
+++ b/egretlever/relay/_table_follower.py
@@ -273,7 +273,9 @@
             await self._handle_failure("follow", result.failure())
             return None
         page = result.unwrap()
-        self._read_times = ReadTimes(asked_at, read_clock(), poll_time)
+        self._read_times = ReadTimes(
+            asked_at, read_clock(), poll_time, page.clock
+        )
         self._record_rows(page)
         await self._succeed("follow")
         if page.rows:
--- a/egretlever/relay/tests/test_freshness.py
+++ b/egretlever/relay/tests/test_freshness.py
@@ -21,6 +21,24 @@
     assert position.as_of <= 11.0
 
 
+def test_answer_with_rows_that_is_read_late_is_not_taken_for_new():
+    # The store answers a poll with rows at any moment of its wait.
+    freshness = Freshness(BOUND)
+    for asked_at, answered_at, store_clock in (
+        (9.0, 9.75, 109.74),
+        (10.0, 10.9, 110.05),
+    ):
+        position = freshness.find_read_position(
+            ReadTimes(
+                Seconds(asked_at),
+                Seconds(answered_at),
+                Seconds(0.74),
+                Seconds(store_clock),
+            )
+        )
+    assert position.as_of <= 10.1
+
+
 def test_late_position_is_reported_with_the_age_that_was_reached():
     freshness = Freshness(BOUND)
     assert freshness.advance(Position(Seconds(10.0), 1), Seconds(10.1)) is None
--- a/egretlever/standins/_rows.py
+++ b/egretlever/standins/_rows.py
@@ -245,7 +245,7 @@
         rows_text = ", ".join([*self.odd_rows, *map(json.dumps, found)])
         text = (
             f'{{"rows": [{rows_text}], "hasMore": {json.dumps(has_more)},'
-            f' "ver": {self._version}}}'
+            f' "ver": {self._version}, "now": "{read_clock():.3f}s"}}'
         )
         return Answer(200, text.encode(), "application/json")
 
