Hear signals also after a reload that has timed out

Only exceptions that are no cancellation were caught, and curio's TaskTimeout is one: a reload that timed out ended the task that waits for signals, and SIGTERM had no effect. Found by the review.

test_failed_reload_does_not_keep_the_program_from_stopping[error1] failed before with TaskTimeout.

--- a/egretlever/programs/_runtime.py
+++ b/egretlever/programs/_runtime.py
@@ -69,9 +69,9 @@
     """Reload the settings; a failure must not keep later signals unheard."""
     try:
         await reload()
-    except curio.CancelledError:
+    except curio.TaskCancelled:
         raise
-    except Exception:
+    except (Exception, curio.CancelledError):
         _LOG.error("Reloading failed:\n%s", traceback.format_exc())
 
 
--- a/egretlever/programs/tests/test_runtime.py
+++ b/egretlever/programs/tests/test_runtime.py
@@ -5,6 +5,7 @@
 import time
 
 import curio
+import pytest
 
 from egretlever.programs._runtime import run_until_signal
 from egretlever.transport import read_clock
@@ -12,13 +13,17 @@
 LIMIT = 10.0  # seconds; far more than a loaded host needs
 
 
-def test_failed_reload_does_not_keep_the_program_from_stopping():
+@pytest.mark.parametrize(
+    "error",
+    [RuntimeError("the settings can't be applied"), curio.TaskTimeout()],
+)
+def test_failed_reload_does_not_keep_the_program_from_stopping(error):
     # No later signal was heard: the program went on until it was killed.
     stopped = curio.Event()
 
     async def reload():
         os.kill(os.getpid(), signal.SIGTERM)
-        raise RuntimeError("the settings can't be applied")
+        raise error
 
     async def main():
         os.kill(os.getpid(), signal.SIGHUP)
