End lingering connections of clients that have got their answer

Each connection whose client does not close after its last answer was held for 10 s instead of 1 s, and counts against the limit of 2,000: clients that leave their connections open would have been turned away ten times sooner. A connection is held for longer than a second only while its client has not acknowledged all of the answer.

test_client_that_got_its_last_answer_does_not_hold_its_connection failed before.

--- a/egretlever/relay/_clients.py
+++ b/egretlever/relay/_clients.py
@@ -44,8 +44,11 @@
 # Requests of one connection that are handled concurrently. Further ones stay
 # unread until the first is answered.
 _MAX_PIPELINED = 16
-# Time for a client to read the last answer and to close.
-_LINGER_TIME = Seconds(10.0)
+# Time for a client to close after the last answer, and time for one that has
+# not got all of it yet. Lingering connections count against their limit.
+_LINGER_TIME = Seconds(1.0)
+_SLOW_LINGER_TIME = Seconds(10.0)
+_LINGER_POLL_INTERVAL = 0.25  # seconds
 # Holds the rest of the largest body that a client may send.
 _MAX_DISCARDED_BYTES = 64 << 20
 
@@ -408,7 +411,10 @@
         except OSError:
             await self._end(EndReason.CLIENT_CLOSED)
             return
+        ends_at = read_clock() + _SLOW_LINGER_TIME
         await curio.sleep(_LINGER_TIME)
+        while read_clock() < ends_at and self.is_unfinished:
+            await curio.sleep(_LINGER_POLL_INTERVAL)
         await self._end(EndReason.NOT_CLOSED)
 
     async def _end(self, reason: EndReason) -> None:
--- a/egretlever/relay/tests/test_clients.py
+++ b/egretlever/relay/tests/test_clients.py
@@ -154,6 +154,21 @@
     assert run_virtual(main()) < 15.0
 
 
+def test_client_that_got_its_last_answer_does_not_hold_its_connection():
+    # Clients that did not close took ten times as many connections as before.
+    fixture = ClientFixture()
+
+    async def main():
+        async with fixture.connect() as client:
+            await client.sendall(get(b"/a", b"connection: close"))
+            await read_until_closed(client)
+            began = await curio.clock()
+            await fixture.task.join()
+            return await curio.clock() - began
+
+    assert run_virtual(main()) < 2.0
+
+
 def test_request_after_a_chunked_body_is_parsed():
     fixture = ClientFixture()
     chunked = (
