--- a/egretlever/node/tests/test_graceful_stop.py
+++ b/egretlever/node/tests/test_graceful_stop.py
@@ -35,6 +35,33 @@
     assert reply.head.find(b"connection") == "close"
 
 
+def test_a_request_that_outlasts_the_stop_is_answered():
+    # The program ended with the request in flight, and its connection was cut.
+    async def scenario(fixture):
+        await fixture.add_server(answer(b"late", after=8.0))
+        settings = build_node_settings()
+        settings.traffic.drain_timeout_s = 3
+        node = make_node(settings, seed=1)
+        parts = node._parts
+        parts.catalogue.apply_update(fixture.catalogue, read_clock())
+        parts.apply_catalogue(read_clock())
+        node.operations.handle_announcement(fixture.build_announcement(1))
+        running = await curio.spawn(node.run)
+        await curio.sleep(0.5)
+        caller = await fixture.connect(parse_address(settings.listen.traffic))
+        await caller.sock.sendall(
+            GET[:-2] + b"egretlever-deadline-ms: 60000\r\n\r\n"
+        )
+        await curio.sleep(0.5)
+        await node.stop()
+        await running.join()
+        in_flight = node._proxy._in_flight
+        await caller.sock.close()
+        return in_flight
+
+    assert run_with_proxy(scenario) == 0
+
+
 def test_a_request_received_before_the_stop_is_served():
     async def scenario(fixture):
         await fixture.add_server(answer(b"a"))
--- a/egretlever/testing/_relay_region.py
+++ b/egretlever/testing/_relay_region.py
@@ -7,7 +7,7 @@
 import curio
 from returns.result import Failure
 
-from egretlever.core import Address, FailureDomain, Seconds, Version
+from egretlever.core import Address, FailureDomain, Seconds, ServerId, Version
 from egretlever.placement import HomeServer
 from egretlever.platform import Bounds, decode_configuration
 from egretlever.relay import RelayNode, make_relay_node
@@ -15,6 +15,7 @@
 from egretlever.relay._codec import encode_row
 from egretlever.relay._configuration_follower import ConfigurationFollower
 from egretlever.relay._followers import SERVER_TABLE
+from egretlever.relay._sharing import TableSharing
 from egretlever.schema import settings_pb2
 from egretlever.standins import RowsStandIn, SharedLink
 from egretlever.testing._fleet import reserve_addresses
@@ -33,6 +34,16 @@
 _SETTLING_TIME = 40.0  # seconds
 
 
+def _hold_up(sharing: TableSharing, delay: float) -> None:
+    publish = sharing.publish
+
+    async def publish_late(change: TableChange) -> None:
+        await curio.sleep(delay)
+        await publish(change)
+
+    sharing.publish = publish_late  # type: ignore[method-assign]
+
+
 class RegionNode:
     """A relay node and the row of its server.
 
@@ -124,14 +135,17 @@
         delay : float
             Seconds between the receipt of a change and its sending.
         """
-        sharing = self._get_follower().sharing
-        publish = sharing.publish
+        _hold_up(self._get_follower().sharing, delay)
 
-        async def publish_late(change: TableChange) -> None:
-            await curio.sleep(delay)
-            await publish(change)
+    def hold_up_directory(self, delay: float) -> None:
+        """Do the same with changes of the directory."""
+        sharing = self._get_node()._directory._sharing
+        assert sharing is not None  # relay nodes share the directory
+        _hold_up(sharing, delay)
 
-        sharing.publish = publish_late  # type: ignore[method-assign]
+    def knows_server(self, server: ServerId) -> bool:
+        """Tell whether the directory of the node has a server."""
+        return self._get_node()._fleet.directory.find(server) is not None
 
     def overtake(self, body: bytes) -> None:
         """Put a configuration in force that the followers are not told.
@@ -142,9 +156,12 @@
         self._get_follower()._holder.replace(configuration)
 
     def _get_follower(self) -> ConfigurationFollower:
+        return self._get_node()._configuration
+
+    def _get_node(self) -> RelayNode:
         if self._node is None:
             raise RuntimeError("the node was not started")
-        return self._node._configuration
+        return self._node
 
     def read_store_at(self, address: Address) -> None:
         """Use another store from the next start on."""
