--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -111,7 +111,7 @@
         Parameters
         ----------
         ends_at : Seconds
-            Clock time until which nodes that have yet to get sent bytes are
+            Clock time until which nodes that are still getting sent bytes are
             waited for. Others have to close within a short time.
         """
         ended = set(self._streams)
@@ -119,7 +119,7 @@
             await stream.end_sending()
         closed_by = read_clock() + _CLOSE_TIME
         while (now := read_clock()) < ends_at and any(
-            now < closed_by or stream.is_unacknowledged
+            now < closed_by or stream.is_still_read(now)
             for stream in ended.intersection(self._streams)
         ):
             await curio.sleep(_CLOSE_POLL_INTERVAL)
--- a/egretlever/relay/_frames.py
+++ b/egretlever/relay/_frames.py
@@ -29,6 +29,8 @@
 _COMPRESSION_LEVEL = 6
 # A connection with more unsent bytes is closed: its peer reads too slowly.
 _MAX_QUEUED_BYTES = 96 << 20
+# A peer that acknowledges nothing for this time is unreachable.
+_STALL_TIME = Seconds(1.0)
 
 
 class FrameError(Exception):
@@ -66,6 +68,8 @@
         self._wake = curio.Event()
         self._closed = False
         self._sending_ended = False
+        self._unacknowledged_bytes = 0
+        self._acknowledged_at = read_clock()
         self.last_received_at: Seconds = read_clock()
 
     @property
@@ -78,12 +82,20 @@
         """Whether queued frames are not sent completely."""
         return self._queued_bytes > 0 and not self._closed
 
-    @property
-    def is_unacknowledged(self) -> bool:
-        """Whether the peer's system has yet to get sent frames."""
-        return not self._closed and bool(
-            measure_unacknowledged(self._sock, self._sending_ended)
-        )
+    def is_still_read(self, now: Seconds) -> bool:
+        """Tell whether the peer's system is getting the rest of sent frames.
+
+        Parameters
+        ----------
+        now : Seconds
+            Clock time.
+        """
+        if self._closed:
+            return False
+        count = measure_unacknowledged(self._sock, self._sending_ended) or 0
+        if count != self._unacknowledged_bytes:
+            self._unacknowledged_bytes, self._acknowledged_at = count, now
+        return count > 0 and now - self._acknowledged_at < _STALL_TIME
 
     async def post(self, frame: relay_pb2.RelayFrame | bytes) -> None:
         """Queue a frame for sending; a stream that ends ignores it.
--- a/egretlever/relay/tests/test_planned_stop.py
+++ b/egretlever/relay/tests/test_planned_stop.py
@@ -191,6 +191,28 @@
     run_on_host(script)
 
 
+def test_unreachable_node_does_not_hold_a_planned_stop():
+    # A reply that another node never read held the stop for the whole grace.
+    async def script(host):
+        host.server.replace_steps(serve(random.Random(1).randbytes(900_000)))
+        await host.announce(1)
+        await curio.sleep(1.0)
+        peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 14)
+        async with peer:
+            await peer.connect((host.relay.ip, host.relay.port))
+            stream = FrameStream(peer)
+            writer = await curio.spawn(stream.write_forever, daemon=True)
+            await stream.post(encode_offer(1, build_offer()))
+            await curio.sleep(1.0)
+            began = read_clock()
+            await host.stop()
+            assert read_clock() - began < 4.5
+            await writer.cancel()
+
+    run_on_host(script)
+
+
 def test_frames_to_other_nodes_do_not_hold_a_planned_stop():
     # Their acknowledgements are delayed, so that some is always missing.
     async def script(host):
