--- a/egretlever/relay/_freshness.py
+++ b/egretlever/relay/_freshness.py
@@ -1,4 +1,16 @@
-"""Age of what a node knows of a table, and how long it may do with it."""
+"""Age of what a node knows of a table, and how long it may do with it.
+
+Ages, as shares of the time in which a change has to be in force, while a source
+passes nothing on:
+
+====  ====================================================================
+0.45  the next answer of the store is due at a reader that others follow
+0.55  the node leaves its source, 0.02 later for each hop
+0.75  one more source is tried at most, then the store is asked
+0.80  followers have waited for a source that looks for another one
+0.90  the store is asked at the latest
+====  ====================================================================
+"""
 
 import dataclasses
 
@@ -6,7 +18,7 @@
 from egretlever.relay._changes import Position
 from egretlever.relay._remote_clock import RemoteClock
 
-# Shares of the time in which a change has to be in force:
+# All shares are of the time in which a change has to be in force.
 # Time that an answer of the store may be on its way. What exceeds it counts as
 # age: this node was late to read the answer, or the store to give it.
 _ANSWER_SHARE = 0.1
