--- a/egretlever/relay/tests/test_planned_stop.py
+++ b/egretlever/relay/tests/test_planned_stop.py
@@ -1,5 +1,6 @@
 """Guards answers that are being sent when a planned stop begins."""
 
+import contextlib
 import random
 
 import curio
@@ -23,11 +24,27 @@
 )
 
 
+async def open_socket(address, receive_buffer=1 << 16):
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    await sock.connect((address.ip, address.port))
+    return sock
+
+
 async def open_client(host, receive_buffer=1 << 16):
-    client = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-    await client.connect((host.clients.ip, host.clients.port))
-    return client
+    return await open_socket(host.clients, receive_buffer)
+
+
+@contextlib.asynccontextmanager
+async def connect_node(host, receive_buffer=1 << 16):
+    """Connect as another node, which sends frames and leaves replies unread."""
+    async with await open_socket(host.relay, receive_buffer) as peer:
+        stream = FrameStream(peer)
+        writer = await curio.spawn(stream.write_forever, daemon=True)
+        try:
+            yield peer, stream
+        finally:
+            await writer.cancel()
 
 
 async def read_slowly(client):
@@ -171,21 +188,13 @@
         host.server.replace_steps(serve(body))
         await host.announce(1)
         await curio.sleep(1.0)
-        peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 14)
-        async with peer:
-            await peer.connect((host.relay.ip, host.relay.port))
-            stream = FrameStream(peer)
-            tasks = [
-                await curio.spawn(stream.write_forever, daemon=True),
-                await curio.spawn(send_further, stream, daemon=True),
-            ]
+        async with connect_node(host, 1 << 14) as (peer, stream):
+            sender = await curio.spawn(send_further, stream, daemon=True)
             stop = await curio.spawn(host.stop)
             await curio.sleep(2.5)
             await stream.post(encode_offer(1, build_offer()))
             assert await read_slowly(peer) > len(body)
-            for task in tasks:
-                await task.cancel()
+            await sender.cancel()
         await stop.join()
 
     run_on_host(script)
@@ -197,18 +206,12 @@
         host.server.replace_steps(serve(random.Random(1).randbytes(900_000)))
         await host.announce(1)
         await curio.sleep(1.0)
-        peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 14)
-        async with peer:
-            await peer.connect((host.relay.ip, host.relay.port))
-            stream = FrameStream(peer)
-            writer = await curio.spawn(stream.write_forever, daemon=True)
+        async with connect_node(host, 1 << 14) as (_, stream):
             await stream.post(encode_offer(1, build_offer()))
             await curio.sleep(1.0)
             began = read_clock()
             await host.stop()
             assert read_clock() - began < 4.5
-            await writer.cancel()
 
     run_on_host(script)
 
@@ -216,11 +219,7 @@
 def test_frames_to_other_nodes_do_not_hold_a_planned_stop():
     # Their acknowledgements are delayed, so that some is always missing.
     async def script(host):
-        peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        async with peer:
-            await peer.connect((host.relay.ip, host.relay.port))
-            stream = FrameStream(peer)
-            writer = await curio.spawn(stream.write_forever, daemon=True)
+        async with connect_node(host) as (_, stream):
 
             async def ping_forever():
                 while True:
@@ -232,7 +231,6 @@
             await host.stop()
             assert read_clock() - began < 4.0
             await pinger.cancel()
-            await writer.cancel()
 
     run_on_host(script)
 
@@ -240,9 +238,7 @@
 def test_open_connections_of_other_nodes_do_not_hold_a_planned_stop():
     # A node that is frozen does not close them.
     async def script(host):
-        peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        async with peer:
-            await peer.connect((host.relay.ip, host.relay.port))
+        async with await open_socket(host.relay):
             await curio.sleep(1.0)
             began = read_clock()
             await host.stop()
