Log what ended an attempt whose server was at work

It now names what ended the latest attempt that got no answer, for how long its server may have been at work, and the time since the SIGTERM of the node. In a planned stop these lines are written for all requests: they are few, and each may be a lost request. No decision is changed.

--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -33,6 +33,7 @@
 from egretlever.relay._home import HomeNode
 from egretlever.relay._interfaces import OfferSender
 from egretlever.relay._outcomes import (
+    AttemptEnd,
     AttemptHistory,
     Ending,
     GiveUpReason,
@@ -66,6 +67,9 @@
 # An attempt has to end this long before the client's deadline, so that its
 # answer still arrives in time.
 _RETURN_MARGIN = Seconds(0.02)
+_ANSWERED_OR_NOT_RUN = frozenset(
+    {Ending.ANSWERED, Ending.REJECTED, Ending.NOT_READY}
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,7 +87,8 @@
     derived: bool
     granted_until: Seconds | None = None
     unanswered_time: Seconds = Seconds(0.0)
-    offered: bool = False  # to a home node that has not replied
+    # Clock time of the offer that has no reply yet.
+    offered_at: Seconds | None = None
 
 
 class EntryNode:
@@ -126,6 +131,7 @@
         self._times = AttemptTimes()
         self.running = RunningRequests()
         self._sampler = RequestSampler()
+        self._stops_at: Seconds | None = None
         self._rejects_from: Seconds | None = None
         self._ends_at: Seconds | None = None
 
@@ -161,6 +167,7 @@
         ends_at : Seconds
             Clock time by which every request must have its answer.
         """
+        self._stops_at = read_clock()
         self._rejects_from = rejects_from
         self._ends_at = ends_at
 
@@ -278,14 +285,15 @@
             started = read_clock()
             reply = await self._offer(task, choice, servers)
             now = read_clock()
-            self._log_reply(task, choice, reply, Seconds(now - started))
+            took = Seconds(now - started)
+            self._log_reply(task, choice, reply, took)
             if isinstance(reply, Answer) and not is_failed(reply):
                 self._times.observe(task.route, reply, now)
                 return self._finish(
                     Ending.ANSWERED, task.id, task, make_answer(reply)
                 )
             attempts = task.history.attempts
-            task.history.observe(reply)
+            task.history.observe(reply, took)
             if not isinstance(reply, Refusal):
                 task.unanswered_time = max(
                     task.unanswered_time,
@@ -389,7 +397,7 @@
             ),
         )
         self._selector.start_offer(choice.server)
-        task.offered = True
+        task.offered_at = read_clock()
         reply: Reply | None = None
         try:
             if self._fleet.is_own(choice.server.relay):
@@ -407,7 +415,7 @@
                 read_clock(),
                 self._times.find(task.route),
             )
-        task.offered = False
+        task.offered_at = None
         metrics.OFFERS.labels(reply.name).inc()
         return reply
 
@@ -476,16 +484,21 @@
         )
         return self._finish(Ending.REJECTED, task.id, task, answer, reason)
 
-    def _time_out(self, task: _RequestTask) -> ClientAnswer:
+    def _time_out(
+        self, task: _RequestTask, ended_by: AttemptEnd = AttemptEnd.TIMEOUT
+    ) -> ClientAnswer:
+        if task.offered_at is not None:
+            at_work = Seconds(read_clock() - task.offered_at)
+            task.history.observe_end(ended_by, at_work)
         answer = make_local_answer(504, task.id, "no answer in time")
         reason = task.history.reason.value if task.history.reason else ""
         return self._finish(Ending.TIMED_OUT, task.id, task, answer, reason)
 
     def _end_at_stop(self, task: _RequestTask) -> ClientAnswer:
         """Answer a request whose latest offer has no reply."""
-        task.history.may_have_run |= task.offered
+        task.history.may_have_run |= task.offered_at is not None
         if task.history.may_have_run and task.history.failed_answer is None:
-            return self._time_out(task)
+            return self._time_out(task, AttemptEnd.STOP)
         return self._give_up(task, GiveUpReason.STOPPING)
 
     def _finish(
@@ -499,7 +512,14 @@
         """Count and log the end of a request, and return its answer."""
         metrics.REQUESTS.labels(ending.value, str(answer.status)).inc()
         now = read_clock()
-        if not self._sampler.decide(RequestId(request_id or ""), now):
+        stopped_for = None
+        if self._stops_at is not None:
+            stopped_for = Seconds(now - self._stops_at)
+        # Those that a planned stop may have lost are few, and always logged.
+        is_sampled = self._sampler.decide(RequestId(request_id or ""), now)
+        if not is_sampled and (
+            stopped_for is None or ending in _ANSWERED_OR_NOT_RUN
+        ):
             return answer
         version = ""
         if self._routes is not None:
@@ -519,5 +539,10 @@
             line.attempts = task.history.attempts
             line.time_left_s = round(task.deadline - now, 4)
             line.took_s = round(now - task.request.received_at, 4)
+            if ended_by := task.history.ended_by:
+                line.ended_by = ended_by.value
+                line.at_work_s = round(task.history.at_work, 4)
+        if stopped_for is not None:
+            line.since_stop_s = round(stopped_for, 4)
         _LOG.event(line)
         return answer
--- a/egretlever/relay/_outcomes.py
+++ b/egretlever/relay/_outcomes.py
@@ -47,6 +47,24 @@
     STOPPING = "node-stops"
 
 
+class AttemptEnd(enum.Enum):
+    """What ended an attempt whose server may have been at work."""
+
+    LIMIT = "limit"  # the home node's time limit of the attempt
+    SERVER = "server"
+    LINK = "link"  # the connection to the home node, or the home node
+    TIMEOUT = "timeout"  # of the client or the route, at the entry node
+    STOP = "stop"  # the planned stop of the entry node
+
+
+_ENDS_BY_FAILURE = {
+    FailureReason.CUT_OFF: AttemptEnd.SERVER,
+    FailureReason.GARBLED: AttemptEnd.SERVER,
+    FailureReason.OVERDUE: AttemptEnd.LIMIT,
+    FailureReason.HOME_LOST: AttemptEnd.LINK,
+}
+
+
 @dataclasses.dataclass(slots=True)
 class AttemptHistory:
     """Outcomes of the attempts of one request.
@@ -61,15 +79,29 @@
         Latest answer with a server error status.
     reason : RefusalReason or FailureReason or None
         Reason of the latest refusal or failure.
+    ended_by : AttemptEnd or None
+        What ended the latest attempt that got no answer.
+    at_work : Seconds
+        Time for which its server may have been at work.
     """
 
     attempts: int = 0
     may_have_run: bool = False
     failed_answer: Answer | None = None
     reason: RefusalReason | FailureReason | None = None
-
-    def observe(self, reply: Reply) -> None:
-        """Record the reply to an offer."""
+    ended_by: AttemptEnd | None = None
+    at_work: Seconds = Seconds(0.0)
+
+    def observe(self, reply: Reply, took: Seconds) -> None:
+        """Record the reply to an offer.
+
+        Parameters
+        ----------
+        reply : Answer, Refusal or Failure
+            The reply.
+        took : Seconds
+            Time from the offer to the reply.
+        """
         if isinstance(reply, Refusal):
             self.reason = reply.reason
             if reply.reason in (RefusalReason.SHED, RefusalReason.MISDIRECTED):
@@ -79,8 +111,16 @@
         self.may_have_run = True
         if isinstance(reply, Failure):
             self.reason = reply.reason
+            self.observe_end(_ENDS_BY_FAILURE[reply.reason], reply.ran or took)
         else:
             self.failed_answer = reply
+            if is_stopped_at_deadline(reply):
+                self.observe_end(AttemptEnd.SERVER, reply.ran)
+
+    def observe_end(self, ended_by: AttemptEnd, at_work: Seconds) -> None:
+        """Record what ended an attempt that got no answer."""
+        self.ended_by = ended_by
+        self.at_work = at_work
 
 
 def describe_exclusions(excluded: Mapping[Exclusion, int]) -> str:
--- a/egretlever/relay/tests/test_entry.py
+++ b/egretlever/relay/tests/test_entry.py
@@ -140,6 +140,39 @@
     assert send_list(SilentHomes(*earlier), end_after=1.0) == (status, 1.0)
 
 
+@pytest.mark.parametrize(
+    ("homes", "ended_by", "at_work"),
+    [
+        (SilentHomes(), "stop", 1.0),
+        (
+            ScriptedHomes(
+                *[Failure(FailureReason.OVERDUE, HomeCondition(), ran=0.7)] * 3
+            ),
+            "limit",
+            0.7,
+        ),
+        (
+            ScriptedHomes(
+                *[dataclasses.replace(build_answer(504), ran=0.4)] * 3
+            ),
+            "server",
+            0.4,
+        ),
+    ],
+)
+def test_log_tells_who_ended_an_attempt_whose_server_was_at_work(
+    caplog, homes, ended_by, at_work
+):
+    # A line with 502 or 504 did not say whether a server's answer was lost.
+    with caplog.at_level("INFO"):
+        send_list(homes, end_after=1.0)
+    lines = [record.msg for record in caplog.records]
+    ended = [line for line in lines if line.get("event") == "ended"]
+    assert [(one["ended_by"], one["at_work_s"]) for one in ended] == [
+        (ended_by, at_work)
+    ]
+
+
 def test_answer_that_arrives_with_the_end_of_a_planned_stop_is_sent():
     # The task was cancelled in the turn in which it had its answer.
     async def main():
