Judge answers of a node's own in planned stops of the relay soak

The soak took any status for an answer that was owed, so that a request which a stopping node gave up with 502 or 504 while its server was at work was never found. Its servers' times had no long tail, and they did not stop at the time limit that a node passes on.

A request counts now when its server was still at work as the node ended it after its SIGTERM, unless the server broke off, a time limit was reached, or the work went on into the last sixth of the grace period. A route has mostly short requests and some of up to 4.5 s. The tests of the check fail without it.

--- a/benchmarks/_relay_soak.py
+++ b/benchmarks/_relay_soak.py
@@ -18,6 +18,7 @@
 import typer
 
 from benchmarks._relay_soak_checks import (
+    find_abandoned_requests,
     find_ignored_signals,
     find_lost_requests,
 )
@@ -182,6 +183,7 @@
         self.violations += [
             *self.records.find_violations(),
             *find_lost_requests(self.records),
+            *find_abandoned_requests(self.records),
             *check.find_violations(),
             *find_ignored_signals(self.records, signals),
         ]
--- a/benchmarks/_relay_soak_callers.py
+++ b/benchmarks/_relay_soak_callers.py
@@ -19,6 +19,7 @@
 
 LARGE_PATH = "/large/"
 LONG_PATH = "/long/"
+TAIL_PATH = "/tail/"
 LONG_ORDERS_PATH = "/long-orders/"
 # Fills the bodies of large answers.
 PADDING = b"."
@@ -26,6 +27,7 @@
 _MEAN_CALL_INTERVAL = 0.08  # seconds between two requests of a caller
 _TIME_LIMIT = Seconds(3.0)
 _LONG_TIME_LIMIT = Seconds(12.0)
+_TAIL_TIME_LIMIT = Seconds(6.0)
 _NON_IDEMPOTENT_SHARE = 0.6
 _CONNECT_TIMEOUT = Seconds(1.0)
 _ANSWER_TIMEOUT = 20.0  # seconds; far above the time limit of every request
@@ -35,6 +37,10 @@
 _SLOW_RATES = (0.2e6, 1.5e6)  # bytes per second
 _LARGE_SIZES = (100_000, 900_000)  # bytes
 _WORK_TIMES = (0.3, 4.0)  # seconds
+# Most requests of a route are short, and a few take up to thirty times as long.
+_USUAL_WORK_TIMES = (0.05, 0.15)  # seconds
+_TAIL_WORK_TIMES = (0.5, 4.5)  # seconds
+_TAIL_SHARE = 0.15
 _MORE_REQUESTS_INTERVAL = 0.3  # seconds
 _MORE_REQUESTS = 4
 _PIPELINED_REQUESTS = 4
@@ -227,6 +233,7 @@
     PIPELINED = "pipelined"
     SLOW_READER = "slow-reader"
     LONG_WORK = "long-work"
+    LONG_TAIL = "long-tail"
 
 
 class ConnectionUser:
@@ -294,6 +301,8 @@
             await self._run_rounds(connection, self._send_pipelined)
         elif manner is _Manner.LONG_WORK:
             await self._run_rounds(connection, self._send_long)
+        elif manner is _Manner.LONG_TAIL:
+            await self._run_rounds(connection, self._send_tail)
         else:
             await self._run_rounds(connection, self._send_large)
 
@@ -338,6 +347,15 @@
             self._make_id(), f"{path}{work:.2f}", method, _LONG_TIME_LIMIT
         )
 
+    async def _send_tail(self, connection: PipelineConnection) -> None:
+        is_long = self._rng.random() < _TAIL_SHARE
+        times = _TAIL_WORK_TIMES if is_long else _USUAL_WORK_TIMES
+        await connection.send(
+            self._make_id(),
+            f"{TAIL_PATH}{self._rng.uniform(*times):.2f}",
+            limit=_TAIL_TIME_LIMIT,
+        )
+
     async def _send_large(self, connection: PipelineConnection) -> None:
         """Send a request with a large answer, and others while it is read."""
         size = self._rng.randint(*_LARGE_SIZES)
--- a/benchmarks/_relay_soak_checks.py
+++ b/benchmarks/_relay_soak_checks.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import math
+from collections.abc import Iterator
 
 from benchmarks._relay_soak_disruptions import (
     CONTACT,
@@ -27,6 +28,9 @@
 # until the last sixth of the grace period.
 _EARLY_REQUESTS = Seconds(3.0)
 _LAST_SIXTH = Seconds(_STOP_GRACE * 5 / 6)
+# Statuses that a node gives in place of an answer, and that of a server whose
+# time limit is over.
+_OWN_FAILURE_STATUSES = frozenset({502, 503, 504})
 _TIME_LIMIT_SLACK = Seconds(0.05)
 _LEAVING_LIMIT = Seconds(2.0)
 _LIMIT_WINDOW = Seconds(4.0)
@@ -39,24 +43,57 @@
 
     Planned work on the same and on other hosts excuses none.
     """
-    runs: dict[RequestId, list[ServerRun]] = collections.defaultdict(list)
-    for run in records.arrivals:
-        runs[run.request].append(run)
     unanswered = [sent for sent in records.sent if sent.status == 0]
     return [
-        f"{sent.request} {sent.path} was lost by the planned stop of"
-        f" {sent.host}, sent {sent.begun - stop.begun:.2f} s and ended"
-        f" {sent.ended - stop.begun:.2f} s after it"
-        for stop in records.applied_events
-        if stop.kind == "stop"
-        for sent in unanswered
-        if sent.host == stop.subject
-        and stop.begun <= sent.ended <= stop.begun + _STOP_GRACE + _AFTER_GRACE
-        and _is_owed(sent, stop, runs[sent.request])
-        and not has_unplanned_disruption(
-            records.applied_events, sent.begun, sent.ended
-        )
+        f"{sent.request} {sent.path} was lost by {_describe(sent, stop)}"
+        for sent, stop, _ in _list_owed(records, unanswered)
+    ]
+
+
+def find_abandoned_requests(records: Records) -> list[str]:
+    """Return a line for each request given up while its server was at work.
+
+    The node has answered it after its SIGTERM in place of the server.
+    """
+    given_up = [
+        sent for sent in records.sent if sent.status in _OWN_FAILURE_STATUSES
     ]
+    return [
+        f"{sent.request} {sent.path} got {sent.status} while its server was at"
+        f" work, by {_describe(sent, stop)}"
+        for sent, stop, runs in _list_owed(records, given_up)
+        if any(run.abandoned and run.ended >= stop.begun for run in runs)
+    ]
+
+
+def _describe(sent: SentRequest, stop: AppliedEvent) -> str:
+    return (
+        f"the planned stop of {sent.host}, sent {sent.begun - stop.begun:.2f} s"
+        f" and ended {sent.ended - stop.begun:.2f} s after it"
+    )
+
+
+def _list_owed(
+    records: Records, candidates: list[SentRequest]
+) -> Iterator[tuple[SentRequest, AppliedEvent, list[ServerRun]]]:
+    """Yield the requests that a planned stop had to serve, with their runs."""
+    runs: dict[RequestId, list[ServerRun]] = collections.defaultdict(list)
+    for run in records.arrivals:
+        runs[run.request].append(run)
+    for stop in records.applied_events:
+        if stop.kind != "stop":
+            continue
+        until = stop.begun + _STOP_GRACE + _AFTER_GRACE
+        for sent in candidates:
+            if (
+                sent.host == stop.subject
+                and stop.begun <= sent.ended <= until
+                and _is_owed(sent, stop, runs[sent.request])
+                and not has_unplanned_disruption(
+                    records.applied_events, sent.begun, sent.ended
+                )
+            ):
+                yield sent, stop, runs[sent.request]
 
 
 def _is_owed(
--- a/benchmarks/_relay_soak_configurations.py
+++ b/benchmarks/_relay_soak_configurations.py
@@ -93,6 +93,7 @@
     orders, reads, services, limits = fields["resources"]
     more = [
         ("large", "/large/", reads, SERVICES[0], {"timeout": "12s"}),
+        ("tail", "/tail/", reads, SERVICES[1], {"timeout": "6s"}),
         ("long", "/long/", reads, SERVICES[1], {"timeout": "12s"}),
         (
             "long-orders",
--- a/benchmarks/_relay_soak_hosts.py
+++ b/benchmarks/_relay_soak_hosts.py
@@ -11,6 +11,7 @@
     LONG_ORDERS_PATH,
     LONG_PATH,
     PADDING,
+    TAIL_PATH,
     CallerContext,
     ConnectionUser,
 )
@@ -41,7 +42,11 @@
     reserve_addresses,
 )
 from egretlever.testing._scripted_server import ScriptedServer, Step
-from egretlever.transport import read_clock, send_request
+from egretlever.transport import (
+    CallerDisconnectedError,
+    read_clock,
+    send_request,
+)
 
 _SLOTS = 5
 _HEARTBEAT_INTERVAL = 0.5  # seconds
@@ -222,6 +227,9 @@
         try:
             answered = await self._run_request(exchange, run)
             run.broke_off = not answered
+        except CallerDisconnectedError:
+            run.abandoned = True
+            raise
         finally:
             run.ended = read_clock()
         # An answer may be written after its server has taken the limit back.
@@ -253,8 +261,14 @@
         prefix, _, value = exchange.head.target.rpartition("/")
         if prefix + "/" == LARGE_PATH:
             body = body.ljust(int(value), PADDING)
-        elif prefix + "/" in (LONG_PATH, LONG_ORDERS_PATH):
+        elif prefix + "/" in (LONG_PATH, LONG_ORDERS_PATH, TAIL_PATH):
             service_time = float(value)
+        limit = int(exchange.head.find(headers.DEADLINE) or 0) / 1000
+        if limit and service_time > limit:
+            run.abandoned = True
+            return await answer(b"", 504, *server_headers, after=limit)(
+                exchange
+            )
         return await answer(body, 200, *server_headers, after=service_time)(
             exchange
         )
--- a/benchmarks/_relay_soak_records.py
+++ b/benchmarks/_relay_soak_records.py
@@ -30,6 +30,9 @@
         When the server ended its work; infinite before that.
     broke_off : bool
         Whether the server closed the connection instead of answering.
+    abandoned : bool
+        Whether the node ended it while the server was at work: it closed the
+        connection, or the time limit that it had passed on was over.
     """
 
     request: RequestId
@@ -38,6 +41,7 @@
     service: ServiceName = ServiceName("")
     ended: Seconds = Seconds(math.inf)
     broke_off: bool = False
+    abandoned: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/benchmarks/tests/test_relay_soak.py
+++ b/benchmarks/tests/test_relay_soak.py
@@ -9,6 +9,7 @@
 from benchmarks._relay_soak import run_seed
 from benchmarks._relay_soak_checks import (
     ServerSignal,
+    find_abandoned_requests,
     find_ignored_signals,
     find_lost_requests,
 )
@@ -109,6 +110,42 @@
     assert find_lost(lost, ServerRun("r-1", "i-1", 1.2, ended=5.6)) == []
 
 
+def find_abandoned(sent, *runs, events=()):
+    return find_abandoned_requests(
+        Records(
+            arrivals=list(runs), sent=[sent], applied_events=[STOP, *events]
+        )
+    )
+
+
+@pytest.mark.parametrize("status", [502, 503, 504])
+def test_request_given_up_in_a_planned_stop_at_its_server_is_reported(status):
+    # Any answer was taken for one that was owed.
+    given_up = build_sent(status=status, ended=2.6, limit=6.0)
+    run = ServerRun("r-1", "i-1", 1.0, ended=1.7, abandoned=True)
+    assert find_abandoned(given_up, run)
+    assert find_abandoned(build_sent(ended=2.6, limit=6.0), run) == []
+    kill = AppliedEvent("kill", "host-2", 0.5, 4.0)
+    assert find_abandoned(given_up, run, events=[kill]) == []
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"abandoned": False},
+        {"broke_off": True},
+        {"ended": 0.4},
+        {"ended": 5.6},
+    ],
+    ids=["answered", "server-broke-off", "before-the-stop", "last-sixth"],
+)
+def test_request_that_its_server_or_the_grace_ends_is_not_given_up(changes):
+    given_up = build_sent(status=502, begun=0.1, ended=5.7, limit=6.0)
+    fields = {"ended": 1.7, "abandoned": True, **changes}
+    run = ServerRun("r-1", "i-1", 0.2, **fields)
+    assert find_abandoned(given_up, run) == []
+
+
 CONFIGURATIONS = build_configurations(
     (0.0, {"/moved/": "ordering"}),
     (10.0, {"/moved/": "listing"}),
