--- a/egretlever/relay/tests/test_planned_stop.py
+++ b/egretlever/relay/tests/test_planned_stop.py
@@ -7,9 +7,11 @@
 import pytest
 from curio import socket
 
+from egretlever.core import Seconds
 from egretlever.platform import Bounds
 from egretlever.relay._codec import encode_offer
 from egretlever.relay._frames import FrameStream
+from egretlever.relay._stopping import plan_stop
 from egretlever.schema import relay_pb2
 from egretlever.testing._clock import VirtualClock
 from egretlever.testing._relay_fixture import serve
@@ -156,6 +158,36 @@
     run_on_host(script)
 
 
+def test_stopping_home_takes_no_request_that_may_outlast_it():
+    # It accepted what usually ends in time, and ended with its process the
+    # requests that took longer: 502 while the server was at work.
+    async def script(home):
+        entry = RelayHost(2, home.store)
+        async with entry.running():
+            await home.configure("00000008", kind="safe", timeout="6000ms")
+            home.server.replace_steps(serve(after=5.0))
+            await home.announce(1)
+            await curio.sleep(4.0)
+            stop = await curio.spawn(home.stop)
+            await curio.sleep(1.5)
+            async with await open_client(entry) as client:
+                await client.sendall(ORDER)
+                data = await client.recv(1 << 16)
+            await stop.join()
+            assert data.startswith(b"HTTP/1.1 503")
+            assert home.server.heads == []
+
+    run_on_host(script)
+
+
+@pytest.mark.parametrize("grace", [1.0, 2.0, 3.0, 6.0, 30.0])
+def test_requests_are_ended_in_the_last_sixth_of_any_grace_period(grace):
+    # With less than 3.3 s, requests at work were given up before it.
+    schedule = plan_stop(Seconds(10.0), Seconds(grace))
+    assert 10.0 + grace * 5 / 6 <= schedule.answers_by < schedule.ends_at
+    assert schedule.leaves_at < schedule.ends_at < 10.0 + grace
+
+
 def test_stop_whose_signal_was_noticed_late_ends_within_the_grace_period():
     # The process was killed while it wrote its last answers.
     async def script(host):
--- a/egretlever/relay/tests/test_service_times.py
+++ b/egretlever/relay/tests/test_service_times.py
@@ -172,6 +172,60 @@
     assert broken_off == [0, 0]
 
 
+def send_slow_request(work, stopped_after=None, busy=False):
+    """Send a request that takes far longer than usual to one of two servers.
+
+    Parameters
+    ----------
+    work : float
+        Time at both servers in seconds.
+    stopped_after : float, optional
+        Time until its entry node stops, in seconds.
+    busy : bool, default=False
+        Whether all slots of the other server are in use.
+    """
+
+    async def script(fleet):
+        await fleet.send_all(*[0.3] * 12)
+        for _ in range(4):
+            await fleet.send(1)
+        if busy:
+            fleet.servers[1].work = 5.5
+            for _ in range(fleet.slots):
+                await curio.spawn(fleet.send, 1, daemon=True)
+            await curio.sleep(0.1)
+        for server in fleet.servers:
+            server.work = work
+        task = await curio.spawn(fleet.send, daemon=True)
+        if stopped_after is not None:
+            await curio.sleep(stopped_after)
+            fleet.stop(5.45)
+        return await task.join()
+
+    return run_fleet(lambda: TimedFleet(2, objective=4.0), script)
+
+
+@pytest.mark.parametrize(
+    ("work", "stopped_after", "busy"),
+    [(4.5, 0.1, False), (4.2, 0.5, False), (4.5, 1.0, False), (2.5, 0.1, True)],
+)
+def test_attempt_before_a_planned_stop_is_not_given_up_in_it(
+    work, stopped_after, busy
+):
+    # It was ended by a limit that was fixed when it began, at a node that does
+    # not learn of the stop: 502 while the server was at work.
+    outcome = send_slow_request(work, stopped_after, busy)
+    assert outcome.status == 200
+    assert outcome.took == pytest.approx(work, abs=0.01)
+
+
+def test_overdue_attempt_goes_on_while_no_server_takes_its_retry():
+    # It was ended first, and a server for the retry was sought afterwards.
+    outcome = send_slow_request(2.5, busy=True)
+    assert outcome.status == 200
+    assert outcome.took == pytest.approx(2.5, abs=0.01)
+
+
 @hypothesis.settings(max_examples=60, deadline=None)
 @hypothesis.given(
     count=st.sampled_from([1, 2, 3, 8]),
--- a/egretlever/testing/_timed_fleet.py
+++ b/egretlever/testing/_timed_fleet.py
@@ -106,6 +106,8 @@
     ----------
     servers : list of TimedServer
         All servers, by host.
+    slots : int
+        Slots of each server.
     """
 
     def __init__(
@@ -132,6 +134,7 @@
             hosts=((_DOMAIN, _SERVICE, count),),
             bounds=Bounds(retry_ratio=0.2, retry_slack=60.0),
         )
+        self.slots = pattern.slots
         self.servers: list[TimedServer] = []
         self._fleet = RelayFleet(pattern, make_runner=self._make_server)
 
