Judge each run that a stopping node ends in the relay soak

A request that was given up at one server, and cut at another one by the end of the grace period, was excused by the second run; real processes show such a case (502 at 5.43 s, the first server broken off at 1.72 s). Clients of the route with a long tail send several requests at once, so that retries meet full servers.

--- a/benchmarks/_relay_soak_callers.py
+++ b/benchmarks/_relay_soak_callers.py
@@ -37,10 +37,10 @@
 _SLOW_RATES = (0.2e6, 1.5e6)  # bytes per second
 _LARGE_SIZES = (100_000, 900_000)  # bytes
 _WORK_TIMES = (0.3, 4.0)  # seconds
-# Most requests of a route are short, and a few take up to thirty times as long.
+# Most requests of a route are short, and a few take up to fifty times as long.
 _USUAL_WORK_TIMES = (0.05, 0.15)  # seconds
-_TAIL_WORK_TIMES = (0.5, 4.5)  # seconds
-_TAIL_SHARE = 0.15
+_TAIL_WORK_TIMES = (0.5, 4.9)  # seconds
+_TAIL_SHARE = 0.3
 _MORE_REQUESTS_INTERVAL = 0.3  # seconds
 _MORE_REQUESTS = 4
 _PIPELINED_REQUESTS = 4
@@ -348,13 +348,14 @@
         )
 
     async def _send_tail(self, connection: PipelineConnection) -> None:
-        is_long = self._rng.random() < _TAIL_SHARE
-        times = _TAIL_WORK_TIMES if is_long else _USUAL_WORK_TIMES
-        await connection.send(
-            self._make_id(),
-            f"{TAIL_PATH}{self._rng.uniform(*times):.2f}",
-            limit=_TAIL_TIME_LIMIT,
-        )
+        for _ in range(self._rng.randint(1, _PIPELINED_REQUESTS)):
+            is_long = self._rng.random() < _TAIL_SHARE
+            times = _TAIL_WORK_TIMES if is_long else _USUAL_WORK_TIMES
+            await connection.send(
+                self._make_id(),
+                f"{TAIL_PATH}{self._rng.uniform(*times):.2f}",
+                limit=_TAIL_TIME_LIMIT,
+            )
 
     async def _send_large(self, connection: PipelineConnection) -> None:
         """Send a request with a large answer, and others while it is read."""
--- a/benchmarks/_relay_soak_checks.py
+++ b/benchmarks/_relay_soak_checks.py
@@ -46,7 +46,8 @@
     unanswered = [sent for sent in records.sent if sent.status == 0]
     return [
         f"{sent.request} {sent.path} was lost by {_describe(sent, stop)}"
-        for sent, stop, _ in _list_owed(records, unanswered)
+        for sent, stop, runs in _list_owed(records, unanswered)
+        if not any(_is_in_last_sixth(sent, stop, run) for run in runs)
     ]
 
 
@@ -62,10 +63,25 @@
         f"{sent.request} {sent.path} got {sent.status} while its server was at"
         f" work, by {_describe(sent, stop)}"
         for sent, stop, runs in _list_owed(records, given_up)
-        if any(run.abandoned and run.ended >= stop.begun for run in runs)
+        if any(
+            run.abandoned
+            and run.ended >= stop.begun
+            and not _is_in_last_sixth(sent, stop, run)
+            for run in runs
+        )
     ]
 
 
+def _is_in_last_sixth(
+    sent: SentRequest, stop: AppliedEvent, run: ServerRun
+) -> bool:
+    """Return whether the end of the grace period may end a server's work."""
+    return (
+        sent.begun <= stop.begun + _EARLY_REQUESTS
+        and run.ended >= stop.begun + _LAST_SIXTH
+    )
+
+
 def _describe(sent: SentRequest, stop: AppliedEvent) -> str:
     return (
         f"the planned stop of {sent.host}, sent {sent.begun - stop.begun:.2f} s"
@@ -88,7 +104,7 @@
             if (
                 sent.host == stop.subject
                 and stop.begun <= sent.ended <= until
-                and _is_owed(sent, stop, runs[sent.request])
+                and _is_owed(sent, runs[sent.request])
                 and not has_unplanned_disruption(
                     records.applied_events, sent.begun, sent.ended
                 )
@@ -96,22 +112,15 @@
                 yield sent, stop, runs[sent.request]
 
 
-def _is_owed(
-    sent: SentRequest, stop: AppliedEvent, runs: list[ServerRun]
-) -> bool:
-    """Return whether a request needed an answer before the stop's end."""
+def _is_owed(sent: SentRequest, runs: list[ServerRun]) -> bool:
+    """Return whether neither the client nor a server has ended a request."""
     if not runs and sent.behind:
         return False
     if not runs and sent.ended - sent.begun <= _CLOSE_RACE_TIME:
         return False
     if sent.ended - sent.begun >= sent.limit - _TIME_LIMIT_SLACK:
         return False
-    if any(run.broke_off for run in runs):
-        return False
-    return not (
-        sent.begun <= stop.begun + _EARLY_REQUESTS
-        and any(run.ended >= stop.begun + _LAST_SIXTH for run in runs)
-    )
+    return not any(run.broke_off for run in runs)
 
 
 @dataclasses.dataclass(slots=True)
--- a/benchmarks/tests/test_relay_soak.py
+++ b/benchmarks/tests/test_relay_soak.py
@@ -129,6 +129,14 @@
     assert find_abandoned(given_up, run, events=[kill]) == []
 
 
+def test_request_given_up_at_one_server_and_cut_by_the_grace_is_reported():
+    given_up = build_sent(status=504, begun=0.1, ended=6.0, limit=6.0)
+    early = ServerRun("r-1", "i-1", 0.2, ended=1.7, abandoned=True)
+    late = ServerRun("r-1", "i-2", 1.8, ended=5.9, abandoned=True)
+    assert find_abandoned(given_up, late) == []
+    assert find_abandoned(given_up, early, late)
+
+
 @pytest.mark.parametrize(
     "changes",
     [
