--- a/egretlever/home/_attempt_limits.py
+++ b/egretlever/home/_attempt_limits.py
@@ -26,20 +26,12 @@
     left : Seconds
         Time until the request's deadline.
     overdue : Seconds
-        Time after which the attempt is overdue; it may exceed `left`.
-    may_be_cut : bool
-        Whether it may be ended then, because another one can still follow and
-        is likely to do better.
+        Time after which the attempt is overdue, so that a retry is sought; it
+        may exceed `left`.
     """
 
     left: Seconds
     overdue: Seconds
-    may_be_cut: bool
-
-    @property
-    def longest(self) -> Seconds:
-        """Time after which the attempt ends."""
-        return self.overdue if self.may_be_cut else self.left
 
     @property
     def judges_server(self) -> bool:
@@ -63,11 +55,8 @@
     service_time : Seconds
         Mean service time of all routes at this server.
     """
-    overdue = _find_overdue_time(offer, left, time, service_time)
     return AttemptLimits(
-        left,
-        overdue,
-        offer.idempotent and overdue < left and left - overdue >= offer.reserve,
+        left, _find_overdue_time(offer, left, time, service_time)
     )
 
 
--- a/egretlever/placement/__init__.py
+++ b/egretlever/placement/__init__.py
@@ -7,6 +7,11 @@
 
 from egretlever.placement._directory import Directory
 from egretlever.placement._exclusions import Exclusion
+from egretlever.placement._follow_ups import (
+    FollowUpSearch,
+    OverdueReport,
+    estimate_retry_time,
+)
 from egretlever.placement._groups import DistanceGroups, ServersByDistance
 from egretlever.placement._orphans import OrphanTracker
 from egretlever.placement._readers import (
@@ -32,7 +37,6 @@
     Route,
     Trust,
 )
-from egretlever.placement._reserves import estimate_reserve
 from egretlever.placement._routes import RouteTable
 from egretlever.placement._search import Distance, HomeChoice, Search, Stage
 from egretlever.placement._selection import HomeSelector
@@ -53,6 +57,7 @@
     "Exclusion",
     "Failure",
     "FailureReason",
+    "FollowUpSearch",
     "HeaderFields",
     "HomeChoice",
     "HomeCondition",
@@ -61,6 +66,7 @@
     "HomeServer",
     "Offer",
     "OrphanTracker",
+    "OverdueReport",
     "ReaderSelector",
     "Refusal",
     "RefusalReason",
@@ -76,5 +82,5 @@
     "TreeSelector",
     "Trust",
     "count_relevant_slots",
-    "estimate_reserve",
+    "estimate_retry_time",
 ]
--- a/egretlever/placement/_records.py
+++ b/egretlever/placement/_records.py
@@ -291,10 +291,9 @@
     guessed : bool
         Whether this time is derived from the latency objective, since nothing
         was observed yet.
-    reserve : Seconds
-        The attempt may be ended early only while this time is left: what a
-        further attempt needs, or all if none can follow. Earlier releases send
-        0.
+    alongside : bool
+        Whether an earlier attempt of the request is still running, which is
+        withdrawn when this one starts.
     expires_at : Seconds
         Clock time of the home node at which the client or the route gives up.
         It also holds for an offer that was long on its way.
@@ -322,7 +321,7 @@
     granted: bool = False
     usual_time: Seconds = Seconds(0.0)
     guessed: bool = False
-    reserve: Seconds = Seconds(0.0)
+    alongside: bool = False
     expires_at: Seconds = Seconds(math.inf)
 
     @property
--- a/egretlever/placement/_reports.py
+++ b/egretlever/placement/_reports.py
@@ -20,6 +20,7 @@
 from egretlever.placement._records import (
     Answer,
     FailureReason,
+    HomeCondition,
     HomeNotice,
     HomeServer,
     RefusalReason,
@@ -261,6 +262,12 @@
         ):
             view.observe_unreachable(now)
 
+    def observe_condition(
+        self, server: HomeServer, condition: HomeCondition, now: Seconds
+    ) -> None:
+        """Record a condition that came before the reply to an offer."""
+        self._view(server).observe(condition, now)
+
     def observe(self, notice: HomeNotice, now: Seconds) -> None:
         """Record a notice of a home node."""
         view = self._views.get(notice.server)
--- a/egretlever/placement/_search.py
+++ b/egretlever/placement/_search.py
@@ -173,6 +173,13 @@
         """End this stage: the request expired in the queue of a home node."""
         self.offers = _MAX_OFFERS_BY_STAGE[self.stage]
 
+    def exclude_failed(self, server_id: ServerId) -> None:
+        """Leave out a server that had the request and did not answer it."""
+        self.excluded.add(server_id)
+        self.may_be_trial = False
+        # A retry costs budget, so that it has to be likely to succeed.
+        self.least_time = None
+
     def begin_stage(self, stage: Stage) -> None:
         """Begin a stage, in which all home nodes may get an offer again."""
         self.stage = stage
--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -8,7 +8,7 @@
 import curio
 
 from egretlever.core import Incarnation, Seconds, Version, make_log
-from egretlever.placement import HomeNotice
+from egretlever.placement import HomeNotice, OverdueReport
 from egretlever.relay._changes import SharedTable, TableChange
 from egretlever.relay._codec import (
     TABLES_BY_SUBSCRIPTION,
@@ -17,8 +17,10 @@
     encode_change,
     encode_hello,
     encode_notice,
+    encode_overdue,
     encode_pong,
     encode_reply,
+    encode_started,
 )
 from egretlever.relay._frames import FrameError, FrameStream
 from egretlever.relay._handover import HandoverExchange
@@ -58,6 +60,22 @@
         await self._stream.post(relay_pb2.RelayFrame(handover_request=message))
 
 
+class _ProgressSender:
+    """Tells the node on one connection how its offer proceeds."""
+
+    def __init__(self, stream: FrameStream, sequence: int) -> None:
+        self._stream = stream
+        self._sequence = sequence
+
+    async def observe_start(self) -> None:
+        """Report that the server is at work; a closed connection ignores it."""
+        await self._stream.post(encode_started(self._sequence))
+
+    async def observe_overdue(self, report: OverdueReport) -> None:
+        """Report that it is overdue; a closed connection ignores it."""
+        await self._stream.post(encode_overdue(self._sequence, report))
+
+
 @functools.lru_cache(maxsize=1)
 def _encode_shared_notice(notice: HomeNotice) -> bytes:
     """Encode a notice once for all of its subscribers."""
@@ -177,11 +195,13 @@
         elif kind == "withdrawal":
             job = jobs.pop(frame.withdrawal.sequence, None)
             if job is not None:
-                await self._home.jobs.withdraw(job)
+                await self._home.withdraw(job)
         elif kind == "offer":
             sequence = frame.offer.sequence
             job = await self._home.jobs.submit(
-                decode_offer(frame.offer), stream
+                decode_offer(frame.offer),
+                stream,
+                _ProgressSender(stream, sequence),
             )
             jobs[sequence] = job
             await curio.spawn(
--- a/egretlever/relay/_attempt_times.py
+++ b/egretlever/relay/_attempt_times.py
@@ -7,7 +7,7 @@
     Reply,
     Route,
     RouteTimes,
-    estimate_reserve,
+    estimate_retry_time,
 )
 from egretlever.relay._outcomes import is_failed, is_unanswered
 
@@ -61,25 +61,16 @@
             route.objective * _SERVICE_SHARE_OF_OBJECTIVE
         )
 
-    def estimate_reserve(
-        self,
-        route: Route,
-        time_left: Seconds,
-        unanswered_time: Seconds,
-        can_follow: bool,
+    def estimate_retry_time(
+        self, route: Route, unanswered_time: Seconds
     ) -> Seconds:
-        """Return the time that a further attempt needs, or all without one.
+        """Return the time that has to be left for a further attempt.
 
         Parameters
         ----------
         route : Route
             Route of the request.
-        time_left : Seconds
-            Time until its deadline.
         unanswered_time : Seconds
-            Longest time for which a server was at work on it without an answer.
-        can_follow : bool
-            Whether a further attempt is allowed, and a server is left for it.
+            Longest time of its ended attempts that got no answer.
         """
-        usual = self.estimate_usual(route)
-        return estimate_reserve(time_left, usual, unanswered_time, can_follow)
+        return estimate_retry_time(self.estimate_usual(route), unanswered_time)
--- a/egretlever/relay/_attempts.py
+++ b/egretlever/relay/_attempts.py
@@ -1,4 +1,6 @@
-"""One attempt at the server of a home node, until its answer or a limit."""
+"""One attempt at the server of a home node, until its answer or deadline."""
+
+from collections.abc import Awaitable, Callable
 
 import curio
 
@@ -14,11 +16,12 @@
     offer: Offer,
     limits: AttemptLimits,
     circuit_breaker: CircuitBreaker,
+    report_overdue: Callable[[], Awaitable[None]],
 ) -> ServerResult:
-    """Run a request at the server within its limits.
+    """Run a request at the server until its deadline.
 
-    The server is told when the attempt ends, so that it can stop by itself.
-    While an attempt that goes on is overdue, the server is doubted.
+    While an attempt is overdue, the server is doubted. It goes on all the same:
+    only the entry node knows whether another server takes the request.
 
     Parameters
     ----------
@@ -32,9 +35,9 @@
         Its time limits.
     circuit_breaker : CircuitBreaker
         Circuit breaker of the server.
+    report_overdue : callable
+        Coroutine function that is called when the attempt becomes overdue.
     """
-    if limits.may_be_cut:
-        return await runner.exchange(server, offer, limits.overdue)
     task = await curio.spawn(
         runner.exchange, server, offer, limits.left, daemon=True
     )
@@ -43,6 +46,7 @@
         if not task.terminated:
             circuit_breaker.observe_overdue(1)
             try:
+                await report_overdue()
                 await task.wait()
             finally:
                 circuit_breaker.observe_overdue(-1)
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -24,6 +24,7 @@
     HomeNotice,
     HomeServer,
     Offer,
+    OverdueReport,
     Refusal,
     RefusalReason,
     Reply,
@@ -106,7 +107,8 @@
             granted=offer.granted,
             usual_ms=_to_milliseconds(offer.usual_time),
             guessed=offer.guessed,
-            reserve_ms=_to_milliseconds(offer.reserve),
+            reserve_ms=_to_milliseconds(offer.time_left),
+            alongside=offer.alongside,
             expires_at_ms=_to_clock_milliseconds(offer.expires_at),
         )
     )
@@ -137,7 +139,7 @@
         granted=offer.granted,
         usual_time=_to_seconds(offer.usual_ms),
         guessed=offer.guessed,
-        reserve=_to_seconds(offer.reserve_ms),
+        alongside=offer.alongside,
         expires_at=Seconds(
             offer.expires_at_ms / 1000 if offer.expires_at_ms else math.inf
         ),
@@ -213,6 +215,34 @@
     )
 
 
+def encode_started(sequence: int) -> relay_pb2.RelayFrame:
+    """Encode that the server is at work on an offer."""
+    return relay_pb2.RelayFrame(started=relay_pb2.Started(sequence=sequence))
+
+
+def encode_overdue(
+    sequence: int, report: OverdueReport
+) -> relay_pb2.RelayFrame:
+    """Encode that an attempt is overdue."""
+    return relay_pb2.RelayFrame(
+        overdue=relay_pb2.Overdue(
+            sequence=sequence,
+            ran_ms=_to_milliseconds(report.ran),
+            retry_granted=report.retry_granted,
+            condition=_encode_condition(report.condition),
+        )
+    )
+
+
+def decode_overdue(overdue: relay_pb2.Overdue) -> OverdueReport:
+    """Decode that an attempt is overdue."""
+    return OverdueReport(
+        _to_seconds(overdue.ran_ms),
+        overdue.retry_granted,
+        _decode_condition(overdue.condition),
+    )
+
+
 def encode_reply(sequence: int, reply: Reply) -> relay_pb2.RelayFrame:
     """Encode the reply to an offer."""
     condition = _encode_condition(reply.condition)
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -1,6 +1,5 @@
 """Entry node: forwards each client request of its host to a home node."""
 
-import dataclasses
 import random
 
 import curio
@@ -15,26 +14,25 @@
     Answer,
     ClientLimits,
     Configuration,
-    HomeChoice,
-    Offer,
+    Failure,
+    FailureReason,
     Refusal,
     RefusalReason,
     Reply,
     Route,
     RouteTable,
     Search,
-    ServersByDistance,
+    Stage,
 )
 from egretlever.platform import headers
 from egretlever.relay import _metrics as metrics
-from egretlever.relay._attempt_times import AttemptTimes
 from egretlever.relay._client_messages import ClientAnswer, ClientRequest
 from egretlever.relay._fleet import FleetView
 from egretlever.relay._home import HomeNode
 from egretlever.relay._interfaces import OfferSender
+from egretlever.relay._offers import RETURN_MARGIN, OfferDispatcher
 from egretlever.relay._outcomes import (
     AttemptEnd,
-    AttemptHistory,
     Ending,
     GiveUpReason,
     describe_exclusions,
@@ -43,10 +41,11 @@
     make_local_answer,
     make_rejection,
 )
+from egretlever.relay._request_task import RequestTask, RunningOffer
 from egretlever.relay._running_requests import RunningRequests, StopTimeout
 from egretlever.relay._sampling import RequestSampler
 from egretlever.schema import logs_pb2
-from egretlever.transport import read_clock, remove_hop_by_hop
+from egretlever.transport import read_clock
 
 _LOG = make_log("entry")
 # A request is given up when this many home nodes have refused it for lack of
@@ -64,33 +63,11 @@
 # off at a server; few answers take four times as long as usual.
 _STOP_TIME_FACTOR = 4.0
 _IDEMPOTENT_STOP_TIME_FACTOR = 2.0
-# An attempt has to end this long before the client's deadline, so that its
-# answer still arrives in time.
-_RETURN_MARGIN = Seconds(0.02)
 _ANSWERED_OR_NOT_RUN = frozenset(
     {Ending.ANSWERED, Ending.REJECTED, Ending.NOT_READY}
 )
 
 
-@dataclasses.dataclass(slots=True)
-class _RequestTask:
-    """State of one client request while it is served."""
-
-    request: ClientRequest
-    id: RequestId
-    route: Route
-    service: ServiceName
-    deadline: Seconds
-    search: Search
-    history: AttemptHistory
-    expires_at: Seconds
-    derived: bool
-    granted_until: Seconds | None = None
-    unanswered_time: Seconds = Seconds(0.0)
-    # Clock time of the offer that has no reply yet.
-    offered_at: Seconds | None = None
-
-
 class EntryNode:
     """Serves the clients of one host.
 
@@ -121,14 +98,11 @@
         links: OfferSender,
         rng: random.Random,
     ) -> None:
-        self._service = service
         self._fleet = fleet
         self._home = home
-        self._links = links
         self._rng = rng
-        self._selector = fleet.selector
         self._routes: RouteTable | None = None
-        self._times = AttemptTimes()
+        self._dispatcher = OfferDispatcher(service, fleet, home, links)
         self.running = RunningRequests()
         self._sampler = RequestSampler()
         self._stops_at: Seconds | None = None
@@ -170,6 +144,7 @@
         self._stops_at = read_clock()
         self._rejects_from = rejects_from
         self._ends_at = ends_at
+        self._dispatcher.ends_at = ends_at
 
     async def handle(self, request: ClientRequest) -> ClientAnswer:
         """Serve one client request."""
@@ -235,7 +210,7 @@
 
     def _make_task(
         self, request: ClientRequest, request_id: RequestId, route: Route
-    ) -> _RequestTask:
+    ) -> RequestTask:
         assert self._routes is not None  # checked by handle
         begun = request.received_at
         # A request without a deadline counts as one that may expire any time.
@@ -256,75 +231,92 @@
             rank=route.rank,
             may_be_trial=may_be_trial,
             on_time_at=Seconds(min(deadline, begun + route.objective)),
-            deadline=Seconds(deadline - _RETURN_MARGIN),
-            service_time=self._times.estimate(route),
-            least_time=self._times.estimate_least(route, begun),
+            deadline=Seconds(deadline - RETURN_MARGIN),
+            service_time=self._dispatcher.times.estimate(route),
+            least_time=self._dispatcher.times.estimate_least(route, begun),
         )
-        return _RequestTask(
+        return RequestTask(
             request,
             request_id,
             route,
             service,
             deadline,
             search,
-            AttemptHistory(),
             expires_at,
             self._rng.random()
             < self._home.estimate_derived_share(service, expires_at),
         )
 
-    async def _serve(self, task: _RequestTask) -> ClientAnswer:
-        while True:
-            # One that may have run can only gain by another attempt.
-            if not (task.history.may_have_run or self._may_finish(task)):
-                return self._give_up(task, GiveUpReason.STOPPING)
-            servers = self._fleet.sample_servers(task.service)
-            choice = self._selector.decide(task.search, servers, read_clock())
-            if choice is None:
-                return self._give_up_unplaced(task)
-            started = read_clock()
-            reply = await self._offer(task, choice, servers)
-            now = read_clock()
-            took = Seconds(now - started)
-            self._log_reply(task, choice, reply, took)
-            if isinstance(reply, Answer) and not is_failed(reply):
-                self._times.observe(task.route, reply, now)
-                return self._finish(
-                    Ending.ANSWERED, task.id, task, make_answer(reply)
-                )
-            attempts = task.history.attempts
-            task.history.observe(reply, took)
-            if not isinstance(reply, Refusal):
-                task.unanswered_time = max(
-                    task.unanswered_time,
-                    self._times.observe(task.route, reply, now),
-                )
-            refused = reply.reason if isinstance(reply, Refusal) else None
-            if refused is RefusalReason.EXPIRED:
-                task.search.end_stage()
-            elif refused is RefusalReason.NO_BUDGET:
-                task.search.budget_refusals += 1
-                task.search.excluded.add(choice.server.id)
-            if task.history.attempts > attempts:
-                task.search.excluded.add(choice.server.id)
-                task.search.may_be_trial = False
-                # A retry costs budget, so that it has to be likely to succeed.
-                task.search.least_time = None
-                task.granted_until = (
-                    Seconds(now + _GRANT_LIFETIME)
-                    if reply.retry_granted
-                    else None
-                )
-            if task.search.budget_refusals >= _MAX_BUDGET_REFUSALS:
-                if task.derived:
-                    self._home.observe_call_without_budget(task.expires_at)
-                return self._give_up(task, GiveUpReason.NO_BUDGET)
-            if task.history.may_have_run and not task.route.idempotent:
-                return self._give_up(task, GiveUpReason.MAY_HAVE_RUN)
-            if task.history.attempts >= task.route.max_attempts:
-                return self._give_up(task, GiveUpReason.ATTEMPTS_USED)
-
-    def _may_finish(self, task: _RequestTask) -> bool:
+    async def _serve(self, task: RequestTask) -> ClientAnswer:
+        try:
+            while (answer := await self._proceed(task)) is None:
+                await self._await_change(task)
+            return answer
+        finally:
+            for offer in task.offers:
+                await offer.withdraw()
+
+    async def _proceed(self, task: RequestTask) -> ClientAnswer | None:
+        """Handle replies and overdue attempts, and make offers.
+
+        Returns
+        -------
+        ClientAnswer or None
+            None while replies are awaited.
+        """
+        for offer in list(task.offers):
+            if offer.ended:
+                task.offers.remove(offer)
+                reply = await offer.get_reply()
+                if isinstance(reply, Answer) and not is_failed(reply):
+                    return self._finish_answered(task, offer, reply)
+                self._observe_failure(task, offer, reply)
+        # In a planned stop all attempts go on until one is answered: what the
+        # replaced one has done would be lost if the further one failed.
+        if self._ends_at is None:
+            for offer in task.list_replaced():
+                await self._end_replaced(task, offer)
+        if not task.offers:
+            return await self._offer_next(task)
+        if self._may_follow_up(
+            task
+        ) and not await self._dispatcher.start_alongside(task):
+            task.follow_ups.observe_unplaced(read_clock())
+        return None
+
+    async def _await_change(self, task: RequestTask) -> None:
+        pause = task.follow_ups.measure_pause(read_clock())
+        if pause and task.find_overdue() is not None:
+            await curio.ignore_after(pause, task.changed.wait)
+        else:
+            await task.changed.wait()
+        task.changed.clear()
+
+    async def _offer_next(self, task: RequestTask) -> ClientAnswer | None:
+        """Make the next offer of a request without one, or give it up."""
+        reason = self._find_give_up_reason(task)
+        if reason is not None:
+            if reason is GiveUpReason.NO_BUDGET and task.derived:
+                self._home.observe_call_without_budget(task.expires_at)
+            return self._give_up(task, reason)
+        if not await self._dispatcher.start(task):
+            return self._give_up_unplaced(task)
+        return None
+
+    def _find_give_up_reason(self, task: RequestTask) -> GiveUpReason | None:
+        history = task.history
+        if task.search.budget_refusals >= _MAX_BUDGET_REFUSALS:
+            return GiveUpReason.NO_BUDGET
+        if history.may_have_run and not task.route.idempotent:
+            return GiveUpReason.MAY_HAVE_RUN
+        if history.attempts >= task.route.max_attempts:
+            return GiveUpReason.ATTEMPTS_USED
+        # One that may have run can only gain by another attempt.
+        if not (history.may_have_run or self._may_finish(task)):
+            return GiveUpReason.STOPPING
+        return None
+
+    def _may_finish(self, task: RequestTask) -> bool:
         """Tell whether an attempt is likely to end before a planned stop."""
         if self._ends_at is None:
             return True
@@ -333,137 +325,102 @@
             if task.route.idempotent
             else _STOP_TIME_FACTOR
         )
-        needed = factor * self._times.estimate_usual(task.route)
+        needed = factor * self._dispatcher.times.estimate_usual(task.route)
         return read_clock() + needed <= self._ends_at
 
-    def _can_follow(
-        self, task: _RequestTask, choice: HomeChoice, servers: ServersByDistance
-    ) -> bool:
-        """Tell whether another attempt could follow the one at a server.
-
-        None does in a planned stop: an overdue attempt may be the slow one of a
-        sound server, and what it has done is lost if no server takes a retry.
-        """
-        if self._ends_at is not None:
+    def _may_follow_up(self, task: RequestTask) -> bool:
+        """Tell whether another server may be asked beside an overdue one."""
+        overdue = task.find_overdue()
+        if overdue is None:
             return False
-        attempts = task.history.attempts + 1
-        return attempts < task.route.max_attempts and (
-            self._selector.has_alternative(
-                task.search, choice.server, servers, read_clock()
-            )
+        now = read_clock()
+        deadline = min(task.deadline, self._dispatcher.ends_at)
+        needed = self._dispatcher.times.estimate_retry_time(
+            task.route, task.unanswered_time
         )
+        if (
+            task.count_attempts() >= task.route.max_attempts
+            or task.search.budget_refusals >= _MAX_BUDGET_REFUSALS
+            or deadline - RETURN_MARGIN - now < needed
+            or not task.follow_ups.is_due(now)
+        ):
+            return False
+        self._prepare_follow_up(task, overdue)
+        return True
 
-    async def _offer(
-        self,
-        task: _RequestTask,
-        choice: HomeChoice,
-        servers: ServersByDistance,
-    ) -> Reply:
-        head = task.request.head
-        deadline = task.deadline
-        if self._ends_at is not None:
-            deadline = min(deadline, self._ends_at)
-        time_left = Seconds(deadline - read_clock() - _RETURN_MARGIN)
-        offer = Offer(
-            request_id=task.id,
-            service=task.service,
-            route=task.route.id,
-            method=head.method,
-            target=head.target.encode("latin-1"),
-            headers=tuple(remove_hop_by_hop(head.headers)),
-            body=task.request.body,
-            rank=task.route.rank,
-            idempotent=task.route.idempotent,
-            time_left=time_left,
-            max_wait=choice.max_wait,
-            caller_service=self._service,
-            forced=choice.forced,
-            careful=not task.search.may_be_trial,
-            late=choice.late,
-            repeated=task.history.attempts > 0,
-            derived=task.derived,
-            retriable=task.history.attempts + 1 < task.route.max_attempts,
-            granted=(
-                task.granted_until is not None
-                and read_clock() < task.granted_until
-            ),
-            usual_time=self._times.estimate_usual(task.route),
-            guessed=not self._times.find(task.route),
-            reserve=self._times.estimate_reserve(
-                task.route,
-                time_left,
-                task.unanswered_time,
-                self._can_follow(task, choice, servers),
-            ),
+    def _prepare_follow_up(
+        self, task: RequestTask, overdue: RunningOffer
+    ) -> None:
+        assert overdue.overdue is not None  # found by find_overdue
+        server = overdue.choice.server
+        if server.id in task.search.excluded:
+            task.search.begin_stage(Stage.ON_TIME)
+            return
+        task.search.exclude_failed(server.id)
+        self._fleet.selector.observe_condition(
+            server, overdue.overdue.condition, overdue.overdue_at
         )
-        self._selector.start_offer(choice.server)
-        task.offered_at = read_clock()
-        reply: Reply | None = None
-        try:
-            if self._fleet.is_own(choice.server.relay):
-                reply = await self._home.run(offer)
-            else:
-                reply = await self._links.offer(
-                    choice.server.relay,
-                    offer,
-                    follow=self._fleet.is_in_own_domain(choice.server),
-                )
-        finally:
-            self._selector.finish_offer(
-                choice.server,
-                reply,
-                read_clock(),
-                self._times.find(task.route),
+        if overdue.overdue.retry_granted:
+            task.granted_until = Seconds(overdue.overdue_at + _GRANT_LIFETIME)
+
+    async def _end_replaced(
+        self, task: RequestTask, offer: RunningOffer
+    ) -> None:
+        """Withdraw an overdue offer that a further attempt replaces."""
+        task.offers.remove(offer)
+        await offer.withdraw()
+        ran = offer.measure_run(read_clock())
+        self._observe_failure(
+            task, offer, Failure(FailureReason.OVERDUE, ran=ran)
+        )
+        task.history.observe_end(AttemptEnd.REPLACED, ran)
+
+    def _finish_answered(
+        self, task: RequestTask, offer: RunningOffer, reply: Answer
+    ) -> ClientAnswer:
+        self._log_reply(task, offer, reply)
+        self._dispatcher.times.observe(task.route, reply, read_clock())
+        return self._finish(Ending.ANSWERED, task.id, task, make_answer(reply))
+
+    def _observe_failure(
+        self, task: RequestTask, offer: RunningOffer, reply: Reply
+    ) -> None:
+        """Record a reply that is no successful answer."""
+        now = read_clock()
+        server_id = offer.choice.server.id
+        self._log_reply(task, offer, reply)
+        attempts = task.history.attempts
+        task.history.observe(reply, offer.measure_age(now))
+        if not isinstance(reply, Refusal):
+            task.unanswered_time = max(
+                task.unanswered_time,
+                self._dispatcher.times.observe(task.route, reply, now),
+            )
+        refused = reply.reason if isinstance(reply, Refusal) else None
+        if refused is RefusalReason.EXPIRED:
+            task.search.end_stage()
+        elif refused is RefusalReason.NO_BUDGET:
+            task.search.budget_refusals += 1
+            task.search.excluded.add(server_id)
+        if task.history.attempts > attempts:
+            task.search.exclude_failed(server_id)
+            task.granted_until = (
+                Seconds(now + _GRANT_LIFETIME) if reply.retry_granted else None
             )
-        task.offered_at = None
-        metrics.OFFERS.labels(reply.name).inc()
-        return reply
 
     def _log_reply(
-        self,
-        task: _RequestTask,
-        choice: HomeChoice,
-        reply: Reply,
-        took: Seconds,
+        self, task: RequestTask, offer: RunningOffer, reply: Reply
     ) -> None:
-        if not self._sampler.decide(task.id, read_clock()):
-            return
-        _LOG.event(
-            logs_pb2.RequestLine(
-                event="offered",
-                request=task.id,
-                route=task.route.id,
-                service=task.service,
-                server=choice.server.id,
-                rank=task.route.rank,
-                offers=task.search.offers,
-                attempts=task.history.attempts,
-                reason=choice.reason,
-                max_wait_s=round(choice.max_wait, 4),
-                time_left_s=round(task.deadline - read_clock(), 4),
-                wait_s=round(choice.wait, 4),
-                trust=choice.trust.value,
-                view_age_s=round(choice.view_age or 0.0, 3),
-                directory=str(self._fleet.directory.version),
-                outcome=reply.name,
-                took_s=round(took, 4),
-            )
-        )
+        if self._sampler.decide(task.id, read_clock()):
+            self._dispatcher.log_reply(task, offer, reply)
 
-    def _give_up_unplaced(self, task: _RequestTask) -> ClientAnswer:
+    def _give_up_unplaced(self, task: RequestTask) -> ClientAnswer:
         """Answer a request that no home node takes."""
-        excluded = self._selector.explain(
-            task.search,
-            self._fleet.sample_servers(task.service),
-            read_clock(),
-        )
-        for reason, count in excluded.items():
-            metrics.EXCLUSIONS.labels(reason.value).inc(count)
-        text = describe_exclusions(excluded)
+        text = describe_exclusions(self._dispatcher.find_exclusions(task))
         return self._give_up(task, GiveUpReason.NO_HOME, text)
 
     def _give_up(
-        self, task: _RequestTask, stop: GiveUpReason, excluded: str = ""
+        self, task: RequestTask, stop: GiveUpReason, excluded: str = ""
     ) -> ClientAnswer:
         """Answer a request for which no further attempt is made."""
         history = task.history
@@ -484,28 +441,48 @@
         )
         return self._finish(Ending.REJECTED, task.id, task, answer, reason)
 
-    def _time_out(
-        self, task: _RequestTask, ended_by: AttemptEnd = AttemptEnd.TIMEOUT
-    ) -> ClientAnswer:
-        if task.offered_at is not None:
-            at_work = Seconds(read_clock() - task.offered_at)
-            task.history.observe_end(ended_by, at_work)
+    def _time_out(self, task: RequestTask) -> ClientAnswer:
+        answer = self._find_ready_answer(task)
+        if answer is not None:
+            return answer
+        self._observe_ends(task, AttemptEnd.TIMEOUT)
+        return self._answer_timeout(task)
+
+    def _answer_timeout(self, task: RequestTask) -> ClientAnswer:
         answer = make_local_answer(504, task.id, "no answer in time")
         reason = task.history.reason.value if task.history.reason else ""
         return self._finish(Ending.TIMED_OUT, task.id, task, answer, reason)
 
-    def _end_at_stop(self, task: _RequestTask) -> ClientAnswer:
-        """Answer a request whose latest offer has no reply."""
-        task.history.may_have_run |= task.offered_at is not None
+    def _end_at_stop(self, task: RequestTask) -> ClientAnswer:
+        """Answer a request whose offers have no reply."""
+        answer = self._find_ready_answer(task)
+        if answer is not None:
+            return answer
+        self._observe_ends(task, AttemptEnd.STOP)
+        task.history.may_have_run |= bool(task.offers)
         if task.history.may_have_run and task.history.failed_answer is None:
-            return self._time_out(task, AttemptEnd.STOP)
+            return self._answer_timeout(task)
         return self._give_up(task, GiveUpReason.STOPPING)
 
+    def _find_ready_answer(self, task: RequestTask) -> ClientAnswer | None:
+        """Return an answer that came in the turn in which time ran out."""
+        for offer in task.offers:
+            reply = offer.reply
+            if isinstance(reply, Answer) and not is_failed(reply):
+                return self._finish_answered(task, offer, reply)
+        return None
+
+    def _observe_ends(self, task: RequestTask, ended_by: AttemptEnd) -> None:
+        """Record what has ended the offers that have no reply."""
+        for offer in task.offers:
+            age = offer.measure_age(read_clock())
+            task.history.observe_end(ended_by, age)
+
     def _finish(
         self,
         ending: Ending,
         request_id: str | None,
-        task: _RequestTask | None,
+        task: RequestTask | None,
         answer: ClientAnswer,
         reason: str = "",
     ) -> ClientAnswer:
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -9,6 +9,7 @@
 from egretlever.core import RequestId, RouteId, Seconds, ServiceName, make_log
 from egretlever.home import (
     CircuitBreaker,
+    Heartbeat,
     LocalServer,
     ServerSignals,
     SlotQueue,
@@ -22,6 +23,7 @@
     HomeCondition,
     HomeNotice,
     Offer,
+    OverdueReport,
     Refusal,
     RefusalReason,
     Reply,
@@ -30,7 +32,7 @@
 from egretlever.platform import Bounds
 from egretlever.relay._attempts import run_attempt
 from egretlever.relay._fleet import Neighbours
-from egretlever.relay._interfaces import ServerRunner
+from egretlever.relay._interfaces import OfferObserver, ServerRunner
 from egretlever.relay._jobs import Job, JobTable
 from egretlever.relay._notices import NoticePublisher
 from egretlever.relay._outcomes import is_stopped_at_deadline, is_unanswered
@@ -54,12 +56,20 @@
 # ranks.
 _REPORTED_RANKS = 3
 _NO_ROUTE = RouteId("")
+# Outcome of an overdue request that another server has taken over, or that its
+# client has given up.
+_WITHDRAWN_OVERDUE = ServerResult(Failure(FailureReason.OVERDUE), False)
 
 
 async def _ignore() -> None:
     """Do nothing; default of the callbacks."""
 
 
+def _has_granted_retry(job: Job) -> bool:
+    """Tell whether a retry was paid for while the job was running."""
+    return job.overdue is not None and job.overdue.retry_granted
+
+
 class HomeNode:
     """Runs requests at the server of its host, each within a slot.
 
@@ -352,9 +362,8 @@
         return dataclasses.replace(
             reply,
             condition=self.describe(offer.route),
-            retry_granted=self._retries.grant(
-                offer, result.reply, job.deadline
-            ),
+            retry_granted=not _has_granted_retry(job)
+            and self._retries.grant(offer, result.reply, job.deadline),
         )
 
     async def _await_slot(self, ticket: SlotTicket) -> bool:
@@ -412,16 +421,19 @@
         limits = make_attempt_limits(
             offer, left, time, self._queue.service_time_
         )
-        if not self._may_cut(offer):
-            limits = dataclasses.replace(limits, may_be_cut=False)
-        job.dispatched = True
-        self._server_runs.begin(offer, now, Seconds(now + limits.longest))
+        await job.observe_dispatch(server)
+        self._server_runs.begin(offer, now, job.deadline)
+
+        async def report_overdue() -> None:
+            await self._report_overdue(job, Seconds(read_clock() - now))
+
         result = await run_attempt(
             self._client,
             server,
             offer,
             limits,
             self._circuit_breaker,
+            report_overdue,
         )
         if is_unanswered(result.reply) and not (
             limits.judges_server
@@ -429,23 +441,26 @@
         ):
             # The request's deadline was too short to judge the server by it.
             result = dataclasses.replace(result, good=None)
-        if result.signals is not None and self._server_key == (
-            server.id,
-            server.incarnation,
-        ):
+        if result.signals is not None and self._is_current(server):
             await self._observe_signals(result.signals)
-        if result.good is not None and self._server_key == (
-            server.id,
-            server.incarnation,
-        ):
+        if result.good is not None and self._is_current(server):
             self._record_outcome(offer, result, now)
         return result
 
-    def _may_cut(self, offer: Offer) -> bool:
-        """Tell whether a retry of an overdue request may follow."""
-        # Earlier releases do not say what a further attempt needs.
-        return not offer.reserve or self._retries.has_room_for_retry(
-            offer.service, read_clock()
+    def _is_current(self, server: Heartbeat) -> bool:
+        """Tell whether outcomes of a server still apply."""
+        return self._server_key == (server.id, server.incarnation)
+
+    async def _report_overdue(self, job: Job, ran: Seconds) -> None:
+        """Let the entry node seek another server for an overdue request."""
+        offer = job.offer
+        if not (offer.idempotent and offer.retriable):
+            return
+        granted = self._retries.grant(
+            offer, _WITHDRAWN_OVERDUE.reply, job.deadline
+        )
+        await job.observe_overdue(
+            OverdueReport(ran, granted, self.describe(offer.route))
         )
 
     async def _observe_signals(self, signals: ServerSignals) -> None:
@@ -509,16 +524,40 @@
             and took >= _USUAL_TIME_SHARE * usual
         )
 
-    async def run(self, offer: Offer) -> Reply:
-        """Run an offer of the entry node in the same process."""
-        job = await self.jobs.submit(offer)
+    async def run(
+        self, offer: Offer, observer: OfferObserver | None = None
+    ) -> Reply:
+        """Run an offer of the entry node in the same process.
+
+        Parameters
+        ----------
+        offer : Offer
+            The request.
+        observer : OfferObserver, optional
+            Learns how the offer proceeds.
+        """
+        job = await self.jobs.submit(offer, observer=observer)
         try:
             await job.done.wait()
         except curio.CancelledError:
-            await self.jobs.withdraw(job)
+            await self.withdraw(job)
             raise
         return job.reply or Failure(FailureReason.HOME_LOST)
 
+    async def withdraw(self, job: Job) -> None:
+        """Cancel a job that has another server now, or whose client left.
+
+        An overdue one counts as a failure of the server.
+        """
+        if (
+            job.overdue is not None
+            and job.ended_at is None
+            and job.server is not None
+            and self._is_current(job.server)
+        ):
+            self._record_outcome(job.offer, _WITHDRAWN_OVERDUE, read_clock())
+        await self.jobs.withdraw(job)
+
     async def maintain_forever(self) -> None:
         """Close idle connections to the server, and report retries."""
         while True:
--- a/egretlever/relay/_interfaces.py
+++ b/egretlever/relay/_interfaces.py
@@ -4,15 +4,34 @@
 
 from egretlever.core import Address, Seconds
 from egretlever.home import Heartbeat
-from egretlever.placement import Offer, Reply
+from egretlever.placement import Offer, OverdueReport, Reply
 from egretlever.relay._server_client import ServerResult
 
 
+class OfferObserver(Protocol):
+    """Learns how an offer proceeds before its reply."""
+
+    async def observe_start(self) -> None:
+        """Record that the server is at work on it.
+
+        This is reported of offers alongside an earlier attempt only.
+        """
+        ...
+
+    async def observe_overdue(self, report: OverdueReport) -> None:
+        """Record that the server takes far longer than usual."""
+        ...
+
+
 class OfferSender(Protocol):
     """Sends offers of an entry node to home nodes."""
 
     async def offer(
-        self, relay: Address, offer: Offer, follow: bool = False
+        self,
+        relay: Address,
+        offer: Offer,
+        follow: bool = False,
+        observer: OfferObserver | None = None,
     ) -> Reply:
         """Offer a request to the home node at an address.
 
@@ -24,6 +43,8 @@
             The request.
         follow : bool, default=False
             Whether to subscribe to the home node's notices.
+        observer : OfferObserver, optional
+            Learns how the offer proceeds.
         """
         ...
 
--- a/egretlever/relay/_jobs.py
+++ b/egretlever/relay/_jobs.py
@@ -8,15 +8,18 @@
 import curio
 
 from egretlever.core import RequestId, Seconds, make_log
+from egretlever.home import Heartbeat
 from egretlever.placement import (
     Answer,
     Failure,
     FailureReason,
     Offer,
+    OverdueReport,
     Refusal,
     RefusalReason,
     Reply,
 )
+from egretlever.relay._interfaces import OfferObserver
 from egretlever.transport import read_clock
 
 _LOG = make_log("home")
@@ -53,6 +56,8 @@
     ----------
     dispatched : bool
         Whether it was sent to the server.
+    server : Heartbeat or None
+        The server.
     reply : Answer, Refusal or Failure
         Set before `done`.
     done : curio.Event
@@ -65,17 +70,47 @@
         Runs the job.
     owner : object
         Connection that gets the reply: the latest one that offered the request.
+    observer : OfferObserver or None
+        Learns how the job proceeds, for the same connection.
+    overdue : OverdueReport or None
+        Report that the server takes far longer than usual.
     """
 
     offer: Offer
     deadline: Seconds
     dispatched: bool = False
+    server: Heartbeat | None = None
     reply: Reply | None = None
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
     detached_at: Seconds | None = None
     ended_at: Seconds | None = None
     task: Any = None
     owner: object = None
+    observer: OfferObserver | None = None
+    overdue: OverdueReport | None = None
+
+    async def observe_dispatch(self, server: Heartbeat) -> None:
+        """Record that the request is sent to the server."""
+        self.dispatched = True
+        self.server = server
+        if self.observer is not None and self.offer.alongside:
+            await self.observer.observe_start()
+
+    async def observe_overdue(self, report: OverdueReport) -> None:
+        """Record that the server takes far longer than usual."""
+        self.overdue = report
+        if self.observer is not None:
+            await self.observer.observe_overdue(report)
+
+    async def replace_observer(self, observer: OfferObserver | None) -> None:
+        """Report to another observer, also what the former one may not know."""
+        self.observer = observer
+        if observer is None or self.ended_at is not None:
+            return
+        if self.dispatched and self.offer.alongside:
+            await observer.observe_start()
+        if self.overdue is not None:
+            await observer.observe_overdue(self.overdue)
 
 
 class JobTable:
@@ -96,7 +131,12 @@
         self._kept_bytes = 0
         self._has_detached = curio.Event()
 
-    async def submit(self, offer: Offer, owner: object = None) -> Job:
+    async def submit(
+        self,
+        offer: Offer,
+        owner: object = None,
+        observer: OfferObserver | None = None,
+    ) -> Job:
         """Start the job of an offer, or return the existing one.
 
         A resumed offer whose id is unknown was lost in transit. Its id is
@@ -112,6 +152,7 @@
         ):
             job.detached_at = None
             job.owner = owner
+            await job.replace_observer(observer)
             return job
         now = read_clock()
         job = Job(offer, min(Seconds(now + offer.time_left), offer.expires_at))
@@ -123,6 +164,7 @@
             return job
         self._jobs[offer.request_id] = job
         job.owner = owner
+        job.observer = observer
         job.task = await curio.spawn(self._run_job, job, daemon=True)
         return job
 
--- a/egretlever/relay/_links.py
+++ b/egretlever/relay/_links.py
@@ -21,6 +21,7 @@
 from egretlever.relay._changes import Handover
 from egretlever.relay._fleet import NoticeObserver
 from egretlever.relay._frames import FrameError, FrameStream
+from egretlever.relay._interfaces import OfferObserver
 from egretlever.relay._relay_link import RelayLink
 from egretlever.transport import ConnectError, open_connection, read_clock
 
@@ -113,7 +114,11 @@
         )
 
     async def offer(
-        self, relay: Address, offer: Offer, follow: bool = False
+        self,
+        relay: Address,
+        offer: Offer,
+        follow: bool = False,
+        observer: OfferObserver | None = None,
     ) -> Reply:
         """Offer a request to the home node at an address.
 
@@ -135,7 +140,7 @@
         if follow:
             await link.follow()
         incarnation = link.incarnation
-        reply = await link.exchange(offer, deadline)
+        reply = await link.exchange(offer, deadline, observer)
         resumes = 0
         while reply is None and not (
             offer.idempotent and resumes == _MAX_IDEMPOTENT_RESUMES
@@ -156,7 +161,7 @@
                 continue
             if link.incarnation != incarnation:
                 break
-            reply = await link.exchange(offer, deadline)
+            reply = await link.exchange(offer, deadline, observer)
         return reply or Failure(FailureReason.HOME_LOST)
 
     async def expire_forever(self) -> None:
--- /dev/null
+++ b/egretlever/relay/_offers.py
@@ -0,0 +1,193 @@
+"""Offers of an entry node's requests to home nodes."""
+
+import functools
+import math
+from collections import Counter
+
+from egretlever.core import Seconds, ServiceName, make_log
+from egretlever.placement import Exclusion, HomeChoice, Offer, Reply
+from egretlever.relay import _metrics as metrics
+from egretlever.relay._attempt_times import AttemptTimes
+from egretlever.relay._fleet import FleetView
+from egretlever.relay._home import HomeNode
+from egretlever.relay._interfaces import OfferObserver, OfferSender
+from egretlever.relay._request_task import RequestTask, RunningOffer
+from egretlever.schema import logs_pb2
+from egretlever.transport import read_clock, remove_hop_by_hop
+
+_LOG = make_log("entry")
+# An attempt has to end this long before the client's deadline, so that its
+# answer still arrives in time.
+RETURN_MARGIN = Seconds(0.02)
+
+
+class OfferDispatcher:
+    """Chooses home nodes for requests, and sends them offers.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Service of this host, sent as the caller of its requests.
+    fleet : FleetView
+        Servers of the fleet and the reports of their home nodes.
+    home : HomeNode
+        Home node in the same process.
+    links : OfferSender
+        Connections to the other home nodes.
+
+    Attributes
+    ----------
+    times : AttemptTimes
+        What is known of service times.
+    ends_at : Seconds
+        Clock time by which offers must have their replies.
+    """
+
+    def __init__(
+        self,
+        service: ServiceName,
+        fleet: FleetView,
+        home: HomeNode,
+        links: OfferSender,
+    ) -> None:
+        self._service = service
+        self._fleet = fleet
+        self._selector = fleet.selector
+        self._home = home
+        self._links = links
+        self.times = AttemptTimes()
+        self.ends_at = Seconds(math.inf)
+
+    async def start(self, task: RequestTask) -> bool:
+        """Offer a request to the next home node; false when none is left."""
+        servers = self._fleet.sample_servers(task.service)
+        choice = self._selector.decide(task.search, servers, read_clock())
+        if choice is None:
+            return False
+        await self._start(task, choice)
+        return True
+
+    async def start_alongside(self, task: RequestTask) -> bool:
+        """Offer a request whose attempt is overdue to a further home node.
+
+        Returns
+        -------
+        bool
+            False when no server seems to be able to take it now.
+        """
+        overdue = task.find_overdue()
+        assert overdue is not None  # checked by the caller
+        server = overdue.choice.server
+        servers = self._fleet.sample_servers(task.service)
+        return self._selector.has_alternative(
+            task.search, server, servers, read_clock()
+        ) and await self.start(task)
+
+    async def _start(self, task: RequestTask, choice: HomeChoice) -> None:
+        offer = self._make_offer(task, choice)
+        running = RunningOffer(choice, task.changed)
+        task.offers.append(running)
+        await running.start(functools.partial(self._send, task, choice, offer))
+
+    def _make_offer(self, task: RequestTask, choice: HomeChoice) -> Offer:
+        now = read_clock()
+        deadline = min(task.deadline, self.ends_at)
+        head = task.request.head
+        attempts = task.count_attempts()
+        return Offer(
+            request_id=task.id,
+            service=task.service,
+            route=task.route.id,
+            method=head.method,
+            target=head.target.encode("latin-1"),
+            headers=tuple(remove_hop_by_hop(head.headers)),
+            body=task.request.body,
+            rank=task.route.rank,
+            idempotent=task.route.idempotent,
+            time_left=Seconds(deadline - now - RETURN_MARGIN),
+            max_wait=choice.max_wait,
+            caller_service=self._service,
+            forced=choice.forced,
+            careful=not task.search.may_be_trial,
+            late=choice.late,
+            repeated=attempts > 0,
+            derived=task.derived,
+            retriable=attempts + 1 < task.route.max_attempts,
+            granted=(
+                task.granted_until is not None and now < task.granted_until
+            ),
+            usual_time=self.times.estimate_usual(task.route),
+            guessed=not self.times.find(task.route),
+            alongside=bool(task.offers),
+        )
+
+    async def _send(
+        self,
+        task: RequestTask,
+        choice: HomeChoice,
+        offer: Offer,
+        observer: OfferObserver,
+    ) -> Reply:
+        server = choice.server
+        self._selector.start_offer(server)
+        reply: Reply | None = None
+        try:
+            if self._fleet.is_own(server.relay):
+                reply = await self._home.run(offer, observer)
+            else:
+                reply = await self._links.offer(
+                    server.relay,
+                    offer,
+                    follow=self._fleet.is_in_own_domain(server),
+                    observer=observer,
+                )
+        finally:
+            if reply is None and self._fleet.is_own(server.relay):
+                # No notice tells of the own home node.
+                condition = self._home.describe(task.route.id)
+                self._selector.observe_condition(
+                    server, condition, read_clock()
+                )
+            self._selector.finish_offer(
+                server, reply, read_clock(), self.times.find(task.route)
+            )
+        metrics.OFFERS.labels(reply.name).inc()
+        return reply
+
+    def find_exclusions(self, task: RequestTask) -> Counter[Exclusion]:
+        """Count what keeps the home nodes of a service from a request."""
+        excluded = self._selector.explain(
+            task.search,
+            self._fleet.sample_servers(task.service),
+            read_clock(),
+        )
+        for reason, count in excluded.items():
+            metrics.EXCLUSIONS.labels(reason.value).inc(count)
+        return excluded
+
+    def log_reply(
+        self, task: RequestTask, offer: RunningOffer, reply: Reply
+    ) -> None:
+        """Log the reply to an offer, with what the choice rested on."""
+        choice, now = offer.choice, read_clock()
+        _LOG.event(
+            logs_pb2.RequestLine(
+                event="offered",
+                request=task.id,
+                route=task.route.id,
+                service=task.service,
+                server=choice.server.id,
+                rank=task.route.rank,
+                offers=task.search.offers,
+                attempts=task.history.attempts,
+                reason=choice.reason,
+                max_wait_s=round(choice.max_wait, 4),
+                time_left_s=round(task.deadline - now, 4),
+                wait_s=round(choice.wait, 4),
+                trust=choice.trust.value,
+                view_age_s=round(choice.view_age or 0.0, 3),
+                directory=str(self._fleet.directory.version),
+                outcome=reply.name,
+                took_s=round(offer.measure_age(now), 4),
+            )
+        )
--- a/egretlever/relay/_outcomes.py
+++ b/egretlever/relay/_outcomes.py
@@ -50,17 +50,17 @@
 class AttemptEnd(enum.Enum):
     """What ended an attempt whose server may have been at work."""
 
-    LIMIT = "limit"  # the home node's time limit of the attempt
+    REPLACED = "replaced"  # an attempt at another server has started
     SERVER = "server"
     LINK = "link"  # the connection to the home node, or the home node
-    TIMEOUT = "timeout"  # of the client or the route, at the entry node
+    TIMEOUT = "timeout"  # of the client or the route
     STOP = "stop"  # the planned stop of the entry node
 
 
 _ENDS_BY_FAILURE = {
     FailureReason.CUT_OFF: AttemptEnd.SERVER,
     FailureReason.GARBLED: AttemptEnd.SERVER,
-    FailureReason.OVERDUE: AttemptEnd.LIMIT,
+    FailureReason.OVERDUE: AttemptEnd.TIMEOUT,
     FailureReason.HOME_LOST: AttemptEnd.LINK,
 }
 
--- a/egretlever/relay/_relay_link.py
+++ b/egretlever/relay/_relay_link.py
@@ -20,6 +20,7 @@
     decode_change,
     decode_clock,
     decode_notice,
+    decode_overdue,
     decode_reply,
     encode_handover,
     encode_offer,
@@ -27,6 +28,7 @@
 )
 from egretlever.relay._fleet import NoticeObserver
 from egretlever.relay._frames import FrameError, FrameStream
+from egretlever.relay._interfaces import OfferObserver
 from egretlever.relay._remote_clock import RemoteClock
 from egretlever.schema import relay_pb2
 from egretlever.transport import read_clock
@@ -50,6 +52,7 @@
 class _Exchange:
     """State of one offer that waits for its reply."""
 
+    observer: OfferObserver | None = None
     accepted: curio.Event = dataclasses.field(default_factory=curio.Event)
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
     reply: Reply | None = None  # None at the end: the connection was lost
@@ -152,6 +155,8 @@
             exchange = self._exchanges.get(frame.accepted.sequence)
             if exchange is not None:
                 await exchange.accepted.set()
+        elif kind in ("started", "overdue"):
+            await self._report_progress(frame)
         elif kind in ("answer", "refusal", "failure"):
             message = getattr(frame, kind)
             exchange = self._exchanges.get(message.sequence)
@@ -160,6 +165,16 @@
                 await exchange.accepted.set()
                 await exchange.done.set()
 
+    async def _report_progress(self, frame: relay_pb2.RelayFrame) -> None:
+        message = frame.started if frame.HasField("started") else frame.overdue
+        exchange = self._exchanges.get(message.sequence)
+        if exchange is None or exchange.observer is None:
+            return
+        if isinstance(message, relay_pb2.Started):
+            await exchange.observer.observe_start()
+        else:
+            await exchange.observer.observe_overdue(decode_overdue(message))
+
     def _decode_change(self, frame: relay_pb2.DirectoryChange) -> TableChange:
         """Decode a change, and convert its position to the local clock."""
         self._observe_clock(frame)
@@ -252,7 +267,12 @@
         message = relay_pb2.Ping(number=number)
         await self._stream.post(relay_pb2.RelayFrame(ping=message))
 
-    async def exchange(self, offer: Offer, deadline: Seconds) -> Reply | None:
+    async def exchange(
+        self,
+        offer: Offer,
+        deadline: Seconds,
+        observer: OfferObserver | None = None,
+    ) -> Reply | None:
         """Offer a request and wait for its reply.
 
         Parameters
@@ -262,6 +282,8 @@
         deadline : Seconds
             Clock time at which it expires. The home node gets it as a reading
             of its own clock, since an offer can be on its way for seconds.
+        observer : OfferObserver, optional
+            Learns how the offer proceeds.
 
         Returns
         -------
@@ -270,7 +292,7 @@
         """
         self._sequence += 1
         sequence = self._sequence
-        exchange = self._exchanges[sequence] = _Exchange()
+        exchange = self._exchanges[sequence] = _Exchange(observer)
         self.used_at = read_clock()
         try:
             if self.closed:
--- /dev/null
+++ b/egretlever/relay/_request_task.py
@@ -0,0 +1,192 @@
+"""State of a client request while an entry node serves it."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from egretlever.core import RequestId, Seconds, ServiceName
+from egretlever.placement import (
+    FollowUpSearch,
+    HomeChoice,
+    OverdueReport,
+    Reply,
+    Route,
+    Search,
+)
+from egretlever.relay._client_messages import ClientRequest
+from egretlever.relay._interfaces import OfferObserver
+from egretlever.relay._outcomes import AttemptHistory
+from egretlever.transport import read_clock
+
+
+class RunningOffer:
+    """An offer to a home node, from its start to its reply.
+
+    Parameters
+    ----------
+    choice : HomeChoice
+        The home node.
+    changed : curio.Event
+        Set when the offer has proceeded.
+
+    Attributes
+    ----------
+    begun_at : Seconds
+        Clock time of the start.
+    started : bool
+        Whether the server is known to be at work; only offers alongside an
+        earlier attempt tell.
+    overdue : OverdueReport or None
+        Report that the server takes far longer than usual.
+    overdue_at : Seconds
+        Clock time of this report.
+    ended : bool
+        Whether no reply is awaited any more.
+    reply : Answer, Refusal, Failure or None
+        The reply, None when the offer was withdrawn before it.
+    """
+
+    def __init__(self, choice: HomeChoice, changed: curio.Event) -> None:
+        self.choice = choice
+        self.begun_at = read_clock()
+        self.started = False
+        self.overdue: OverdueReport | None = None
+        self.overdue_at = Seconds(0.0)
+        self.ended = False
+        self.reply: Reply | None = None
+        self._changed = changed
+        self._task: curio.Task | None = None
+
+    async def start(
+        self, send: Callable[[OfferObserver], Awaitable[Reply]]
+    ) -> None:
+        """Send the offer in a task of its own.
+
+        Parameters
+        ----------
+        send : callable
+            Coroutine function that sends the offer and returns the reply. It
+            withdraws the offer when it is cancelled.
+        """
+        self._task = await curio.spawn(self._run, send, daemon=True)
+
+    async def _run(
+        self, send: Callable[[OfferObserver], Awaitable[Reply]]
+    ) -> None:
+        try:
+            self.reply = await send(self)
+        finally:
+            self.ended = True
+            await self._changed.set()
+
+    async def observe_start(self) -> None:
+        """Record that the server is at work."""
+        self.started = True
+        await self._changed.set()
+
+    async def observe_overdue(self, report: OverdueReport) -> None:
+        """Record that the server takes far longer than usual."""
+        self.overdue = report
+        self.overdue_at = read_clock()
+        await self._changed.set()
+
+    async def get_reply(self) -> Reply:
+        """Return the reply of an offer that has ended.
+
+        Raises
+        ------
+        TaskError
+            When sending it has failed.
+        """
+        assert self._task is not None  # started
+        await self._task.join()
+        assert self.reply is not None  # ended without an error
+        return self.reply
+
+    async def withdraw(self) -> None:
+        """Withdraw the offer unless it has ended."""
+        if self._task is not None and not self._task.terminated:
+            await self._task.cancel()
+
+    def measure_age(self, now: Seconds) -> Seconds:
+        """Return the time since the start."""
+        return Seconds(now - self.begun_at)
+
+    def measure_run(self, now: Seconds) -> Seconds:
+        """Return for how long the server of an overdue offer is at work."""
+        assert self.overdue is not None  # checked by the caller
+        return Seconds(self.overdue.ran + now - self.overdue_at)
+
+
+@dataclasses.dataclass(slots=True)
+class RequestTask:
+    """State of one client request while it is served.
+
+    Parameters
+    ----------
+    request : ClientRequest
+        The request.
+    id : RequestId
+        Its id.
+    route : Route
+        Its route.
+    service : ServiceName
+        Service that runs it.
+    deadline : Seconds
+        Clock time at which the client, the route or a planned stop ends it.
+    search : Search
+        Search for home nodes.
+    expires_at : Seconds
+        Clock time at which the client gives up.
+    derived : bool
+        Whether it counts as a nested call of a retried request.
+
+    Attributes
+    ----------
+    history : AttemptHistory
+        Outcomes of the attempts that have ended.
+    offers : list of RunningOffer
+        Offers without a reply. The latest one may be alongside an overdue one.
+    changed : curio.Event
+        Set when one of them has proceeded.
+    follow_ups : FollowUpSearch
+        Decides when a server is sought for a further attempt.
+    granted_until : Seconds or None
+        Clock time until which a home node has paid for the next attempt.
+    unanswered_time : Seconds
+        Longest time for which a server was at work without an answer.
+    """
+
+    request: ClientRequest
+    id: RequestId
+    route: Route
+    service: ServiceName
+    deadline: Seconds
+    search: Search
+    expires_at: Seconds
+    derived: bool
+    history: AttemptHistory = dataclasses.field(default_factory=AttemptHistory)
+    offers: list[RunningOffer] = dataclasses.field(default_factory=list)
+    changed: curio.Event = dataclasses.field(default_factory=curio.Event)
+    follow_ups: FollowUpSearch = dataclasses.field(
+        default_factory=FollowUpSearch
+    )
+    granted_until: Seconds | None = None
+    unanswered_time: Seconds = Seconds(0.0)
+
+    def count_attempts(self) -> int:
+        """Count the attempts that have ended or may be running."""
+        return self.history.attempts + len(self.offers)
+
+    def find_overdue(self) -> RunningOffer | None:
+        """Return the only running offer if it is overdue."""
+        if len(self.offers) != 1 or self.offers[0].overdue is None:
+            return None
+        return self.offers[0]
+
+    def list_replaced(self) -> list[RunningOffer]:
+        """List overdue offers whose request another server is working on."""
+        if not self.offers or not self.offers[-1].started:
+            return []
+        return self.offers[:-1]
--- a/egretlever/relay/_retries.py
+++ b/egretlever/relay/_retries.py
@@ -128,13 +128,6 @@
             now, size.homes, size.host_share
         )
 
-    def has_room_for_retry(self, service: ServiceName, now: Seconds) -> bool:
-        """Tell whether the budget allows a retry of a request that fails."""
-        size = self._find_size(service)
-        return self._budget.has_room(
-            now, size.homes, size.host_share, RetryKind.GRANT
-        )
-
     def count_arrival(self, offer: Offer, offered_at: Seconds) -> bool:
         """Count an attempt at the server; false when the budget forbids it.
 
--- a/egretlever/relay/tests/test_service_times.py
+++ b/egretlever/relay/tests/test_service_times.py
@@ -226,6 +226,48 @@
     assert outcome.took == pytest.approx(2.5, abs=0.01)
 
 
+def test_further_attempt_waits_for_a_slot_beside_the_overdue_one():
+    # The first attempt ends when the second one is at work, not before.
+    async def script(fleet):
+        await fleet.send_all(*[0.3] * 12)
+        fleet.servers[1].work = 2.5
+        for _ in range(fleet.slots):
+            await curio.spawn(fleet.send, 1, daemon=True)
+        fleet.hang(0)
+        task = await curio.spawn(fleet.send, daemon=True)
+        await curio.sleep(0.1)
+        fleet.servers[1].work = 0.3
+        await curio.sleep(2.0)
+        before = [server.broken_off for server in fleet.servers]
+        outcome = await task.join()
+        return outcome, before, [one.broken_off for one in fleet.servers]
+
+    outcome, before, after = run_fleet(
+        lambda: TimedFleet(2, objective=4.0), script
+    )
+    assert outcome.status == 200
+    assert 2.7 < outcome.took < 4.0
+    assert (before, after) == ([0, 0], [1, 0])
+
+
+def test_both_attempts_go_on_in_a_planned_stop_until_one_is_answered():
+    # A further attempt that is slow or fails must not cost the work of the one
+    # before it.
+    async def script(fleet):
+        await fleet.send_all(*[0.3] * 12)
+        for _ in range(4):
+            await fleet.send(1)
+        fleet.servers[0].work, fleet.servers[1].work = 3.0, 5.0
+        task = await curio.spawn(fleet.send, daemon=True)
+        await curio.sleep(0.1)
+        fleet.stop(5.45)
+        return await task.join()
+
+    outcome = run_fleet(lambda: TimedFleet(2, objective=4.0), script)
+    assert outcome.status == 200
+    assert outcome.took == pytest.approx(3.0, abs=0.01)
+
+
 @hypothesis.settings(max_examples=60, deadline=None)
 @hypothesis.given(
     count=st.sampled_from([1, 2, 3, 8]),
--- a/egretlever/testing/_relay_doubles.py
+++ b/egretlever/testing/_relay_doubles.py
@@ -5,7 +5,7 @@
 import curio
 
 from egretlever.core import Address, Seconds, ServerId, ServiceName, Version
-from egretlever.placement import HomeNotice
+from egretlever.placement import HomeNotice, OverdueReport
 from egretlever.relay._changes import SharedTable, TableChange
 from egretlever.relay._codec import TABLES_BY_SUBSCRIPTION, encode_change
 from egretlever.relay._frames import FrameStream
@@ -43,6 +43,37 @@
         self.lost.append(server_id)
 
 
+class ProgressRecorder:
+    """Records how an offer proceeds before its reply.
+
+    Attributes
+    ----------
+    starts : int
+        Reports that its server is at work.
+    overdue : list of OverdueReport
+        Reports that it is overdue.
+    """
+
+    def __init__(self) -> None:
+        self.starts = 0
+        self.overdue: list[OverdueReport] = []
+        self._has_overdue = curio.Event()
+
+    async def observe_start(self) -> None:
+        """Record that the server is at work."""
+        self.starts += 1
+
+    async def observe_overdue(self, report: OverdueReport) -> None:
+        """Record that the offer is overdue."""
+        self.overdue.append(report)
+        await self._has_overdue.set()
+
+    async def wait_overdue(self) -> OverdueReport:
+        """Wait until the offer is overdue."""
+        await self._has_overdue.wait()
+        return self.overdue[-1]
+
+
 class ChangeRecorder:
     """Records the changes that a subscriber is sent."""
 
--- a/egretlever/testing/_relay_fixture.py
+++ b/egretlever/testing/_relay_fixture.py
@@ -7,13 +7,18 @@
 import curio
 
 from egretlever.core import Address, Incarnation
-from egretlever.placement import Reply
+from egretlever.placement import OverdueReport, Reply
 from egretlever.platform import Bounds
 from egretlever.relay._acceptor import RelayAcceptor
 from egretlever.relay._home import HomeNode, make_home_node
+from egretlever.relay._interfaces import OfferObserver
 from egretlever.relay._links import LinkPool
 from egretlever.testing._clock import VirtualClock, run_virtual
-from egretlever.testing._relay_doubles import NoticeRecorder, SingleHome
+from egretlever.testing._relay_doubles import (
+    NoticeRecorder,
+    ProgressRecorder,
+    SingleHome,
+)
 from egretlever.testing._scripted_server import (
     ScriptedServer,
     ServerExchange,
@@ -111,12 +116,28 @@
                 await task.cancel()
             await self.listener.close()
 
-    async def offer(self, request: str = "r-1", **changes: Any) -> Reply:
+    async def offer(
+        self,
+        request: str = "r-1",
+        observer: OfferObserver | None = None,
+        **changes: Any,
+    ) -> Reply:
         """Offer a request over the connections of the entry node."""
         return await self.links.offer(
-            self.relay, build_offer(request, **changes)
+            self.relay, build_offer(request, **changes), observer=observer
         )
 
+    async def offer_until_overdue(
+        self, request: str = "r-1", **changes: Any
+    ) -> Reply | OverdueReport:
+        """Offer a request that is withdrawn when it is reported as overdue."""
+        observer = ProgressRecorder()
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(lambda: self.offer(request, observer, **changes))
+            await group.spawn(observer.wait_overdue)
+        result: Reply | OverdueReport = group.completed.result
+        return result
+
 
 def run_script(
     fixture: RelayFixture,
--- a/egretlever/testing/_relay_fleet.py
+++ b/egretlever/testing/_relay_fleet.py
@@ -45,7 +45,7 @@
 from egretlever.relay._entry import EntryNode
 from egretlever.relay._fleet import FleetView
 from egretlever.relay._home import HomeNode
-from egretlever.relay._interfaces import ServerRunner
+from egretlever.relay._interfaces import OfferObserver, ServerRunner
 from egretlever.relay._jobs import Job
 from egretlever.relay._server_client import ServerResult
 from egretlever.testing._clock import run_virtual
@@ -168,7 +168,11 @@
         self._host.view.observe(notice)
 
     async def offer(
-        self, relay: Address, offer: Offer, follow: bool = False
+        self,
+        relay: Address,
+        offer: Offer,
+        follow: bool = False,
+        observer: OfferObserver | None = None,
     ) -> Reply:
         """Offer a request to the home node at an address."""
         other = self._fleet.hosts_by_relay[relay]
@@ -182,11 +186,11 @@
             other.derived[offer.request_id] = self._host.derived.pop(
                 offer.request_id
             )
-        job: Job = await other.home.jobs.submit(offer)
+        job: Job = await other.home.jobs.submit(offer, observer=observer)
         try:
             await job.done.wait()
         except curio.CancelledError:
-            await other.home.jobs.withdraw(job)
+            await other.home.withdraw(job)
             raise
         await curio.sleep(delay)
         return job.reply or Failure(FailureReason.HOME_LOST)
