Take no request in a planned stop of a home node that may outlast it

A stopping home node accepted what usually ends in time, three times the mean service time of its route. One that took longer ended with the process, and its client got 502 or 504 of its entry node's own while the server was at work; when the entry node stops as well, that request counts as lost.

It now accepts only requests whose deadlines lie before its end, and refuses the others as leaving, so that another home node gets them or the client learns at once that they were not run. Short requests are served as before; those with a timeout of the whole grace period are refused from the SIGTERM on. On the platform a server ends before its node is stopped, so that nothing is refused there that would have run.

Ruled out: the entry node can't wait for a home node whose process has ended.

--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -49,9 +49,6 @@
 # their failures came within 10 ms, but only 4 of 251 of healthy servers.
 _USUAL_TIME_SHARE = 0.3
 _EXPIRY_INTERVAL = 0.05  # seconds between checks for expired requests
-# During a planned stop, a request is accepted only when this multiple of its
-# route's mean service time is left.
-_STOP_TIME_FACTOR = 3.0
 # Waits are reported for this many ranks; the last one also covers all further
 # ranks.
 _REPORTED_RANKS = 3
@@ -259,11 +256,11 @@
             self._retries.count_refusal()
         return Refusal(reason, self.describe(offer.route))
 
-    def _find_refusal_reason(self, offer: Offer) -> RefusalReason | None:
+    def _find_refusal_reason(self, job: Job) -> RefusalReason | None:
         server = self.local.current
-        if server is None or server.service != offer.service:
+        if server is None or server.service != job.offer.service:
             return RefusalReason.NO_SERVER
-        if server.draining or self._is_stopping(offer):
+        if server.draining or self._may_outlast_stop(job):
             return RefusalReason.LEAVING
         return None
 
@@ -271,7 +268,8 @@
         """Begin a planned stop.
 
         The server keeps running, so until `rejects_from` it gets requests that
-        can finish before this process ends.
+        expire before this process ends. Whether others would end sooner is not
+        known: some take far longer than usual.
 
         Parameters
         ----------
@@ -283,16 +281,13 @@
         self._rejects_from = rejects_from
         self._ends_at = ends_at
 
-    def _is_stopping(self, offer: Offer) -> bool:
-        now = read_clock()
-        needed = _STOP_TIME_FACTOR * self._queue.estimate_service_time(
-            offer.route
-        )
-        return now > self._rejects_from or now + needed > self._ends_at
+    def _may_outlast_stop(self, job: Job) -> bool:
+        """Tell whether a planned stop could end a request at the server."""
+        return read_clock() > self._rejects_from or job.deadline > self._ends_at
 
     async def _run(self, job: Job) -> Reply:
         offer = job.offer
-        reason = self._find_refusal_reason(offer)
+        reason = self._find_refusal_reason(job)
         if reason is not None:
             return self._refuse(reason, offer)
         now = read_clock()
@@ -327,7 +322,7 @@
         begun = read_clock()
         try:
             # The server may have left or lost trust while the request waited.
-            reason = self._find_refusal_reason(offer)
+            reason = self._find_refusal_reason(job)
             if reason is None and not (
                 trial
                 or self._circuit_breaker.allows_without_trial(
