End requests in the last sixth of any grace period

The last answers were due 0.55 s before the end of the grace period. With less than 3.3 s that is before its last sixth, so that requests at which servers were at work got the node's own 504 too early, which counts as lost. The margins are now 0.15 of the grace period at the most, and no new request is accepted once the last answers are due. With 6 s nothing changes.

test_requests_are_ended_in_the_last_sixth_of_any_grace_period fails before for 1, 2 and 3 s. Its bound for new requests is now the time of the last answers, not the end of the process, which is stricter.

--- a/egretlever/relay/_stopping.py
+++ b/egretlever/relay/_stopping.py
@@ -21,6 +21,9 @@
 _EXIT_MARGIN = Seconds(0.4)
 # Time reserved for the last answers to reach their clients.
 _ANSWER_MARGIN = Seconds(0.15)
+# Both together take at most this share of the grace period. Only in its last
+# sixth may the node answer requests at which servers are at work.
+_MAX_MARGIN_SHARE = 0.15
 _DRAIN_POLL_INTERVAL = 0.05  # seconds
 _FLUSH_TIME = 0.05  # seconds
 
@@ -57,14 +60,17 @@
     grace : Seconds
         Time from then on until the process is killed.
     """
-    ends_at = Seconds(begins_at + grace - _EXIT_MARGIN)
+    margins = _EXIT_MARGIN + _ANSWER_MARGIN
+    scale = min(1.0, _MAX_MARGIN_SHARE * grace / margins)
+    ends_at = Seconds(begins_at + grace - scale * _EXIT_MARGIN)
+    answers_by = Seconds(ends_at - scale * _ANSWER_MARGIN)
     return StopSchedule(
         begins_at=begins_at,
         # Readiness fails from the start of the stop, which notifies clients. A
         # request that still arrives later might not be finished, so it is
         # rejected while "not run" is still true.
-        leaves_at=min(Seconds(begins_at + _LEAVE_NOTICE_TIME), ends_at),
-        answers_by=Seconds(ends_at - _ANSWER_MARGIN),
+        leaves_at=min(Seconds(begins_at + _LEAVE_NOTICE_TIME), answers_by),
+        answers_by=answers_by,
         ends_at=ends_at,
     )
 
--- a/egretlever/relay/tests/test_planned_stop.py
+++ b/egretlever/relay/tests/test_planned_stop.py
@@ -185,7 +185,8 @@
     # With less than 3.3 s, requests at work were given up before it.
     schedule = plan_stop(Seconds(10.0), Seconds(grace))
     assert 10.0 + grace * 5 / 6 <= schedule.answers_by < schedule.ends_at
-    assert schedule.leaves_at < schedule.ends_at < 10.0 + grace
+    assert schedule.leaves_at <= schedule.answers_by
+    assert schedule.ends_at < 10.0 + grace
 
 
 def test_stop_whose_signal_was_noticed_late_ends_within_the_grace_period():
