--- a/benchmarks/_relay_soak_callers.py
+++ b/benchmarks/_relay_soak_callers.py
@@ -233,7 +233,6 @@
     PIPELINED = "pipelined"
     SLOW_READER = "slow-reader"
     LONG_WORK = "long-work"
-    LONG_TAIL = "long-tail"
 
 
 class ConnectionUser:
@@ -286,6 +285,17 @@
                 )
             await self._pause()
 
+    async def run_long_tails(self) -> None:
+        """Call a route of which some requests take far longer than usual."""
+        while True:
+            sock = await self._open_socket()
+            if sock is not None:
+                connection = PipelineConnection(self._context, sock)
+                await self._run_rounds(
+                    connection, self._send_tail, _MAX_ROUNDS, obeys_close=True
+                )
+            await self._pause()
+
     async def _use_connection(self, manner: _Manner) -> None:
         is_slow = manner is _Manner.SLOW_READER
         sock = await self._open_socket(
@@ -301,8 +311,6 @@
             await self._run_rounds(connection, self._send_pipelined)
         elif manner is _Manner.LONG_WORK:
             await self._run_rounds(connection, self._send_long)
-        elif manner is _Manner.LONG_TAIL:
-            await self._run_rounds(connection, self._send_tail)
         else:
             await self._run_rounds(connection, self._send_large)
 
--- a/benchmarks/_relay_soak_hosts.py
+++ b/benchmarks/_relay_soak_hosts.py
@@ -60,6 +60,7 @@
 _DRAIN_LINGER = 3.0  # seconds of serving after the node knows of the drain
 _CALLERS = 3
 _CHANGING_CALLERS = 2
+_LONG_TAIL_CALLERS = 2
 _FIRST_BORN_MS = 1_700_000_000_000
 _REGIONS = {"domain-0": "north", "domain-1": "north", "domain-2": "south"}
 
@@ -215,6 +216,9 @@
             for number in range(_CHANGING_CALLERS):
                 user = ConnectionUser(self._context, f"u{number}", self._rng)
                 await group.spawn(user.run_in_changing_manners)
+            for number in range(_LONG_TAIL_CALLERS):
+                user = ConnectionUser(self._context, f"t{number}", self._rng)
+                await group.spawn(user.run_long_tails)
             user = ConnectionUser(self._context, "r", self._rng)
             await group.spawn(user.run_changing_routes)
 
