Seek another server for requests that a stopping home node may not finish

A home node that stops ended the requests that it still had with its process. Their entry nodes learned of it only then, and answered 502 when too little time was left for another attempt: the same class of fault as the attempts with a fixed limit, a decision made elsewhere with what was known before.

When a stopping home node accepts no more requests, it reports those that may outlast it, as it reports overdue ones. Their entry nodes look for another server while they go on. Orders can't be repeated and are not reported.

test_request_that_its_home_may_not_finish_is_sent_to_another_one fails without the report (502 4.5 s after the request, now 200 after 4.1 s).

--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -1,6 +1,7 @@
 """Home node: the only access to the server on its host."""
 
 import dataclasses
+import functools
 import math
 from collections.abc import Awaitable, Callable
 
@@ -281,6 +282,15 @@
         self._rejects_from = rejects_from
         self._ends_at = ends_at
 
+    async def report_outlasting(self) -> None:
+        """Report running requests that a planned stop could end.
+
+        Their entry nodes seek other servers while the requests go on here.
+        """
+        for job in self.jobs.list_running():
+            if job.dispatched and job.deadline > self._ends_at:
+                await self._report_overdue(job)
+
     def _may_outlast_stop(self, job: Job) -> bool:
         """Tell whether a planned stop could end a request at the server."""
         return read_clock() > self._rejects_from or job.deadline > self._ends_at
@@ -419,16 +429,13 @@
         await job.observe_dispatch(server)
         self._server_runs.begin(offer, now, job.deadline)
 
-        async def report_overdue() -> None:
-            await self._report_overdue(job, Seconds(read_clock() - now))
-
         result = await run_attempt(
             self._client,
             server,
             offer,
             limits,
             self._circuit_breaker,
-            report_overdue,
+            functools.partial(self._report_overdue, job),
         )
         if is_unanswered(result.reply) and not (
             limits.judges_server
@@ -446,11 +453,14 @@
         """Tell whether outcomes of a server still apply."""
         return self._server_key == (server.id, server.incarnation)
 
-    async def _report_overdue(self, job: Job, ran: Seconds) -> None:
-        """Let the entry node seek another server for an overdue request."""
+    async def _report_overdue(self, job: Job) -> None:
+        """Let the entry node seek another server for a running request."""
         offer = job.offer
-        if not (offer.idempotent and offer.retriable):
+        if job.overdue is not None or not (
+            offer.idempotent and offer.retriable
+        ):
             return
+        ran = Seconds(read_clock() - job.dispatched_at)
         granted = self._retries.grant(
             offer, _WITHDRAWN_OVERDUE.reply, job.deadline
         )
--- a/egretlever/relay/_jobs.py
+++ b/egretlever/relay/_jobs.py
@@ -56,6 +56,8 @@
     ----------
     dispatched : bool
         Whether it was sent to the server.
+    dispatched_at : Seconds
+        Clock time at which it was.
     server : Heartbeat or None
         The server.
     reply : Answer, Refusal or Failure
@@ -79,6 +81,7 @@
     offer: Offer
     deadline: Seconds
     dispatched: bool = False
+    dispatched_at: Seconds = Seconds(0.0)
     server: Heartbeat | None = None
     reply: Reply | None = None
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
@@ -92,6 +95,7 @@
     async def observe_dispatch(self, server: Heartbeat) -> None:
         """Record that the request is sent to the server."""
         self.dispatched = True
+        self.dispatched_at = read_clock()
         self.server = server
         if self.observer is not None and self.offer.alongside:
             await self.observer.observe_start()
@@ -226,9 +230,13 @@
             job.detached_at = read_clock()
             await self._has_detached.set()
 
+    def list_running(self) -> list[Job]:
+        """List the jobs without a reply."""
+        return [job for job in self._jobs.values() if job.ended_at is None]
+
     def count_running(self) -> int:
         """Count the jobs without a reply."""
-        return sum(job.ended_at is None for job in self._jobs.values())
+        return len(self.list_running())
 
     async def expire_forever(self) -> None:
         """Withdraw detached jobs, and drop old replies and fences."""
--- a/egretlever/relay/_stopping.py
+++ b/egretlever/relay/_stopping.py
@@ -109,6 +109,7 @@
         self._entry.stop(schedule.leaves_at, schedule.answers_by)
         self._home.stop(schedule.leaves_at, schedule.answers_by)
         await curio.sleep(max(0.0, schedule.leaves_at - read_clock()))
+        await self._home.report_outlasting()
         # Later ones only get rejections, and may be many.
         self._awaited = frozenset(self._connections)
         while (
--- a/egretlever/relay/tests/test_service_times.py
+++ b/egretlever/relay/tests/test_service_times.py
@@ -268,6 +268,28 @@
     assert outcome.took == pytest.approx(3.0, abs=0.01)
 
 
+@pytest.mark.parametrize("stops", [False, True], ids=["runs", "stops"])
+def test_request_that_its_home_may_not_finish_is_sent_to_another_one(stops):
+    # A home node that stopped ended the requests that it still had, when too
+    # little time was left for another one: 502.
+    async def script(fleet):
+        await fleet.send_all(*[2.0] * 12)
+        for _ in range(4):
+            await fleet.send(1)
+        fleet.servers[0].work = 5.8
+        task = await curio.spawn(fleet.send, daemon=True)
+        await curio.sleep(0.1)
+        await curio.spawn(fleet.stop_home, 0, 2.0, 4.4, daemon=True)
+        await curio.sleep(1.0)
+        if stops:
+            fleet.stop(5.45)
+        return await task.join()
+
+    outcome = run_fleet(lambda: TimedFleet(2, objective=4.0), script)
+    assert outcome.status == 200
+    assert outcome.took == pytest.approx(4.1, abs=0.02)
+
+
 @hypothesis.settings(max_examples=60, deadline=None)
 @hypothesis.given(
     count=st.sampled_from([1, 2, 3, 8]),
--- a/egretlever/testing/_timed_fleet.py
+++ b/egretlever/testing/_timed_fleet.py
@@ -169,6 +169,24 @@
         now = read_clock()
         self._fleet.hosts[0].entry.stop(now, Seconds(now + duration))
 
+    async def stop_home(self, number: int, leaves: float, ends: float) -> None:
+        """Stop a home node as planned, whose process ends with its requests.
+
+        Parameters
+        ----------
+        number : int
+            Number of the host.
+        leaves, ends : float
+            Times until it accepts no requests and until it ends, in seconds.
+        """
+        home, now = self._fleet.hosts[number].home, read_clock()
+        home.stop(Seconds(now + leaves), Seconds(now + ends))
+        await curio.sleep(leaves)
+        await home.report_outlasting()
+        await curio.sleep(ends - leaves)
+        for job in home.jobs.list_running():
+            await job.task.cancel()
+
     def trust(self, number: int) -> Trust:
         """Return the trust of a home node in its server."""
         return self._fleet.hosts[number].home.describe().trust
