Ask home nodes once in a search beside an overdue attempt

Each refusal of a further attempt began the search anew, so that the same home nodes were asked again and again until one took the request or its time ran out. The search begins anew only after the pause that follows a search without success. An overdue offer whose reply comes in the turn in which it is replaced is taken for answered now.

test_homes_are_asked_once_in_each_stage_beside_an_overdue_attempt did not end without the change.

--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -264,24 +264,23 @@
         ClientAnswer or None
             None while replies are awaited.
         """
-        for offer in list(task.offers):
-            if offer.ended:
-                task.offers.remove(offer)
-                reply = await offer.get_reply()
-                if isinstance(reply, Answer) and not is_failed(reply):
-                    return self._finish_answered(task, offer, reply)
-                self._observe_failure(task, offer, reply)
         # In a planned stop all attempts go on until one is answered: what the
         # replaced one has done would be lost if the further one failed.
         if self._ends_at is None:
             for offer in task.list_replaced():
-                await self._end_replaced(task, offer)
+                await offer.withdraw()
+        for offer in task.take_ended():
+            if offer.withdrawn:
+                self._observe_replaced(task, offer)
+                continue
+            reply = await offer.get_reply()
+            if isinstance(reply, Answer) and not is_failed(reply):
+                return self._finish_answered(task, offer, reply)
+            self._observe_failure(task, offer, reply)
         if not task.offers:
             return await self._offer_next(task)
-        if self._may_follow_up(
-            task
-        ) and not await self._dispatcher.start_alongside(task):
-            task.follow_ups.observe_unplaced(read_clock())
+        if self._may_follow_up(task):
+            await self._follow_up(task)
         return None
 
     async def _await_change(self, task: RequestTask) -> None:
@@ -330,45 +329,41 @@
 
     def _may_follow_up(self, task: RequestTask) -> bool:
         """Tell whether another server may be asked beside an overdue one."""
-        overdue = task.find_overdue()
-        if overdue is None:
+        if task.find_overdue() is None:
             return False
         now = read_clock()
         deadline = min(task.deadline, self._dispatcher.ends_at)
         needed = self._dispatcher.times.estimate_retry_time(
             task.route, task.unanswered_time
         )
-        if (
-            task.count_attempts() >= task.route.max_attempts
-            or task.search.budget_refusals >= _MAX_BUDGET_REFUSALS
-            or deadline - RETURN_MARGIN - now < needed
-            or not task.follow_ups.is_due(now)
-        ):
-            return False
-        self._prepare_follow_up(task, overdue)
-        return True
+        return (
+            task.count_attempts() < task.route.max_attempts
+            and task.search.budget_refusals < _MAX_BUDGET_REFUSALS
+            and now + needed <= deadline - RETURN_MARGIN
+            and task.follow_ups.is_due(now)
+        )
 
-    def _prepare_follow_up(
-        self, task: RequestTask, overdue: RunningOffer
-    ) -> None:
-        assert overdue.overdue is not None  # found by find_overdue
+    async def _follow_up(self, task: RequestTask) -> None:
+        """Offer a request whose attempt is overdue to a further home node."""
+        overdue = task.find_overdue()
+        assert overdue is not None  # checked by _may_follow_up
+        assert overdue.overdue is not None
         server = overdue.choice.server
-        if server.id in task.search.excluded:
+        if server.id not in task.search.excluded:
+            task.search.exclude_failed(server.id)
+            self._fleet.selector.observe_condition(
+                server, overdue.overdue.condition, overdue.overdue_at
+            )
+            if overdue.overdue.retry_granted:
+                task.granted_until = Seconds(
+                    overdue.overdue_at + _GRANT_LIFETIME
+                )
+        if not await self._dispatcher.start_alongside(task):
+            task.follow_ups.observe_unplaced(read_clock())
             task.search.begin_stage(Stage.ON_TIME)
-            return
-        task.search.exclude_failed(server.id)
-        self._fleet.selector.observe_condition(
-            server, overdue.overdue.condition, overdue.overdue_at
-        )
-        if overdue.overdue.retry_granted:
-            task.granted_until = Seconds(overdue.overdue_at + _GRANT_LIFETIME)
 
-    async def _end_replaced(
-        self, task: RequestTask, offer: RunningOffer
-    ) -> None:
-        """Withdraw an overdue offer that a further attempt replaces."""
-        task.offers.remove(offer)
-        await offer.withdraw()
+    def _observe_replaced(self, task: RequestTask, offer: RunningOffer) -> None:
+        """Record an overdue offer that a further attempt has replaced."""
         ran = offer.measure_run(read_clock())
         self._observe_failure(
             task, offer, Failure(FailureReason.OVERDUE, ran=ran)
--- a/egretlever/relay/_request_task.py
+++ b/egretlever/relay/_request_task.py
@@ -43,8 +43,10 @@
         Clock time of this report.
     ended : bool
         Whether no reply is awaited any more.
+    withdrawn : bool
+        Whether it was withdrawn before its reply.
     reply : Answer, Refusal, Failure or None
-        The reply, None when the offer was withdrawn before it.
+        The reply, if there is one.
     """
 
     def __init__(self, choice: HomeChoice, changed: curio.Event) -> None:
@@ -54,6 +56,7 @@
         self.overdue: OverdueReport | None = None
         self.overdue_at = Seconds(0.0)
         self.ended = False
+        self.withdrawn = False
         self.reply: Reply | None = None
         self._changed = changed
         self._task: curio.Task | None = None
@@ -108,6 +111,7 @@
         """Withdraw the offer unless it has ended."""
         if self._task is not None and not self._task.terminated:
             await self._task.cancel()
+            self.withdrawn = self.reply is None
 
     def measure_age(self, now: Seconds) -> Seconds:
         """Return the time since the start."""
@@ -185,6 +189,12 @@
             return None
         return self.offers[0]
 
+    def take_ended(self) -> list[RunningOffer]:
+        """Remove and return the offers that have ended."""
+        ended = [offer for offer in self.offers if offer.ended]
+        self.offers = [offer for offer in self.offers if not offer.ended]
+        return ended
+
     def list_replaced(self) -> list[RunningOffer]:
         """List overdue offers whose request another server is working on."""
         if not self.offers or not self.offers[-1].started:
--- a/egretlever/relay/tests/test_entry.py
+++ b/egretlever/relay/tests/test_entry.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 import curio
 import pytest
@@ -12,14 +13,16 @@
     Failure,
     FailureReason,
     HomeCondition,
+    OverdueReport,
     Refusal,
     RefusalReason,
+    Stage,
 )
 from egretlever.relay._entry import EntryNode
 from egretlever.relay._running_requests import RunningRequests
 from egretlever.testing import run_virtual
 from egretlever.testing._relay_fleet import RelayFleet
-from egretlever.testing.relay_builders import build_answer
+from egretlever.testing.relay_builders import build_answer, build_condition
 from egretlever.testing.relay_loads import DESK, HUB, build_pattern
 from egretlever.transport import read_clock
 
@@ -209,6 +212,48 @@
     assert send_list(homes, end_after)[0] == 200
 
 
+class OverdueHomes(ScriptedHomes):
+    """Report the first offer as overdue after 0.5 s, and refuse the others.
+
+    The first offer is answered after 4 s.
+    """
+
+    def __init__(self, reason):
+        super().__init__()
+        self.reason = reason
+        self.offered_at = []
+
+    async def offer(self, relay, offer, follow=False, observer=None):
+        self.offered_at.append((round(read_clock(), 2), relay))
+        if offer.alongside:
+            return Refusal(self.reason, build_condition())
+        await curio.sleep(0.5)
+        report = OverdueReport(Seconds(0.5), False, build_condition())
+        await observer.observe_overdue(report)
+        await curio.sleep(3.5)
+        return build_answer(200)
+
+
+@pytest.mark.parametrize(
+    ("reason", "rounds"),
+    [(RefusalReason.BUSY, 3), (RefusalReason.NO_BUDGET, 1)],
+)
+def test_homes_are_asked_once_in_each_stage_beside_an_overdue_attempt(
+    reason, rounds
+):
+    # Refused offers cost traffic, and an overload makes many of them.
+    homes = OverdueHomes(reason)
+    assert send_list(homes) == (200, 4.0)
+    alongside = homes.offered_at[1:]
+    times = sorted({at for at, _ in alongside})
+    assert len(times) == rounds
+    gaps = [later - at for at, later in itertools.pairwise(times)]
+    assert gaps == pytest.approx([0.5, 1.0][: rounds - 1], abs=0.02)
+    # Once in each stage, within the limits of the stages.
+    assert max(collections.Counter(alongside).values()) <= len(Stage)
+    assert len(alongside) <= (10 + 4 + 2) * rounds
+
+
 def test_refusal_for_lack_of_budget_is_counted_once():
     # A later answer was counted as another refusal for lack of budget, and the
     # request was given up although a third server could have served it.
