Answer requests that outlast a planned stop in the direct topology

What callers saw: a request whose server needs longer than drain_timeout_s was in flight when the program ended, and its connection was cut without an answer.

The node ends these requests 0.5 s before the end of the time to drain, or 0.15 of it, with 504, or 503 when none of their attempts was sent. RunningRequests moves from relay to transport, as both topologies use it.

--- a/egretlever/node/_node.py
+++ b/egretlever/node/_node.py
@@ -46,6 +46,10 @@
 # is discarded.
 _MAX_LOOP_LAG = 0.25
 _LEAVE_DELAY = 3.0  # seconds until other nodes and callers know it leaves
+# Time at the end of a planned stop in which requests without a response get one
+# of the node's own, and the largest share of the time to drain for it.
+_ANSWER_TIME = Seconds(0.5)
+_MAX_ANSWER_SHARE = 0.15
 
 Datagrams = Sequence[tuple[Address, bytes]]
 
@@ -318,15 +322,26 @@
         if self._acceptor is not None:
             await self._acceptor.cancel()
         await self._proxy.stop()
-        until = read_clock() + self._settings.traffic.drain_timeout_s
-        # A response has arrived only when its connection has ended: if the
-        # process exits with unread input, bytes already sent may be lost.
-        while self._proxy.connections and read_clock() < until:
-            await curio.sleep(_TICK_INTERVAL)
+        timeout = self._settings.traffic.drain_timeout_s
+        until = Seconds(read_clock() + timeout)
+        await self._await_connections(
+            Seconds(until - min(_ANSWER_TIME, _MAX_ANSWER_SHARE * timeout))
+        )
+        await self._proxy.end_requests()
+        await self._await_connections(until)
         while await self._parts.ledger.flush():
             pass
         await self._stopped.set()
 
+    async def _await_connections(self, until: Seconds) -> None:
+        """Wait until callers have closed their connections.
+
+        A response has arrived only when its connection has ended: if the
+        process exits with unread input, bytes already sent may be lost.
+        """
+        while self._proxy.connections and read_clock() < until:
+            await curio.sleep(_TICK_INTERVAL)
+
 
 async def _run_periodically(interval: float, work: Callable[[], Any]) -> None:
     while True:
--- a/egretlever/node/_proxy.py
+++ b/egretlever/node/_proxy.py
@@ -33,6 +33,8 @@
     RequestError,
     RequestHead,
     ResponseHead,
+    RunningRequests,
+    StopTimeout,
     read_clock,
 )
 
@@ -68,6 +70,7 @@
         self._id_prefix = f"{randomness.getrandbits(48):012x}"
         self._request_number = 0
         self._in_flight = 0
+        self._running = RunningRequests()
         self._connections = 0
         self._idle: set[curio.Task] = set()
         self._draining = False
@@ -93,6 +96,10 @@
         for task in list(self._idle):
             await task.cancel(blocking=False)
 
+    async def end_requests(self) -> None:
+        """Answer the requests that have no response yet."""
+        await self._running.end_all()
+
     async def serve(self, connection: CallerConnection, peer: str) -> None:
         """Serve a caller's connection until it ends."""
         self._connections += 1
@@ -174,7 +181,7 @@
         if not connection.expects_continue:
             await body.fill()
         request = Request(context, head, body, connection.is_disconnected)
-        result = await self._engine.run(request)
+        result = await self._run(request)
         outcome = Outcome.COMPLETED
         if isinstance(result, LocalResponse):
             outcome = result.outcome
@@ -188,6 +195,20 @@
             await self._forward(connection, request, result)
         self._count(context, outcome)
 
+    async def _run(
+        self, request: Request
+    ) -> EndedAttempt | LocalResponse | Replay:
+        """Run a request, until a planned stop ends it at the latest."""
+        running = await self._running.enter()
+        try:
+            return await self._engine.run(request)
+        except StopTimeout:
+            outcome = request.combine()
+            status = 503 if outcome is Outcome.NOT_RUN else 504
+            return LocalResponse(status, outcome, "the node stops")
+        finally:
+            await self._running.leave(running)
+
     def _count(self, context: RequestContext, outcome: Outcome) -> None:
         service = context.choice.service
         metrics.find_child(
--- a/egretlever/node/tests/test_graceful_stop.py
+++ b/egretlever/node/tests/test_graceful_stop.py
@@ -56,10 +56,11 @@
         await node.stop()
         await running.join()
         in_flight = node._proxy._in_flight
+        reply = await caller.read()
         await caller.sock.close()
-        return in_flight
+        return in_flight, reply.head.status
 
-    assert run_with_proxy(scenario) == 0
+    assert run_with_proxy(scenario) == (0, 504)
 
 
 def test_a_request_received_before_the_stop_is_served():
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -42,10 +42,9 @@
     make_rejection,
 )
 from egretlever.relay._request_task import RequestTask, RunningOffer
-from egretlever.relay._running_requests import RunningRequests, StopTimeout
 from egretlever.relay._sampling import RequestSampler
 from egretlever.schema import logs_pb2
-from egretlever.transport import read_clock
+from egretlever.transport import RunningRequests, StopTimeout, read_clock
 
 _LOG = make_log("entry")
 # A request is given up when this many home nodes have refused it for lack of
--- a/egretlever/relay/tests/test_entry.py
+++ b/egretlever/relay/tests/test_entry.py
@@ -19,12 +19,11 @@
     Stage,
 )
 from egretlever.relay._entry import EntryNode
-from egretlever.relay._running_requests import RunningRequests
 from egretlever.testing import run_virtual
 from egretlever.testing._relay_fleet import RelayFleet
 from egretlever.testing.relay_builders import build_answer, build_condition
 from egretlever.testing.relay_loads import DESK, HUB, build_pattern
-from egretlever.transport import read_clock
+from egretlever.transport import RunningRequests, read_clock
 
 
 def send_before_start(start_delay):
--- a/egretlever/transport/__init__.py
+++ b/egretlever/transport/__init__.py
@@ -44,6 +44,7 @@
     remove_hop_by_hop,
 )
 from egretlever.transport._pool import ConnectionPool
+from egretlever.transport._running_requests import RunningRequests, StopTimeout
 from egretlever.transport._services import (
     Answer,
     Handler,
@@ -90,6 +91,8 @@
     "Reply",
     "RequestError",
     "RequestHead",
+    "RunningRequests",
+    "StopTimeout",
     "ResponseHead",
     "SocketReader",
     "accept_connections",
--- a/egretlever/relay/_running_requests.py
+++ b/egretlever/transport/_running_requests.py
@@ -1,4 +1,4 @@
-"""Requests of an entry node that have no answer yet."""
+"""Requests of callers that have no answer yet."""
 
 from typing import Any
 
