Let all attempts of a request go on until one is answered

Without any stop each refused, failed or slower further attempt lost the first one.

An attempt that was sent to a server promises no answer, so the first one goes on beside it, in and outside of a stop. The report that a server is at work, and the mark of an offer alongside another one, are not needed any more. Overdue attempts that another server overtakes still count for the estimates and for the trust in their servers.

test_overdue_attempt_goes_on_when_the_further_one_does_no_better fails before in its three cases outside of a stop (502, 500 and 502). Cost: an overdue request holds two slots until one server answers, instead of one.

Ruled out: waiting for some milliseconds whether the server refuses, which leaves failures and slow servers.

--- a/egretlever/placement/_follow_ups.py
+++ b/egretlever/placement/_follow_ups.py
@@ -55,11 +55,11 @@
 
 
 class FollowUpSearch:
-    """Decides when another server is sought for an overdue attempt.
+    """Decides when another server is sought beside an overdue attempt.
 
-    The attempt ends only when another server is at work on the request: it may
-    be the slow one of a sound server, whose work would be lost if no server
-    took the retry.
+    All attempts go on until one is answered. The overdue one may be the slow
+    one of a sound server, whose work would be lost if no server took the retry,
+    or if the other server refused it, failed or took as long.
 
     Examples
     --------
--- a/egretlever/placement/_records.py
+++ b/egretlever/placement/_records.py
@@ -291,9 +291,6 @@
     guessed : bool
         Whether this time is derived from the latency objective, since nothing
         was observed yet.
-    alongside : bool
-        Whether an earlier attempt of the request is still running, which is
-        withdrawn when this one starts.
     expires_at : Seconds
         Clock time of the home node at which the client or the route gives up.
         It also holds for an offer that was long on its way.
@@ -321,7 +318,6 @@
     granted: bool = False
     usual_time: Seconds = Seconds(0.0)
     guessed: bool = False
-    alongside: bool = False
     expires_at: Seconds = Seconds(math.inf)
 
     @property
--- a/egretlever/relay/_acceptor.py
+++ b/egretlever/relay/_acceptor.py
@@ -20,7 +20,6 @@
     encode_overdue,
     encode_pong,
     encode_reply,
-    encode_started,
 )
 from egretlever.relay._frames import FrameError, FrameStream
 from egretlever.relay._handover import HandoverExchange
@@ -67,10 +66,6 @@
         self._stream = stream
         self._sequence = sequence
 
-    async def observe_start(self) -> None:
-        """Report that the server is at work; a closed connection ignores it."""
-        await self._stream.post(encode_started(self._sequence))
-
     async def observe_overdue(self, report: OverdueReport) -> None:
         """Report that it is overdue; a closed connection ignores it."""
         await self._stream.post(encode_overdue(self._sequence, report))
--- a/egretlever/relay/_attempts.py
+++ b/egretlever/relay/_attempts.py
@@ -21,7 +21,7 @@
     """Run a request at the server until its deadline.
 
     While an attempt is overdue, the server is doubted. It goes on all the same:
-    only the entry node knows whether another server takes the request.
+    only the entry node knows whether another server answers the request.
 
     Parameters
     ----------
--- a/egretlever/relay/_codec.py
+++ b/egretlever/relay/_codec.py
@@ -108,7 +108,6 @@
             usual_ms=_to_milliseconds(offer.usual_time),
             guessed=offer.guessed,
             reserve_ms=_to_milliseconds(offer.time_left),
-            alongside=offer.alongside,
             expires_at_ms=_to_clock_milliseconds(offer.expires_at),
         )
     )
@@ -139,7 +138,6 @@
         granted=offer.granted,
         usual_time=_to_seconds(offer.usual_ms),
         guessed=offer.guessed,
-        alongside=offer.alongside,
         expires_at=Seconds(
             offer.expires_at_ms / 1000 if offer.expires_at_ms else math.inf
         ),
@@ -215,11 +213,6 @@
     )
 
 
-def encode_started(sequence: int) -> relay_pb2.RelayFrame:
-    """Encode that the server is at work on an offer."""
-    return relay_pb2.RelayFrame(started=relay_pb2.Started(sequence=sequence))
-
-
 def encode_overdue(
     sequence: int, report: OverdueReport
 ) -> relay_pb2.RelayFrame:
--- a/egretlever/relay/_entry.py
+++ b/egretlever/relay/_entry.py
@@ -263,15 +263,7 @@
         ClientAnswer or None
             None while replies are awaited.
         """
-        # In a planned stop all attempts go on until one is answered: what the
-        # replaced one has done would be lost if the further one failed.
-        if self._ends_at is None:
-            for offer in task.list_replaced():
-                await offer.withdraw()
         for offer in task.take_ended():
-            if offer.withdrawn:
-                self._observe_replaced(task, offer)
-                continue
             reply = await offer.get_reply()
             if isinstance(reply, Answer) and not is_failed(reply):
                 return self._finish_answered(task, offer, reply)
@@ -333,7 +325,7 @@
         now = read_clock()
         deadline = min(task.deadline, self._dispatcher.ends_at)
         needed = self._dispatcher.times.estimate_retry_time(
-            task.route, task.unanswered_time
+            task.route, task.measure_unanswered(now)
         )
         return (
             task.count_attempts() < task.route.max_attempts
@@ -361,17 +353,21 @@
             task.follow_ups.observe_unplaced(read_clock())
             task.search.begin_stage(Stage.ON_TIME)
 
-    def _observe_replaced(self, task: RequestTask, offer: RunningOffer) -> None:
-        """Record an overdue offer that a further attempt has replaced."""
-        ran = offer.measure_run(read_clock())
-        self._observe_failure(
-            task, offer, Failure(FailureReason.OVERDUE, ran=ran)
-        )
-        task.history.observe_end(AttemptEnd.REPLACED, ran)
+    def _observe_overtaken(
+        self, task: RequestTask, offer: RunningOffer
+    ) -> None:
+        """Record an overdue offer of a request that another server answers."""
+        now = read_clock()
+        failure = Failure(FailureReason.OVERDUE, ran=offer.measure_run(now))
+        self._log_reply(task, offer, failure)
+        self._dispatcher.times.observe(task.route, failure, now)
 
     def _finish_answered(
         self, task: RequestTask, offer: RunningOffer, reply: Answer
     ) -> ClientAnswer:
+        for other in task.list_overdue():
+            if other is not offer:
+                self._observe_overtaken(task, other)
         self._log_reply(task, offer, reply)
         self._dispatcher.times.observe(task.route, reply, read_clock())
         return self._finish(Ending.ANSWERED, task.id, task, make_answer(reply))
--- a/egretlever/relay/_home.py
+++ b/egretlever/relay/_home.py
@@ -54,7 +54,7 @@
 # ranks.
 _REPORTED_RANKS = 3
 _NO_ROUTE = RouteId("")
-# Outcome of an overdue request that another server has taken over, or that its
+# Outcome of an overdue request that another server has answered, or that its
 # client has given up.
 _WITHDRAWN_OVERDUE = ServerResult(Failure(FailureReason.OVERDUE), False)
 
@@ -426,7 +426,7 @@
         limits = make_attempt_limits(
             offer, left, time, self._queue.service_time_
         )
-        await job.observe_dispatch(server)
+        job.observe_dispatch(server)
         self._server_runs.begin(offer, now, job.deadline)
 
         result = await run_attempt(
@@ -550,7 +550,7 @@
         return job.reply or Failure(FailureReason.HOME_LOST)
 
     async def withdraw(self, job: Job) -> None:
-        """Cancel a job that has another server now, or whose client left.
+        """Cancel a job that another server has answered, or whose client left.
 
         An overdue one counts as a failure of the server.
         """
--- a/egretlever/relay/_interfaces.py
+++ b/egretlever/relay/_interfaces.py
@@ -11,13 +11,6 @@
 class OfferObserver(Protocol):
     """Learns how an offer proceeds before its reply."""
 
-    async def observe_start(self) -> None:
-        """Record that the server is at work on it.
-
-        This is reported of offers alongside an earlier attempt only.
-        """
-        ...
-
     async def observe_overdue(self, report: OverdueReport) -> None:
         """Record that the server takes far longer than usual."""
         ...
--- a/egretlever/relay/_jobs.py
+++ b/egretlever/relay/_jobs.py
@@ -92,13 +92,11 @@
     observer: OfferObserver | None = None
     overdue: OverdueReport | None = None
 
-    async def observe_dispatch(self, server: Heartbeat) -> None:
+    def observe_dispatch(self, server: Heartbeat) -> None:
         """Record that the request is sent to the server."""
         self.dispatched = True
         self.dispatched_at = read_clock()
         self.server = server
-        if self.observer is not None and self.offer.alongside:
-            await self.observer.observe_start()
 
     async def observe_overdue(self, report: OverdueReport) -> None:
         """Record that the server takes far longer than usual."""
@@ -109,11 +107,7 @@
     async def replace_observer(self, observer: OfferObserver | None) -> None:
         """Report to another observer, also what the former one may not know."""
         self.observer = observer
-        if observer is None or self.ended_at is not None:
-            return
-        if self.dispatched and self.offer.alongside:
-            await observer.observe_start()
-        if self.overdue is not None:
+        if observer is not None and self.overdue is not None:
             await observer.observe_overdue(self.overdue)
 
 
--- a/egretlever/relay/_outcomes.py
+++ b/egretlever/relay/_outcomes.py
@@ -50,7 +50,6 @@
 class AttemptEnd(enum.Enum):
     """What ended an attempt whose server may have been at work."""
 
-    REPLACED = "replaced"  # an attempt at another server has started
     SERVER = "server"
     LINK = "link"  # the connection to the home node, or the home node
     TIMEOUT = "timeout"  # of the client or the route
--- a/egretlever/relay/_relay_link.py
+++ b/egretlever/relay/_relay_link.py
@@ -155,8 +155,11 @@
             exchange = self._exchanges.get(frame.accepted.sequence)
             if exchange is not None:
                 await exchange.accepted.set()
-        elif kind in ("started", "overdue"):
-            await self._report_progress(frame)
+        elif kind == "overdue":
+            exchange = self._exchanges.get(frame.overdue.sequence)
+            if exchange is not None and exchange.observer is not None:
+                report = decode_overdue(frame.overdue)
+                await exchange.observer.observe_overdue(report)
         elif kind in ("answer", "refusal", "failure"):
             message = getattr(frame, kind)
             exchange = self._exchanges.get(message.sequence)
@@ -165,16 +168,6 @@
                 await exchange.accepted.set()
                 await exchange.done.set()
 
-    async def _report_progress(self, frame: relay_pb2.RelayFrame) -> None:
-        message = frame.started if frame.HasField("started") else frame.overdue
-        exchange = self._exchanges.get(message.sequence)
-        if exchange is None or exchange.observer is None:
-            return
-        if isinstance(message, relay_pb2.Started):
-            await exchange.observer.observe_start()
-        else:
-            await exchange.observer.observe_overdue(decode_overdue(message))
-
     def _decode_change(self, frame: relay_pb2.DirectoryChange) -> TableChange:
         """Decode a change, and convert its position to the local clock."""
         self._observe_clock(frame)
--- a/egretlever/relay/_request_task.py
+++ b/egretlever/relay/_request_task.py
@@ -34,17 +34,12 @@
     ----------
     begun_at : Seconds
         Clock time of the start.
-    started : bool
-        Whether the server is known to be at work; only offers alongside an
-        earlier attempt tell.
     overdue : OverdueReport or None
         Report that the server takes far longer than usual.
     overdue_at : Seconds
         Clock time of this report.
     ended : bool
         Whether no reply is awaited any more.
-    withdrawn : bool
-        Whether it was withdrawn before its reply.
     reply : Answer, Refusal, Failure or None
         The reply, if there is one.
     """
@@ -52,11 +47,9 @@
     def __init__(self, choice: HomeChoice, changed: curio.Event) -> None:
         self.choice = choice
         self.begun_at = read_clock()
-        self.started = False
         self.overdue: OverdueReport | None = None
         self.overdue_at = Seconds(0.0)
         self.ended = False
-        self.withdrawn = False
         self.reply: Reply | None = None
         self._changed = changed
         self._task: curio.Task | None = None
@@ -83,11 +76,6 @@
             self.ended = True
             await self._changed.set()
 
-    async def observe_start(self) -> None:
-        """Record that the server is at work."""
-        self.started = True
-        await self._changed.set()
-
     async def observe_overdue(self, report: OverdueReport) -> None:
         """Record that the server takes far longer than usual."""
         self.overdue = report
@@ -111,7 +99,6 @@
         """Withdraw the offer unless it has ended."""
         if self._task is not None and not self._task.terminated:
             await self._task.cancel()
-            self.withdrawn = self.reply is None
 
     def measure_age(self, now: Seconds) -> Seconds:
         """Return the time since the start."""
@@ -151,7 +138,7 @@
     history : AttemptHistory
         Outcomes of the attempts that have ended.
     offers : list of RunningOffer
-        Offers without a reply. The latest one may be alongside an overdue one.
+        Offers without a reply; all but the latest one are overdue.
     changed : curio.Event
         Set when one of them has proceeded.
     follow_ups : FollowUpSearch
@@ -184,19 +171,29 @@
         return self.history.attempts + len(self.offers)
 
     def find_overdue(self) -> RunningOffer | None:
-        """Return the only running offer if it is overdue."""
-        if len(self.offers) != 1 or self.offers[0].overdue is None:
+        """Return the latest running offer if all of them are overdue."""
+        if not self.offers or any(one.overdue is None for one in self.offers):
             return None
-        return self.offers[0]
+        return self.offers[-1]
+
+    def list_overdue(self) -> list[RunningOffer]:
+        """List the running offers that are overdue."""
+        return [one for one in self.offers if one.overdue is not None]
+
+    def measure_unanswered(self, now: Seconds) -> Seconds:
+        """Return the longest time of a server without an answer.
+
+        The latest offer does not count: it may be answered soon.
+        """
+        running = [
+            one.measure_run(now)
+            for one in self.offers[:-1]
+            if one.overdue is not None
+        ]
+        return max([self.unanswered_time, *running])
 
     def take_ended(self) -> list[RunningOffer]:
         """Remove and return the offers that have ended."""
         ended = [offer for offer in self.offers if offer.ended]
         self.offers = [offer for offer in self.offers if not offer.ended]
         return ended
-
-    def list_replaced(self) -> list[RunningOffer]:
-        """List overdue offers whose request another server is working on."""
-        if not self.offers or not self.offers[-1].started:
-            return []
-        return self.offers[:-1]
--- a/egretlever/testing/_relay_doubles.py
+++ b/egretlever/testing/_relay_doubles.py
@@ -48,21 +48,14 @@
 
     Attributes
     ----------
-    starts : int
-        Reports that its server is at work.
     overdue : list of OverdueReport
         Reports that it is overdue.
     """
 
     def __init__(self) -> None:
-        self.starts = 0
         self.overdue: list[OverdueReport] = []
         self._has_overdue = curio.Event()
 
-    async def observe_start(self) -> None:
-        """Record that the server is at work."""
-        self.starts += 1
-
     async def observe_overdue(self, report: OverdueReport) -> None:
         """Record that the offer is overdue."""
         self.overdue.append(report)
--- a/egretlever/testing/_timed_fleet.py
+++ b/egretlever/testing/_timed_fleet.py
@@ -16,6 +16,8 @@
     FailureReason,
     HomeCondition,
     Offer,
+    Refusal,
+    RefusalReason,
     Trust,
 )
 from egretlever.platform import Bounds
@@ -43,12 +45,15 @@
         Requests that reached it.
     broken_off : int
         Requests that were broken off while it was at work.
+    status : int
+        Status of its answers; 503 stands for requests that it does not run.
     """
 
     def __init__(self) -> None:
         self.work = 0.0
         self.arrivals = 0
         self.broken_off = 0
+        self.status = 200
 
     async def exchange(
         self, server: Heartbeat, offer: Offer, time_left: Seconds
@@ -56,6 +61,8 @@
         """Run one request."""
         del server, offer
         self.arrivals += 1
+        if self.status == 503:
+            return ServerResult(Refusal(RefusalReason.SHED), None)
         try:
             async with curio.timeout_after(time_left):
                 await curio.sleep(min(self.work, _PATIENCE))
@@ -65,7 +72,8 @@
         except curio.CancelledError:
             self.broken_off += 1
             raise
-        return ServerResult(Answer(200, (), b"", HomeCondition()), True)
+        answer = Answer(self.status, (), b"", HomeCondition())
+        return ServerResult(answer, self.status == 200)
 
     async def expire(self, now: Seconds) -> None:
         """Do nothing: there are no connections."""
