Share the loop of the soak's callers that use connections for one kind

The callers of a route with a long tail repeated the loop of two others. One loop takes what to send and whether an announced close is obeyed; nothing else changes.

--- a/benchmarks/_relay_soak_callers.py
+++ b/benchmarks/_relay_soak_callers.py
@@ -259,14 +259,7 @@
 
     async def run_one_at_a_time(self) -> None:
         """Send one request at a time, until the close is announced."""
-        while True:
-            sock = await self._open_socket()
-            if sock is not None:
-                connection = PipelineConnection(self._context, sock)
-                await self._run_rounds(
-                    connection, self._send_small, _MAX_ROUNDS, obeys_close=True
-                )
-            await self._pause()
+        await self._use_connections(self._send_small, obeys_close=True)
 
     async def run_in_changing_manners(self) -> None:
         """Use connections until they end, even if their close is announced."""
@@ -276,23 +269,24 @@
 
     async def run_changing_routes(self) -> None:
         """Call routes that the configurations change."""
-        while True:
-            sock = await self._open_socket()
-            if sock is not None:
-                connection = PipelineConnection(self._context, sock)
-                await self._run_rounds(
-                    connection, self._call_changing_route, _MAX_ROUNDS
-                )
-            await self._pause()
+        await self._use_connections(self._call_changing_route)
 
     async def run_long_tails(self) -> None:
         """Call a route of which some requests take far longer than usual."""
+        await self._use_connections(self._send_tail, obeys_close=True)
+
+    async def _use_connections(
+        self,
+        send: Callable[[PipelineConnection], Awaitable[None]],
+        obeys_close: bool = False,
+    ) -> None:
+        """Use one connection after another for requests of one kind."""
         while True:
             sock = await self._open_socket()
             if sock is not None:
                 connection = PipelineConnection(self._context, sock)
                 await self._run_rounds(
-                    connection, self._send_tail, _MAX_ROUNDS, obeys_close=True
+                    connection, send, _MAX_ROUNDS, obeys_close
                 )
             await self._pause()
 
