--- a/review/rig.py
+++ b/review/rig.py
@@ -603,6 +603,12 @@
 
     async def start(self):
         """Start the process."""
+        if self.process is not None:
+            # Only the first start of the whole system is a first start.
+            text = self._settings.read_text()
+            self._settings.write_text(
+                text.replace("first_start = true", "first_start = false")
+            )
         inherited = ("PATH", "HOME", "LANG")
         env = {
             name: os.environ[name] for name in inherited if name in os.environ
